--- /dev/null
+++ b/fold/member/backend.go
@@ -0,0 +1,190 @@
+// Package member keeps what a VM knows of the backend servers and of the
+// other VMs: who is there, under which lease, and what has to be passed on.
+package member
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// DefaultLease is how long a backend server counts as present after it was
+// last heard.
+const DefaultLease = 5 * time.Second
+
+// tombstoneLeases is how many leases a departed backend server's last
+// sequence number is remembered, so that a delayed message cannot revive it.
+const tombstoneLeases = 20
+
+// Load is a backend server's own account of its work at one moment.
+type Load struct {
+	Running     int
+	Waiting     int
+	MemoryUsed  int
+	Preemptions int
+	Step        time.Duration
+	// Lag is how old the account was when the server gave it.
+	Lag time.Duration
+}
+
+// Backend is one announced backend server.
+type Backend struct {
+	ID           string
+	Addr         netip.AddrPort
+	Kind         string
+	Service      string
+	Model        string
+	Adapters     []string
+	Version      string
+	Domain       string
+	MemoryTokens int
+	ChecksFence  bool
+	// Epoch grows with each start of the backend server, Seq with each of its
+	// announcements; together they order what is known of it.
+	Epoch   uint64
+	Seq     uint64
+	Leaving bool
+	Load    Load
+}
+
+// Supersedes reports whether b is later news than o of the same server.
+func (b Backend) Supersedes(o Backend) bool {
+	if b.Epoch != o.Epoch {
+		return b.Epoch > o.Epoch
+	}
+	return b.Seq > o.Seq
+}
+
+// Heard is a backend server as passed between VMs.
+type Heard struct {
+	Backend
+	// Age is the time since the backend server itself was heard.
+	Age time.Duration
+}
+
+type record struct {
+	Backend
+	heard time.Time
+	// version is the table's change counter at the record's last change.
+	version uint64
+	gone    bool
+	// from is the VM that the record came from, empty for the server itself.
+	from string
+}
+
+// Table is what one VM knows of the backend servers. The zero value is empty
+// and ready to use.
+type Table struct {
+	// Lease takes DefaultLease when zero.
+	Lease   time.Duration
+	records map[string]*record
+	// version counts changes; every record's version is at most this.
+	version uint64
+}
+
+// Change says what a call did to the table.
+type Change int
+
+// The changes.
+const (
+	// Stale: older news than what is known.
+	Stale Change = iota
+	// Refreshed: the lease and the load are newer, nothing else.
+	Refreshed
+	// Changed: the backend server is new, has restarted or leaves.
+	Changed
+)
+
+func (t *Table) lease() time.Duration {
+	if t.Lease == 0 {
+		return DefaultLease
+	}
+	return t.Lease
+}
+
+// Merge takes news of a backend server that came from the named VM, or from
+// the server itself if the name is empty.
+func (t *Table) Merge(now time.Time, h Heard, from string) Change {
+	if h.Age >= t.lease() {
+		return Stale
+	}
+	r := t.records[h.ID]
+	if r != nil && !h.Supersedes(r.Backend) {
+		return Stale
+	}
+	change := Changed
+	if r != nil && r.Epoch == h.Epoch {
+		h.Leaving = h.Leaving || r.Leaving
+		if !r.gone && h.Leaving == r.Leaving && h.Addr == r.Addr && h.Model == r.Model {
+			change = Refreshed
+		}
+	}
+	if t.records == nil {
+		t.records = map[string]*record{}
+	}
+	t.version++
+	t.records[h.ID] = &record{Backend: h.Backend, heard: now.Add(-h.Age), version: t.version, from: from}
+	return change
+}
+
+// Expire marks backend servers whose lease has run out as gone and returns
+// their IDs in order.
+func (t *Table) Expire(now time.Time) []string {
+	var out []string
+	for id, r := range t.records {
+		age := now.Sub(r.heard)
+		if !r.gone && age >= t.lease() {
+			r.gone = true
+			out = append(out, id)
+		}
+		if r.gone && age >= tombstoneLeases*t.lease() {
+			delete(t.records, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Get returns a present backend server.
+func (t *Table) Get(id string) (Backend, bool) {
+	r := t.records[id]
+	if r == nil || r.gone {
+		return Backend{}, false
+	}
+	return r.Backend, true
+}
+
+// Present returns all present backend servers, ordered by ID.
+func (t *Table) Present() []Backend {
+	var out []Backend
+	for _, r := range t.records {
+		if !r.gone {
+			out = append(out, r.Backend)
+		}
+	}
+	slices.SortFunc(out, func(a, b Backend) int { return compare(a.ID, b.ID) })
+	return out
+}
+
+// Since returns what changed after the given version and did not come from the
+// named VM, and the version that the answer covers.
+func (t *Table) Since(now time.Time, version uint64, to string) ([]Heard, uint64) {
+	var out []Heard
+	for _, r := range t.records {
+		if r.version > version && !r.gone && r.from != to {
+			out = append(out, Heard{Backend: r.Backend, Age: now.Sub(r.heard)})
+		}
+	}
+	slices.SortFunc(out, func(a, b Heard) int { return compare(a.ID, b.ID) })
+	return out, t.version
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/fold/member/group.go
@@ -0,0 +1,249 @@
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Constants of the exchange between VMs.
+const (
+	// ExchangeInterval is the time between two exchanges that a VM begins.
+	ExchangeInterval = time.Second
+	// PeerLease is how long a VM counts as live after it was last heard.
+	PeerLease = 6 * time.Second
+	// Fanout is the number of VMs of the own failure domain in an exchange.
+	Fanout = 2
+	// SummaryPerModel is the number of backend servers of a model that one
+	// failure domain makes known to another.
+	SummaryPerModel = 4
+	// maxKnown bounds the other VMs named in one message.
+	maxKnown = 8
+)
+
+// Peer is one VM of the system.
+type Peer struct {
+	ID     string
+	Addr   netip.AddrPort
+	Domain string
+	Region string
+	// Epoch grows with each start of the VM's process.
+	Epoch    uint64
+	Revision uint64
+	Draining bool
+}
+
+type peerRecord struct {
+	Peer
+	heard time.Time
+	// acked is the version of the own table that the VM has taken in.
+	acked uint64
+	// have is the version of the VM's table that was taken in here.
+	have uint64
+}
+
+// Group is what one VM knows of the others. Self is set before use; the rest
+// is ready as it is.
+type Group struct {
+	Self Peer
+	// Seeds are addresses to try while no VM behind them has been heard.
+	Seeds []netip.AddrPort
+	peers map[string]*peerRecord
+}
+
+// Hear takes a VM's own word. Only news of the same or a later epoch counts.
+func (g *Group) Hear(now time.Time, p Peer) {
+	if p.ID == "" || p.ID == g.Self.ID {
+		return
+	}
+	r := g.peers[p.ID]
+	if r != nil && p.Epoch < r.Epoch {
+		return
+	}
+	if g.peers == nil {
+		g.peers = map[string]*peerRecord{}
+	}
+	if r == nil || p.Epoch > r.Epoch {
+		r = &peerRecord{}
+		g.peers[p.ID] = r
+	}
+	r.Peer = p
+	r.heard = now
+}
+
+// HearOf takes what one VM says of another: an address to try, no proof that
+// it lives.
+func (g *Group) HearOf(p Peer) {
+	if p.ID == g.Self.ID || g.peers[p.ID] != nil || !p.Addr.IsValid() {
+		return
+	}
+	if !slices.Contains(g.Seeds, p.Addr) {
+		g.Seeds = append(g.Seeds, p.Addr)
+	}
+}
+
+// Live returns the VMs heard within the lease, ordered by ID.
+func (g *Group) Live(now time.Time) []Peer {
+	var out []Peer
+	for _, r := range g.peers {
+		if now.Sub(r.heard) < PeerLease {
+			out = append(out, r.Peer)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Known returns VMs to name to others.
+func (g *Group) Known(now time.Time, r *rand.Rand) []Peer {
+	live := g.Live(now)
+	r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), maxKnown)]
+}
+
+// Relay reports whether this VM carries its failure domain's summary to the
+// others: the live VM with the lowest ID does.
+func (g *Group) Relay(now time.Time) bool {
+	for _, p := range g.Live(now) {
+		if p.Domain == g.Self.Domain && p.ID < g.Self.ID && !p.Draining {
+			return false
+		}
+	}
+	return true
+}
+
+// Targets returns the addresses to exchange with now: some VMs of the own
+// failure domain, one of each other domain if this VM is the relay, and a
+// seed that has not been heard.
+func (g *Group) Targets(now time.Time, r *rand.Rand) []netip.AddrPort {
+	near, far := g.split(now)
+	r.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	var out []netip.AddrPort
+	for _, p := range near[:min(len(near), Fanout)] {
+		out = append(out, p.Addr)
+	}
+	if g.Relay(now) {
+		for _, domain := range sortedDomains(far) {
+			list := far[domain]
+			out = append(out, list[r.IntN(len(list))].Addr)
+		}
+	}
+	return append(out, g.unheard(now, r)...)
+}
+
+// Urgent returns the addresses to tell at once of news that came from the
+// named VM. News that arose here goes to the whole failure domain and to one
+// VM of each other; news from another domain goes to the own one; news from
+// the own domain has been told to all by its source.
+func (g *Group) Urgent(now time.Time, from string, r *rand.Rand) []netip.AddrPort {
+	near, far := g.split(now)
+	if p := g.peers[from]; p != nil && p.Domain == g.Self.Domain {
+		return nil
+	}
+	var out []netip.AddrPort
+	for _, p := range near {
+		out = append(out, p.Addr)
+	}
+	if from != "" {
+		return out
+	}
+	for _, domain := range sortedDomains(far) {
+		list := far[domain]
+		out = append(out, list[r.IntN(len(list))].Addr)
+	}
+	return out
+}
+
+// split parts the live VMs into those of the own failure domain and those of
+// other domains of the region.
+func (g *Group) split(now time.Time) (near []Peer, far map[string][]Peer) {
+	far = map[string][]Peer{}
+	for _, p := range g.Live(now) {
+		switch {
+		case p.Domain == g.Self.Domain:
+			near = append(near, p)
+		case p.Region == g.Self.Region:
+			far[p.Domain] = append(far[p.Domain], p)
+		}
+	}
+	return near, far
+}
+
+func sortedDomains(m map[string][]Peer) []string {
+	out := make([]string, 0, len(m))
+	for d := range m {
+		out = append(out, d)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// unheard returns one seed behind which no live VM is known.
+func (g *Group) unheard(now time.Time, r *rand.Rand) []netip.AddrPort {
+	live := map[netip.AddrPort]bool{g.Self.Addr: true}
+	for _, p := range g.Live(now) {
+		live[p.Addr] = true
+	}
+	var out []netip.AddrPort
+	for _, s := range g.Seeds {
+		if !live[s] {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	i := r.IntN(len(out))
+	return out[i : i+1]
+}
+
+// Acked returns the version of the own table that the VM at an address has.
+func (g *Group) Acked(addr netip.AddrPort) (id string, acked, have, epoch uint64) {
+	for _, r := range g.peers {
+		if r.Addr == addr {
+			return r.ID, r.acked, r.have, r.Epoch
+		}
+	}
+	return "", 0, 0, 0
+}
+
+// Exchanged records the versions that both sides have after an exchange.
+func (g *Group) Exchanged(id string, acked, have uint64) {
+	if r := g.peers[id]; r != nil {
+		r.acked = max(r.acked, acked)
+		r.have = max(r.have, have)
+	}
+}
+
+// Peer returns what is known of a VM.
+func (g *Group) Peer(id string) (Peer, bool) {
+	r := g.peers[id]
+	if r == nil {
+		return Peer{}, false
+	}
+	return r.Peer, true
+}
+
+// Summary cuts news down to what another failure domain is told: the least
+// loaded backend servers of each model of the own domain, and those leaving.
+func Summary(news []Heard, domain string) []Heard {
+	byLoad := slices.Clone(news)
+	slices.SortStableFunc(byLoad, func(a, b Heard) int {
+		return cmp.Compare(a.Load.Running+a.Load.Waiting, b.Load.Running+b.Load.Waiting)
+	})
+	count := map[string]int{}
+	var out []Heard
+	for _, h := range byLoad {
+		group := h.Service + "/" + h.Model
+		if h.Domain != domain || (!h.Leaving && count[group] >= SummaryPerModel) {
+			continue
+		}
+		if !h.Leaving {
+			count[group]++
+		}
+		out = append(out, h)
+	}
+	return out
+}
--- /dev/null
+++ b/foldctl/client.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+
+	"fuchsiafold.example/wire"
+)
+
+// callTimeout bounds one call to a VM.
+const callTimeout = 30 * time.Second
+
+// client returns the client for the VM that the flags name.
+func client(c *cli.Command) wire.OperatorServiceClient {
+	token := c.String("token")
+	send := func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if token != "" {
+				req.Header().Set("Authorization", "Bearer "+token)
+			}
+			return next(ctx, req)
+		}
+	}
+	h := &http.Client{Timeout: callTimeout}
+	return wire.NewOperatorServiceClient(h, "http://"+c.String("addr"), connect.WithInterceptors(connect.UnaryInterceptorFunc(send)))
+}
--- /dev/null
+++ b/foldd/app/app.go
@@ -0,0 +1,151 @@
+// Package app puts one foldd process together and runs it from start to
+// shutdown.
+package app
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/entry"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/oper"
+	"fuchsiafold.example/foldd/peer"
+	"fuchsiafold.example/foldd/trace"
+	"fuchsiafold.example/netio/serve"
+	"fuchsiafold.example/wire"
+)
+
+// maxControlBody is the largest message between VMs or from operators, in
+// bytes. A configuration of 10,000 workspaces takes about 1.5 MB.
+const maxControlBody = 16 << 20
+
+// App is a running process. Make it with New.
+type App struct {
+	Node    *node.Node
+	entry   *entry.Entry
+	peers   *peer.Service
+	servers []*serve.Server
+	addrs   Addrs
+	flush   func(context.Context) error
+}
+
+// Addrs are the addresses that a process listens on.
+type Addrs struct {
+	Callers   netip.AddrPort
+	Backends  netip.AddrPort
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+}
+
+// New starts a process by its settings.
+func New(ctx context.Context, s *conf.Settings, log *logrus.Logger) (*App, error) {
+	flush, err := trace.Setup(ctx, s.Trace, s.ID, s.Domain)
+	if err != nil {
+		return nil, err
+	}
+	n := node.New(s, log)
+	a := &App{Node: n, flush: flush, peers: peer.New(n)}
+	connect := time.Duration(s.Limits.ConnectTimeout)
+	a.entry = &entry.Entry{
+		Node:    n,
+		Engines: engine.New(connect, time.Duration(s.Limits.StallTimeout)),
+		Calls:   entry.CallTransport(connect),
+		Once:    entry.OnceTransport(connect),
+	}
+	if err := a.listen(); err != nil {
+		a.Close()
+		return nil, err
+	}
+	a.peers.Start()
+	log.WithFields(logrus.Fields{"id": s.ID, "domain": s.Domain, "callers": a.addrs.Callers.String()}).Info("serving")
+	return a, nil
+}
+
+func (a *App) listen() error {
+	s := a.Node.Settings
+	operators := &oper.Operators{Node: a.Node}
+	parts := []struct {
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+		maxBody int
+		bound   *netip.AddrPort
+	}{
+		{"peers", s.Listen.Peers, a.peerHandler(), maxControlBody, &a.addrs.Peers},
+		{"operators", s.Listen.Operators, operators.Handler(), maxControlBody, &a.addrs.Operators},
+		{"backends", s.Listen.Backends, oper.Backends(a.Node), s.Limits.MaxBody, &a.addrs.Backends},
+		{"callers", s.Listen.Callers, a.entry, s.Limits.MaxBody, &a.addrs.Callers},
+	}
+	for _, p := range parts {
+		server, err := serve.New(serve.Config{
+			Addr:         p.addr,
+			Handler:      p.handler,
+			MaxBody:      p.maxBody,
+			WriteTimeout: time.Duration(s.Limits.WriteTimeout),
+			Log:          a.Node.Log,
+		})
+		if err != nil {
+			return fmt.Errorf("listen for %s: %w", p.name, err)
+		}
+		a.servers = append(a.servers, server)
+		*p.bound = server.Addr()
+	}
+	a.Node.SetPeerAddr(a.addrs.Peers)
+	return nil
+}
+
+func (a *App) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewPeerServiceHandler(a.peers))
+	return oper.RequireToken(a.Node.Settings.PeerToken, mux)
+}
+
+// Addrs returns the addresses that the process listens on.
+func (a *App) Addrs() Addrs { return a.addrs }
+
+const drainPoll = 20 * time.Millisecond
+
+// Shutdown drains the process: its health turns red, requests in progress
+// finish, then it closes. It returns the number of requests cut off, which is
+// above zero only if ctx ended first.
+func (a *App) Shutdown(ctx context.Context) int64 {
+	a.Node.Drain()
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for a.Node.Streams() > 0 {
+		select {
+		case <-t.C:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	cut := a.Node.Streams()
+	a.Close()
+	return cut
+}
+
+// flushTimeout bounds the time to export the last spans.
+const flushTimeout = 2 * time.Second
+
+// Close ends the process's work at once.
+func (a *App) Close() {
+	a.Node.Clock.Stop()
+	for _, s := range a.servers {
+		if err := s.Close(); err != nil {
+			a.Node.Log.WithError(err).Warn("close")
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := a.flush(ctx); err != nil {
+		a.Node.Log.WithError(err).Warn("export traces")
+	}
+}
--- /dev/null
+++ b/foldd/conf/conf.go
@@ -0,0 +1,282 @@
+// Package conf reads and checks the settings file of one foldd process.
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"fuchsiafold.example/fold/strict"
+)
+
+// Settings is one settings file. Zero optional fields take the defaults
+// stated at the constants below.
+type Settings struct {
+	// ID names this VM; no two VMs share it.
+	ID string `json:"id"`
+	// Domain is the failure domain of this VM.
+	Domain string `json:"domain"`
+	// Region groups failure domains between which requests may spill; empty
+	// when a deployment has one region.
+	Region string `json:"region,omitempty"`
+	Listen Listen `json:"listen"`
+	// Peers lists the peer addresses of other VMs.
+	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// Controls lists the peer addresses of the control VMs.
+	Controls []netip.AddrPort `json:"controls,omitempty"`
+	Control  *Control         `json:"control,omitempty"`
+	// HandleKey seals resume handles; all VMs of a deployment share it.
+	HandleKey     string `json:"handleKey"`
+	PeerToken     string `json:"peerToken,omitempty"`
+	BackendToken  string `json:"backendToken,omitempty"`
+	OperatorToken string `json:"operatorToken,omitempty"`
+	Limits        Limits `json:"limits,omitempty"`
+	Log           Log    `json:"log,omitempty"`
+	Trace         Trace  `json:"trace,omitempty"`
+	// Record names a file to which arrivals are appended for replay.
+	Record string `json:"record,omitempty"`
+}
+
+// Listen holds the addresses that the process serves on.
+type Listen struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Backends  netip.AddrPort `json:"backends"`
+	Peers     netip.AddrPort `json:"peers"`
+	Operators netip.AddrPort `json:"operators"`
+}
+
+// Control makes the VM a control replica.
+type Control struct {
+	// DataFolder holds the replica's log and snapshots.
+	DataFolder string `json:"dataFolder"`
+	// Bootstrap starts a new group with the VMs of Controls as its voters.
+	Bootstrap bool `json:"bootstrap,omitempty"`
+}
+
+// Limits bounds what the process spends.
+type Limits struct {
+	// MaxBody is the largest request body in bytes.
+	MaxBody int `json:"maxBody,omitempty"`
+	// MaxAnswer is the largest answer of a plain service in bytes.
+	MaxAnswer int `json:"maxAnswer,omitempty"`
+	// MaxStreams is the largest number of requests in progress.
+	MaxStreams int `json:"maxStreams,omitempty"`
+	// DrainTimeout bounds how long a shutdown waits for requests in progress.
+	DrainTimeout strict.Duration `json:"drainTimeout,omitempty"`
+	// WriteTimeout is how long a caller may read nothing.
+	WriteTimeout strict.Duration `json:"writeTimeout,omitempty"`
+	// StallTimeout is the silence after which an engine's link is probed.
+	StallTimeout strict.Duration `json:"stallTimeout,omitempty"`
+	// ConnectTimeout bounds the time to an engine's response header.
+	ConnectTimeout strict.Duration `json:"connectTimeout,omitempty"`
+	// HandleLife is how long a resume handle is good for.
+	HandleLife strict.Duration `json:"handleLife,omitempty"`
+}
+
+// Log sets the log's level and form.
+type Log struct {
+	Level  string `json:"level,omitempty"`
+	Format string `json:"format,omitempty"`
+}
+
+// Trace chooses the exporter of traces.
+type Trace struct {
+	// Exporter is ExporterNone, ExporterStdout or ExporterOTLP.
+	Exporter string `json:"exporter,omitempty"`
+	// Endpoint is the URL for ExporterOTLP.
+	Endpoint string `json:"endpoint,omitempty"`
+	// Share is the share of requests that are traced, 0 to 1; zero means all.
+	Share float64 `json:"share,omitempty"`
+}
+
+// Exporters of traces.
+const (
+	ExporterNone   = "none"
+	ExporterStdout = "stdout"
+	ExporterOTLP   = "otlp"
+)
+
+// Defaults of optional settings.
+const (
+	DefaultMaxBody        = 1 << 20
+	DefaultMaxAnswer      = 8 << 20
+	DefaultMaxStreams     = 12_000
+	DefaultDrainTimeout   = 10 * time.Minute
+	DefaultWriteTimeout   = 30 * time.Second
+	DefaultStallTimeout   = 2 * time.Second
+	DefaultConnectTimeout = time.Second
+	DefaultHandleLife     = time.Hour
+)
+
+// minHandleKey is the shortest handle key in bytes.
+const minHandleKey = 16
+
+// Load reads, checks and completes the settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse checks and completes settings.
+func Parse(data []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := strict.Decode(data, s); err != nil {
+		return nil, err
+	}
+	s.fill()
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) fill() {
+	l := &s.Limits
+	fillInt(&l.MaxBody, DefaultMaxBody)
+	fillInt(&l.MaxAnswer, DefaultMaxAnswer)
+	fillInt(&l.MaxStreams, DefaultMaxStreams)
+	fillDuration(&l.DrainTimeout, DefaultDrainTimeout)
+	fillDuration(&l.WriteTimeout, DefaultWriteTimeout)
+	fillDuration(&l.StallTimeout, DefaultStallTimeout)
+	fillDuration(&l.ConnectTimeout, DefaultConnectTimeout)
+	fillDuration(&l.HandleLife, DefaultHandleLife)
+	fillString(&s.Log.Level, "info")
+	fillString(&s.Log.Format, "text")
+	fillString(&s.Trace.Exporter, ExporterNone)
+	if s.Trace.Share == 0 {
+		s.Trace.Share = 1
+	}
+}
+
+func fillInt(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func fillString(v *string, d string) {
+	if *v == "" {
+		*v = d
+	}
+}
+
+func fillDuration(v *strict.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = strict.Duration(d)
+	}
+}
+
+func (s *Settings) check() error {
+	var errs strict.Errors
+	if s.ID == "" {
+		errs.Add("id", "want a name for this VM")
+	}
+	if s.Domain == "" {
+		errs.Add("domain", "want the name of this VM's failure domain")
+	}
+	if len(s.HandleKey) < minHandleKey {
+		errs.Add("handleKey", "want %d bytes or more", minHandleKey)
+	}
+	s.checkListen(&errs)
+	s.checkLimits(&errs)
+	s.checkControl(&errs)
+	oneOf("log.level", s.Log.Level, &errs, "debug", "info", "warn", "error")
+	oneOf("log.format", s.Log.Format, &errs, "text", "json")
+	oneOf("trace.exporter", s.Trace.Exporter, &errs, ExporterNone, ExporterStdout, ExporterOTLP)
+	if (s.Trace.Exporter == ExporterOTLP) != (s.Trace.Endpoint != "") {
+		errs.Add("trace.endpoint", "goes with exporter %q, and must be there then", ExporterOTLP)
+	}
+	if s.Trace.Share < 0 || s.Trace.Share > 1 {
+		errs.Add("trace.share", "want 0 to 1")
+	}
+	return errs.Err()
+}
+
+func (s *Settings) checkListen(errs *strict.Errors) {
+	addrs := []struct {
+		path string
+		addr netip.AddrPort
+	}{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.backends", s.Listen.Backends},
+		{"listen.peers", s.Listen.Peers},
+		{"listen.operators", s.Listen.Operators},
+	}
+	seen := map[netip.AddrPort]string{}
+	for _, a := range addrs {
+		if !a.addr.IsValid() {
+			errs.Add(a.path, "want an IP address and a port, such as \"127.0.0.1:8080\"")
+			continue
+		}
+		if first := seen[a.addr]; first != "" && a.addr.Port() != 0 {
+			errs.Add(a.path, "is the same as %s", first)
+		}
+		seen[a.addr] = a.path
+	}
+	s.checkOpen("listen.operators", s.Listen.Operators, "operatorToken", s.OperatorToken, errs)
+	s.checkOpen("listen.peers", s.Listen.Peers, "peerToken", s.PeerToken, errs)
+}
+
+// checkOpen refuses an address that other machines reach without a token.
+func (s *Settings) checkOpen(path string, a netip.AddrPort, field, token string, errs *strict.Errors) {
+	if a.IsValid() && !a.Addr().IsLoopback() && token == "" {
+		errs.Add(path, "%v is not a loopback address: set %s", a, field)
+	}
+}
+
+func (s *Settings) checkLimits(errs *strict.Errors) {
+	l := s.Limits
+	intRange("limits.maxBody", l.MaxBody, 1_024, 64<<20, errs)
+	intRange("limits.maxAnswer", l.MaxAnswer, 1_024, 256<<20, errs)
+	intRange("limits.maxStreams", l.MaxStreams, 1, 100_000, errs)
+	durationRange("limits.drainTimeout", l.DrainTimeout, time.Second, 24*time.Hour, errs)
+	durationRange("limits.writeTimeout", l.WriteTimeout, 100*time.Millisecond, time.Hour, errs)
+	durationRange("limits.stallTimeout", l.StallTimeout, 50*time.Millisecond, time.Minute, errs)
+	durationRange("limits.connectTimeout", l.ConnectTimeout, 10*time.Millisecond, time.Minute, errs)
+	durationRange("limits.handleLife", l.HandleLife, time.Second, 7*24*time.Hour, errs)
+}
+
+func (s *Settings) checkControl(errs *strict.Errors) {
+	if s.Control != nil && s.Control.DataFolder == "" {
+		errs.Add("control.dataFolder", "want a folder on this VM's disk")
+	}
+	if n := len(s.Controls); n > 5 {
+		errs.Add("controls", "want at most 5 control VMs, got %d", n)
+	}
+}
+
+func intRange(path string, v, lo, hi int, errs *strict.Errors) {
+	if v < lo || v > hi {
+		errs.Add(path, "want %d to %d, got %d", lo, hi, v)
+	}
+}
+
+func durationRange(path string, v strict.Duration, lo, hi time.Duration, errs *strict.Errors) {
+	if time.Duration(v) < lo || time.Duration(v) > hi {
+		errs.Add(path, "want %v to %v, got %v", lo, hi, v)
+	}
+}
+
+func oneOf(path, v string, errs *strict.Errors, allowed ...string) {
+	for _, a := range allowed {
+		if v == a {
+			return
+		}
+	}
+	errs.Add(path, "want one of %v, got %q", allowed, v)
+}
+
+// IsFieldError reports whether err names a field of a settings file.
+func IsFieldError(err error) bool {
+	var fe *strict.FieldError
+	return errors.As(err, &fe)
+}
--- /dev/null
+++ b/foldd/demo.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tmaxmax/go-sse"
+	"github.com/urfave/cli/v3"
+
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/app"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldfake/host"
+	"fuchsiafold.example/foldfake/plain"
+)
+
+// demoConfig is the configuration of the demo.
+//
+//go:embed demo.jsonc
+var demoConfig []byte
+
+// Constants of the demo.
+const (
+	demoKey     = "demo-key"
+	demoEngines = 2
+	demoPort    = 8080
+	demoWait    = 5 * time.Second
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run an entry and stand-in backend servers in one process on loopback",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "once", Usage: "stop after the first generation"},
+			&cli.IntFlag{Name: "port", Value: demoPort, Usage: "port for callers, the next three serve backend servers, VMs and operators; 0 takes free ones"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return demo(ctx, int(c.Int("port")), c.Bool("once"))
+		},
+	}
+}
+
+func demo(ctx context.Context, port int, once bool) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	log := newLogger(conf.Log{Level: "warn"})
+	s, err := demoSettings(port)
+	if err != nil {
+		return err
+	}
+	a, err := app.New(ctx, s, log)
+	if err != nil {
+		return err
+	}
+	doc, err := spec.Parse(demoConfig)
+	if err != nil {
+		return err
+	}
+	a.Node.Adopt(spec.NewIndex(doc, 1))
+	if err := demoBackends(a.Addrs().Backends, log); err != nil {
+		return err
+	}
+	if err := demoGeneration(ctx, a.Addrs().Callers); err != nil {
+		return err
+	}
+	if once {
+		return drain(a, signals, demoWait)
+	}
+	printDemoHelp(a.Addrs())
+	<-signals
+	return drain(a, signals, demoWait)
+}
+
+func demoSettings(port int) (*conf.Settings, error) {
+	next := func(i int) string {
+		if port == 0 {
+			return "127.0.0.1:0"
+		}
+		return fmt.Sprintf("127.0.0.1:%d", port+i)
+	}
+	text := fmt.Sprintf(`{
+		"id": "demo-1", "domain": "demo-a", "handleKey": "demo-handle-key-0",
+		"listen": {"callers": %q, "backends": %q, "peers": %q, "operators": %q},
+		"log": {"level": "warn"},
+	}`, next(0), next(1), next(2), next(3))
+	return conf.Parse([]byte(text))
+}
+
+func demoBackends(entries netip.AddrPort, log *logrus.Logger) error {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	for i := range demoEngines {
+		_, err := host.New(host.Config{
+			ID: fmt.Sprintf("engine-%d", i+1), Addr: loopback, Service: "advice-models", Model: "advice-7b",
+			Domain: "demo-a", Version: "1", Entries: []netip.AddrPort{entries}, Seed: uint64(i), Log: log,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	_, err := plain.New(plain.Config{
+		ID: "booking-1", Addr: loopback, Service: "booking-app", Domain: "demo-a",
+		Entries: []netip.AddrPort{entries}, Delay: 5 * time.Millisecond, Log: log,
+	})
+	return err
+}
+
+// demoGeneration serves one real generation and prints it as it comes.
+func demoGeneration(ctx context.Context, callers netip.AddrPort) error {
+	res, err := demoRequest(ctx, callers)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		b, err := io.ReadAll(res.Body)
+		return fmt.Errorf("status %d: %s: %w", res.StatusCode, b, err)
+	}
+	fmt.Println("one generation of class summary:")
+	for ev, err := range sse.Read(res.Body, nil) {
+		if err != nil {
+			return fmt.Errorf("read events: %w", err)
+		}
+		printEvent(ev.Data)
+	}
+	return nil
+}
+
+// demoRequest asks until the engines have announced themselves.
+func demoRequest(ctx context.Context, callers netip.AddrPort) (*http.Response, error) {
+	body := []byte(`{"model":"advice-7b","prompt":"Summarise the intake notes. [len=40]","stream":true}`)
+	deadline := time.Now().Add(demoWait)
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers.String()+"/v1/completions", bytes.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		req.Header.Set("Authorization", "Bearer "+demoKey)
+		req.Header.Set("Fold-Class", "summary")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode != http.StatusServiceUnavailable || time.Now().After(deadline) {
+			return res, nil
+		}
+		res.Body.Close()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// demoEvent is the part of an event that the demo prints.
+type demoEvent struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Fold struct {
+		Outcome string `json:"outcome"`
+		Tokens  int    `json:"tokens"`
+		CRC32C  string `json:"crc32c"`
+	} `json:"fold"`
+}
+
+func printEvent(data string) {
+	var e demoEvent
+	if json.Unmarshal([]byte(data), &e) != nil {
+		return
+	}
+	for _, c := range e.Choices {
+		fmt.Print(c.Text)
+	}
+	if e.Fold.Outcome != "" {
+		fmt.Printf("\noutcome %s, %d tokens, checksum %s\n", e.Fold.Outcome, e.Fold.Tokens, e.Fold.CRC32C)
+	}
+}
+
+func printDemoHelp(a app.Addrs) {
+	fmt.Printf(`
+Serving on loopback until interrupted. Try:
+
+  curl -N http://%[1]v/v1/completions -H 'Authorization: Bearer %[2]s' -H 'Fold-Class: summary' \
+    -d '{"model":"advice-7b","prompt":"Summarise the intake notes.","stream":true}'
+  curl http://%[1]v/booking/lookup -H 'Authorization: Bearer %[2]s'
+  go run ./foldctl status --addr %[3]v
+`, a.Callers, demoKey, a.Operators)
+}
--- /dev/null
+++ b/foldd/entry/call.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/trace"
+)
+
+// headerNotRun is the response header by which a plain service says that it
+// did not begin a call.
+const headerNotRun = "Fold-Not-Run"
+
+const maxKey = 255
+
+// call is one call of a plain service.
+type call struct {
+	entry *Entry
+	asker asker
+	route spec.Route
+	r     *http.Request
+	body  []byte
+	// avoid lists the backend servers that failed the call.
+	avoid []string
+}
+
+// call serves a call by its route.
+func (e *Entry) call(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *Fault {
+	route, ok := a.index.Route(r.URL.Path)
+	if !ok {
+		return notRun(http.StatusNotFound, codeUnknownRoute, "no route for "+strconv.Quote(r.URL.Path))
+	}
+	if !slices.Contains(route.Methods, r.Method) {
+		return notRun(http.StatusMethodNotAllowed, codeUnknownRoute, "the route takes no "+r.Method)
+	}
+	body, fault := e.readBody(r)
+	if fault != nil {
+		return fault
+	}
+	e.Node.Count("calls."+route.Service, 1)
+	c := &call{entry: e, asker: a, route: route, r: r, body: body}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(route.Timeout))
+	defer cancel()
+	if route.Idempotent {
+		return c.idempotent(ctx, w)
+	}
+	return c.once(ctx, w)
+}
+
+// idempotent sends the call until a backend server answers, within budget.
+func (c *call) idempotent(ctx context.Context, w http.ResponseWriter) *Fault {
+	n := c.entry.Node
+	n.FirstAttempt()
+	for attempts := 1; ; attempts++ {
+		answer, attempt, fault := c.attempt(ctx)
+		if fault == nil {
+			answer.write(w)
+			return nil
+		}
+		if ctx.Err() != nil || !attempt.Repeatable(true) {
+			return fault
+		}
+		wait, ok := n.MayRetry(attempts)
+		if !ok {
+			return fault
+		}
+		n.Count("calls.retries", 1)
+		sleep(ctx, wait)
+	}
+}
+
+// once runs the call at most once for its workspace and key.
+func (c *call) once(ctx context.Context, w http.ResponseWriter) *Fault {
+	key := c.r.Header.Get(headerIdempotency)
+	if key == "" || len(key) > maxKey {
+		return notRun(http.StatusBadRequest, codeKeyNeeded, fmt.Sprintf("this call may run only once: send an %s of 1 to %d bytes", headerIdempotency, maxKey))
+	}
+	if c.entry.Claims == nil {
+		return noQuorum("this deployment has no control VM")
+	}
+	claim := Claim{Workspace: c.asker.workspace, Key: key, Digest: c.digest(), Holder: c.entry.Node.Settings.ID}
+	state, recorded, err := c.entry.Claims.Claim(ctx, claim)
+	if err != nil {
+		return noQuorum(err.Error())
+	}
+	switch state {
+	case ClaimGranted:
+		return c.granted(ctx, w, claim)
+	case ClaimDone:
+		c.entry.Node.Count("calls.replayed", 1)
+		w.Header().Set("Fold-Replayed", "true")
+		recorded.write(w)
+		return nil
+	case ClaimPending:
+		return &Fault{Status: http.StatusConflict, Code: codeInProgress, Message: "a call with this key is in progress", Outcome: retry.Unknown, RetryAfter: time.Second}
+	case ClaimMismatch:
+		return notRun(http.StatusUnprocessableEntity, codeKeyMismatch, "the key was used for another request")
+	}
+	return unknownOutcome("a call with this key was sent and its answer was lost")
+}
+
+func noQuorum(message string) *Fault {
+	return notRun(http.StatusServiceUnavailable, codeNoQuorum, message).after(2 * time.Second)
+}
+
+func unknownOutcome(message string) *Fault {
+	return &Fault{Status: http.StatusGatewayTimeout, Code: codeUnknownOutcome, Message: message, Outcome: retry.Unknown}
+}
+
+// granted dispatches a claimed call and records how it ended.
+func (c *call) granted(ctx context.Context, w http.ResponseWriter, claim Claim) *Fault {
+	// A caller that leaves does not stop a call that may run only once.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.route.Timeout))
+	defer cancel()
+	answer, attempt, fault := c.attempt(ctx)
+	settlement := SettleUnknown
+	switch {
+	case fault == nil:
+		settlement = SettleAnswered
+	case attempt.Outcome() == retry.NotRun:
+		settlement = SettleReleased
+	}
+	settle, done := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer done()
+	if err := c.entry.Claims.Settle(settle, claim, settlement, answer); err != nil {
+		c.entry.Node.Count("claims.unsettled", 1)
+	}
+	if fault != nil {
+		return fault
+	}
+	answer.write(w)
+	return nil
+}
+
+// digest identifies the request behind an idempotency key.
+func (c *call) digest() []byte {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\n%s\n", c.r.Method, c.r.URL.RequestURI())
+	h.Write(c.body)
+	return h.Sum(nil)
+}
+
+// attempt sends the call to one backend server.
+func (c *call) attempt(ctx context.Context) (Recorded, retry.Attempt, *Fault) {
+	var a retry.Attempt
+	n := c.entry.Node
+	b, ok := n.PickCall(c.route.Service, c.avoid)
+	if !ok {
+		return Recorded{}, a, notRun(http.StatusServiceUnavailable, codeNoBackend, "no backend server of "+c.route.Service+" is present").after(time.Second)
+	}
+	defer n.EndCall(b.ID)
+	c.avoid = append(c.avoid, b.ID)
+	ctx, span := trace.Start(ctx, "call", attribute.String("backend", b.ID))
+	defer span.End()
+	req, err := c.outgoing(ctx, "http://"+b.Addr.String())
+	if err != nil {
+		return Recorded{}, a, notRun(http.StatusBadRequest, codeBadRequest, err.Error())
+	}
+	a.Sent = true
+	res, err := c.transport().RoundTrip(req)
+	if err != nil {
+		// A dial that failed has sent nothing.
+		var op *net.OpError
+		a.Sent = !(errors.As(err, &op) && op.Op == "dial")
+		return Recorded{}, a, callFault(a, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(headerNotRun) != "" {
+		a.Refused = true
+		return Recorded{}, a, callFault(a, errors.New("the backend server refused the call"))
+	}
+	return c.receive(res, a)
+}
+
+func (c *call) transport() http.RoundTripper {
+	if c.route.Idempotent {
+		return c.entry.Calls
+	}
+	return c.entry.Once
+}
+
+// CallTransport returns the transport for idempotent calls.
+func CallTransport(connect time.Duration) http.RoundTripper {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connect}).DialContext,
+		MaxIdleConnsPerHost: maxIdleCalls,
+		DisableCompression:  true,
+	}
+}
+
+// OnceTransport returns the transport for calls that run at most once. It
+// opens a connection for each call: on a reused one that breaks, the standard
+// transport sends a request again by itself if it has an Idempotency-Key.
+func OnceTransport(connect time.Duration) http.RoundTripper {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: connect}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
+const maxIdleCalls = 32
+
+func (c *call) outgoing(ctx context.Context, base string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.r.Method, base+c.r.URL.RequestURI(), bytes.NewReader(c.body))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	for _, k := range []string{"Content-Type", "Accept", headerIdempotency} {
+		if v := c.r.Header.Get(k); v != "" {
+			req.Header.Set(k, v)
+		}
+	}
+	req.Header.Set("Fold-Workspace", c.asker.workspace)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return req, nil
+}
+
+func (c *call) receive(res *http.Response, a retry.Attempt) (Recorded, retry.Attempt, *Fault) {
+	limit := c.entry.Node.Settings.Limits.MaxAnswer
+	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
+	if err != nil {
+		a.Began = true
+		return Recorded{}, a, callFault(a, err)
+	}
+	if len(body) > limit {
+		a.Began = true
+		f := unknownOutcome("the answer exceeds the size limit")
+		f.Code = codeAnswerTooLarge
+		f.Status = http.StatusBadGateway
+		return Recorded{}, a, f
+	}
+	a.Whole = true
+	return Recorded{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, a, nil
+}
+
+func callFault(a retry.Attempt, err error) *Fault {
+	f := &Fault{Status: http.StatusBadGateway, Code: codeBackendFailed, Message: err.Error(), Outcome: a.Outcome()}
+	switch f.Outcome {
+	case retry.NotRun:
+		f.Status = http.StatusServiceUnavailable
+		f.RetryAfter = time.Second
+	case retry.Unknown:
+		f.Status = http.StatusGatewayTimeout
+		f.Code = codeUnknownOutcome
+	}
+	return f
+}
+
+// write sends a recorded answer as a whole response.
+func (r Recorded) write(w http.ResponseWriter) {
+	h := w.Header()
+	if r.ContentType != "" {
+		h.Set("Content-Type", r.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	h.Set("Fold-Outcome", retry.Done.String())
+	w.WriteHeader(r.Status)
+	for b := r.Body; len(b) > 0; {
+		n := min(len(b), maxWrite)
+		w.Write(b[:n])
+		b = b[n:]
+	}
+}
--- /dev/null
+++ b/foldd/entry/claims.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+// ClaimState says who may run a call.
+type ClaimState int
+
+// The states of a claim.
+const (
+	// ClaimGranted: this VM dispatches the call, and settles the claim after.
+	ClaimGranted ClaimState = iota
+	// ClaimPending: the call was dispatched before and has no answer yet.
+	ClaimPending
+	// ClaimDone: the recorded answer is there.
+	ClaimDone
+	// ClaimMismatch: the key was used for another request.
+	ClaimMismatch
+	// ClaimUnknown: the call may have run and its answer is lost.
+	ClaimUnknown
+)
+
+// Recorded is the answer of a plain service as it is kept for resends.
+type Recorded struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Claim names a call that runs at most once.
+type Claim struct {
+	Workspace string
+	Key       string
+	// Digest identifies the request that the key stands for.
+	Digest []byte
+	// Holder is the VM that dispatches.
+	Holder string
+}
+
+// Settlement is how a granted claim ended.
+type Settlement int
+
+// The settlements.
+const (
+	// SettleAnswered records the answer.
+	SettleAnswered Settlement = iota
+	// SettleReleased frees the key: the call provably did not run.
+	SettleReleased
+	// SettleUnknown records that the call may have run.
+	SettleUnknown
+)
+
+// Claims is the durable record that makes a call run at most once. An error
+// of Claim proves that nothing was granted to this VM's call.
+type Claims interface {
+	Claim(ctx context.Context, c Claim) (ClaimState, Recorded, error)
+	Settle(ctx context.Context, c Claim, s Settlement, r Recorded) error
+}
+
+// settleTimeout bounds the time to record how a call ended.
+const settleTimeout = 5 * time.Second
--- /dev/null
+++ b/foldd/entry/complete.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+
+	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/trace"
+)
+
+// completionRequest is the body of a completions call. Fields of the protocol
+// that are not listed are passed over.
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	// Class may stand here in place of the header.
+	Class string `json:"class"`
+}
+
+const (
+	// bytesPerToken estimates a prompt's size in tokens.
+	bytesPerToken = 4
+	// prefixBytes is the length of the beginning that names a prompt's prefix.
+	prefixBytes = 256
+	maxTokens   = 1 << 20
+)
+
+func estimateTokens(prompt string) int { return len(prompt)/bytesPerToken + 1 }
+
+// prefixName names the beginning of a prompt, or is empty for short ones.
+func prefixName(prompt string) string {
+	if len(prompt) < prefixBytes {
+		return ""
+	}
+	return strconv.FormatUint(xxhash.Sum64String(prompt[:prefixBytes]), 16)
+}
+
+// complete serves one generation from its beginning.
+func (e *Entry) complete(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *Fault {
+	if r.Method != http.MethodPost {
+		return notRun(http.StatusMethodNotAllowed, codeBadRequest, "use POST")
+	}
+	req, class, fault := e.parseCompletion(r, a)
+	if fault != nil {
+		return fault
+	}
+	e.Node.Count("requests."+class.Name, 1)
+	e.Node.FirstAttempt()
+	g := e.newGeneration(w, a, class, req.Stream)
+	g.request = req
+	g.sched = sched.Request{
+		Workspace:    a.workspace,
+		Class:        class.Name,
+		Model:        req.Model,
+		Target:       targetOf(class),
+		Prompt:       estimateTokens(req.Prompt),
+		Prefix:       prefixName(req.Prompt),
+		PrefixTokens: prefixBytes / bytesPerToken,
+		MaxTokens:    req.MaxTokens,
+		Arrived:      time.Now(),
+		Policy:       e.Node.Policy(),
+	}
+	return g.run(ctx)
+}
+
+func targetOf(c spec.Class) sched.Target {
+	return sched.Target{
+		FirstToken: time.Duration(c.Target.FirstToken),
+		TokenGap:   time.Duration(c.Target.TokenGap),
+		Completion: time.Duration(c.Target.Completion),
+	}
+}
+
+func (e *Entry) parseCompletion(r *http.Request, a asker) (completionRequest, spec.Class, *Fault) {
+	var req completionRequest
+	body, fault := e.readBody(r)
+	if fault != nil {
+		return req, spec.Class{}, fault
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(&req); err != nil {
+		return req, spec.Class{}, notRun(http.StatusBadRequest, codeBadRequest, "the body is not a completions request: "+err.Error())
+	}
+	if req.Prompt == "" {
+		return req, spec.Class{}, notRun(http.StatusBadRequest, codeBadRequest, "prompt: want a text that is not empty")
+	}
+	if req.MaxTokens < 0 || req.MaxTokens > maxTokens {
+		return req, spec.Class{}, notRun(http.StatusBadRequest, codeBadRequest, "max_tokens: want 0 to "+strconv.Itoa(maxTokens))
+	}
+	if _, ok := a.index.ModelService(req.Model); !ok {
+		return req, spec.Class{}, notRun(http.StatusNotFound, codeUnknownModel, "unknown model "+strconv.Quote(req.Model))
+	}
+	if h := r.Header.Get(headerClass); h != "" {
+		req.Class = h
+	}
+	class, ok := a.index.Class(req.Class)
+	if !ok {
+		return req, spec.Class{}, notRun(http.StatusBadRequest, codeUnknownClass, "unknown class "+strconv.Quote(req.Class)+": name one in the header "+headerClass)
+	}
+	return req, class, nil
+}
+
+// newGenerationID returns an ID that nobody can guess.
+func newGenerationID() string {
+	var b [16]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// await waits for the scheduler's verdict on the request.
+func (g *generation) await(ctx context.Context) (node.Verdict, *Fault) {
+	ctx, span := trace.Start(ctx, "queue", attribute.String("class", g.sched.Class))
+	defer span.End()
+	n := g.entry.Node
+	// The scheduler keeps the request that it is given.
+	r := g.sched
+	r.ID = n.NextID()
+	g.sched.ID = r.ID
+	verdicts := n.Submit(&r)
+	select {
+	case v := <-verdicts:
+		if v.Refusal == nil {
+			return v, nil
+		}
+		return v, refusalFault(v.Refusal)
+	case <-ctx.Done():
+		n.Withdraw(r.ID)
+		return node.Verdict{}, errLeft
+	}
+}
+
+func refusalFault(r *sched.Refusal) *Fault {
+	switch r.Reason {
+	case sched.ReasonNoBackend:
+		return notRun(http.StatusServiceUnavailable, codeNoBackend, "no engine for the model is present").after(r.RetryAfter)
+	case sched.ReasonTooLarge:
+		return notRun(http.StatusRequestEntityTooLarge, codeTooLarge, "the prompt fits no present engine")
+	}
+	return notRun(http.StatusTooManyRequests, codeOverload, "the request can't be served within its target: "+r.Reason.String()).after(r.RetryAfter)
+}
+
+// engineRequest returns the request as the engine takes it.
+func (g *generation) engineRequest(id string, priority int) engine.Request {
+	window := time.Duration(g.class.ResumeWindow)
+	return engine.Request{
+		RequestID:      id,
+		Model:          g.request.Model,
+		Prompt:         g.request.Prompt,
+		MaxTokens:      g.request.MaxTokens,
+		Priority:       priority,
+		ResumeWindowMS: max(window, orphanWindow).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/foldd/entry/entry.go
@@ -0,0 +1,149 @@
+// Package entry serves callers: it authenticates them, runs their generations
+// and plain calls, and tells the truth about what did not run.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"fuchsiafold.example/fold/handle"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/trace"
+	"fuchsiafold.example/netio/serve"
+)
+
+// Header names of the callers' protocol.
+const (
+	headerClass       = "Fold-Class"
+	headerIdempotency = "Idempotency-Key"
+	headerLastEvent   = "Last-Event-Id"
+)
+
+// Entry is the handler of callers' requests.
+type Entry struct {
+	Node    *node.Node
+	Engines *engine.Client
+	// Claims guards calls that may run at most once; nil refuses them.
+	Claims Claims
+	// Calls sends idempotent plain calls, Once all others.
+	Calls http.RoundTripper
+	Once  http.RoundTripper
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		e.health(w)
+		return
+	}
+	ctx, span := trace.Start(trace.Incoming(r), "entry")
+	defer span.End()
+	if fault := e.serve(ctx, w, r); fault != nil {
+		e.Node.Count("errors."+fault.Code, 1)
+		fault.write(w)
+	}
+}
+
+// health is what the platform's balancer asks for.
+func (e *Entry) health(w http.ResponseWriter) {
+	if e.Node.Draining() || e.Node.Index() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		io.WriteString(w, "not ready\n")
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+// asker is who sent a request, and under which configuration it is served.
+type asker struct {
+	workspace string
+	index     *spec.Index
+	caller    *serve.Caller
+}
+
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) *Fault {
+	a, fault := e.admit(r)
+	if fault != nil {
+		return fault
+	}
+	if !e.Node.Enter() {
+		return notRun(http.StatusTooManyRequests, codeOverload, "too many requests in progress on this VM").after(time.Second)
+	}
+	defer e.Node.Leave()
+	switch {
+	case r.URL.Path == "/v1/models":
+		return e.models(w, a)
+	case r.URL.Path == "/v1/completions" && r.Header.Get(headerLastEvent) != "":
+		return e.resume(ctx, w, r, a)
+	case r.URL.Path == "/v1/completions":
+		return e.complete(ctx, w, r, a)
+	}
+	return e.call(ctx, w, r, a)
+}
+
+// admit checks whether requests are taken at all, and who asks.
+func (e *Entry) admit(r *http.Request) (asker, *Fault) {
+	index := e.Node.Index()
+	if index == nil {
+		return asker{}, notRun(http.StatusServiceUnavailable, codeNotConfigured, "no configuration is in force yet").after(time.Second)
+	}
+	if e.Node.Draining() {
+		return asker{}, notRun(http.StatusServiceUnavailable, codeDraining, "this VM is shutting down").after(time.Second)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return asker{}, notRun(http.StatusUnauthorized, codeUnauthorized, "send the workspace key as \"Authorization: Bearer KEY\"")
+	}
+	workspace, ok := index.Workspace(key)
+	if !ok {
+		return asker{}, notRun(http.StatusUnauthorized, codeUnauthorized, "unknown workspace key")
+	}
+	return asker{workspace: workspace, index: index, caller: serve.CallerOf(r)}, nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (e *Entry) models(w http.ResponseWriter, a asker) *Fault {
+	list := modelList{Object: "list"}
+	for _, s := range a.index.Document().Services {
+		for _, m := range s.Models {
+			list.Data = append(list.Data, modelInfo{ID: m, Object: "model"})
+		}
+	}
+	writeJSON(w, list)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+// readBody reads a request's body up to the limit.
+func (e *Entry) readBody(r *http.Request) ([]byte, *Fault) {
+	limit := e.Node.Settings.Limits.MaxBody
+	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return nil, notRun(http.StatusBadRequest, codeBadRequest, "the body can't be read: "+err.Error())
+	}
+	if len(b) > limit {
+		return nil, notRun(http.StatusRequestEntityTooLarge, codeTooLarge, "the body exceeds the size limit")
+	}
+	return b, nil
+}
+
+func (e *Entry) key() handle.Key { return handle.Key(e.Node.Settings.HandleKey) }
--- /dev/null
+++ b/foldd/entry/generation.go
@@ -0,0 +1,306 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"fuchsiafold.example/fold/deliv"
+	"fuchsiafold.example/fold/handle"
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/trace"
+)
+
+// orphanWindow is how long an engine keeps a generation whose entry VM went
+// away without a word, so that the caller can resume it at another one.
+const orphanWindow = 15 * time.Second
+
+// silenceLimit bounds the silence of an engine that still answers probes.
+const silenceLimit = 2 * time.Minute
+
+// errLeft marks a request whose caller is gone; nobody reads the fault.
+var errLeft = &Fault{Status: http.StatusRequestTimeout, Code: "callerLeft", Message: "the caller has left"}
+
+// generation is one answer on its way to a caller.
+type generation struct {
+	entry   *Entry
+	asker   asker
+	class   spec.Class
+	request completionRequest
+	sched   sched.Request
+	stream  deliv.Stream
+	out     answer
+	// sealed is the handle of the generation in progress.
+	sealed string
+	// attempts counts the generations begun for this answer.
+	attempts int
+	begun    time.Time
+	last     time.Time
+}
+
+func (e *Entry) newGeneration(w http.ResponseWriter, a asker, class spec.Class, streamed bool) *generation {
+	g := &generation{entry: e, asker: a, class: class, begun: time.Now()}
+	g.stream.Whole = class.Whole() || !streamed
+	g.out = answer{w: w, caller: a.caller, streamed: streamed}
+	return g
+}
+
+// run serves the answer from its first generation to its end.
+func (g *generation) run(ctx context.Context) *Fault {
+	for {
+		v, fault := g.await(ctx)
+		if fault != nil {
+			return fault
+		}
+		step, fault := g.attempt(ctx, v.Dispatch.Backend, v.Addr, v.Dispatch.Priority)
+		if fault != nil {
+			return fault
+		}
+		if step.Do == deliv.Finish {
+			return g.finish(step.Outcome)
+		}
+		if fault := g.pause(ctx, v.Dispatch.Backend); fault != nil {
+			return fault
+		}
+	}
+}
+
+// pause waits before the answer is begun again elsewhere.
+func (g *generation) pause(ctx context.Context, failed string) *Fault {
+	g.attempts++
+	wait, ok := g.entry.Node.MayRetry(g.attempts)
+	if !ok {
+		return notRunOrLost(g)
+	}
+	g.entry.Node.Count("restarts", 1)
+	g.sched.Avoid = append(g.sched.Avoid, failed)
+	g.sched.Admitted = true
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return errLeft
+	}
+}
+
+// notRunOrLost is the end of an answer whose attempts are used up before the
+// caller got a token. Only when no attempt was taken by an engine is it
+// proved that nothing ran.
+func notRunOrLost(g *generation) *Fault {
+	f := &Fault{
+		Status:     http.StatusBadGateway,
+		Code:       codeBackendFailed,
+		Message:    "engines failed the request before its first token was delivered",
+		Outcome:    retry.Interrupted,
+		RetryAfter: time.Second,
+	}
+	if !g.out.taken {
+		f.Outcome = retry.NotRun
+		f.Status = http.StatusServiceUnavailable
+	}
+	return f
+}
+
+// attempt runs one generation at one engine. It returns Restart or Finish.
+func (g *generation) attempt(ctx context.Context, backend string, addr netip.AddrPort, priority int) (deliv.Step, *Fault) {
+	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", backend))
+	defer span.End()
+	n := g.entry.Node
+	id := newGenerationID()
+	g.stream.Begin(id)
+	g.seal(backend, addr, id)
+	s, sent, err := g.entry.Engines.Start(ctx, addr, g.engineRequest(id, priority))
+	if err != nil {
+		return g.failedStart(ctx, addr, id, sent, err)
+	}
+	g.out.taken = true
+	step, fault := g.read(ctx, s, addr, id)
+	switch {
+	case fault != nil:
+		n.Finish(g.sched.ID, sched.Cancelled)
+	case step.Outcome == retry.Done:
+		n.Finish(g.sched.ID, sched.Completed)
+	default:
+		n.Finish(g.sched.ID, sched.Failed)
+	}
+	return step, fault
+}
+
+func (g *generation) seal(backend string, addr netip.AddrPort, id string) {
+	g.sealed = g.entry.key().Seal(handle.Handle{
+		Backend:    backend,
+		Addr:       addr,
+		Generation: id,
+		Workspace:  g.asker.workspace,
+		Class:      g.class.Name,
+		Expires:    time.Now().Add(time.Duration(g.entry.Node.Settings.Limits.HandleLife)),
+	})
+}
+
+// failedStart handles a generation that gave no stream.
+func (g *generation) failedStart(ctx context.Context, addr netip.AddrPort, id string, sent bool, err error) (deliv.Step, *Fault) {
+	n := g.entry.Node
+	if ctx.Err() != nil {
+		n.Finish(g.sched.ID, sched.Cancelled)
+		if sent {
+			g.cancel(addr, id)
+		}
+		return deliv.Step{}, errLeft
+	}
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) {
+		n.Finish(g.sched.ID, sched.Rejected)
+		n.Count("engine.refused", 1)
+		if refused.Caller {
+			return deliv.Step{}, notRun(http.StatusBadRequest, codeBadRequest, "the engine refused the request: "+refused.Reason)
+		}
+		return g.stream.EngineLost(id), nil
+	}
+	n.Finish(g.sched.ID, sched.Failed)
+	n.Count("engine.failedStarts", 1)
+	if sent {
+		g.out.taken = true
+		g.cancel(addr, id)
+	}
+	return g.stream.EngineLost(id), nil
+}
+
+// read delivers a generation until it ends, resuming it over new connections
+// as often as the delivery allows.
+func (g *generation) read(ctx context.Context, s *engine.Stream, addr netip.AddrPort, id string) (deliv.Step, *Fault) {
+	heard := time.Now()
+	for {
+		var step deliv.Step
+		err := s.Tokens(func(t deliv.Token) bool {
+			heard = time.Now()
+			step = g.stream.Token(id, t)
+			g.entry.Node.Token(g.sched.ID, t.Offset)
+			g.deliver(step.Deliver)
+			return step.Do == deliv.Continue && !g.asker.caller.Gone()
+		})
+		if step.Do == deliv.Finish {
+			return step, nil
+		}
+		if ctx.Err() != nil || g.asker.caller.Gone() {
+			g.left(addr, id)
+			return deliv.Step{}, errLeft
+		}
+		if step.Do == deliv.Continue {
+			step = g.broken(id, err, heard)
+		}
+		if s, step = g.reattach(ctx, addr, id, step); s == nil {
+			return step, nil
+		}
+	}
+}
+
+// broken decides what follows the end of a connection. A silent engine is
+// probed by attaching again, which costs it nothing while it is alive.
+func (g *generation) broken(id string, err error, heard time.Time) deliv.Step {
+	if errors.Is(err, engine.ErrStalled) {
+		g.entry.Node.Count("engine.stalls", 1)
+		if time.Since(heard) < silenceLimit {
+			return deliv.Step{Do: deliv.Resume, From: g.stream.Received()}
+		}
+		return g.stream.EngineLost(id)
+	}
+	g.entry.Node.Count("engine.linksLost", 1)
+	return g.stream.LinkLost(id)
+}
+
+// reattach opens a new connection to the generation while step asks for one.
+// It returns nil with the step that ends the attempt.
+func (g *generation) reattach(ctx context.Context, addr netip.AddrPort, id string, step deliv.Step) (*engine.Stream, deliv.Step) {
+	for tries := 1; step.Do == deliv.Resume; tries++ {
+		s, err := g.entry.Engines.Attach(ctx, addr, id, step.From)
+		if err == nil {
+			g.entry.Node.Count("engine.resumes", 1)
+			return s, step
+		}
+		if ctx.Err() != nil {
+			// The caller has left; read sees it on the next turn.
+			return nil, deliv.Step{Do: deliv.Finish, Outcome: retry.Interrupted}
+		}
+		if errors.Is(err, engine.ErrLost) {
+			return nil, g.stream.EngineLost(id)
+		}
+		step = g.stream.LinkLost(id)
+		if step.Do == deliv.Resume {
+			sleep(ctx, retry.Backoff(tries, 0.5))
+		}
+	}
+	if step.Do == deliv.Restart {
+		g.cancel(addr, id)
+	}
+	return nil, step
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// left gives up a generation whose caller has gone: its memory is freed at
+// once, unless its class lets the caller come back.
+func (g *generation) left(addr netip.AddrPort, id string) {
+	g.entry.Node.Count("callersLeft", 1)
+	if g.class.ResumeWindow == 0 {
+		g.cancel(addr, id)
+	}
+}
+
+// cancelTries bounds the orders to drop one generation; after them its
+// engine drops it at the end of the resume window.
+const cancelTries = 3
+
+// cancel drops a generation at its engine without waiting.
+func (g *generation) cancel(addr netip.AddrPort, id string) {
+	e := g.entry
+	go func() {
+		for try := range cancelTries {
+			if err := e.Engines.Cancel(context.Background(), addr, id); err == nil {
+				e.Node.Count("engine.cancels", 1)
+				return
+			}
+			time.Sleep(retry.Backoff(try+1, 0.5))
+		}
+		e.Node.Count("engine.cancelsFailed", 1)
+	}()
+}
+
+func (g *generation) deliver(tokens []deliv.Token) {
+	if len(tokens) == 0 {
+		return
+	}
+	now := time.Now()
+	if g.last.IsZero() {
+		g.entry.Node.Observe("firstToken."+g.class.Name, now.Sub(g.begun))
+	} else {
+		g.entry.Node.Observe("tokenGap."+g.class.Name, now.Sub(g.last))
+	}
+	g.last = now
+	g.entry.Node.Count("tokens", int64(len(tokens)))
+	g.out.tokens(g.sealed, tokens)
+}
+
+// finish ends the answer.
+func (g *generation) finish(o retry.Outcome) *Fault {
+	if g.asker.caller.Gone() {
+		return errLeft
+	}
+	if o == retry.Done {
+		g.out.end(g.sealed, g.stream.Position(), g.request.Model)
+		return nil
+	}
+	g.entry.Node.Count("interrupted", 1)
+	return g.out.interrupt(g.stream.Position())
+}
--- /dev/null
+++ b/foldd/entry/resume.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"fuchsiafold.example/fold/deliv"
+	"fuchsiafold.example/fold/handle"
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/foldd/trace"
+
+	"time"
+)
+
+// resume continues a generation that any entry VM began, from the token after
+// the last event that the caller has.
+func (e *Entry) resume(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *Fault {
+	sealed, position, err := handle.ParseEventID(r.Header.Get(headerLastEvent))
+	if err != nil {
+		return notRun(http.StatusBadRequest, codeBadHandle, err.Error())
+	}
+	h, err := e.key().Open(sealed, time.Now())
+	if fault := handleFault(err); fault != nil {
+		return fault
+	}
+	if h.Workspace != a.workspace {
+		return notRun(http.StatusForbidden, codeBadHandle, "the handle belongs to another workspace")
+	}
+	class, ok := a.index.Class(h.Class)
+	if !ok {
+		return notRun(http.StatusGone, codeUnknownClass, "the handle's class is no longer configured")
+	}
+	e.Node.Count("resumes", 1)
+	g := e.newGeneration(w, a, class, true)
+	g.stream.Whole = false
+	g.stream.Attach(h.Generation, position)
+	g.sealed = sealed
+	g.out.position = position
+	g.out.taken = true
+	return g.continueAt(ctx, h)
+}
+
+func handleFault(err error) *Fault {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, handle.ErrExpired):
+		return notRun(http.StatusGone, codeExpiredHandle, err.Error())
+	}
+	return notRun(http.StatusBadRequest, codeBadHandle, err.Error())
+}
+
+// continueAt reads on at the engine that the handle names. The answer is
+// bound to that generation: it can't be run again elsewhere.
+func (g *generation) continueAt(ctx context.Context, h handle.Handle) *Fault {
+	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", h.Backend))
+	defer span.End()
+	first := deliv.Step{Do: deliv.Resume, From: g.stream.Received()}
+	s, step := g.reattach(ctx, h.Addr, h.Generation, first)
+	if s == nil {
+		return gone()
+	}
+	step, fault := g.read(ctx, s, h.Addr, h.Generation)
+	if fault != nil {
+		return fault
+	}
+	if step.Do == deliv.Restart {
+		return gone()
+	}
+	return g.finish(step.Outcome)
+}
+
+// gone is the answer to a resume whose generation is lost.
+func gone() *Fault {
+	return &Fault{
+		Status:  http.StatusGone,
+		Code:    codeGone,
+		Message: "the generation is no longer at its engine",
+		Outcome: retry.Interrupted,
+	}
+}
--- /dev/null
+++ b/foldd/node/backend.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+)
+
+// Announce takes what a backend server says of itself.
+func (n *Node) Announce(b member.Backend) member.Change {
+	return n.merge(member.Heard{Backend: b}, "")
+}
+
+// Learn takes what another VM says of a backend server.
+func (n *Node) Learn(h member.Heard, from string) member.Change { return n.merge(h, from) }
+
+// merge takes news of a backend server; from is empty for its own word.
+func (n *Node) merge(h member.Heard, from string) member.Change {
+	n.mu.Lock()
+	now := time.Now()
+	change := n.table.Merge(now, h, from)
+	b, present := n.table.Get(h.ID)
+	if change != member.Stale && present && b.Kind == spec.KindEngine {
+		if change == member.Changed {
+			n.sched.Backend(now, b)
+		}
+		n.sched.Report(now, b.ID, b.Load, h.Age+b.Load.Lag)
+		n.poll(now)
+	}
+	n.mu.Unlock()
+	if change == member.Changed {
+		n.Log.WithFields(logrus.Fields{"backend": h.ID, "leaving": b.Leaving, "epoch": h.Epoch}).Info("backend server changed")
+		n.Spread(n.urgentTargets(from))
+	}
+	return change
+}
+
+func (n *Node) expire(now time.Time) {
+	n.mu.Lock()
+	gone := n.table.Expire(now)
+	for _, id := range gone {
+		n.sched.Gone(now, id)
+	}
+	n.poll(now)
+	n.mu.Unlock()
+	for _, id := range gone {
+		n.Count("backends.expired", 1)
+		n.Log.WithField("backend", id).Warn("backend server's lease ran out")
+	}
+}
+
+// Backend returns a present backend server.
+func (n *Node) Backend(id string) (member.Backend, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Get(id)
+}
+
+// Backends returns all present backend servers.
+func (n *Node) Backends() []member.Backend {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Present()
+}
+
+// PickCall chooses a backend server of a plain service and counts a call to
+// it; the caller ends it with EndCall. Servers of the own failure domain go
+// first, then those with the fewest calls in flight.
+func (n *Node) PickCall(service string, avoid []string) (member.Backend, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var best member.Backend
+	found := false
+	for _, b := range n.table.Present() {
+		if b.Kind != spec.KindPlain || b.Service != service || b.Leaving || slices.Contains(avoid, b.ID) {
+			continue
+		}
+		if !found || n.better(b, best) {
+			best, found = b, true
+		}
+	}
+	if found {
+		n.calls[best.ID]++
+	}
+	return best, found
+}
+
+func (n *Node) better(a, b member.Backend) bool {
+	near := n.Settings.Domain
+	if (a.Domain == near) != (b.Domain == near) {
+		return a.Domain == near
+	}
+	return n.calls[a.ID] < n.calls[b.ID]
+}
+
+// EndCall ends what PickCall began.
+func (n *Node) EndCall(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls[id]--
+	if n.calls[id] == 0 {
+		delete(n.calls, id)
+	}
+}
--- /dev/null
+++ b/foldd/node/exchange.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"fuchsiafold.example/fold/member"
+)
+
+// Exchange is one side's part of an exchange with another VM.
+type Exchange struct {
+	Self  member.Peer
+	News  []member.Heard
+	Known []member.Peer
+	// Version is the version of the own table that News brings the other to.
+	Version uint64
+	// Have is the version of the other's table that is taken in here, for its
+	// epoch HaveEpoch.
+	Have      uint64
+	HaveEpoch uint64
+}
+
+// self returns this VM as others see it. The caller holds the lock.
+func (n *Node) self() member.Peer {
+	p := n.group.Self
+	p.Draining = n.Draining()
+	if x := n.Index(); x != nil {
+		p.Revision = x.Revision()
+	}
+	return p
+}
+
+// Self returns this VM as others see it.
+func (n *Node) Self() member.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self()
+}
+
+// SetPeerAddr states the address on which other VMs reach this one.
+func (n *Node) SetPeerAddr(a netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.Self.Addr = a
+}
+
+// ExchangeTargets returns the addresses to exchange with now.
+func (n *Node) ExchangeTargets() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.group.Targets(time.Now(), n.random)
+}
+
+// urgentTargets returns the VMs to tell at once of news that came from the
+// named VM, or arose here if the name is empty.
+func (n *Node) urgentTargets(from string) []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.group.Urgent(time.Now(), from, n.random)
+}
+
+// Peers returns the live VMs.
+func (n *Node) Peers() []member.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.group.Live(time.Now())
+}
+
+// OutgoingExchange returns what to tell the VM at an address.
+func (n *Node) OutgoingExchange(addr netip.AddrPort) Exchange {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	id, acked, have, epoch := n.group.Acked(addr)
+	x := n.exchange(id, acked)
+	x.Have, x.HaveEpoch = have, epoch
+	return x
+}
+
+// ExchangeReply returns what to tell a VM that has a version of the own table
+// of an epoch.
+func (n *Node) ExchangeReply(from member.Peer, have, epoch uint64) Exchange {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if epoch != n.group.Self.Epoch {
+		have = 0
+	}
+	return n.exchange(from.ID, have)
+}
+
+func (n *Node) exchange(id string, since uint64) Exchange {
+	now := time.Now()
+	x := Exchange{Self: n.self(), Known: n.group.Known(now, n.random)}
+	x.News, x.Version = n.table.Since(now, since, id)
+	if p, ok := n.group.Peer(id); ok && p.Domain != n.group.Self.Domain {
+		x.News = member.Summary(x.News, n.group.Self.Domain)
+	}
+	return x
+}
+
+// Exchanged records an exchange that went through.
+func (n *Node) Exchanged(id string, acked, have uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.Exchanged(id, acked, have)
+}
+
+// HearPeer takes a VM's own word.
+func (n *Node) HearPeer(p member.Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.Hear(time.Now(), p)
+}
+
+// HearOfPeer takes what one VM says of another.
+func (n *Node) HearOfPeer(p member.Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.HearOf(p)
+}
--- /dev/null
+++ b/foldd/node/node.go
@@ -0,0 +1,264 @@
+// Package node holds what one foldd process knows and decides: it runs the
+// core's state machines under one lock and hands their decisions to the
+// requests that wait for them.
+package node
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/netio/clock"
+)
+
+// Intervals of the node's own work.
+const (
+	pollInterval   = 20 * time.Millisecond
+	expireInterval = 200 * time.Millisecond
+)
+
+// Verdict is what became of a request that waited: a place or a refusal.
+type Verdict struct {
+	Dispatch sched.Dispatch
+	Addr     netip.AddrPort
+	Refusal  *sched.Refusal
+}
+
+// Node is the state of one process. Make it with New.
+type Node struct {
+	Settings *conf.Settings
+	Log      *logrus.Logger
+	Metrics  metrics.Registry
+	Clock    *clock.Service
+	// Spread is called, without the lock, when news must reach the VMs at the
+	// given addresses at once.
+	Spread func(to []netip.AddrPort)
+
+	index    atomic.Pointer[spec.Index]
+	draining atomic.Bool
+	streams  atomic.Int64
+	ids      atomic.Uint64
+
+	mu      sync.Mutex
+	sched   *sched.Sched
+	table   member.Table
+	group   member.Group
+	budget  retry.Budget
+	random  *rand.Rand
+	waiters map[uint64]chan Verdict
+	// calls counts the plain calls in flight at each backend server.
+	calls map[string]int
+}
+
+// New returns a node without a configuration.
+func New(s *conf.Settings, log *logrus.Logger) *Node {
+	n := &Node{
+		Settings: s,
+		Log:      log,
+		Metrics:  metrics.NewRegistry(),
+		Clock:    clock.New(),
+		Spread:   func([]netip.AddrPort) {},
+		sched:    sched.New(),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		waiters:  map[uint64]chan Verdict{},
+		calls:    map[string]int{},
+	}
+	n.group.Self = member.Peer{
+		ID:     s.ID,
+		Addr:   s.Listen.Peers,
+		Domain: s.Domain,
+		Region: s.Region,
+		Epoch:  uint64(time.Now().UnixNano()),
+	}
+	n.group.Seeds = slices.Clone(s.Peers)
+	n.Clock.Every(pollInterval, n.tick)
+	n.Clock.Every(expireInterval, n.expire)
+	return n
+}
+
+// Count adds to a counter.
+func (n *Node) Count(name string, delta int64) {
+	metrics.GetOrRegisterCounter(name, n.Metrics).Inc(delta)
+}
+
+// Observe adds a duration to a histogram, in microseconds.
+func (n *Node) Observe(name string, d time.Duration) {
+	h := metrics.GetOrRegister(name, newHistogram).(metrics.Histogram)
+	h.Update(d.Microseconds())
+}
+
+func newHistogram() metrics.Histogram {
+	const (
+		sampleSize = 1028
+		alpha      = 0.015
+	)
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, alpha))
+}
+
+// Index returns the configuration in force, or nil before the first one.
+func (n *Node) Index() *spec.Index { return n.index.Load() }
+
+// Adopt puts a configuration in force unless a newer one is. It reports
+// whether it did.
+func (n *Node) Adopt(x *spec.Index) bool {
+	for {
+		old := n.index.Load()
+		if old != nil && old.Revision() >= x.Revision() {
+			return false
+		}
+		if n.index.CompareAndSwap(old, x) {
+			n.Log.WithField("revision", x.Revision()).Info("configuration in force")
+			return true
+		}
+	}
+}
+
+// Draining reports whether the process is shutting down.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// Drain turns the health red and refuses new requests.
+func (n *Node) Drain() {
+	if !n.draining.Swap(true) {
+		n.Log.WithField("streams", n.Streams()).Info("draining")
+		n.Spread(n.urgentTargets(""))
+	}
+}
+
+// Streams returns the number of requests in progress.
+func (n *Node) Streams() int64 { return n.streams.Load() }
+
+// Enter counts a request in progress; the caller calls Leave if it returns
+// true. It returns false when the limit is reached.
+func (n *Node) Enter() bool {
+	if n.streams.Add(1) > int64(n.Settings.Limits.MaxStreams) {
+		n.streams.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Leave ends what Enter began.
+func (n *Node) Leave() { n.streams.Add(-1) }
+
+// NextID returns an ID for a request, unique in this process.
+func (n *Node) NextID() uint64 { return n.ids.Add(1) }
+
+// Submit queues a request; the verdict comes on the returned channel.
+func (n *Node) Submit(r *sched.Request) <-chan Verdict {
+	ch := make(chan Verdict, 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.waiters[r.ID] = ch
+	now := time.Now()
+	n.sched.Submit(now, r)
+	n.poll(now)
+	return ch
+}
+
+// Withdraw drops a request that waits or whose verdict is no longer wanted.
+func (n *Node) Withdraw(id uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	delete(n.waiters, id)
+	n.sched.Cancel(now, id)
+	n.sched.Finish(now, id, sched.Cancelled)
+	n.poll(now)
+}
+
+// Token tells how far a request has come.
+func (n *Node) Token(id uint64, generated int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sched.Token(time.Now(), id, generated)
+}
+
+// Finish ends a dispatched request.
+func (n *Node) Finish(id uint64, r sched.Result) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.sched.Finish(now, id, r)
+	n.poll(now)
+}
+
+func (n *Node) tick(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.poll(now)
+}
+
+func (n *Node) poll(now time.Time) {
+	dispatches, refusals := n.sched.Poll(now)
+	for _, d := range dispatches {
+		b, ok := n.table.Get(d.Backend)
+		if !ok {
+			n.sched.Finish(now, d.Request.ID, sched.Failed)
+			refusals = append(refusals, sched.Refusal{Request: d.Request, Reason: sched.ReasonNoBackend, RetryAfter: time.Second})
+			continue
+		}
+		n.tell(d.Request.ID, Verdict{Dispatch: d, Addr: b.Addr})
+	}
+	for _, r := range refusals {
+		n.tell(r.Request.ID, Verdict{Refusal: &r})
+	}
+}
+
+func (n *Node) tell(id uint64, v Verdict) {
+	ch := n.waiters[id]
+	delete(n.waiters, id)
+	if ch != nil {
+		ch <- v
+	}
+}
+
+// FirstAttempt counts a first attempt for the retry budget.
+func (n *Node) FirstAttempt() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.budget.Deposit()
+}
+
+// MayRetry takes a retry from the budget and returns the wait before it.
+func (n *Node) MayRetry(attempt int) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if attempt >= retry.MaxAttempts || !n.budget.Withdraw() {
+		return 0, false
+	}
+	return retry.Backoff(attempt, n.random.Float64()), true
+}
+
+// Queued and Running return the number of requests by class.
+func (n *Node) Queued() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sched.Queued()
+}
+
+// Running returns the number of requests at engines, by class.
+func (n *Node) Running() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sched.Running()
+}
+
+// Policy returns the policy for a new request.
+func (n *Node) Policy() string {
+	x := n.Index()
+	if x == nil {
+		return ""
+	}
+	return x.Arms()[0]
+}
--- /dev/null
+++ b/foldd/oper/backend.go
@@ -0,0 +1,126 @@
+// Package oper serves backend servers, which announce themselves, and
+// operators, who ask and steer.
+package oper
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/node"
+)
+
+// announcement is what a backend server says of itself.
+type announcement struct {
+	ID           string     `json:"id"`
+	Addr         string     `json:"addr"`
+	Kind         string     `json:"kind"`
+	Service      string     `json:"service"`
+	Model        string     `json:"model"`
+	Adapters     []string   `json:"adapters"`
+	Version      string     `json:"version"`
+	Domain       string     `json:"domain"`
+	MemoryTokens int        `json:"memoryTokens"`
+	ChecksFence  bool       `json:"checksFence"`
+	Epoch        uint64     `json:"epoch"`
+	Seq          uint64     `json:"seq"`
+	Leaving      bool       `json:"leaving"`
+	Load         loadReport `json:"load"`
+}
+
+type loadReport struct {
+	Running     int   `json:"running"`
+	Waiting     int   `json:"waiting"`
+	MemoryUsed  int   `json:"memoryUsed"`
+	Preemptions int   `json:"preemptions"`
+	StepMicros  int64 `json:"stepMicros"`
+	LagMS       int64 `json:"lagMs"`
+}
+
+// announceReply tells a backend server how long it counts as present.
+type announceReply struct {
+	LeaseMS int64 `json:"leaseMs"`
+}
+
+const maxName = 128
+
+func (a *announcement) backend() (member.Backend, error) {
+	addr, err := netip.ParseAddrPort(a.Addr)
+	if err != nil {
+		return member.Backend{}, fmt.Errorf("addr: want an IP address and a port: %w", err)
+	}
+	if a.ID == "" || len(a.ID) > maxName {
+		return member.Backend{}, fmt.Errorf("id: want 1 to %d bytes", maxName)
+	}
+	if a.Kind != spec.KindEngine && a.Kind != spec.KindPlain {
+		return member.Backend{}, fmt.Errorf("kind: want %q or %q", spec.KindEngine, spec.KindPlain)
+	}
+	if a.Kind == spec.KindEngine && (a.Model == "" || a.MemoryTokens <= 0) {
+		return member.Backend{}, fmt.Errorf("model, memoryTokens: an engine states both")
+	}
+	if a.Epoch == 0 || a.Seq == 0 {
+		return member.Backend{}, fmt.Errorf("epoch, seq: want 1 or more")
+	}
+	return member.Backend{
+		ID: a.ID, Addr: addr, Kind: a.Kind, Service: a.Service,
+		Model: a.Model, Adapters: a.Adapters, Version: a.Version, Domain: a.Domain,
+		MemoryTokens: a.MemoryTokens, ChecksFence: a.ChecksFence,
+		Epoch: a.Epoch, Seq: a.Seq, Leaving: a.Leaving,
+		Load: member.Load{
+			Running:     a.Load.Running,
+			Waiting:     a.Load.Waiting,
+			MemoryUsed:  a.Load.MemoryUsed,
+			Preemptions: a.Load.Preemptions,
+			Step:        time.Duration(a.Load.StepMicros) * time.Microsecond,
+			Lag:         time.Duration(a.Load.LagMS) * time.Millisecond,
+		},
+	}, nil
+}
+
+// Backends returns the handler of backend servers' announcements.
+func Backends(n *node.Node) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/announce", func(w http.ResponseWriter, r *http.Request) {
+		announce(n, w, r)
+	})
+	return RequireToken(n.Settings.BackendToken, mux)
+}
+
+func announce(n *node.Node, w http.ResponseWriter, r *http.Request) {
+	var a announcement
+	if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+		http.Error(w, "want an announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	b, err := a.backend()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.Count("announcements", 1)
+	n.Announce(b)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(announceReply{LeaseMS: member.DefaultLease.Milliseconds()})
+}
+
+// RequireToken lets requests through that carry the token; an empty token
+// lets all through.
+func RequireToken(token string, h http.Handler) http.Handler {
+	if token == "" {
+		return h
+	}
+	want := []byte("Bearer " + token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			http.Error(w, "token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/foldd/oper/operator.go
@@ -0,0 +1,101 @@
+package oper
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/peer"
+	"fuchsiafold.example/wire"
+)
+
+// Applier takes configurations from operators.
+type Applier interface {
+	Apply(ctx context.Context, req *wire.ApplyRequest) (*wire.ApplyResponse, error)
+}
+
+// Operators answers operators. All fields but Control are set.
+type Operators struct {
+	Node *node.Node
+	// Control takes new configurations; nil refuses them.
+	Control Applier
+}
+
+// errNoControl is the refusal of a configuration without a control VM.
+var errNoControl = eris.New("this deployment has no control VM: the configuration was not applied")
+
+// Handler returns the handler of the operators' address.
+func (o *Operators) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewOperatorServiceHandler(o))
+	mux.HandleFunc("GET /metrics", o.metrics)
+	return RequireToken(o.Node.Settings.OperatorToken, mux)
+}
+
+// metrics writes every metric as one JSON document.
+func (o *Operators) metrics(w http.ResponseWriter, r *http.Request) {
+	metrics.GetOrRegisterGauge("streams.open", o.Node.Metrics).Update(o.Node.Streams())
+	metrics.GetOrRegisterGauge("backends.present", o.Node.Metrics).Update(int64(len(o.Node.Backends())))
+	metrics.GetOrRegisterGauge("peers.live", o.Node.Metrics).Update(int64(len(o.Node.Peers())))
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(o.Node.Metrics, w)
+}
+
+// Status implements wire.OperatorServiceHandler.
+func (o *Operators) Status(ctx context.Context, req *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
+	n := o.Node
+	res := &wire.StatusResponse{Self: peer.ToPeer(n.Self()), OpenStreams: uint64(n.Streams())}
+	for _, p := range n.Peers() {
+		res.Peers = append(res.Peers, peer.ToPeer(p))
+	}
+	for _, b := range n.Backends() {
+		res.Backends = append(res.Backends, peer.ToBackend(member.Heard{Backend: b}))
+	}
+	res.Classes = o.classes()
+	return connect.NewResponse(res), nil
+}
+
+func (o *Operators) classes() []*wire.ClassStatus {
+	x := o.Node.Index()
+	if x == nil {
+		return nil
+	}
+	queued, running := o.Node.Queued(), o.Node.Running()
+	var out []*wire.ClassStatus
+	for _, c := range x.Document().Classes {
+		out = append(out, &wire.ClassStatus{Name: c.Name, Queued: uint64(queued[c.Name]), Running: uint64(running[c.Name])})
+	}
+	return out
+}
+
+// Apply implements wire.OperatorServiceHandler.
+func (o *Operators) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
+	if o.Control == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoControl)
+	}
+	res, err := o.Control.Apply(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Config implements wire.OperatorServiceHandler.
+func (o *Operators) Config(ctx context.Context, req *connect.Request[wire.ConfigRequest]) (*connect.Response[wire.ConfigResponse], error) {
+	res, err := peer.CurrentConfig(o.Node)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Drain implements wire.OperatorServiceHandler.
+func (o *Operators) Drain(ctx context.Context, req *connect.Request[wire.DrainRequest]) (*connect.Response[wire.DrainResponse], error) {
+	o.Node.Drain()
+	return connect.NewResponse(&wire.DrainResponse{OpenStreams: uint64(o.Node.Streams())}), nil
+}
--- /dev/null
+++ b/foldd/peer/config.go
@@ -0,0 +1,29 @@
+package peer
+
+import (
+	"encoding/json"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/wire"
+)
+
+var (
+	errNoID     = eris.New("the sender names no ID")
+	errNoConfig = eris.New("no configuration is in force")
+)
+
+// CurrentConfig returns the configuration in force at a node.
+func CurrentConfig(n *node.Node) (*wire.ConfigResponse, error) {
+	x := n.Index()
+	if x == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoConfig)
+	}
+	doc, err := json.Marshal(x.Document())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return &wire.ConfigResponse{Revision: x.Revision(), Document: doc}, nil
+}
--- /dev/null
+++ b/foldd/peer/convert.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/wire"
+)
+
+// ToPeer returns the wire form of a VM.
+func ToPeer(p member.Peer) *wire.Peer {
+	return &wire.Peer{
+		Id:             p.ID,
+		Domain:         p.Domain,
+		Region:         p.Region,
+		Addr:           p.Addr.String(),
+		Epoch:          p.Epoch,
+		ConfigRevision: p.Revision,
+		Draining:       p.Draining,
+	}
+}
+
+// FromPeer reads the wire form of a VM.
+func FromPeer(p *wire.Peer) member.Peer {
+	// An address that can't be read stays invalid, and is never contacted.
+	addr, _ := netip.ParseAddrPort(p.GetAddr())
+	return member.Peer{
+		ID:       p.GetId(),
+		Domain:   p.GetDomain(),
+		Region:   p.GetRegion(),
+		Addr:     addr,
+		Epoch:    p.GetEpoch(),
+		Revision: p.GetConfigRevision(),
+		Draining: p.GetDraining(),
+	}
+}
+
+// ToBackend returns the wire form of a backend server.
+func ToBackend(h member.Heard) *wire.Backend {
+	return &wire.Backend{
+		Id:           h.ID,
+		Addr:         h.Addr.String(),
+		Kind:         h.Kind,
+		Service:      h.Service,
+		Model:        h.Model,
+		Adapters:     h.Adapters,
+		Version:      h.Version,
+		Domain:       h.Domain,
+		MemoryTokens: uint64(h.MemoryTokens),
+		ChecksFence:  h.ChecksFence,
+		Epoch:        h.Epoch,
+		Seq:          h.Seq,
+		Leaving:      h.Leaving,
+		AgeMillis:    uint64(h.Age.Milliseconds()),
+		Load: &wire.Load{
+			Running:          uint32(h.Load.Running),
+			Waiting:          uint32(h.Load.Waiting),
+			MemoryUsedTokens: uint64(h.Load.MemoryUsed),
+			Preemptions:      uint64(h.Load.Preemptions),
+			StepMicros:       uint64(h.Load.Step.Microseconds()),
+			LagMillis:        uint64(h.Load.Lag.Milliseconds()),
+		},
+	}
+}
+
+// FromBackend reads the wire form of a backend server. It reports false for
+// one without a usable address.
+func FromBackend(b *wire.Backend) (member.Heard, bool) {
+	addr, err := netip.ParseAddrPort(b.GetAddr())
+	if err != nil || b.GetId() == "" {
+		return member.Heard{}, false
+	}
+	l := b.GetLoad()
+	return member.Heard{
+		Age: time.Duration(b.GetAgeMillis()) * time.Millisecond,
+		Backend: member.Backend{
+			ID:           b.GetId(),
+			Addr:         addr,
+			Kind:         b.GetKind(),
+			Service:      b.GetService(),
+			Model:        b.GetModel(),
+			Adapters:     b.GetAdapters(),
+			Version:      b.GetVersion(),
+			Domain:       b.GetDomain(),
+			MemoryTokens: int(b.GetMemoryTokens()),
+			ChecksFence:  b.GetChecksFence(),
+			Epoch:        b.GetEpoch(),
+			Seq:          b.GetSeq(),
+			Leaving:      b.GetLeaving(),
+			Load: member.Load{
+				Running:     int(l.GetRunning()),
+				Waiting:     int(l.GetWaiting()),
+				MemoryUsed:  int(l.GetMemoryUsedTokens()),
+				Preemptions: int(l.GetPreemptions()),
+				Step:        time.Duration(l.GetStepMicros()) * time.Microsecond,
+				Lag:         time.Duration(l.GetLagMillis()) * time.Millisecond,
+			},
+		},
+	}, true
+}
--- /dev/null
+++ b/foldfake/main.go
@@ -0,0 +1,27 @@
+// Command foldfake runs stand-ins for the systems that foldd serves, and the
+// load and replay tools that measure it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "foldfake",
+		Usage: "stand-in engines and services, load and replay",
+		Commands: []*cli.Command{
+			engineCommand(),
+			serviceCommand(),
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "foldfake:", eris.ToString(err, false))
+		os.Exit(1)
+	}
+}
