Deliver answers whole under faults of links, engines, VMs and callers

Cause: a resume at the end of a generation had no way to learn that the last token was already there; a closing VM cancelled generations that its callers could have resumed elsewhere; nbhttp frees a response's buffer twice at 64 KiB and more, so that concurrent answers mixed. Change: engines state the length after the last token and the delivery checks it; a VM that goes leaves its generations to the resume window; responses are flushed below the size at which nbhttp fails; the kernel's send buffer is bounded. Ruled out: a race in our own code (the shared memory was nbhttp's pool).

--- a/fold/deliv/deliv.go
+++ b/fold/deliv/deliv.go
@@ -127,7 +127,7 @@
 		ready = append(ready, a)
 		s.next++
 	}
-	return s.accept(ready)
+	return s.accept(ready, ready[len(ready)-1].Last)
 }
 
 func (s *Stream) buffer(t Token) Step {
@@ -141,8 +141,9 @@
 	return Step{}
 }
 
-func (s *Stream) accept(ready []Token) Step {
-	last := ready[len(ready)-1].Last
+// accept takes the next tokens in order; last says that the answer ends with
+// them.
+func (s *Stream) accept(ready []Token, last bool) Step {
 	if s.Whole {
 		s.held = append(s.held, ready...)
 		if !last {
@@ -161,6 +162,19 @@
 	return Step{Deliver: ready, Do: Finish, Outcome: retry.Done}
 }
 
+// End says that the engine has stated the number of tokens of a generation.
+// It finishes an answer of which the last token is here already, and asks for
+// what is missing otherwise.
+func (s *Stream) End(generation string, total int) Step {
+	if s.done || generation != s.generation {
+		return Step{}
+	}
+	if s.next-1 < total {
+		return s.resume()
+	}
+	return s.accept(nil, true)
+}
+
 // LinkLost says that the connection to the generation broke, stalled or
 // closed before the last token.
 func (s *Stream) LinkLost(generation string) Step {
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -136,13 +137,21 @@
 const flushTimeout = 2 * time.Second
 
 // Close ends the process's work at once.
+//
+// The generations in progress go on at their engines for as long as their
+// callers may resume them at another VM.
 func (a *App) Close() {
+	a.Node.Abandon()
 	a.Node.Clock.Stop()
+	var wg sync.WaitGroup
 	for _, s := range a.servers {
-		if err := s.Close(); err != nil {
-			a.Node.Log.WithError(err).Warn("close")
-		}
+		wg.Go(func() {
+			if err := s.Close(); err != nil {
+				a.Node.Log.WithError(err).Warn("close")
+			}
+		})
 	}
+	wg.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	if err := a.flush(ctx); err != nil {
--- a/foldd/app/path_test.go
+++ b/foldd/app/path_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestStreamedAnswer(t *testing.T) {
+	t.Parallel()
 	a := startEntry(t, "a1", nil)
 	startEngine(t, "e1", a)
 	res := generation("summary", 60, true).send(t, a)
@@ -19,6 +20,7 @@
 }
 
 func TestWholeAnswer(t *testing.T) {
+	t.Parallel()
 	a := startEntry(t, "a1", nil)
 	startEngine(t, "e1", a)
 	res := generation("draft", 50, false).send(t, a)
@@ -32,6 +34,7 @@
 // TestAnswersToTheirOwnCallers runs many answers of different lengths at
 // once: each caller gets its own.
 func TestAnswersToTheirOwnCallers(t *testing.T) {
+	t.Parallel()
 	a := startEntry(t, "a1", nil)
 	startEngine(t, "e1", a)
 	startEngine(t, "e2", a)
@@ -48,6 +51,7 @@
 }
 
 func TestBadRequests(t *testing.T) {
+	t.Parallel()
 	a := startEntry(t, "a1", nil)
 	startEngine(t, "e1", a)
 	big := make([]byte, a.Node.Settings.Limits.MaxBody+1)
@@ -91,6 +95,7 @@
 }
 
 func TestNoEngine(t *testing.T) {
+	t.Parallel()
 	a := startEntry(t, "a1", nil)
 	res := generation("summary", 5, true).send(t, a)
 	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || res.Header.Get("Fold-Outcome") != "notRun" {
@@ -99,6 +104,7 @@
 }
 
 func TestPlainCall(t *testing.T) {
+	t.Parallel()
 	a := startEntry(t, "a1", nil)
 	startService(t, "s1", a)
 	res := ask{method: "GET", path: "/lookup/seat?row=3"}.send(t, a)
--- a/foldd/app/rig_test.go
+++ b/foldd/app/rig_test.go
@@ -6,17 +6,20 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/tmaxmax/go-sse"
 
 	"fuchsiafold.example/fold/deliv"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
 	"fuchsiafold.example/foldd/app"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldfake/host"
@@ -155,6 +158,8 @@
 	class  string
 	body   string
 	header map[string]string
+	// client sends the request; nil means the default one.
+	client *http.Client
 }
 
 func (a ask) send(t testing.TB, to *app.App) *http.Response {
@@ -184,7 +189,10 @@
 	for k, v := range a.header {
 		req.Header.Set(k, v)
 	}
-	res, err := http.DefaultClient.Do(req)
+	if a.client == nil {
+		a.client = http.DefaultClient
+	}
+	res, err := a.client.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -192,6 +200,20 @@
 	return res
 }
 
+// smallBufferClient returns a client that takes in little by itself.
+func smallBufferClient() *http.Client {
+	const size = 64 << 10
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return c, c.(*net.TCPConn).SetReadBuffer(size)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial}}
+}
+
 // generation asks for an answer of n tokens.
 func generation(class string, n int, stream bool) ask {
 	body := fmt.Sprintf(`{"model":"advice-7b","prompt":"Notes. [len=%d]","stream":%t}`, n, stream)
@@ -294,3 +316,10 @@
 		}
 	}
 }
+
+const conf100ms = strict.Duration(100 * time.Millisecond)
+
+// counter returns a counter of a VM.
+func counter(a *app.App, name string) int64 {
+	return metrics.GetOrRegisterCounter(name, a.Node.Metrics).Count()
+}
--- a/foldd/engine/engine.go
+++ b/foldd/engine/engine.go
@@ -71,6 +71,13 @@
 	Object  string   `json:"object"`
 	Model   string   `json:"model"`
 	Choices []Choice `json:"choices"`
+	// Usage stands in the event after the last token.
+	Usage *Usage `json:"usage,omitempty"`
+}
+
+// Usage states the length of a generation.
+type Usage struct {
+	CompletionTokens int `json:"completion_tokens"`
 }
 
 // Choice holds the text of a Chunk.
@@ -212,21 +219,29 @@
 	return &RefusedError{Status: res.StatusCode, Reason: string(bytes.TrimSpace(reason)), Caller: caller}
 }
 
-// Tokens calls yield for each token until it returns false, the last token
-// has come, or the link fails. It returns nil in the first two cases.
-func (s *Stream) Tokens(yield func(deliv.Token) bool) error {
+// Event is a token, or the statement that a generation has ended.
+type Event struct {
+	Token deliv.Token
+	// Ended is set when the engine has stated the length, Total.
+	Ended bool
+	Total int
+}
+
+// Events calls yield for each event until it returns false or the link fails.
+// It returns nil only in the first case.
+func (s *Stream) Events(yield func(Event) bool) error {
 	defer s.Close()
 	for ev, err := range sse.Read(s.body, nil) {
 		if err != nil {
 			return s.linkError(err)
 		}
-		t, ok, err := token(ev)
+		e, ok, err := decode(ev)
 		if err != nil {
 			return err
 		}
 		// A slow caller is not a silent engine.
 		s.timer.Stop()
-		if ok && !yield(t) {
+		if ok && !yield(e) {
 			return nil
 		}
 		s.timer.Reset(s.stall)
@@ -241,24 +256,27 @@
 	return fmt.Errorf("read tokens: %w", err)
 }
 
-// token decodes one event; it reports false for events without a token.
-func token(ev sse.Event) (deliv.Token, bool, error) {
+// decode reads one event; it reports false for events that say nothing.
+func decode(ev sse.Event) (Event, bool, error) {
 	if ev.Data == "" || ev.Data == "[DONE]" {
-		return deliv.Token{}, false, nil
+		return Event{}, false, nil
 	}
 	var c Chunk
 	if err := json.Unmarshal([]byte(ev.Data), &c); err != nil {
-		return deliv.Token{}, false, fmt.Errorf("decode token: %w", err)
+		return Event{}, false, fmt.Errorf("decode event: %w", err)
 	}
 	if len(c.Choices) == 0 {
-		return deliv.Token{}, false, nil
+		if c.Usage == nil {
+			return Event{}, false, nil
+		}
+		return Event{Ended: true, Total: c.Usage.CompletionTokens}, true, nil
 	}
 	offset, err := strconv.Atoi(ev.LastEventID)
 	if err != nil {
-		return deliv.Token{}, false, fmt.Errorf("token offset: %w", err)
+		return Event{}, false, fmt.Errorf("token offset: %w", err)
 	}
 	t := deliv.Token{Offset: offset, Text: c.Choices[0].Text, Last: c.Choices[0].FinishReason != nil}
-	return t, true, nil
+	return Event{Token: t}, true, nil
 }
 
 // Close ends the connection; the generation goes on at the engine.
--- a/foldd/entry/answer.go
+++ b/foldd/entry/answer.go
@@ -40,14 +40,9 @@
 	CRC32C string `json:"crc32c"`
 }
 
-type usage struct {
-	CompletionTokens int `json:"completion_tokens"`
-}
-
 type endChunk struct {
 	engine.Chunk
-	Usage usage   `json:"usage"`
-	Fold  summary `json:"fold"`
+	Fold summary `json:"fold"`
 }
 
 // tokens passes tokens on, an event for each piece of text that fits into one
@@ -120,9 +115,13 @@
 func (a *answer) end(sealed string, p handle.Position, model string) {
 	stop := "stop"
 	chunk := endChunk{
-		Chunk: engine.Chunk{Object: completionObject, Model: model, Choices: []engine.Choice{{FinishReason: &stop}}},
-		Usage: usage{CompletionTokens: p.Offset},
-		Fold:  summary{Outcome: retry.Done.String(), Tokens: p.Offset, CRC32C: formatSum(p.Sum)},
+		Chunk: engine.Chunk{
+			Object:  completionObject,
+			Model:   model,
+			Choices: []engine.Choice{{FinishReason: &stop}},
+			Usage:   &engine.Usage{CompletionTokens: p.Offset},
+		},
+		Fold: summary{Outcome: retry.Done.String(), Tokens: p.Offset, CRC32C: formatSum(p.Sum)},
 	}
 	if !a.streamed {
 		chunk.Choices[0].Text = a.text.String()
@@ -149,17 +148,9 @@
 	h := a.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
-	for len(b) > 0 {
-		n := min(len(b), maxWrite)
-		a.w.Write(b[:n])
-		b = b[n:]
-	}
+	a.w.Write(b)
 }
 
-// maxWrite is the largest piece handed to nbhttp, which mishandles its
-// buffers at 64 KiB and more.
-const maxWrite = 32 << 10
-
 // interrupt ends an answer of which a part was delivered. A caller that has
 // events gets a final one; another gets the fault as its response.
 func (a *answer) interrupt(p handle.Position) *Fault {
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -271,9 +271,5 @@
 	h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	h.Set("Fold-Outcome", retry.Done.String())
 	w.WriteHeader(r.Status)
-	for b := r.Body; len(b) > 0; {
-		n := min(len(b), maxWrite)
-		w.Write(b[:n])
-		b = b[n:]
-	}
+	w.Write(r.Body)
 }
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -178,10 +178,9 @@
 	heard := time.Now()
 	for {
 		var step deliv.Step
-		err := s.Tokens(func(t deliv.Token) bool {
+		err := s.Events(func(ev engine.Event) bool {
 			heard = time.Now()
-			step = g.stream.Token(id, t)
-			g.entry.Node.Token(g.sched.ID, t.Offset)
+			step = g.take(id, ev)
 			g.deliver(step.Deliver)
 			return step.Do == deliv.Continue && !g.asker.caller.Gone()
 		})
@@ -201,6 +200,14 @@
 	}
 }
 
+func (g *generation) take(id string, ev engine.Event) deliv.Step {
+	if ev.Ended {
+		return g.stream.End(id, ev.Total)
+	}
+	g.entry.Node.Token(g.sched.ID, ev.Token.Offset)
+	return g.stream.Token(id, ev.Token)
+}
+
 // broken decides what follows the end of a connection. A silent engine is
 // probed by attaching again, which costs it nothing while it is alive.
 func (g *generation) broken(id string, err error, heard time.Time) deliv.Step {
@@ -250,8 +257,12 @@
 }
 
 // left gives up a generation whose caller has gone: its memory is freed at
-// once, unless its class lets the caller come back.
+// once, unless its class lets the caller come back. When it is this VM that
+// goes, its callers can resume at another one.
 func (g *generation) left(addr netip.AddrPort, id string) {
+	if g.entry.Node.Abandoned() {
+		return
+	}
 	g.entry.Node.Count("callersLeft", 1)
 	if g.class.ResumeWindow == 0 {
 		g.cancel(addr, id)
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -47,8 +47,10 @@
 
 	index    atomic.Pointer[spec.Index]
 	draining atomic.Bool
-	streams  atomic.Int64
-	ids      atomic.Uint64
+	// abandoned is set once the process gives up its requests in progress.
+	abandoned atomic.Bool
+	streams   atomic.Int64
+	ids       atomic.Uint64
 
 	mu      sync.Mutex
 	sched   *sched.Sched
@@ -135,6 +137,12 @@
 	}
 }
 
+// Abandon says that the process ends without finishing its requests.
+func (n *Node) Abandon() { n.abandoned.Store(true) }
+
+// Abandoned reports whether Abandon was called.
+func (n *Node) Abandoned() bool { return n.abandoned.Load() }
+
 // Streams returns the number of requests in progress.
 func (n *Node) Streams() int64 { return n.streams.Load() }
 
--- a/foldfake/host/api.go
+++ b/foldfake/host/api.go
@@ -34,6 +34,11 @@
 	Object  string   `json:"object"`
 	Model   string   `json:"model"`
 	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
 }
 
 type choice struct {
@@ -195,15 +200,15 @@
 		e.faults.wait(e.ctx)
 		e.faults.stall(e.ctx, l)
 		if l.drop > 0 && sent+len(tokens) >= l.drop {
-			tokens, finished = tokens[:min(len(tokens), l.drop-sent)], false
-			e.send(w, g, l, tokens, first, false)
+			e.send(w, g, l, tokens[:min(len(tokens), l.drop-sent)], first)
 			serve.CallerOf(r).Cut()
 			return
 		}
-		e.send(w, g, l, tokens, first, finished)
+		e.send(w, g, l, tokens, first)
 		after += len(tokens)
 		sent += len(tokens)
 		if finished {
+			e.end(w, g, after)
 			return
 		}
 		select {
@@ -242,29 +247,47 @@
 	g.left = time.Now()
 }
 
-// send writes tokens, disturbed by the link's faults.
-func (e *Engine) send(w http.ResponseWriter, g *gen, l link, tokens []string, first int, finished bool) {
-	if len(tokens) == 0 && !finished {
+// send writes tokens, disturbed by the link's faults. The last token of a
+// generation says so only in the event that follows it.
+func (e *Engine) send(w http.ResponseWriter, g *gen, l link, tokens []string, first int) {
+	if len(tokens) == 0 {
 		return
 	}
 	var buf bytes.Buffer
-	order := l.disturb(len(tokens), first)
-	for _, i := range order {
-		last := finished && i == len(tokens)-1
-		e.token(&buf, g, tokens[i], first+i, last)
+	for _, i := range l.disturb(len(tokens), first) {
+		c := chunk{ID: g.id, Object: object, Model: g.model, Choices: []choice{{Text: tokens[i]}}}
+		message(&buf, strconv.Itoa(first+i), c)
 	}
-	if finished {
-		done := &sse.Message{}
-		done.AppendData("[DONE]")
-		done.WriteTo(&buf)
+	w.Write(buf.Bytes())
+	flush(w)
+}
+
+// end states the length of a generation.
+func (e *Engine) end(w http.ResponseWriter, g *gen, total int) {
+	var buf bytes.Buffer
+	message(&buf, "", chunk{ID: g.id, Object: object, Model: g.model, Choices: []choice{}, Usage: &usage{total}})
+	done := &sse.Message{}
+	done.AppendData("[DONE]")
+	done.WriteTo(&buf)
+	w.Write(buf.Bytes())
+	flush(w)
+}
+
+const object = "text_completion"
+
+func message(buf *bytes.Buffer, id string, c chunk) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return
 	}
-	for buf.Len() > 0 {
-		w.Write(buf.Next(maxWrite))
+	m := &sse.Message{}
+	if id != "" {
+		m.ID = sse.ID(id)
 	}
-	flush(w)
+	m.AppendData(string(data))
+	m.WriteTo(buf)
 }
 
-const maxWrite = 32 << 10
 
 // disturb returns the order in which to send n tokens that begin at an
 // offset, some of them twice.
@@ -288,21 +311,6 @@
 	return order
 }
 
-func (e *Engine) token(buf *bytes.Buffer, g *gen, text string, offset int, last bool) {
-	c := chunk{ID: g.id, Object: "text_completion", Model: g.model, Choices: []choice{{Text: text}}}
-	if last {
-		stop := "stop"
-		c.Choices[0].FinishReason = &stop
-	}
-	data, err := json.Marshal(c)
-	if err != nil {
-		return
-	}
-	m := &sse.Message{ID: sse.ID(strconv.Itoa(offset))}
-	m.AppendData(string(data))
-	m.WriteTo(buf)
-}
-
 func flush(w http.ResponseWriter) {
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -24,6 +24,10 @@
 // maxConns bounds the connections of one server.
 const maxConns = 100_000
 
+// sendBuffer bounds what the kernel holds for a caller that reads slowly, in
+// bytes. Left alone, it takes up to several megabytes for each.
+const sendBuffer = 64 << 10
+
 // keepAlive is how long an idle connection stays open.
 const keepAlive = 120 * time.Second
 
@@ -49,6 +53,7 @@
 	engine *nbhttp.Engine
 	addr   netip.AddrPort
 	stop   chan struct{}
+	closed sync.Once
 
 	mu sync.Mutex
 	// watched holds the responses in progress whose callers may leave.
@@ -93,6 +98,12 @@
 
 // Close ends all connections at once.
 func (s *Server) Close() error {
+	var err error
+	s.closed.Do(func() { err = s.shutdown() })
+	return err
+}
+
+func (s *Server) shutdown() error {
 	close(s.stop)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -112,6 +123,9 @@
 	if !ok {
 		return
 	}
+	if err := tcp.SetWriteBuffer(sendBuffer); err != nil {
+		s.conf.Log.WithError(err).Debug("set send buffer")
+	}
 	nc.Conn = &guard{
 		TCPConn:      tcp,
 		owner:        nc,
@@ -129,7 +143,7 @@
 	defer cancel(nil)
 	defer s.recover(w, r)
 	caller.begin()
-	s.conf.Handler.ServeHTTP(w, r.WithContext(context.WithValue(ctx, callerKey{}, caller)))
+	s.conf.Handler.ServeHTTP(&writer{ResponseWriter: w}, r.WithContext(context.WithValue(ctx, callerKey{}, caller)))
 }
 
 func (s *Server) recover(w http.ResponseWriter, r *http.Request) {
