--- /dev/null
+++ b/fold/state/snapshot.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// image is the encoded form of a Machine.
+type image struct {
+	Now      time.Duration     `json:"now"`
+	Revision uint64            `json:"revision"`
+	Document []byte            `json:"document,omitempty"`
+	Changes  map[string]change `json:"changes,omitempty"`
+	Order    []string          `json:"order,omitempty"`
+	Claims   []*claimRecord    `json:"claims,omitempty"`
+	Leases   map[string]*lease `json:"leases,omitempty"`
+	Fences   uint64            `json:"fences"`
+}
+
+// Snapshot returns the whole state in an encoded form.
+func (m *Machine) Snapshot() ([]byte, error) {
+	img := image{
+		Now:      m.now,
+		Revision: m.config.revision,
+		Document: m.config.document,
+		Changes:  m.config.changes,
+		Order:    m.config.order,
+		Leases:   m.leases,
+		Fences:   m.fences,
+	}
+	for e := m.claims.byUse.Front(); e != nil; e = e.Next() {
+		img.Claims = append(img.Claims, e.Value.(*claimRecord))
+	}
+	b, err := json.Marshal(img)
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return b, nil
+}
+
+// Restore replaces the state by an encoded one. Empty data means an empty
+// state.
+func (m *Machine) Restore(data []byte) error {
+	var img image
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &img); err != nil {
+			return fmt.Errorf("decode state: %w", err)
+		}
+	}
+	*m = Machine{
+		now:    img.Now,
+		leases: img.Leases,
+		fences: img.Fences,
+		config: config{revision: img.Revision, document: img.Document, changes: img.Changes, order: img.Order},
+	}
+	for _, r := range img.Claims {
+		m.claims.insert(r)
+	}
+	return nil
+}
