Run the control part in foldd: claims, configuration, joins, data folder

Cause: calls that may run only once were all refused, and a configuration could not be applied. Change: foldd/store (one data folder, checksummed records synced once for all that came up), foldd/ctrl (replica, transport, client that follows the leader), apply with a wait for every live VM through one VM of each failure domain, foldctl config, validate, diff, apply. A lost disk comes back under a new identity; a claim whose grant was not heard is given back.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -73,15 +73,20 @@
 	r.heard = now
 }
 
-// HearOf takes what one VM says of another: an address to try, no proof that
-// it lives.
-func (g *Group) HearOf(p Peer) {
-	if p.ID == g.Self.ID || g.peers[p.ID] != nil || !p.Addr.IsValid() {
+// HeardPeer is a VM as one VM names it to another.
+type HeardPeer struct {
+	Peer
+	// Age is the time since the VM itself was heard.
+	Age time.Duration
+}
+
+// HearOf takes what one VM says of another.
+func (g *Group) HearOf(now time.Time, h HeardPeer) {
+	r := g.peers[h.ID]
+	if h.Age >= PeerLease || (r != nil && (h.Epoch < r.Epoch || !r.heard.Before(now.Add(-h.Age)))) {
 		return
 	}
-	if !slices.Contains(g.Seeds, p.Addr) {
-		g.Seeds = append(g.Seeds, p.Addr)
-	}
+	g.Hear(now.Add(-h.Age), h.Peer)
 }
 
 // Live returns the VMs heard within the lease, ordered by ID.
@@ -96,11 +101,15 @@
 	return out
 }
 
-// Known returns VMs to name to others.
-func (g *Group) Known(now time.Time, r *rand.Rand) []Peer {
+// Known returns some VMs to name to another one.
+func (g *Group) Known(now time.Time, r *rand.Rand) []HeardPeer {
 	live := g.Live(now)
 	r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(len(live), maxKnown)]
+	var out []HeardPeer
+	for _, p := range live[:min(len(live), maxKnown)] {
+		out = append(out, HeardPeer{Peer: p, Age: now.Sub(g.peers[p.ID].heard)})
+	}
+	return out
 }
 
 // Relay reports whether this VM carries its failure domain's summary to the
@@ -115,19 +124,19 @@
 }
 
 // Targets returns the addresses to exchange with now: some VMs of the own
-// failure domain, one of each other domain if this VM is the relay, and a
-// seed that has not been heard.
+// failure domain; if this VM is the relay, one of each other domain of the
+// region and one of another region; and a seed that has not been heard.
 func (g *Group) Targets(now time.Time, r *rand.Rand) []netip.AddrPort {
-	near, far := g.split(now)
+	near, far, remote := g.split(now)
 	r.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	var out []netip.AddrPort
 	for _, p := range near[:min(len(near), Fanout)] {
 		out = append(out, p.Addr)
 	}
 	if g.Relay(now) {
-		for _, domain := range sortedDomains(far) {
-			list := far[domain]
-			out = append(out, list[r.IntN(len(list))].Addr)
+		out = append(out, oneOfEach(far, r)...)
+		if others := oneOfEach(remote, r); len(others) > 0 {
+			out = append(out, others[r.IntN(len(others))])
 		}
 	}
 	return append(out, g.unheard(now, r)...)
@@ -135,10 +144,10 @@
 
 // Urgent returns the addresses to tell at once of news that came from the
 // named VM. News that arose here goes to the whole failure domain and to one
-// VM of each other; news from another domain goes to the own one; news from
-// the own domain has been told to all by its source.
+// VM of each other one, in whatever region; news from another domain goes to
+// the own one; news from the own domain has been told to all by its source.
 func (g *Group) Urgent(now time.Time, from string, r *rand.Rand) []netip.AddrPort {
-	near, far := g.split(now)
+	near, far, remote := g.split(now)
 	if p := g.peers[from]; p != nil && p.Domain == g.Self.Domain {
 		return nil
 	}
@@ -149,26 +158,37 @@
 	if from != "" {
 		return out
 	}
-	for _, domain := range sortedDomains(far) {
-		list := far[domain]
+	for _, group := range []map[string][]Peer{far, remote} {
+		out = append(out, oneOfEach(group, r)...)
+	}
+	return out
+}
+
+// oneOfEach returns the address of one VM of each failure domain.
+func oneOfEach(byDomain map[string][]Peer, r *rand.Rand) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, domain := range sortedDomains(byDomain) {
+		list := byDomain[domain]
 		out = append(out, list[r.IntN(len(list))].Addr)
 	}
 	return out
 }
 
-// split parts the live VMs into those of the own failure domain and those of
-// other domains of the region.
-func (g *Group) split(now time.Time) (near []Peer, far map[string][]Peer) {
-	far = map[string][]Peer{}
+// split parts the live VMs into those of the own failure domain, those of
+// other domains of the region, and those of other regions.
+func (g *Group) split(now time.Time) (near []Peer, far, remote map[string][]Peer) {
+	far, remote = map[string][]Peer{}, map[string][]Peer{}
 	for _, p := range g.Live(now) {
 		switch {
 		case p.Domain == g.Self.Domain:
 			near = append(near, p)
 		case p.Region == g.Self.Region:
 			far[p.Domain] = append(far[p.Domain], p)
+		default:
+			remote[p.Domain] = append(remote[p.Domain], p)
 		}
 	}
-	return near, far
+	return near, far, remote
 }
 
 func sortedDomains(m map[string][]Peer) []string {
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -109,6 +109,10 @@
 	n.handed = n.stable
 	n.rebuildMemberships()
 	n.resetElection()
+	if m := n.Membership(); m.Voter(o.ID) && m.Quorum() == 1 {
+		// Nobody else can lead.
+		n.electionAt = now
+	}
 	return n
 }
 
--- a/fold/raft/raft_test.go
+++ b/fold/raft/raft_test.go
@@ -100,3 +100,21 @@
 		t.Errorf("%+v, term %d", m, n.Term())
 	}
 }
+
+// TestLeaderCountsWhatItSynced: one follower's copy and an unsynced one of the
+// leader's are no quorum of three.
+func TestLeaderCountsWhatItSynced(t *testing.T) {
+	n := testNode("a", Restored{HardState: HardState{Term: 1}})
+	n.Tick(time.Unix(3, 0))
+	n.Step(n.now, Message{Type: PreVoteReply, From: "b", To: "a", Term: 2})
+	n.Step(n.now, Message{Type: VoteReply, From: "b", To: "a", Term: 2})
+	n.Ready()
+	n.Step(n.now, Message{Type: AppendReply, From: "b", To: "a", Term: 2, Index: 2})
+	if n.Commit() != 1 {
+		t.Fatalf("commit %d before the leader's sync, want 1", n.Commit())
+	}
+	n.Persisted(2, 2)
+	if n.Commit() != 2 {
+		t.Errorf("commit %d, want 2", n.Commit())
+	}
+}
--- a/foldctl/main.go
+++ b/foldctl/main.go
@@ -20,6 +20,10 @@
 		},
 		Commands: []*cli.Command{
 			statusCommand(),
+			configCommand(),
+			validateCommand(),
+			diffCommand(),
+			applyCommand(),
 			drainCommand(),
 		},
 	}
--- a/foldctl/status.go
+++ b/foldctl/status.go
@@ -46,6 +46,12 @@
 	for _, c := range s.GetClasses() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", c.GetName(), c.GetQueued(), c.GetRunning())
 	}
+	if len(s.GetControls()) > 0 {
+		fmt.Fprintln(t, "\ncontrol replica\tVM\tvoter\tleader")
+		for _, m := range s.GetControls() {
+			fmt.Fprintf(t, "%s\t%s\t%t\t%s\n", m.GetId(), m.GetVm(), m.GetVoter(), flag(m.GetVm() == s.GetControlLeader(), "leader"))
+		}
+	}
 	return t.Flush()
 }
 
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/ctrl"
 	"fuchsiafold.example/foldd/engine"
 	"fuchsiafold.example/foldd/entry"
 	"fuchsiafold.example/foldd/node"
@@ -29,12 +30,16 @@
 
 // App is a running process. Make it with New.
 type App struct {
-	Node    *node.Node
-	entry   *entry.Entry
-	peers   *peer.Service
-	servers []*serve.Server
-	addrs   Addrs
-	flush   func(context.Context) error
+	Node  *node.Node
+	entry *entry.Entry
+	// operators and control are set before the first request is let in.
+	operators *oper.Operators
+	gate      ctrl.Gate
+	peers     *peer.Service
+	client    *ctrl.Client
+	servers   []*serve.Server
+	addrs     Addrs
+	flush     func(context.Context) error
 }
 
 // Addrs are the addresses that a process listens on.
@@ -64,6 +69,10 @@
 		a.Close()
 		return nil, err
 	}
+	if err := a.startControl(); err != nil {
+		a.Close()
+		return nil, err
+	}
 	a.peers.Start()
 	log.WithFields(logrus.Fields{"id": s.ID, "domain": s.Domain, "callers": a.addrs.Callers.String()}).Info("serving")
 	return a, nil
@@ -71,7 +80,7 @@
 
 func (a *App) listen() error {
 	s := a.Node.Settings
-	operators := &oper.Operators{Node: a.Node}
+	a.operators = &oper.Operators{Node: a.Node, Peers: a.peers, Gate: &a.gate}
 	parts := []struct {
 		name    string
 		addr    netip.AddrPort
@@ -80,7 +89,7 @@
 		bound   *netip.AddrPort
 	}{
 		{"peers", s.Listen.Peers, a.peerHandler(), maxControlBody, &a.addrs.Peers},
-		{"operators", s.Listen.Operators, operators.Handler(), maxControlBody, &a.addrs.Operators},
+		{"operators", s.Listen.Operators, a.operators.Handler(), maxControlBody, &a.addrs.Operators},
 		{"backends", s.Listen.Backends, oper.Backends(a.Node), s.Limits.MaxBody, &a.addrs.Backends},
 		{"callers", s.Listen.Callers, a.entry, s.Limits.MaxBody, &a.addrs.Callers},
 	}
@@ -105,6 +114,7 @@
 func (a *App) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewPeerServiceHandler(a.peers))
+	mux.Handle(wire.NewControlServiceHandler(&a.gate))
 	return oper.RequireToken(a.Node.Settings.PeerToken, mux)
 }
 
@@ -152,6 +162,11 @@
 		})
 	}
 	wg.Wait()
+	if h := a.gate.Host(); h != nil {
+		if err := h.Close(); err != nil {
+			a.Node.Log.WithError(err).Warn("close control replica")
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	if err := a.flush(ctx); err != nil {
--- a/foldd/app/rig_test.go
+++ b/foldd/app/rig_test.go
@@ -89,6 +89,16 @@
 	return a
 }
 
+// startControl runs one entry VM that is also a group of one control replica.
+func startControl(t testing.TB, id string) *app.App {
+	t.Helper()
+	a := startEntry(t, id, func(s *conf.Settings) {
+		s.Control = &conf.Control{DataFolder: t.TempDir(), Bootstrap: true}
+	})
+	waitFor(t, "the control replica to lead", func() bool { return counter(a, "control.leaderChanges") > 0 })
+	return a
+}
+
 // fastParams is an engine whose steps take about 2 ms.
 func fastParams() model.Params {
 	return model.Params{
--- /dev/null
+++ b/foldd/ctrl/serve.go
@@ -0,0 +1,168 @@
+package ctrl
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/state"
+	"fuchsiafold.example/foldd/store"
+	"fuchsiafold.example/wire"
+)
+
+// headerLeader is the response header that names the leader's address.
+const headerLeader = "Fold-Leader"
+
+// errOtherGroup refuses messages of another group of replicas.
+var errOtherGroup = eris.New("the message is of another group of replicas")
+
+// fault turns an error into what a client acts on: FailedPrecondition proves
+// that nothing was decided, and may name the leader.
+func (h *Host) fault(ctx context.Context, err error) error {
+	if !notDecided(err) {
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	e := connect.NewError(connect.CodeFailedPrecondition, err)
+	if addr := h.leaderAddr(ctx); addr != "" {
+		e.Meta().Set(headerLeader, addr)
+	}
+	return e
+}
+
+// Claim implements wire.ControlServiceHandler.
+func (h *Host) Claim(ctx context.Context, req *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error) {
+	m := req.Msg
+	r, err := h.Submit(ctx, state.Command{Claim: &state.Claim{
+		Workspace: m.GetWorkspace(),
+		Key:       m.GetKey(),
+		Digest:    m.GetDigest(),
+		Nonce:     m.GetNonce(),
+		Timeout:   time.Duration(m.GetTimeoutMillis()) * time.Millisecond,
+	}})
+	if err != nil {
+		return nil, h.fault(ctx, err)
+	}
+	res := &wire.ClaimResponse{State: claimStates[r.Claim]}
+	if r.Answer != nil {
+		res.Answer = &wire.Answer{Status: uint32(r.Answer.Status), ContentType: r.Answer.ContentType, Body: r.Answer.Body}
+	}
+	return connect.NewResponse(res), nil
+}
+
+var claimStates = map[state.ClaimState]wire.ClaimState{
+	state.ClaimGranted:  wire.ClaimState_CLAIM_STATE_GRANTED,
+	state.ClaimPending:  wire.ClaimState_CLAIM_STATE_PENDING,
+	state.ClaimDone:     wire.ClaimState_CLAIM_STATE_DONE,
+	state.ClaimMismatch: wire.ClaimState_CLAIM_STATE_MISMATCH,
+	state.ClaimUnknown:  wire.ClaimState_CLAIM_STATE_UNKNOWN,
+	state.ClaimFull:     wire.ClaimState_CLAIM_STATE_FULL,
+}
+
+// Settle implements wire.ControlServiceHandler.
+func (h *Host) Settle(ctx context.Context, req *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error) {
+	m := req.Msg
+	s := &state.Settle{Workspace: m.GetWorkspace(), Key: m.GetKey(), Nonce: m.GetNonce(), Released: m.GetReleased(), Unknown: m.GetUnknown()}
+	if a := m.GetAnswer(); a != nil {
+		s.Answer = &state.Answer{Status: int(a.GetStatus()), ContentType: a.GetContentType(), Body: a.GetBody()}
+	}
+	if _, err := h.Submit(ctx, state.Command{Settle: s}); err != nil {
+		return nil, h.fault(ctx, err)
+	}
+	return connect.NewResponse(&wire.SettleResponse{}), nil
+}
+
+// Apply implements wire.ControlServiceHandler.
+func (h *Host) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
+	m := req.Msg
+	if _, err := spec.Parse(m.GetDocument()); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	r, err := h.Submit(ctx, state.Command{Apply: &state.Apply{Base: m.GetBaseRevision(), ChangeID: m.GetChangeId(), Document: m.GetDocument()}})
+	if err != nil {
+		return nil, h.fault(ctx, err)
+	}
+	if r.Error != "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, eris.New(r.Error))
+	}
+	return connect.NewResponse(&wire.ApplyResponse{Revision: r.Revision, Conflict: r.Conflict}), nil
+}
+
+// Lease implements wire.ControlServiceHandler.
+func (h *Host) Lease(ctx context.Context, req *connect.Request[wire.LeaseRequest]) (*connect.Response[wire.LeaseResponse], error) {
+	m := req.Msg
+	r, err := h.Submit(ctx, state.Command{Lease: &state.Lease{
+		Name:    m.GetName(),
+		Holder:  m.GetHolder(),
+		Length:  time.Duration(m.GetLengthMillis()) * time.Millisecond,
+		Release: m.GetRelease(),
+	}})
+	if err != nil {
+		return nil, h.fault(ctx, err)
+	}
+	return connect.NewResponse(&wire.LeaseResponse{Fence: r.Fence, WaitMillis: uint64(r.Wait.Milliseconds())}), nil
+}
+
+// LatestConfig answers with the newest configuration that is decided.
+func (h *Host) LatestConfig(ctx context.Context) (*wire.ConfigResponse, error) {
+	revision, doc, err := h.Latest(ctx)
+	if err != nil {
+		return nil, h.fault(ctx, err)
+	}
+	return &wire.ConfigResponse{Revision: revision, Document: doc}, nil
+}
+
+// Step takes messages of the replicated log.
+func (h *Host) Step(ctx context.Context, req *connect.Request[wire.StepRequest]) (*connect.Response[wire.StepResponse], error) {
+	if req.Msg.GetGroup() != h.identity.Group {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errOtherGroup)
+	}
+	from, err := netip.ParseAddrPort(req.Msg.GetFromAddr())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	err = h.do(ctx, func(now time.Time) {
+		for _, m := range req.Msg.GetMessages() {
+			h.addrs[m.GetFrom()] = from
+			h.rep.Step(now, store.FromMessage(m))
+		}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&wire.StepResponse{}), nil
+}
+
+// Join takes a replica in, or tells only the group when none is named.
+func (h *Host) Join(ctx context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	res := &wire.JoinResponse{Group: h.identity.Group}
+	if req.Msg.GetMember() == nil {
+		return connect.NewResponse(res), nil
+	}
+	var err error
+	if e := h.do(ctx, func(time.Time) { err = h.rep.Join(store.FromMember(req.Msg.GetMember())) }); e != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, e)
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// handler gives Host the shape of the generated service.
+type handler struct{ *Host }
+
+// Latest implements wire.ControlServiceHandler.
+func (s handler) Latest(ctx context.Context, req *connect.Request[wire.ConfigRequest]) (*connect.Response[wire.ConfigResponse], error) {
+	res, err := s.LatestConfig(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Handler returns the service that control VMs offer.
+func (h *Host) Handler() wire.ControlServiceHandler { return handler{h} }
--- a/foldd/demo.go
+++ b/foldd/demo.go
@@ -14,15 +14,16 @@
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 	"github.com/tmaxmax/go-sse"
 	"github.com/urfave/cli/v3"
 
-	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/app"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldfake/host"
 	"fuchsiafold.example/foldfake/plain"
+	"fuchsiafold.example/wire"
 )
 
 // demoConfig is the configuration of the demo.
@@ -56,7 +57,12 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	log := newLogger(conf.Log{Level: "warn"})
-	s, err := demoSettings(port)
+	folder, err := os.MkdirTemp("", "fuchsiafold-demo-")
+	if err != nil {
+		return fmt.Errorf("make data folder: %w", err)
+	}
+	defer os.RemoveAll(folder)
+	s, err := demoSettings(port, folder)
 	if err != nil {
 		return err
 	}
@@ -64,11 +70,9 @@
 	if err != nil {
 		return err
 	}
-	doc, err := spec.Parse(demoConfig)
-	if err != nil {
+	if err := demoApply(ctx, a.Addrs().Operators); err != nil {
 		return err
 	}
-	a.Node.Adopt(spec.NewIndex(doc, 1))
 	if err := demoBackends(a.Addrs().Backends, log); err != nil {
 		return err
 	}
@@ -83,7 +87,7 @@
 	return drain(a, signals, demoWait)
 }
 
-func demoSettings(port int) (*conf.Settings, error) {
+func demoSettings(port int, folder string) (*conf.Settings, error) {
 	next := func(i int) string {
 		if port == 0 {
 			return "127.0.0.1:0"
@@ -93,11 +97,26 @@
 	text := fmt.Sprintf(`{
 		"id": "demo-1", "domain": "demo-a", "handleKey": "demo-handle-key-0",
 		"listen": {"callers": %q, "backends": %q, "peers": %q, "operators": %q},
+		"control": {"dataFolder": %q, "bootstrap": true},
 		"log": {"level": "warn"},
-	}`, next(0), next(1), next(2), next(3))
+	}`, next(0), next(1), next(2), next(3), folder)
 	return conf.Parse([]byte(text))
 }
 
+// demoApply applies the demo's configuration as an operator would.
+func demoApply(ctx context.Context, operators netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, demoWait)
+	defer cancel()
+	c := wire.NewOperatorServiceClient(http.DefaultClient, "http://"+operators.String())
+	req := &wire.ApplyRequest{ChangeId: "demo", Document: demoConfig, WaitMillis: uint64(demoWait.Milliseconds())}
+	res, err := c.Apply(ctx, connect.NewRequest(req))
+	if err != nil {
+		return fmt.Errorf("apply the demo's configuration: %w", err)
+	}
+	fmt.Printf("configuration in force as revision %d\n", res.Msg.GetRevision())
+	return nil
+}
+
 func demoBackends(entries netip.AddrPort, log *logrus.Logger) error {
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	for i := range demoEngines {
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -93,7 +93,7 @@
 	if c.entry.Claims == nil {
 		return noQuorum("this deployment has no control VM")
 	}
-	claim := Claim{Workspace: c.asker.workspace, Key: key, Digest: c.digest(), Holder: c.entry.Node.Settings.ID}
+	claim := Claim{Workspace: c.asker.workspace, Key: key, Digest: c.digest(), Nonce: newGenerationID(), Timeout: time.Duration(c.route.Timeout)}
 	state, recorded, err := c.entry.Claims.Claim(ctx, claim)
 	if err != nil {
 		return noQuorum(err.Error())
--- a/foldd/entry/claims.go
+++ b/foldd/entry/claims.go
@@ -35,8 +35,10 @@
 	Key       string
 	// Digest identifies the request that the key stands for.
 	Digest []byte
-	// Holder is the VM that dispatches.
-	Holder string
+	// Nonce names this attempt to claim.
+	Nonce string
+	// Timeout is the longest time that the call may take.
+	Timeout time.Duration
 }
 
 // Settlement is how a granted claim ended.
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -11,7 +11,7 @@
 type Exchange struct {
 	Self  member.Peer
 	News  []member.Heard
-	Known []member.Peer
+	Known []member.HeardPeer
 	// Version is the version of the own table that News brings the other to.
 	Version uint64
 	// Have is the version of the other's table that is taken in here, for its
@@ -59,6 +59,20 @@
 	return n.group.Urgent(time.Now(), from, n.random)
 }
 
+// PeersByDomain returns the live VMs of the own failure domain, and those of
+// each other one.
+func (n *Node) PeersByDomain() (near []member.Peer, far map[string][]member.Peer) {
+	far = map[string][]member.Peer{}
+	for _, p := range n.Peers() {
+		if p.Domain == n.Settings.Domain {
+			near = append(near, p)
+			continue
+		}
+		far[p.Domain] = append(far[p.Domain], p)
+	}
+	return near, far
+}
+
 // Peers returns the live VMs.
 func (n *Node) Peers() []member.Peer {
 	n.mu.Lock()
@@ -91,7 +105,12 @@
 	now := time.Now()
 	x := Exchange{Self: n.self(), Known: n.group.Known(now, n.random)}
 	x.News, x.Version = n.table.Since(now, since, id)
-	if p, ok := n.group.Peer(id); ok && p.Domain != n.group.Self.Domain {
+	p, ok := n.group.Peer(id)
+	switch {
+	case ok && p.Region != n.group.Self.Region:
+		// Requests do not spill between regions.
+		x.News = nil
+	case ok && p.Domain != n.group.Self.Domain:
 		x.News = member.Summary(x.News, n.group.Self.Domain)
 	}
 	return x
@@ -112,8 +131,8 @@
 }
 
 // HearOfPeer takes what one VM says of another.
-func (n *Node) HearOfPeer(p member.Peer) {
+func (n *Node) HearOfPeer(h member.HeardPeer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.group.HearOf(p)
+	n.group.HearOf(time.Now(), h)
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -126,6 +127,19 @@
 	}
 }
 
+// AdoptDocument puts a configuration in force that came from the named VM, or
+// from the control part if the name is empty, and passes the news on.
+func (n *Node) AdoptDocument(revision uint64, document []byte, from string) error {
+	d, err := spec.Parse(document)
+	if err != nil {
+		return fmt.Errorf("configuration %d: %w", revision, err)
+	}
+	if n.Adopt(spec.NewIndex(d, revision)) {
+		n.Spread(n.urgentTargets(from))
+	}
+	return nil
+}
+
 // Draining reports whether the process is shutting down.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
--- a/foldd/oper/operator.go
+++ b/foldd/oper/operator.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/foldd/ctrl"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/peer"
+	"fuchsiafold.example/foldd/store"
 	"fuchsiafold.example/wire"
 )
 
@@ -21,7 +25,9 @@
 
 // Operators answers operators. All fields but Control are set.
 type Operators struct {
-	Node *node.Node
+	Node  *node.Node
+	Peers *peer.Service
+	Gate  *ctrl.Gate
 	// Control takes new configurations; nil refuses them.
 	Control Applier
 }
@@ -57,6 +63,14 @@
 		res.Backends = append(res.Backends, peer.ToBackend(member.Heard{Backend: b}))
 	}
 	res.Classes = o.classes()
+	if h := o.Gate.Host(); h != nil {
+		members, leader, err := h.Status(ctx)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		res.Controls = store.ToMembers(members)
+		res.ControlLeader = leader
+	}
 	return connect.NewResponse(res), nil
 }
 
@@ -79,12 +93,41 @@
 		return nil, connect.NewError(connect.CodeUnavailable, errNoControl)
 	}
 	res, err := o.Control.Apply(ctx, req.Msg)
+	if errors.Is(err, ctrl.ErrNoQuorum) {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	if err != nil {
 		return nil, err
 	}
+	if wait := time.Duration(req.Msg.GetWaitMillis()) * time.Millisecond; wait > 0 && !res.GetConflict() {
+		o.awaitInForce(ctx, res, min(wait, maxWait))
+	}
 	return connect.NewResponse(res), nil
 }
 
+// Bounds of the wait for a configuration to be in force.
+const (
+	maxWait     = 5 * time.Minute
+	inForcePoll = 50 * time.Millisecond
+)
+
+// awaitInForce waits until a revision is in force at every live VM, and
+// states in res how long that took or who lags.
+func (o *Operators) awaitInForce(ctx context.Context, res *wire.ApplyResponse, wait time.Duration) {
+	start := time.Now()
+	for {
+		in := o.Peers.EverywhereInForce(ctx, res.GetRevision())
+		waited := time.Since(start)
+		res.Lagging = in.GetLagging()
+		res.InForce = uint64(len(in.GetInForce()))
+		res.WaitedMillis = uint64(waited.Milliseconds())
+		if len(res.Lagging) == 0 || waited >= wait || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(inForcePoll)
+	}
+}
+
 // Config implements wire.OperatorServiceHandler.
 func (o *Operators) Config(ctx context.Context, req *connect.Request[wire.ConfigRequest]) (*connect.Response[wire.ConfigResponse], error) {
 	res, err := peer.CurrentConfig(o.Node)
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// toHeardPeer returns the wire form of a VM that is named to another.
+func toHeardPeer(h member.HeardPeer) *wire.Peer {
+	p := ToPeer(h.Peer)
+	p.AgeMillis = uint64(h.Age.Milliseconds())
+	return p
+}
+
 // ToBackend returns the wire form of a backend server.
 func ToBackend(h member.Heard) *wire.Backend {
 	return &wire.Backend{
--- /dev/null
+++ b/foldd/peer/inforce.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/wire"
+)
+
+// tally collects at which VMs a revision is in force.
+type tally struct {
+	mu  sync.Mutex
+	res wire.InForceResponse
+}
+
+func (t *tally) add(id string, in bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if in {
+		t.res.InForce = append(t.res.InForce, id)
+		return
+	}
+	t.res.Lagging = append(t.res.Lagging, id)
+}
+
+func (t *tally) merge(r *wire.InForceResponse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.res.InForce = append(t.res.InForce, r.GetInForce()...)
+	t.res.Lagging = append(t.res.Lagging, r.GetLagging()...)
+}
+
+// EverywhereInForce asks all live VMs whether a revision is in force: those
+// of the own failure domain directly, the others through one VM of theirs.
+func (s *Service) EverywhereInForce(ctx context.Context, revision uint64) *wire.InForceResponse {
+	t := s.domainInForce(ctx, revision)
+	_, far := s.node.PeersByDomain()
+	var wg sync.WaitGroup
+	for _, list := range far {
+		wg.Go(func() { s.askDomain(ctx, revision, list, t) })
+	}
+	wg.Wait()
+	slices.Sort(t.res.InForce)
+	slices.Sort(t.res.Lagging)
+	return &t.res
+}
+
+func (s *Service) selfInForce(revision uint64) bool {
+	x := s.node.Index()
+	return x != nil && x.Revision() >= revision
+}
+
+func (s *Service) domainInForce(ctx context.Context, revision uint64) *tally {
+	t := &tally{}
+	t.add(s.node.Settings.ID, s.selfInForce(revision))
+	near, _ := s.node.PeersByDomain()
+	var wg sync.WaitGroup
+	for _, p := range near {
+		wg.Go(func() {
+			res, err := s.askInForce(ctx, p.Addr, &wire.InForceRequest{Revision: revision})
+			t.add(p.ID, err == nil && len(res.GetLagging()) == 0)
+		})
+	}
+	wg.Wait()
+	return t
+}
+
+// domainTries bounds the VMs of another failure domain that are asked for it.
+const domainTries = 2
+
+func (s *Service) askDomain(ctx context.Context, revision uint64, list []member.Peer, t *tally) {
+	for _, p := range list[:min(len(list), domainTries)] {
+		res, err := s.askInForce(ctx, p.Addr, &wire.InForceRequest{Revision: revision, Domain: true})
+		if err == nil {
+			t.merge(res)
+			return
+		}
+	}
+	for _, p := range list {
+		t.add(p.ID, false)
+	}
+}
+
+func (s *Service) askInForce(ctx context.Context, addr netip.AddrPort, req *wire.InForceRequest) (*wire.InForceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
+	res, err := c.InForce(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// InForce implements wire.PeerServiceHandler.
+func (s *Service) InForce(ctx context.Context, req *connect.Request[wire.InForceRequest]) (*connect.Response[wire.InForceResponse], error) {
+	if req.Msg.GetDomain() {
+		return connect.NewResponse(&s.domainInForce(ctx, req.Msg.GetRevision()).res), nil
+	}
+	t := &tally{}
+	t.add(s.node.Settings.ID, s.selfInForce(req.Msg.GetRevision()))
+	return connect.NewResponse(&t.res), nil
+}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -14,7 +14,6 @@
 	"connectrpc.com/connect"
 
 	"fuchsiafold.example/fold/member"
-	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/wire"
 )
@@ -111,7 +110,7 @@
 		req.Backends = append(req.Backends, ToBackend(h))
 	}
 	for _, p := range out.Known {
-		req.Known = append(req.Known, ToPeer(p))
+		req.Known = append(req.Known, toHeardPeer(p))
 	}
 	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
 	res, err := c.Exchange(ctx, connect.NewRequest(req))
@@ -128,7 +127,10 @@
 func (s *Service) learn(from member.Peer, backends []*wire.Backend, known []*wire.Peer) {
 	s.node.HearPeer(from)
 	for _, p := range known {
-		s.node.HearOfPeer(FromPeer(p))
+		s.node.HearOfPeer(member.HeardPeer{
+			Peer: FromPeer(p),
+			Age:  time.Duration(p.GetAgeMillis()) * time.Millisecond,
+		})
 	}
 	for _, b := range backends {
 		if h, ok := FromBackend(b); ok {
@@ -148,12 +150,7 @@
 	if err != nil {
 		return fmt.Errorf("fetch configuration from %v: %w", from.Addr, err)
 	}
-	d, err := spec.Parse(res.Msg.GetDocument())
-	if err != nil {
-		return fmt.Errorf("configuration from %v: %w", from.Addr, err)
-	}
-	s.node.Adopt(spec.NewIndex(d, res.Msg.GetRevision()))
-	return nil
+	return s.node.AdoptDocument(res.Msg.GetRevision(), res.Msg.GetDocument(), from.ID)
 }
 
 // Exchange implements wire.PeerServiceHandler.
@@ -170,7 +167,7 @@
 		res.Backends = append(res.Backends, ToBackend(h))
 	}
 	for _, p := range out.Known {
-		res.Known = append(res.Known, ToPeer(p))
+		res.Known = append(res.Known, toHeardPeer(p))
 	}
 	if x := s.node.Index(); from.Revision > 0 && (x == nil || x.Revision() < from.Revision) {
 		go s.exchangeOnce(from.Addr)
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -40,14 +40,22 @@
 	PeerServiceExchangeProcedure = "/wire.v1.PeerService/Exchange"
 	// PeerServiceConfigProcedure is the fully-qualified name of the PeerService's Config RPC.
 	PeerServiceConfigProcedure = "/wire.v1.PeerService/Config"
+	// PeerServiceInForceProcedure is the fully-qualified name of the PeerService's InForce RPC.
+	PeerServiceInForceProcedure = "/wire.v1.PeerService/InForce"
 	// ControlServiceClaimProcedure is the fully-qualified name of the ControlService's Claim RPC.
 	ControlServiceClaimProcedure = "/wire.v1.ControlService/Claim"
 	// ControlServiceSettleProcedure is the fully-qualified name of the ControlService's Settle RPC.
 	ControlServiceSettleProcedure = "/wire.v1.ControlService/Settle"
 	// ControlServiceApplyProcedure is the fully-qualified name of the ControlService's Apply RPC.
 	ControlServiceApplyProcedure = "/wire.v1.ControlService/Apply"
+	// ControlServiceLeaseProcedure is the fully-qualified name of the ControlService's Lease RPC.
+	ControlServiceLeaseProcedure = "/wire.v1.ControlService/Lease"
 	// ControlServiceLatestProcedure is the fully-qualified name of the ControlService's Latest RPC.
 	ControlServiceLatestProcedure = "/wire.v1.ControlService/Latest"
+	// ControlServiceStepProcedure is the fully-qualified name of the ControlService's Step RPC.
+	ControlServiceStepProcedure = "/wire.v1.ControlService/Step"
+	// ControlServiceJoinProcedure is the fully-qualified name of the ControlService's Join RPC.
+	ControlServiceJoinProcedure = "/wire.v1.ControlService/Join"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
 	OperatorServiceStatusProcedure = "/wire.v1.OperatorService/Status"
 	// OperatorServiceApplyProcedure is the fully-qualified name of the OperatorService's Apply RPC.
@@ -62,6 +70,7 @@
 type PeerServiceClient interface {
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
+	InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the wire.v1.PeerService service. By default, it uses
@@ -87,6 +96,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Config")),
 			connect.WithClientOptions(opts...),
 		),
+		inForce: connect.NewClient[InForceRequest, InForceResponse](
+			httpClient,
+			baseURL+PeerServiceInForceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("InForce")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -94,6 +109,7 @@
 type peerServiceClient struct {
 	exchange *connect.Client[ExchangeRequest, ExchangeResponse]
 	config   *connect.Client[ConfigRequest, ConfigResponse]
+	inForce  *connect.Client[InForceRequest, InForceResponse]
 }
 
 // Exchange calls wire.v1.PeerService.Exchange.
@@ -106,10 +122,16 @@
 	return c.config.CallUnary(ctx, req)
 }
 
+// InForce calls wire.v1.PeerService.InForce.
+func (c *peerServiceClient) InForce(ctx context.Context, req *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error) {
+	return c.inForce.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the wire.v1.PeerService service.
 type PeerServiceHandler interface {
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
+	InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -131,12 +153,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("Config")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceInForceHandler := connect.NewUnaryHandler(
+		PeerServiceInForceProcedure,
+		svc.InForce,
+		connect.WithSchema(peerServiceMethods.ByName("InForce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
 			peerServiceExchangeHandler.ServeHTTP(w, r)
 		case PeerServiceConfigProcedure:
 			peerServiceConfigHandler.ServeHTTP(w, r)
+		case PeerServiceInForceProcedure:
+			peerServiceInForceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -154,12 +184,19 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Config is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.InForce is not implemented"))
+}
+
 // ControlServiceClient is a client for the wire.v1.ControlService service.
 type ControlServiceClient interface {
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
 	Settle(context.Context, *connect.Request[SettleRequest]) (*connect.Response[SettleResponse], error)
 	Apply(context.Context, *connect.Request[ApplyRequest]) (*connect.Response[ApplyResponse], error)
+	Lease(context.Context, *connect.Request[LeaseRequest]) (*connect.Response[LeaseResponse], error)
 	Latest(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
+	Step(context.Context, *connect.Request[StepRequest]) (*connect.Response[StepResponse], error)
+	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
 }
 
 // NewControlServiceClient constructs a client for the wire.v1.ControlService service. By default,
@@ -191,12 +228,30 @@
 			connect.WithSchema(controlServiceMethods.ByName("Apply")),
 			connect.WithClientOptions(opts...),
 		),
+		lease: connect.NewClient[LeaseRequest, LeaseResponse](
+			httpClient,
+			baseURL+ControlServiceLeaseProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Lease")),
+			connect.WithClientOptions(opts...),
+		),
 		latest: connect.NewClient[ConfigRequest, ConfigResponse](
 			httpClient,
 			baseURL+ControlServiceLatestProcedure,
 			connect.WithSchema(controlServiceMethods.ByName("Latest")),
 			connect.WithClientOptions(opts...),
 		),
+		step: connect.NewClient[StepRequest, StepResponse](
+			httpClient,
+			baseURL+ControlServiceStepProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Step")),
+			connect.WithClientOptions(opts...),
+		),
+		join: connect.NewClient[JoinRequest, JoinResponse](
+			httpClient,
+			baseURL+ControlServiceJoinProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -205,7 +260,10 @@
 	claim  *connect.Client[ClaimRequest, ClaimResponse]
 	settle *connect.Client[SettleRequest, SettleResponse]
 	apply  *connect.Client[ApplyRequest, ApplyResponse]
+	lease  *connect.Client[LeaseRequest, LeaseResponse]
 	latest *connect.Client[ConfigRequest, ConfigResponse]
+	step   *connect.Client[StepRequest, StepResponse]
+	join   *connect.Client[JoinRequest, JoinResponse]
 }
 
 // Claim calls wire.v1.ControlService.Claim.
@@ -223,17 +281,35 @@
 	return c.apply.CallUnary(ctx, req)
 }
 
+// Lease calls wire.v1.ControlService.Lease.
+func (c *controlServiceClient) Lease(ctx context.Context, req *connect.Request[LeaseRequest]) (*connect.Response[LeaseResponse], error) {
+	return c.lease.CallUnary(ctx, req)
+}
+
 // Latest calls wire.v1.ControlService.Latest.
 func (c *controlServiceClient) Latest(ctx context.Context, req *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error) {
 	return c.latest.CallUnary(ctx, req)
 }
 
+// Step calls wire.v1.ControlService.Step.
+func (c *controlServiceClient) Step(ctx context.Context, req *connect.Request[StepRequest]) (*connect.Response[StepResponse], error) {
+	return c.step.CallUnary(ctx, req)
+}
+
+// Join calls wire.v1.ControlService.Join.
+func (c *controlServiceClient) Join(ctx context.Context, req *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // ControlServiceHandler is an implementation of the wire.v1.ControlService service.
 type ControlServiceHandler interface {
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
 	Settle(context.Context, *connect.Request[SettleRequest]) (*connect.Response[SettleResponse], error)
 	Apply(context.Context, *connect.Request[ApplyRequest]) (*connect.Response[ApplyResponse], error)
+	Lease(context.Context, *connect.Request[LeaseRequest]) (*connect.Response[LeaseResponse], error)
 	Latest(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
+	Step(context.Context, *connect.Request[StepRequest]) (*connect.Response[StepResponse], error)
+	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
 }
 
 // NewControlServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -261,12 +337,30 @@
 		connect.WithSchema(controlServiceMethods.ByName("Apply")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceLeaseHandler := connect.NewUnaryHandler(
+		ControlServiceLeaseProcedure,
+		svc.Lease,
+		connect.WithSchema(controlServiceMethods.ByName("Lease")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceLatestHandler := connect.NewUnaryHandler(
 		ControlServiceLatestProcedure,
 		svc.Latest,
 		connect.WithSchema(controlServiceMethods.ByName("Latest")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceStepHandler := connect.NewUnaryHandler(
+		ControlServiceStepProcedure,
+		svc.Step,
+		connect.WithSchema(controlServiceMethods.ByName("Step")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlServiceJoinHandler := connect.NewUnaryHandler(
+		ControlServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(controlServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlServiceClaimProcedure:
@@ -275,8 +369,14 @@
 			controlServiceSettleHandler.ServeHTTP(w, r)
 		case ControlServiceApplyProcedure:
 			controlServiceApplyHandler.ServeHTTP(w, r)
+		case ControlServiceLeaseProcedure:
+			controlServiceLeaseHandler.ServeHTTP(w, r)
 		case ControlServiceLatestProcedure:
 			controlServiceLatestHandler.ServeHTTP(w, r)
+		case ControlServiceStepProcedure:
+			controlServiceStepHandler.ServeHTTP(w, r)
+		case ControlServiceJoinProcedure:
+			controlServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -298,10 +398,22 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Apply is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) Lease(context.Context, *connect.Request[LeaseRequest]) (*connect.Response[LeaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Lease is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) Latest(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Latest is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) Step(context.Context, *connect.Request[StepRequest]) (*connect.Response[StepResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Step is not implemented"))
+}
+
+func (UnimplementedControlServiceHandler) Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Join is not implemented"))
+}
+
 // OperatorServiceClient is a client for the wire.v1.OperatorService service.
 type OperatorServiceClient interface {
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
