Meet targets by forecast: learned lengths, memory forecast, deadlines, fair shares

Cause: first come first served to the least busy engine overfills engines: at 0.9 of capacity answers are taken back from the batch and checks wait behind drafts. Change: fold/learn (lengths by hazard, so running answers count; step times by recursive least squares), fold/sched forecast and prefix policies, ejection, slow start, fair shares by virtual clock, replay of traces in virtual time (fold/record, foldfake replay). Also: foldd hung silently when an address was taken, because nbhttp does; control VMs lost a first message on a connection that had broken while idle. Both mended, tested.

--- a/fold/sched/sched.go
+++ b/fold/sched/sched.go
@@ -5,9 +5,11 @@
 package sched
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
 )
 
@@ -105,11 +107,38 @@
 	priority   int
 	dispatched time.Time
 	lastToken  time.Time
+	// usage is the forecast of the request's memory, nil for policies that
+	// make none.
+	usage *usage
+	// work is the expected size of the request in tokens.
+	work float64
+}
+
+// Options describes a Sched. The zero value is a scheduler that has all its
+// backend servers to itself.
+type Options struct {
+	// Domain is the own failure domain, whose backend servers go first.
+	Domain string
+	// Share is the part of each backend server that the scheduler may use;
+	// zero means all of it.
+	Share float64
+	// Choices is the number of backend servers that are looked at, drawn at
+	// random; zero looks at all.
+	Choices int
+	// Random draws them. It is set if Choices is.
+	Random *rand.Rand
 }
 
 // Sched is the scheduler of one VM. Make it with New. It is not safe for
 // concurrent use.
 type Sched struct {
+	opts Options
+	// lengths is what is learned of the lengths of answers.
+	lengths learn.Lengths
+	// fair holds the fairness between workspaces for each model, starts the
+	// rate of dispatches.
+	fair     map[string]*fairness
+	starts   map[string]*rate
 	policies map[string]*Policy
 	engines  map[string]*engine
 	// byModel lists the engines of each model, ordered by ID.
@@ -120,12 +149,19 @@
 	queued  int
 	// dirty lists models whose queues may move.
 	dirty    map[string]bool
+	retried  time.Time
 	refusals []Refusal
 }
 
 // New returns a scheduler without backend servers.
-func New() *Sched {
+func New(o Options) *Sched {
+	if o.Share == 0 {
+		o.Share = 1
+	}
 	return &Sched{
+		opts:     o,
+		fair:     map[string]*fairness{},
+		starts:   map[string]*rate{},
 		policies: Policies(),
 		engines:  map[string]*engine{},
 		byModel:  map[string][]*engine{},
@@ -189,7 +225,7 @@
 func (s *Sched) Submit(now time.Time, r *Request) {
 	it := &item{Request: r}
 	if s.queued >= MaxQueued && !r.Admitted {
-		s.refuse(it, ReasonQueueFull, s.policy(r).comeBack(s, now, it))
+		s.refuse(it, ReasonQueueFull, s.comeBack(now, it))
 		return
 	}
 	if reason, ok := s.hopeless(r); ok && !r.Admitted {
@@ -271,9 +307,46 @@
 	if it == nil || it.engine == nil || generated <= it.generated {
 		return
 	}
+	s.lengths.Progress(it.group(), it.generated, generated)
+	s.fairness(it.Model).served.add(now, float64(generated-it.generated))
+	if it.generated == 0 {
+		it.engine.firstToken(it)
+	}
 	it.engine.progress(now, it, generated)
 }
 
+func (s *Sched) fairness(model string) *fairness {
+	f := s.fair[model]
+	if f == nil {
+		f = &fairness{}
+		s.fair[model] = f
+	}
+	return f
+}
+
+func (s *Sched) startRate(model string) *rate {
+	r := s.starts[model]
+	if r == nil {
+		r = &rate{}
+		s.starts[model] = r
+	}
+	return r
+}
+
+// Cached takes a backend server's word that a prefix entered or left its
+// cache.
+func (s *Sched) Cached(now time.Time, id, prefix string, stored bool) {
+	e := s.engines[id]
+	if e == nil {
+		return
+	}
+	if stored {
+		e.prefixes.assume(now, prefix)
+		return
+	}
+	e.prefixes.evicted(prefix)
+}
+
 // Finish ends a dispatched request.
 func (s *Sched) Finish(now time.Time, id uint64, r Result) {
 	it := s.items[id]
@@ -281,6 +354,9 @@
 		return
 	}
 	delete(s.items, id)
+	if r == Completed {
+		s.lengths.End(it.group(), it.generated)
+	}
 	it.engine.finish(now, it, r)
 	s.dirty[it.Model] = true
 }
@@ -288,6 +364,7 @@
 // Poll returns the dispatches and refusals that are due.
 func (s *Sched) Poll(now time.Time) ([]Dispatch, []Refusal) {
 	var out []Dispatch
+	s.markDue(now)
 	for model := range s.dirty {
 		out = s.poll(now, model, out)
 		delete(s.dirty, model)
@@ -298,6 +375,22 @@
 	return out, refused
 }
 
+// retryInterval is the time after which a queue is tried again although
+// nothing has been heard: forecasts fall with time, and deadlines pass.
+const retryInterval = 20 * time.Millisecond
+
+func (s *Sched) markDue(now time.Time) {
+	if now.Sub(s.retried) < retryInterval {
+		return
+	}
+	s.retried = now
+	for model, q := range s.waiting {
+		if len(q) > 0 {
+			s.dirty[model] = true
+		}
+	}
+}
+
 func compareIDs(a, b uint64) int {
 	switch {
 	case a < b:
@@ -308,23 +401,62 @@
 	return 0
 }
 
+// Bounds of one look at a queue: the requests that are tried in vain, and those
+// that are looked at, before the rest is left for later.
+const (
+	scanLimit = 24
+	lookLimit = 1024
+)
+
 func (s *Sched) poll(now time.Time, model string, out []Dispatch) []Dispatch {
-	var keep []*item
-	for _, it := range s.waiting[model] {
-		e := s.policy(it.Request).Place(s, now, it)
+	queue := s.waiting[model]
+	keep := queue[:0]
+	tried := 0
+	// unplaced holds, for each class, the smallest prompt that found no place.
+	unplaced := map[string]int{}
+	for i, it := range queue {
+		if tried >= scanLimit || i >= lookLimit {
+			keep = append(keep, queue[i:]...)
+			break
+		}
+		p := s.policy(it.Request)
+		if after, late := p.Late(s, now, it); late && !it.Admitted {
+			s.drop(it, after)
+			continue
+		}
+		if least, ok := unplaced[it.Class]; ok && it.Prompt >= least {
+			keep = append(keep, it)
+			continue
+		}
+		e := p.Place(s, now, it)
 		if e == nil {
 			keep = append(keep, it)
+			unplaced[it.Class] = it.Prompt
+			tried++
 			continue
 		}
-		s.queued--
-		it.priority = s.policy(it.Request).Priority(s, now, it)
-		e.start(now, it)
-		out = append(out, Dispatch{Request: it.Request, Backend: e.info.ID, Priority: it.priority})
+		out = append(out, s.dispatch(now, it, e))
 	}
+	clear(queue[len(keep):])
 	s.waiting[model] = keep
 	return out
 }
 
+func (s *Sched) dispatch(now time.Time, it *item, e *engine) Dispatch {
+	s.queued--
+	it.priority = s.policy(it.Request).Priority(s, now, it)
+	e.start(now, it)
+	s.startRate(it.Model).add(now, 1)
+	return Dispatch{Request: it.Request, Backend: e.info.ID, Priority: it.priority}
+}
+
+// drop refuses a request that has waited in vain.
+func (s *Sched) drop(it *item, after time.Duration) {
+	s.queued--
+	delete(s.items, it.ID)
+	s.refuse(it, ReasonOverload, after)
+}
+
 // Queued returns the number of requests that wait, by class.
 func (s *Sched) Queued() map[string]int {
 	out := map[string]int{}
@@ -346,3 +478,18 @@
 	}
 	return out
 }
+
+// Adopt takes over a request that another scheduler has dispatched.
+func (s *Sched) Adopt(now time.Time, r *Request, backend string, generated int) {
+	e := s.engines[backend]
+	if e == nil || s.items[r.ID] != nil {
+		return
+	}
+	it := &item{Request: r}
+	s.items[r.ID] = it
+	e.start(now, it)
+	if generated > 0 {
+		e.firstToken(it)
+		e.progress(now, it, generated)
+	}
+}
--- a/foldd/ctrl/post.go
+++ b/foldd/ctrl/post.go
@@ -68,11 +68,15 @@
 			}
 			break
 		}
-		h.send(c, req)
+		// The first call may meet a connection that broke while it was idle.
+		if !h.send(c, req) {
+			h.send(c, req)
+		}
 	}
 }
 
-func (h *Host) send(c wire.ControlServiceClient, req *wire.StepRequest) {
+// send reports whether the messages were taken.
+func (h *Host) send(c wire.ControlServiceClient, req *wire.StepRequest) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	go func() {
@@ -84,5 +88,7 @@
 	}()
 	if _, err := c.Step(ctx, connect.NewRequest(req)); err != nil {
 		h.conf.Count("control.sendsFailed", 1)
+		return false
 	}
+	return true
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -72,7 +72,7 @@
 		Metrics:  metrics.NewRegistry(),
 		Clock:    clock.New(),
 		Spread:   func([]netip.AddrPort) {},
-		sched:    sched.New(),
+		sched:    sched.New(sched.Options{Domain: s.Domain}),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		waiters:  map[uint64]chan Verdict{},
 		calls:    map[string]int{},
--- a/foldfake/main.go
+++ b/foldfake/main.go
@@ -18,6 +18,7 @@
 		Commands: []*cli.Command{
 			engineCommand(),
 			serviceCommand(),
+			replayCommand(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/foldfake/replay/replay.go
@@ -0,0 +1,260 @@
+// Package replay runs a trace in virtual time against the scheduler core and
+// the stand-in engines' model. The same scenario has the same result each
+// time.
+package replay
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/record"
+	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldfake/mix"
+	"fuchsiafold.example/foldfake/model"
+)
+
+// Mode is the way in which several entry VMs share the engines.
+type Mode string
+
+// The modes.
+const (
+	// Steward: one VM schedules for all; the others ask it.
+	Steward Mode = "steward"
+	// Choices: each VM schedules by late reports and its own requests, and
+	// looks at two engines at random.
+	Choices Mode = "choices"
+	// Best: like Choices, but each VM looks at all engines.
+	Best Mode = "best"
+	// Split: each VM may use an even part of each engine.
+	Split Mode = "split"
+)
+
+// Scenario is one run.
+type Scenario struct {
+	Mix    mix.Mix
+	Params model.Params
+	Trace  []record.Line
+	Policy string
+	// Second, if set, is the policy of every second request.
+	Second string
+	Mode   Mode
+	// Interval is the time between load reports, Lag their age.
+	Interval time.Duration
+	Lag      time.Duration
+	Seed     uint64
+}
+
+// Timing of the emulated system.
+const (
+	// hop is the one-way latency between VMs and to engines.
+	hop             = 500 * time.Microsecond
+	tickInterval    = 20 * time.Millisecond
+	defaultInterval = 500 * time.Millisecond
+	// lossNoticed is the time until a frozen engine counts as lost.
+	lossNoticed = 5 * time.Second
+	// leaseEnd is the time until a dead engine is forgotten.
+	leaseEnd = member.DefaultLease
+	// takeover is the time until another VM coordinates.
+	takeover = 3 * time.Second
+	// drainTime is the time after the last arrival for answers to end.
+	drainTime   = 30 * time.Minute
+	maxAttempts = 4
+)
+
+type happening struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+type events []happening
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(happening)) }
+func (q *events) Pop() any {
+	old := *q
+	h := old[len(old)-1]
+	old[len(old)-1] = happening{}
+	*q = old[:len(old)-1]
+	return h
+}
+
+// run is a scenario in progress.
+type run struct {
+	Scenario
+	now     time.Time
+	start   time.Time
+	queue   events
+	seq     uint64
+	random  *rand.Rand
+	engines []*engine
+	entries []*entry
+	// steward is the scheduler that all entries ask, nil in other modes and
+	// while there is none.
+	steward *sched.Sched
+	calls   map[uint64]*call
+	nextID  uint64
+	open    int
+	result  *Result
+	// ends is when the run stops at the latest.
+	ends time.Time
+}
+
+// entry is one entry VM. Its own scheduler serves it while there is no
+// steward.
+type entry struct {
+	number int
+	own    *sched.Sched
+	random *rand.Rand
+}
+
+// Run replays a scenario.
+func Run(s Scenario) *Result {
+	if s.Interval == 0 {
+		s.Interval = defaultInterval
+	}
+	r := &run{
+		Scenario: s,
+		start:    time.Unix(0, 0),
+		now:      time.Unix(0, 0),
+		random:   rand.New(rand.NewPCG(s.Seed, 11)),
+		calls:    map[uint64]*call{},
+		result:   newResult(s),
+	}
+	for i := range s.Mix.Engines {
+		r.addEngine(i)
+	}
+	for i := range s.Mix.Entries {
+		r.entries = append(r.entries, r.newEntry(i))
+	}
+	if s.Mode == Steward {
+		r.steward = r.newSched(sched.Options{})
+	}
+	r.load()
+	r.after(tickInterval, r.tick)
+	for len(r.queue) > 0 {
+		h := heap.Pop(&r.queue).(happening)
+		r.now = h.at
+		h.do()
+		if r.open == 0 && r.now.After(r.ends.Add(-drainTime)) || r.now.After(r.ends) {
+			break
+		}
+	}
+	r.finish()
+	return r.result
+}
+
+func (r *run) newEntry(i int) *entry {
+	e := &entry{number: i, random: rand.New(rand.NewPCG(r.Seed, uint64(100+i)))}
+	e.own = r.newSched(r.entryOptions(e))
+	return e
+}
+
+func (r *run) entryOptions(e *entry) sched.Options {
+	switch r.Mode {
+	case Split:
+		return sched.Options{Share: 1 / float64(r.Mix.Entries)}
+	case Best:
+		return sched.Options{}
+	}
+	return sched.Options{Choices: 2, Random: e.random}
+}
+
+// newSched returns a scheduler that knows the engines that are up.
+func (r *run) newSched(o sched.Options) *sched.Sched {
+	s := sched.New(o)
+	for _, e := range r.engines {
+		if e.up {
+			s.Backend(r.now, r.info(e))
+		}
+	}
+	return s
+}
+
+func (r *run) after(d time.Duration, do func()) {
+	r.seq++
+	heap.Push(&r.queue, happening{at: r.now.Add(d), seq: r.seq, do: do})
+}
+
+// load puts the trace's lines on the queue.
+func (r *run) load() {
+	var last time.Duration
+	for _, l := range r.Trace {
+		at := time.Duration(l.AtMS * float64(time.Millisecond))
+		last = max(last, at)
+		if l.Arrival != nil {
+			a := *l.Arrival
+			r.after(at, func() { r.arrive(a) })
+			r.open++
+			continue
+		}
+		f := *l.Fault
+		r.after(at, func() { r.fault(f) })
+	}
+	r.ends = r.start.Add(last + drainTime)
+	r.result.Length = last
+}
+
+// scheds returns every scheduler in use.
+func (r *run) scheds() []*sched.Sched {
+	if r.steward != nil {
+		return []*sched.Sched{r.steward}
+	}
+	var out []*sched.Sched
+	for _, e := range r.entries {
+		out = append(out, e.own)
+	}
+	return out
+}
+
+func (r *run) tick() {
+	for _, s := range r.scheds() {
+		r.poll(s)
+	}
+	r.after(tickInterval, r.tick)
+}
+
+// schedOf returns the scheduler that decides for an entry, and the way to it.
+func (r *run) schedOf(e *entry) (*sched.Sched, time.Duration) {
+	if r.steward == nil {
+		return e.own, 0
+	}
+	if e.number == 0 {
+		return r.steward, 0
+	}
+	return r.steward, hop
+}
+
+// poll carries out what a scheduler decides.
+func (r *run) poll(s *sched.Sched) {
+	dispatches, refusals := s.Poll(r.now)
+	for _, d := range dispatches {
+		c := r.calls[d.Request.ID]
+		way := c.way + hop
+		r.after(way, func() { r.send(c, d) })
+	}
+	for _, f := range refusals {
+		c := r.calls[f.Request.ID]
+		delete(r.calls, f.Request.ID)
+		r.open--
+		r.result.refused(c, r.now, f)
+	}
+}
+
+func targetOf(c spec.Class) sched.Target {
+	return sched.Target{
+		FirstToken: time.Duration(c.Target.FirstToken),
+		TokenGap:   time.Duration(c.Target.TokenGap),
+		Completion: time.Duration(c.Target.Completion),
+	}
+}
--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -62,7 +62,14 @@
 
 // New starts a server.
 func New(c Config) (*Server, error) {
+	// nbhttp may hang when it can't listen, so it is handed a listener that
+	// does.
+	l, err := net.Listen("tcp", c.Addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %v: %w", c.Addr, err)
+	}
 	s := &Server{conf: c, stop: make(chan struct{}), watched: map[*Caller]struct{}{}}
+	s.addr = l.Addr().(*net.TCPAddr).AddrPort()
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:       "tcp",
 		Addrs:         []string{c.Addr.String()},
@@ -70,27 +77,19 @@
 		MaxLoad:       maxConns,
 		KeepaliveTime: keepAlive,
 		NPoller:       1,
-		Listen:        s.listen,
+		Listen:        func(network, addr string) (net.Listener, error) { return l, nil },
 		Handler:       http.HandlerFunc(s.handle),
 	})
 	s.engine.OnOpen(s.opened)
 	s.engine.OnClose(func(c net.Conn, err error) { c.Close() })
 	if err := s.engine.Start(); err != nil {
-		return nil, fmt.Errorf("listen on %v: %w", c.Addr, err)
+		l.Close()
+		return nil, fmt.Errorf("start server on %v: %w", c.Addr, err)
 	}
 	go s.watch()
 	return s, nil
 }
 
-func (s *Server) listen(network, addr string) (net.Listener, error) {
-	l, err := net.Listen(network, addr)
-	if err != nil {
-		return nil, err
-	}
-	s.addr = l.Addr().(*net.TCPAddr).AddrPort()
-	return l, nil
-}
-
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	return netip.AddrPortFrom(s.addr.Addr().Unmap(), s.addr.Port())
--- a/netio/serve/serve_test.go
+++ b/netio/serve/serve_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -77,3 +78,54 @@
 		}
 	}
 }
+
+// TestAddressInUse refuses an address that is taken, each time at once: nbhttp
+// itself hangs now and then.
+func TestAddressInUse(t *testing.T) {
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {})
+	for range 50 {
+		log := logrus.New()
+		if _, err := serve.New(serve.Config{Addr: s.Addr(), Handler: http.NotFoundHandler(), Log: log}); err == nil {
+			t.Fatal("two servers on one address")
+		}
+	}
+}
+
+// TestNothingAfterAFailedWrite lets a caller stop reading until a write has
+// failed, and then read on: what it gets must not look complete.
+func TestNothingAfterAFailedWrite(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	failed := make(chan struct{})
+	resumed := make(chan struct{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s, err := serve.New(serve.Config{
+		Addr: netip.MustParseAddrPort("127.0.0.1:0"), MaxBody: 1 << 20, WriteTimeout: timeout, Log: log,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			for !serve.CallerOf(r).Gone() {
+				w.Write(make([]byte, 32<<10))
+			}
+			close(failed)
+			<-resumed
+			io.WriteString(w, "the end")
+		}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	res, err := http.Get("http://" + s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	<-failed
+	// Reading all that is on its way makes room for what would follow.
+	go func() {
+		time.Sleep(4 * timeout)
+		close(resumed)
+	}()
+	if _, err := io.Copy(io.Discard, res.Body); err == nil {
+		t.Error("a cut response ended like a complete one")
+	}
+}
