Schedule a failure domain's requests at one VM, by tickets

Change: fold/ticket: an entry VM hands tickets to the VM that rendezvous hashing names for the model (the steward), streams stay direct; a lost batch, a restarted steward or a drain moves the tickets, and until another steward is there the entry VM schedules by itself, looking at two engines at random. Bounded, ordered outboxes between VMs. A deadlock (own lock taken in sending decisions) was seen in TestEntryDies and mended.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Constants of the exchange between VMs.
@@ -246,6 +248,29 @@
 	return r.Peer, true
 }
 
+// Steward returns the VM of the own failure domain that schedules a model: the
+// one with the highest hash of both names, so that a VM that comes or goes
+// moves only its own models. A VM that drains does not schedule. It returns
+// false if none does.
+func (g *Group) Steward(now time.Time, model string) (Peer, bool) {
+	var best Peer
+	most := uint64(0)
+	consider := func(p Peer) {
+		if h := xxhash.Sum64String(model + "\x00" + p.ID); best.ID == "" || h > most {
+			best, most = p, h
+		}
+	}
+	if !g.Self.Draining {
+		consider(g.Self)
+	}
+	for _, r := range g.peers {
+		if r.Domain == g.Self.Domain && !r.Draining && now.Sub(r.heard) < PeerLease {
+			consider(r.Peer)
+		}
+	}
+	return best, best.ID != ""
+}
+
 // Summary cuts news down to what another failure domain is told: the least
 // loaded backend servers of each model of the own domain, and those leaving.
 func Summary(news []Heard, domain string) []Heard {
--- /dev/null
+++ b/fold/ticket/board.go
@@ -0,0 +1,166 @@
+package ticket
+
+import (
+	"time"
+
+	"fuchsiafold.example/fold/sched"
+)
+
+// orphanLife is how long a steward keeps the requests of an entry VM that it
+// no longer hears.
+const orphanLife = 5 * time.Second
+
+// owner is one request as its entry VM knows it.
+type owner struct {
+	from string
+	id   uint64
+}
+
+// guest is one entry VM.
+type guest struct {
+	epoch uint64
+	heard time.Time
+	// ids holds the steward's ID of each request of the entry VM.
+	ids map[uint64]uint64
+}
+
+// Board is the steward's side: one scheduler for the tickets of all entry
+// VMs. Make it with NewBoard.
+type Board struct {
+	// Sched decides. Its backend servers are told to it directly.
+	Sched  *sched.Sched
+	guests map[string]*guest
+	owners map[uint64]owner
+	// forgotten holds the entry VMs that are still to be told that their
+	// tickets are lost here.
+	forgotten map[string]bool
+	nextID    uint64
+}
+
+// NewBoard returns a board without tickets.
+func NewBoard(s *sched.Sched) *Board {
+	return &Board{Sched: s, guests: map[string]*guest{}, owners: map[uint64]owner{}, forgotten: map[string]bool{}}
+}
+
+// Hear says that an entry VM is there. One that has started again has none of
+// its earlier requests.
+func (b *Board) Hear(now time.Time, from string, epoch uint64) {
+	g := b.guests[from]
+	if g != nil && g.epoch != epoch {
+		b.drop(now, from)
+		g = nil
+	}
+	if g == nil {
+		g = &guest{epoch: epoch, ids: map[uint64]uint64{}}
+		b.guests[from] = g
+	}
+	g.heard = now
+}
+
+// Forget drops the tickets of an entry VM that a decision did not reach. Its
+// next batch is refused, so that it hands its requests in anew.
+func (b *Board) Forget(now time.Time, from string) {
+	if b.guests[from] != nil {
+		b.drop(now, from)
+	}
+	b.forgotten[from] = true
+}
+
+// Take takes in a batch. It returns false if the entry VM's earlier tickets
+// were lost here, and takes in nothing then.
+func (b *Board) Take(now time.Time, m *Batch) bool {
+	if b.forgotten[m.From] {
+		delete(b.forgotten, m.From)
+		return false
+	}
+	if m.Reset && b.guests[m.From] != nil {
+		b.drop(now, m.From)
+	}
+	b.Hear(now, m.From, m.Epoch)
+	g := b.guests[m.From]
+	for _, a := range m.Adopts {
+		b.Sched.Adopt(now, b.own(m.From, g, a.Request), a.Backend, a.Generated)
+	}
+	for _, r := range m.Submits {
+		b.Sched.Submit(now, b.own(m.From, g, r))
+	}
+	for _, id := range m.Cancels {
+		b.end(now, g, id, func(id uint64) {
+			b.Sched.Cancel(now, id)
+			b.Sched.Finish(now, id, sched.Cancelled)
+		})
+	}
+	for _, p := range m.Progress {
+		if id, ok := g.ids[p.ID]; ok {
+			b.Sched.Token(now, id, p.Generated)
+		}
+	}
+	for _, f := range m.Finishes {
+		b.end(now, g, f.ID, func(id uint64) {
+			b.Sched.Token(now, id, f.Generated)
+			b.Sched.Finish(now, id, f.Result)
+		})
+	}
+	return true
+}
+
+// own returns the request under an ID of the steward's.
+func (b *Board) own(from string, g *guest, r *sched.Request) *sched.Request {
+	b.nextID++
+	mine := *r
+	mine.ID = b.nextID
+	g.ids[r.ID] = mine.ID
+	b.owners[mine.ID] = owner{from: from, id: r.ID}
+	return &mine
+}
+
+func (b *Board) end(now time.Time, g *guest, id uint64, do func(id uint64)) {
+	mine, ok := g.ids[id]
+	if !ok {
+		return
+	}
+	do(mine)
+	delete(g.ids, id)
+	delete(b.owners, mine)
+}
+
+// Poll returns what is decided, by entry VM.
+func (b *Board) Poll(now time.Time) map[string][]Decision {
+	dispatches, refusals := b.Sched.Poll(now)
+	if len(dispatches)+len(refusals) == 0 {
+		return nil
+	}
+	out := map[string][]Decision{}
+	for _, d := range dispatches {
+		o := b.owners[d.Request.ID]
+		out[o.from] = append(out[o.from], Decision{ID: o.id, Backend: d.Backend, Priority: d.Priority})
+	}
+	for _, r := range refusals {
+		o := b.owners[r.Request.ID]
+		out[o.from] = append(out[o.from], Decision{ID: o.id, Refused: true, Reason: r.Reason, RetryAfter: r.RetryAfter})
+		delete(b.owners, r.Request.ID)
+		delete(b.guests[o.from].ids, o.id)
+	}
+	return out
+}
+
+// Expire drops the requests of entry VMs that are no longer heard.
+func (b *Board) Expire(now time.Time) {
+	for from, g := range b.guests {
+		if now.Sub(g.heard) > orphanLife {
+			b.drop(now, from)
+		}
+	}
+}
+
+func (b *Board) drop(now time.Time, from string) {
+	for _, mine := range b.guests[from].ids {
+		b.Sched.Cancel(now, mine)
+		b.Sched.Finish(now, mine, sched.Cancelled)
+		delete(b.owners, mine)
+	}
+	delete(b.guests, from)
+}
+
+// Tickets returns the number of requests on the board.
+func (b *Board) Tickets() int { return len(b.owners) }
--- a/foldd/entry/complete.go
+++ b/foldd/entry/complete.go
@@ -133,17 +133,17 @@
 	verdicts := n.Submit(&r)
 	select {
 	case v := <-verdicts:
-		if v.Refusal == nil {
+		if !v.Refused {
 			return v, nil
 		}
-		return v, refusalFault(v.Refusal)
+		return v, refusalFault(v)
 	case <-ctx.Done():
 		n.Withdraw(r.ID)
 		return node.Verdict{}, errLeft
 	}
 }
 
-func refusalFault(r *sched.Refusal) *Fault {
+func refusalFault(r node.Verdict) *Fault {
 	switch r.Reason {
 	case sched.ReasonNoBackend:
 		return notRun(http.StatusServiceUnavailable, codeNoBackend, "no engine for the model is present").after(r.RetryAfter)
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -59,14 +59,14 @@
 		if fault != nil {
 			return fault
 		}
-		step, fault := g.attempt(ctx, v.Dispatch.Backend, v.Addr, v.Dispatch.Priority)
+		step, fault := g.attempt(ctx, v.Backend, v.Addr, v.Priority)
 		if fault != nil {
 			return fault
 		}
 		if step.Do == deliv.Finish {
 			return g.finish(step.Outcome)
 		}
-		if fault := g.pause(ctx, v.Dispatch.Backend); fault != nil {
+		if fault := g.pause(ctx, v.Backend); fault != nil {
 			return fault
 		}
 	}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
 )
 
@@ -25,10 +26,12 @@
 	change := n.table.Merge(now, h, from)
 	b, present := n.table.Get(h.ID)
 	if change != member.Stale && present && b.Kind == spec.KindEngine {
-		if change == member.Changed {
-			n.sched.Backend(now, b)
-		}
-		n.sched.Report(now, b.ID, b.Load, h.Age+b.Load.Lag)
+		n.eachSched(func(s *sched.Sched) {
+			if change == member.Changed {
+				s.Backend(now, b)
+			}
+			s.Report(now, b.ID, b.Load, h.Age+b.Load.Lag)
+		})
 		n.poll(now)
 	}
 	n.mu.Unlock()
@@ -43,7 +46,7 @@
 	n.mu.Lock()
 	gone := n.table.Expire(now)
 	for _, id := range gone {
-		n.sched.Gone(now, id)
+		n.eachSched(func(s *sched.Sched) { s.Gone(now, id) })
 	}
 	n.poll(now)
 	n.mu.Unlock()
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -19,6 +19,7 @@
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/netio/clock"
 )
@@ -29,13 +30,6 @@
 	expireInterval = 200 * time.Millisecond
 )
 
-// Verdict is what became of a request that waited: a place or a refusal.
-type Verdict struct {
-	Dispatch sched.Dispatch
-	Addr     netip.AddrPort
-	Refusal  *sched.Refusal
-}
-
 // Node is the state of one process. Make it with New.
 type Node struct {
 	Settings *conf.Settings
@@ -53,8 +47,15 @@
 	streams   atomic.Int64
 	ids       atomic.Uint64
 
+	// SendTickets and SendDecisions hand messages for another VM to the
+	// transport, which keeps their order and calls StewardLost when a batch did
+	// not get through. They are called with the lock held and must not block.
+	SendTickets   func(to netip.AddrPort, steward ticket.Steward, b *ticket.Batch)
+	SendDecisions func(to member.Peer, list []ticket.Decision)
+
 	mu      sync.Mutex
-	sched   *sched.Sched
+	desk    *ticket.Desk
+	board   *ticket.Board
 	table   member.Table
 	group   member.Group
 	budget  retry.Budget
@@ -72,7 +73,7 @@
 		Metrics:  metrics.NewRegistry(),
 		Clock:    clock.New(),
 		Spread:   func([]netip.AddrPort) {},
-		sched:    sched.New(sched.Options{Domain: s.Domain}),
+		board:    ticket.NewBoard(sched.New(sched.Options{Domain: s.Domain})),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		waiters:  map[uint64]chan Verdict{},
 		calls:    map[string]int{},
@@ -85,6 +86,10 @@
 		Epoch:  uint64(time.Now().UnixNano()),
 	}
 	n.group.Seeds = slices.Clone(s.Peers)
+	// Without a steward several VMs share the engines by late reports, and
+	// looking at two at random keeps them from running to the same one.
+	own := sched.New(sched.Options{Domain: s.Domain, Choices: 2, Random: n.random})
+	n.desk = ticket.NewDesk(s.ID, n.group.Self.Epoch, own, n.steward)
 	n.Clock.Every(pollInterval, n.tick)
 	n.Clock.Every(expireInterval, n.expire)
 	return n
@@ -183,7 +188,7 @@
 	defer n.mu.Unlock()
 	n.waiters[r.ID] = ch
 	now := time.Now()
-	n.sched.Submit(now, r)
+	n.desk.Submit(now, r)
 	n.poll(now)
 	return ch
 }
@@ -194,8 +199,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	delete(n.waiters, id)
-	n.sched.Cancel(now, id)
-	n.sched.Finish(now, id, sched.Cancelled)
+	n.desk.Cancel(now, id)
 	n.poll(now)
 }
 
@@ -203,7 +207,7 @@
 func (n *Node) Token(id uint64, generated int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.sched.Token(time.Now(), id, generated)
+	n.desk.Token(time.Now(), id, generated)
 }
 
 // Finish ends a dispatched request.
@@ -211,40 +215,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	n.sched.Finish(now, id, r)
+	n.desk.Finish(now, id, r)
 	n.poll(now)
 }
 
-func (n *Node) tick(now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.poll(now)
-}
-
-func (n *Node) poll(now time.Time) {
-	dispatches, refusals := n.sched.Poll(now)
-	for _, d := range dispatches {
-		b, ok := n.table.Get(d.Backend)
-		if !ok {
-			n.sched.Finish(now, d.Request.ID, sched.Failed)
-			refusals = append(refusals, sched.Refusal{Request: d.Request, Reason: sched.ReasonNoBackend, RetryAfter: time.Second})
-			continue
-		}
-		n.tell(d.Request.ID, Verdict{Dispatch: d, Addr: b.Addr})
-	}
-	for _, r := range refusals {
-		n.tell(r.Request.ID, Verdict{Refusal: &r})
-	}
-}
-
-func (n *Node) tell(id uint64, v Verdict) {
-	ch := n.waiters[id]
-	delete(n.waiters, id)
-	if ch != nil {
-		ch <- v
-	}
-}
-
 // FirstAttempt counts a first attempt for the retry budget.
 func (n *Node) FirstAttempt() {
 	n.mu.Lock()
@@ -262,18 +236,12 @@
 	return retry.Backoff(attempt, n.random.Float64()), true
 }
 
-// Queued and Running return the number of requests by class.
-func (n *Node) Queued() map[string]int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.sched.Queued()
-}
-
-// Running returns the number of requests at engines, by class.
-func (n *Node) Running() map[string]int {
+// Counts returns the number of requests that wait and that are at engines, by
+// class.
+func (n *Node) Counts() (queued, running map[string]int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.sched.Running()
+	return n.desk.Counts()
 }
 
 // Policy returns the policy for a new request.
--- /dev/null
+++ b/foldd/node/steward.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/ticket"
+)
+
+// steward returns the process that schedules a model. The caller holds the
+// lock.
+func (n *Node) steward(model string) ticket.Steward {
+	n.group.Self.Draining = n.Draining()
+	p, _ := n.group.Steward(time.Now(), model)
+	return ticket.Steward{VM: p.ID, Epoch: p.Epoch}
+}
+
+// Process names this process as a steward. It takes no lock.
+func (n *Node) Process() ticket.Steward {
+	return ticket.Steward{VM: n.Settings.ID, Epoch: n.group.Self.Epoch}
+}
+
+// Connect sets the transport to the other VMs.
+func (n *Node) Connect(
+	spread func(to []netip.AddrPort),
+	tickets func(to netip.AddrPort, steward ticket.Steward, b *ticket.Batch),
+	decisions func(to member.Peer, list []ticket.Decision),
+) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Spread = spread
+	n.SendTickets = tickets
+	n.SendDecisions = decisions
+}
+
+// eachSched tells something to both schedulers: that of the tickets of the
+// failure domain, and the one that stands in for a steward.
+func (n *Node) eachSched(tell func(s *sched.Sched)) {
+	tell(n.board.Sched)
+	tell(n.desk.Own)
+}
+
+func (n *Node) tick(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Expire(now)
+	n.poll(now)
+}
+
+// poll carries tickets and decisions to where they belong, until nothing is
+// left to carry. The caller holds the lock.
+func (n *Node) poll(now time.Time) {
+	n.tell(now, n.desk.Poll(now))
+	for to, b := range n.desk.Outgoing(now) {
+		n.sendBatch(now, to, b)
+	}
+	for to, list := range n.board.Poll(now) {
+		n.sendDecisions(now, to, list)
+	}
+}
+
+func (n *Node) sendBatch(now time.Time, to ticket.Steward, b *ticket.Batch) {
+	if to == n.Process() {
+		n.board.Take(now, b)
+		return
+	}
+	p, ok := n.group.Peer(to.VM)
+	if !ok || n.SendTickets == nil {
+		n.desk.Lost(now, to)
+		return
+	}
+	n.SendTickets(p.Addr, to, b)
+}
+
+func (n *Node) sendDecisions(now time.Time, to string, list []ticket.Decision) {
+	if to == n.Settings.ID {
+		n.tell(now, n.desk.Decided(now, n.Process(), list))
+		return
+	}
+	if p, ok := n.group.Peer(to); ok && n.SendDecisions != nil {
+		n.SendDecisions(p, list)
+	}
+}
+
+// TakeTickets takes a batch that another VM has for the process of an epoch. It
+// returns false if that is not this one, or if the VM's tickets were lost here.
+func (n *Node) TakeTickets(b *ticket.Batch, epoch uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if epoch != n.group.Self.Epoch {
+		return false
+	}
+	now := time.Now()
+	ok := n.board.Take(now, b)
+	n.poll(now)
+	return ok
+}
+
+// ForgetGuest drops the tickets of a VM that a decision did not reach.
+func (n *Node) ForgetGuest(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.board.Forget(now, vm)
+	n.poll(now)
+}
+
+// TakeDecisions takes the decisions of a steward for the process of an epoch.
+func (n *Node) TakeDecisions(from ticket.Steward, epoch uint64, list []ticket.Decision) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if epoch != n.group.Self.Epoch {
+		return
+	}
+	now := time.Now()
+	n.tell(now, n.desk.Decided(now, from, list))
+	n.poll(now)
+}
+
+// StewardLost says that a batch did not get through to a steward.
+func (n *Node) StewardLost(steward ticket.Steward) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Count("stewards.lost", 1)
+	now := time.Now()
+	n.desk.Lost(now, steward)
+	n.poll(now)
+}
+
+// tell hands decisions to the requests that wait for them.
+func (n *Node) tell(now time.Time, list []ticket.Decision) {
+	for _, d := range list {
+		ch := n.waiters[d.ID]
+		delete(n.waiters, d.ID)
+		if ch != nil {
+			ch <- n.verdict(now, d)
+		}
+	}
+}
+
+func (n *Node) verdict(now time.Time, d ticket.Decision) Verdict {
+	if d.Refused {
+		return Verdict{Refused: true, Reason: d.Reason, RetryAfter: d.RetryAfter}
+	}
+	b, ok := n.table.Get(d.Backend)
+	if !ok {
+		// The steward knows an engine that this VM does not, or no longer.
+		n.desk.Finish(now, d.ID, sched.Rejected)
+		return Verdict{Refused: true, Reason: sched.ReasonNoBackend, RetryAfter: time.Second}
+	}
+	return Verdict{Backend: d.Backend, Addr: b.Addr, Priority: d.Priority}
+}
+
+// Verdict is what became of a request that waited: a place or a refusal.
+type Verdict struct {
+	Backend  string
+	Addr     netip.AddrPort
+	Priority int
+	// Refused is set when the request is refused, for Reason.
+	Refused    bool
+	Reason     sched.Reason
+	RetryAfter time.Duration
+}
+
+// StewardOf returns the VM that schedules a model.
+func (n *Node) StewardOf(model string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.steward(model).VM
+}
+
+// Tickets returns the number of requests that this VM schedules.
+func (n *Node) Tickets() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.board.Tickets()
+}
--- a/foldd/peer/config.go
+++ b/foldd/peer/config.go
@@ -11,8 +11,9 @@
 )
 
 var (
-	errNoID     = eris.New("the sender names no ID")
-	errNoConfig = eris.New("no configuration is in force")
+	errNoID      = eris.New("the sender names no ID")
+	errForgotten = eris.New("the tickets of the sender are not here: hand them in anew")
+	errNoConfig  = eris.New("no configuration is in force")
 )
 
 // CurrentConfig returns the configuration in force at a node.
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -30,6 +30,8 @@
 	// busy holds the addresses with an exchange under way; the value says
 	// whether another one is to follow.
 	busy map[netip.AddrPort]bool
+	// outboxes holds the messages about tickets on their way to each VM.
+	outboxes map[netip.AddrPort]chan func(wire.PeerServiceClient)
 }
 
 // New returns a service; Start begins the exchanges.
@@ -39,7 +41,9 @@
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Service{node: n, http: &http.Client{Transport: t}, busy: map[netip.AddrPort]bool{}}
+	s := &Service{node: n, http: &http.Client{Transport: t}, busy: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
+	n.Connect(s.exchangeAll, s.sendTickets, s.sendDecisions)
+	return s
 }
 
 // Client returns the HTTP client for calls to other VMs.
@@ -64,7 +68,6 @@
 
 // Start begins the exchanges.
 func (s *Service) Start() {
-	s.node.Spread = s.exchangeAll
 	s.node.Clock.Every(member.ExchangeInterval, func(time.Time) {
 		s.exchangeAll(s.node.ExchangeTargets())
 	})
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -42,6 +42,10 @@
 	PeerServiceConfigProcedure = "/wire.v1.PeerService/Config"
 	// PeerServiceInForceProcedure is the fully-qualified name of the PeerService's InForce RPC.
 	PeerServiceInForceProcedure = "/wire.v1.PeerService/InForce"
+	// PeerServiceTicketsProcedure is the fully-qualified name of the PeerService's Tickets RPC.
+	PeerServiceTicketsProcedure = "/wire.v1.PeerService/Tickets"
+	// PeerServiceDecisionsProcedure is the fully-qualified name of the PeerService's Decisions RPC.
+	PeerServiceDecisionsProcedure = "/wire.v1.PeerService/Decisions"
 	// ControlServiceClaimProcedure is the fully-qualified name of the ControlService's Claim RPC.
 	ControlServiceClaimProcedure = "/wire.v1.ControlService/Claim"
 	// ControlServiceSettleProcedure is the fully-qualified name of the ControlService's Settle RPC.
@@ -71,6 +75,8 @@
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
 	InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error)
+	Tickets(context.Context, *connect.Request[TicketsRequest]) (*connect.Response[TicketsResponse], error)
+	Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the wire.v1.PeerService service. By default, it uses
@@ -102,14 +108,28 @@
 			connect.WithSchema(peerServiceMethods.ByName("InForce")),
 			connect.WithClientOptions(opts...),
 		),
+		tickets: connect.NewClient[TicketsRequest, TicketsResponse](
+			httpClient,
+			baseURL+PeerServiceTicketsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Tickets")),
+			connect.WithClientOptions(opts...),
+		),
+		decisions: connect.NewClient[DecisionsRequest, DecisionsResponse](
+			httpClient,
+			baseURL+PeerServiceDecisionsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Decisions")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange *connect.Client[ExchangeRequest, ExchangeResponse]
-	config   *connect.Client[ConfigRequest, ConfigResponse]
-	inForce  *connect.Client[InForceRequest, InForceResponse]
+	exchange  *connect.Client[ExchangeRequest, ExchangeResponse]
+	config    *connect.Client[ConfigRequest, ConfigResponse]
+	inForce   *connect.Client[InForceRequest, InForceResponse]
+	tickets   *connect.Client[TicketsRequest, TicketsResponse]
+	decisions *connect.Client[DecisionsRequest, DecisionsResponse]
 }
 
 // Exchange calls wire.v1.PeerService.Exchange.
@@ -127,11 +147,23 @@
 	return c.inForce.CallUnary(ctx, req)
 }
 
+// Tickets calls wire.v1.PeerService.Tickets.
+func (c *peerServiceClient) Tickets(ctx context.Context, req *connect.Request[TicketsRequest]) (*connect.Response[TicketsResponse], error) {
+	return c.tickets.CallUnary(ctx, req)
+}
+
+// Decisions calls wire.v1.PeerService.Decisions.
+func (c *peerServiceClient) Decisions(ctx context.Context, req *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error) {
+	return c.decisions.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the wire.v1.PeerService service.
 type PeerServiceHandler interface {
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
 	InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error)
+	Tickets(context.Context, *connect.Request[TicketsRequest]) (*connect.Response[TicketsResponse], error)
+	Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -159,6 +191,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("InForce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTicketsHandler := connect.NewUnaryHandler(
+		PeerServiceTicketsProcedure,
+		svc.Tickets,
+		connect.WithSchema(peerServiceMethods.ByName("Tickets")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceDecisionsHandler := connect.NewUnaryHandler(
+		PeerServiceDecisionsProcedure,
+		svc.Decisions,
+		connect.WithSchema(peerServiceMethods.ByName("Decisions")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -167,6 +211,10 @@
 			peerServiceConfigHandler.ServeHTTP(w, r)
 		case PeerServiceInForceProcedure:
 			peerServiceInForceHandler.ServeHTTP(w, r)
+		case PeerServiceTicketsProcedure:
+			peerServiceTicketsHandler.ServeHTTP(w, r)
+		case PeerServiceDecisionsProcedure:
+			peerServiceDecisionsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -188,6 +236,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.InForce is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Tickets(context.Context, *connect.Request[TicketsRequest]) (*connect.Response[TicketsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Tickets is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Decisions is not implemented"))
+}
+
 // ControlServiceClient is a client for the wire.v1.ControlService service.
 type ControlServiceClient interface {
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
