Compare policies on live traffic, record arrivals for replay

Cause: operators choose a policy by measures from their own traffic. Change: fold/trial (split by request or window, stall time from slices of time, since requests that run together wait together), foldctl compare over any number of VMs with a self-contained page, recording of arrivals without text. Conclusion: preemptions of an arm are those that engines state at the end of an answer; an engine that does not state them counts none.

--- a/foldctl/client.go
+++ b/foldctl/client.go
@@ -15,7 +15,10 @@
 const callTimeout = 30 * time.Second
 
 // client returns the client for the VM that the flags name.
-func client(c *cli.Command) wire.OperatorServiceClient {
+func client(c *cli.Command) wire.OperatorServiceClient { return clientAt(c, c.String("addr")) }
+
+// clientAt returns the client for the VM at an address.
+func clientAt(c *cli.Command, addr string) wire.OperatorServiceClient {
 	token := c.String("token")
 	send := func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
@@ -26,5 +29,5 @@
 		}
 	}
 	h := &http.Client{Timeout: callTimeout}
-	return wire.NewOperatorServiceClient(h, "http://"+c.String("addr"), connect.WithInterceptors(connect.UnaryInterceptorFunc(send)))
+	return wire.NewOperatorServiceClient(h, "http://"+addr, connect.WithInterceptors(connect.UnaryInterceptorFunc(send)))
 }
--- a/foldctl/main.go
+++ b/foldctl/main.go
@@ -24,6 +24,7 @@
 			validateCommand(),
 			diffCommand(),
 			applyCommand(),
+			compareCommand(),
 			drainCommand(),
 		},
 	}
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -40,6 +40,7 @@
 	servers   []*serve.Server
 	addrs     Addrs
 	flush     func(context.Context) error
+	closed    sync.Once
 }
 
 // Addrs are the addresses that a process listens on.
@@ -58,6 +59,11 @@
 	}
 	n := node.New(s, log)
 	a := &App{Node: n, flush: flush, peers: peer.New(n)}
+	if s.Record != "" {
+		if err := n.StartRecording(s.Record); err != nil {
+			return nil, err
+		}
+	}
 	connect := time.Duration(s.Limits.ConnectTimeout)
 	a.entry = &entry.Entry{
 		Node:    n,
@@ -167,6 +173,7 @@
 			a.Node.Log.WithError(err).Warn("close control replica")
 		}
 	}
+	a.closed.Do(a.Node.StopRecording)
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	if err := a.flush(ctx); err != nil {
--- a/foldd/engine/engine.go
+++ b/foldd/engine/engine.go
@@ -78,6 +78,9 @@
 // Usage states the length of a generation.
 type Usage struct {
 	CompletionTokens int `json:"completion_tokens"`
+	// Preemptions is how often the engine took the generation back from its
+	// batch.
+	Preemptions int `json:"preemptions,omitempty"`
 }
 
 // Choice holds the text of a Chunk.
@@ -223,8 +226,9 @@
 type Event struct {
 	Token deliv.Token
 	// Ended is set when the engine has stated the length, Total.
-	Ended bool
-	Total int
+	Ended       bool
+	Total       int
+	Preemptions int
 }
 
 // Events calls yield for each event until it returns false or the link fails.
@@ -269,7 +273,7 @@
 		if c.Usage == nil {
 			return Event{}, false, nil
 		}
-		return Event{Ended: true, Total: c.Usage.CompletionTokens}, true, nil
+		return Event{Ended: true, Total: c.Usage.CompletionTokens, Preemptions: c.Usage.Preemptions}, true, nil
 	}
 	offset, err := strconv.Atoi(ev.LastEventID)
 	if err != nil {
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -11,9 +11,11 @@
 
 	"fuchsiafold.example/fold/deliv"
 	"fuchsiafold.example/fold/handle"
+	"fuchsiafold.example/fold/record"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/trial"
 	"fuchsiafold.example/foldd/engine"
 	"fuchsiafold.example/foldd/trace"
 )
@@ -43,6 +45,10 @@
 	attempts int
 	begun    time.Time
 	last     time.Time
+	// ended is the length of an answer that ended by itself.
+	ended int
+	// measured is what the request's policy is compared by.
+	measured trial.Request
 }
 
 func (e *Entry) newGeneration(w http.ResponseWriter, a asker, class spec.Class, streamed bool) *generation {
@@ -54,6 +60,7 @@
 
 // run serves the answer from its first generation to its end.
 func (g *generation) run(ctx context.Context) *Fault {
+	defer g.measure()
 	for {
 		v, fault := g.await(ctx)
 		if fault != nil {
@@ -202,6 +209,7 @@
 
 func (g *generation) take(id string, ev engine.Event) deliv.Step {
 	if ev.Ended {
+		g.measured.Preemptions += ev.Preemptions
 		return g.stream.End(id, ev.Total)
 	}
 	g.entry.Node.Token(g.sched.ID, ev.Token.Offset)
@@ -293,22 +301,52 @@
 		return
 	}
 	now := time.Now()
+	target := g.class.Target
 	if g.last.IsZero() {
-		g.entry.Node.Observe("firstToken."+g.class.Name, now.Sub(g.begun))
+		g.measured.First = now.Sub(g.begun)
+		g.entry.Node.Observe("firstToken."+g.class.Name, g.measured.First)
+		g.stall(g.measured.First, time.Duration(target.FirstToken))
 	} else {
-		g.entry.Node.Observe("tokenGap."+g.class.Name, now.Sub(g.last))
+		gap := now.Sub(g.last)
+		g.entry.Node.Observe("tokenGap."+g.class.Name, gap)
+		g.entry.Node.MeasureGap(g.sched.Policy, gap)
+		g.stall(gap, time.Duration(target.TokenGap))
 	}
 	g.last = now
 	g.entry.Node.Count("tokens", int64(len(tokens)))
 	g.out.tokens(g.sealed, tokens)
 }
 
+// stall counts the time that a caller waited beyond a target.
+func (g *generation) stall(wait, target time.Duration) {
+	if target > 0 && wait > target {
+		g.measured.Stall += wait - target
+	}
+}
+
+// measure counts the request for its policy, and records its arrival. Refused
+// requests count too: without a wait beyond their targets.
+func (g *generation) measure() {
+	n := g.entry.Node
+	n.MeasureEnd(g.sched.Policy, g.measured)
+	n.RecordArrival(g.begun, record.Arrival{
+		Workspace:    g.sched.Workspace,
+		Class:        g.sched.Class,
+		Model:        g.sched.Model,
+		Prompt:       g.sched.Prompt,
+		Prefix:       g.sched.Prefix,
+		PrefixTokens: g.sched.PrefixTokens,
+		Length:       g.ended,
+	})
+}
+
 // finish ends the answer.
 func (g *generation) finish(o retry.Outcome) *Fault {
 	if g.asker.caller.Gone() {
 		return errLeft
 	}
 	if o == retry.Done {
+		g.ended = g.stream.Position().Offset
 		g.out.end(g.sealed, g.stream.Position(), g.request.Model)
 		return nil
 	}
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -53,6 +53,10 @@
 	SendTickets   func(to netip.AddrPort, steward ticket.Steward, b *ticket.Batch)
 	SendDecisions func(to member.Peer, list []ticket.Decision)
 
+	meters meters
+	// recorder is set before the first request, or never.
+	recorder *recorder
+
 	mu      sync.Mutex
 	desk    *ticket.Desk
 	board   *ticket.Board
@@ -243,12 +247,3 @@
 	defer n.mu.Unlock()
 	return n.desk.Counts()
 }
-
-// Policy returns the policy for a new request.
-func (n *Node) Policy() string {
-	x := n.Index()
-	if x == nil {
-		return ""
-	}
-	return x.Arms()[0]
-}
--- /dev/null
+++ b/foldd/oper/compare.go
@@ -0,0 +1,45 @@
+package oper
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fuchsiafold.example/fold/trial"
+	"fuchsiafold.example/wire"
+)
+
+// Compare implements wire.OperatorServiceHandler.
+func (o *Operators) Compare(ctx context.Context, req *connect.Request[wire.CompareRequest]) (*connect.Response[wire.CompareResponse], error) {
+	res := &wire.CompareResponse{}
+	var failed error
+	o.Node.Measures(func(m *trial.Measures) {
+		a, err := toArm(m)
+		if err != nil {
+			failed = err
+			return
+		}
+		res.Arms = append(res.Arms, a)
+	})
+	if failed != nil {
+		return nil, connect.NewError(connect.CodeInternal, failed)
+	}
+	return connect.NewResponse(res), nil
+}
+
+func toArm(m *trial.Measures) (*wire.Arm, error) {
+	gaps, err := m.Gaps.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return nil, err
+	}
+	first, err := m.First.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return nil, err
+	}
+	a := &wire.Arm{Policy: m.Policy, Requests: uint64(m.Requests), Preemptions: uint64(m.Preemptions), Gaps: gaps, First: first}
+	for _, s := range m.Slices {
+		a.Slices = append(a.Slices, &wire.TrialSlice{Number: s.Number, Requests: uint64(s.Requests), StallMicros: uint64(s.Stall.Microseconds())})
+	}
+	return a, nil
+}
--- a/foldfake/host/api.go
+++ b/foldfake/host/api.go
@@ -39,6 +39,7 @@
 
 type usage struct {
 	CompletionTokens int `json:"completion_tokens"`
+	Preemptions      int `json:"preemptions,omitempty"`
 }
 
 type choice struct {
@@ -265,7 +266,7 @@
 // end states the length of a generation.
 func (e *Engine) end(w http.ResponseWriter, g *gen, total int) {
 	var buf bytes.Buffer
-	message(&buf, "", chunk{ID: g.id, Object: object, Model: g.model, Choices: []choice{}, Usage: &usage{total}})
+	message(&buf, "", chunk{ID: g.id, Object: object, Model: g.model, Choices: []choice{}, Usage: &usage{CompletionTokens: total, Preemptions: e.preemptions(g)}})
 	done := &sse.Message{}
 	done.AppendData("[DONE]")
 	done.WriteTo(&buf)
@@ -273,6 +274,12 @@
 	flush(w)
 }
 
+func (e *Engine) preemptions(g *gen) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return g.preemptions
+}
+
 const object = "text_completion"
 
 func message(buf *bytes.Buffer, id string, c chunk) {
--- a/foldfake/host/gen.go
+++ b/foldfake/host/gen.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"fuchsiafold.example/foldfake/model"
 )
 
 // gen is one generation with the text that it has produced. The engine's lock
@@ -11,10 +13,12 @@
 	id    string
 	model string
 	// tokens holds the text by offset - 1.
-	tokens    []string
-	finished  bool
-	cancelled bool
-	readers   int
+	tokens   []string
+	finished bool
+	// preemptions counts how often the engine took it from its batch.
+	preemptions int
+	cancelled   bool
+	readers     int
 	// left is when the last reader went; it matters while readers is 0.
 	left   time.Time
 	window time.Duration
@@ -33,9 +37,10 @@
 	return fmt.Sprintf("%.*s.%d ", shown, generation, offset)
 }
 
-func (g *gen) add(last bool) {
+func (g *gen) add(t model.Token) {
 	g.tokens = append(g.tokens, TokenText(g.id, len(g.tokens)+1))
-	g.finished = g.finished || last
+	g.finished = g.finished || t.Last
+	g.preemptions = t.Preemptions
 	g.broadcast()
 }
 
--- a/foldfake/host/host.go
+++ b/foldfake/host/host.go
@@ -179,7 +179,7 @@
 	defer e.mu.Unlock()
 	for _, t := range tokens {
 		if g := e.gens[t.ID]; g != nil {
-			g.add(t.Last)
+			g.add(t)
 		}
 	}
 }
--- a/foldfake/model/model.go
+++ b/foldfake/model/model.go
@@ -106,6 +106,8 @@
 	Offset int
 	// Last marks the final token of its generation.
 	Last bool
+	// Preemptions counts how often its generation was taken from the batch.
+	Preemptions int
 }
 
 // CacheEvent tells that a prefix entered or left the cache.
@@ -131,8 +133,9 @@
 	// held is the memory in tokens; zero exactly while the sequence waits.
 	held int
 	// prefill is the number of tokens to compute before the next one comes.
-	prefill int
-	order   uint64
+	prefill     int
+	order       uint64
+	preemptions int
 }
 
 func (s *seq) before(o *seq) bool {
@@ -357,6 +360,7 @@
 
 func (e *Engine) preempt(s *seq) {
 	e.preemptions++
+	s.preemptions++
 	e.used -= s.held
 	s.held = 0
 	e.running = without(e.running, s)
@@ -371,7 +375,7 @@
 		}
 		s.generated++
 		last := s.generated >= s.req.Length
-		tokens = append(tokens, Token{ID: s.req.ID, Offset: s.generated, Last: last})
+		tokens = append(tokens, Token{ID: s.req.ID, Offset: s.generated, Last: last, Preemptions: s.preemptions})
 		if last {
 			e.remove(s)
 			continue
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -66,6 +66,8 @@
 	OperatorServiceApplyProcedure = "/wire.v1.OperatorService/Apply"
 	// OperatorServiceConfigProcedure is the fully-qualified name of the OperatorService's Config RPC.
 	OperatorServiceConfigProcedure = "/wire.v1.OperatorService/Config"
+	// OperatorServiceCompareProcedure is the fully-qualified name of the OperatorService's Compare RPC.
+	OperatorServiceCompareProcedure = "/wire.v1.OperatorService/Compare"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/wire.v1.OperatorService/Drain"
 )
@@ -475,6 +477,7 @@
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
 	Apply(context.Context, *connect.Request[ApplyRequest]) (*connect.Response[ApplyResponse], error)
 	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
+	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error)
 	Drain(context.Context, *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error)
 }
 
@@ -507,6 +510,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Config")),
 			connect.WithClientOptions(opts...),
 		),
+		compare: connect.NewClient[CompareRequest, CompareResponse](
+			httpClient,
+			baseURL+OperatorServiceCompareProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Compare")),
+			connect.WithClientOptions(opts...),
+		),
 		drain: connect.NewClient[DrainRequest, DrainResponse](
 			httpClient,
 			baseURL+OperatorServiceDrainProcedure,
@@ -518,10 +527,11 @@
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	status *connect.Client[StatusRequest, StatusResponse]
-	apply  *connect.Client[ApplyRequest, ApplyResponse]
-	config *connect.Client[ConfigRequest, ConfigResponse]
-	drain  *connect.Client[DrainRequest, DrainResponse]
+	status  *connect.Client[StatusRequest, StatusResponse]
+	apply   *connect.Client[ApplyRequest, ApplyResponse]
+	config  *connect.Client[ConfigRequest, ConfigResponse]
+	compare *connect.Client[CompareRequest, CompareResponse]
+	drain   *connect.Client[DrainRequest, DrainResponse]
 }
 
 // Status calls wire.v1.OperatorService.Status.
@@ -539,6 +549,11 @@
 	return c.config.CallUnary(ctx, req)
 }
 
+// Compare calls wire.v1.OperatorService.Compare.
+func (c *operatorServiceClient) Compare(ctx context.Context, req *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error) {
+	return c.compare.CallUnary(ctx, req)
+}
+
 // Drain calls wire.v1.OperatorService.Drain.
 func (c *operatorServiceClient) Drain(ctx context.Context, req *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error) {
 	return c.drain.CallUnary(ctx, req)
@@ -549,6 +564,7 @@
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
 	Apply(context.Context, *connect.Request[ApplyRequest]) (*connect.Response[ApplyResponse], error)
 	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigResponse], error)
+	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error)
 	Drain(context.Context, *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error)
 }
 
@@ -577,6 +593,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Config")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceCompareHandler := connect.NewUnaryHandler(
+		OperatorServiceCompareProcedure,
+		svc.Compare,
+		connect.WithSchema(operatorServiceMethods.ByName("Compare")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceDrainHandler := connect.NewUnaryHandler(
 		OperatorServiceDrainProcedure,
 		svc.Drain,
@@ -591,6 +613,8 @@
 			operatorServiceApplyHandler.ServeHTTP(w, r)
 		case OperatorServiceConfigProcedure:
 			operatorServiceConfigHandler.ServeHTTP(w, r)
+		case OperatorServiceCompareProcedure:
+			operatorServiceCompareHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
 		default:
@@ -614,6 +638,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.OperatorService.Config is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.OperatorService.Compare is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Drain(context.Context, *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.OperatorService.Drain is not implemented"))
 }
