End requests whose engines are all avoided; tell the truth after a begun attempt

Cause: a load run with one refusing engine hung: after a refusal the engine was avoided, no other one was there, and the request waited without end. Looking at it, a refusal by the scheduler after an attempt that an engine had begun said notRun. Change: the list to avoid is dropped when nothing else is left; a missing engine refuses restarted requests too; a refusal after a begun attempt says interrupted. Result: TestOnlyEngineRefuses and TestOnlyEngineDies time out without the change and pass with it.

--- a/fold/sched/sched.go
+++ b/fold/sched/sched.go
@@ -228,7 +228,7 @@
 		s.refuse(it, ReasonQueueFull, s.comeBack(now, it))
 		return
 	}
-	if reason, ok := s.hopeless(r); ok && !r.Admitted {
+	if reason, ok := s.hopeless(r); ok {
 		s.refuse(it, reason, time.Second)
 		return
 	}
@@ -428,6 +428,7 @@
 			keep = append(keep, it)
 			continue
 		}
+		s.reconsider(it)
 		e := p.Place(s, now, it)
 		if e == nil {
 			keep = append(keep, it)
@@ -442,6 +443,22 @@
 	return out
 }
 
+// reconsider drops the list of backend servers to avoid once no other one is
+// left: a second try there is better than none.
+func (s *Sched) reconsider(it *item) {
+	if len(it.Avoid) == 0 {
+		return
+	}
+	for _, e := range s.byModel[it.Model] {
+		if e.usable(it) {
+			return
+		}
+	}
+	r := *it.Request
+	r.Avoid = nil
+	it.Request = &r
+}
+
 func (s *Sched) dispatch(now time.Time, it *item, e *engine) Dispatch {
 	s.queued--
 	it.priority = s.policy(it.Request).Priority(s, now, it)
--- a/foldd/app/fault_test.go
+++ b/foldd/app/fault_test.go
@@ -385,3 +385,32 @@
 		t.Errorf("%d attempts, want 4", n)
 	}
 }
+
+// TestOnlyEngineRefuses gives the only engine every attempt, and ends.
+func TestOnlyEngineRefuses(t *testing.T) {
+	t.Parallel()
+	a := startEntry(t, "a1", nil)
+	startEngine(t, "e1", a).Inject(host.Fault{Kind: host.FaultRefuse})
+	res := generation("summary", 5, true).send(t, a)
+	io.Copy(io.Discard, res.Body)
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Fold-Outcome") != "notRun" {
+		t.Errorf("status %d, outcome %q", res.StatusCode, res.Header.Get("Fold-Outcome"))
+	}
+}
+
+// TestOnlyEngineDies loses the only engine after it has begun an answer of
+// which nothing was delivered: the caller is not told that nothing ran.
+func TestOnlyEngineDies(t *testing.T) {
+	t.Parallel()
+	a := startEntry(t, "a1", nil)
+	e := startEngine(t, "e1", a)
+	done := make(chan *http.Response, 1)
+	go func() { done <- generation("draft", 20_000, true).send(t, a) }()
+	waitFor(t, "the draft to run", func() bool { return e.Load().Running == 1 })
+	e.Close()
+	res := <-done
+	io.Copy(io.Discard, res.Body)
+	if o := res.Header.Get("Fold-Outcome"); o != "interrupted" {
+		t.Errorf("status %d, outcome %q, want interrupted", res.StatusCode, o)
+	}
+}
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -63,6 +63,10 @@
 	defer g.measure()
 	for {
 		v, fault := g.await(ctx)
+		if fault != nil && g.out.taken && fault != errLeft {
+			// An engine had begun an earlier attempt.
+			fault.Outcome = retry.Interrupted
+		}
 		if fault != nil {
 			return fault
 		}
--- a/foldd/proc_test.go
+++ b/foldd/proc_test.go
@@ -47,7 +47,7 @@
 
 // vm is one foldd process with its settings.
 type vm struct {
-	t        *testing.T
+	t        testing.TB
 	id       string
 	settings string
 	data     string
@@ -66,7 +66,7 @@
 func init() { nextPort.Store(int32(10_000 + os.Getpid()%100*200)) }
 
 // freeAddr returns a loopback address that nothing listens on.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	for range 1000 {
 		addr := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
@@ -80,7 +80,7 @@
 }
 
 // startVMs runs control VMs, each in a failure domain of its own.
-func startVMs(t *testing.T, n int) []*vm {
+func startVMs(t testing.TB, n int) []*vm {
 	t.Helper()
 	var vms []*vm
 	var peers []string
@@ -211,7 +211,7 @@
 	return leader, others
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for !ok() {
@@ -233,9 +233,13 @@
 }
 
 func (v *vm) apply(base uint64, change string, number int) (*wire.ApplyResponse, error) {
+	return v.send(base, change, config(number))
+}
+
+func (v *vm) send(base uint64, change string, document []byte) (*wire.ApplyResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
-	req := &wire.ApplyRequest{BaseRevision: base, ChangeId: change, Document: config(number), WaitMillis: 8000}
+	req := &wire.ApplyRequest{BaseRevision: base, ChangeId: change, Document: document, WaitMillis: 8000}
 	res, err := v.client().Apply(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -32,7 +32,7 @@
 const keepAlive = 120 * time.Second
 
 // watchInterval is how often callers of quiet responses are looked after.
-const watchInterval = 100 * time.Millisecond
+const watchInterval = 250 * time.Millisecond
 
 func init() { logging.SetLevel(logging.LevelNone) }
 
