--- /dev/null
+++ b/foldd/ctrl/bench_test.go
@@ -0,0 +1,82 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/state"
+)
+
+// benchHost starts a group of one and waits for it to lead.
+func benchHost(b *testing.B) *Host {
+	b.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h, err := New(HostConfig{
+		VM: "vm1", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Folder: filepath.Join(b.TempDir(), "data"), Bootstrap: true,
+		HTTP: http.DefaultClient, Options: connect.WithClientOptions(), Log: log,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { h.Close() })
+	for {
+		if _, leader, err := h.Status(context.Background()); err != nil || leader != "" {
+			return h
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// BenchmarkSyncedAppend is a bare loop of synced appends, to hold claims
+// against.
+func BenchmarkSyncedAppend(b *testing.B) {
+	f, err := os.Create(filepath.Join(b.TempDir(), "log"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	record := make([]byte, 200)
+	for b.Loop() {
+		if _, err := f.Write(record); err != nil {
+			b.Fatal(err)
+		}
+		if err := f.Sync(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkClaims has claims decided and synced by a group of one, so many at
+// once.
+func BenchmarkClaims(b *testing.B) {
+	for _, callers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			h := benchHost(b)
+			var n atomic.Int64
+			b.SetParallelism(callers)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					id := fmt.Sprint(n.Add(1))
+					c := state.Command{Claim: &state.Claim{Workspace: "w", Key: id, Nonce: id, Digest: make([]byte, 32), Timeout: time.Second}}
+					if _, err := h.Submit(context.Background(), c); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+		})
+	}
+}
--- /dev/null
+++ b/foldd/peer/bench_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/ticket"
+	"fuchsiafold.example/wire"
+)
+
+func benchBackend(i int) *wire.Backend {
+	return ToBackend(member.Heard{Age: 300 * time.Millisecond, Backend: member.Backend{
+		ID: fmt.Sprintf("engine-%04d", i), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i % 250)}), 9000),
+		Kind: "engine", Service: "advice-models", Model: "advice-7b", Version: "2026-11", Domain: "hobart-a",
+		MemoryTokens: 400_000, Epoch: uint64(time.Now().UnixNano()), Seq: 100_000,
+		Load: member.Load{Running: 30, MemoryUsed: 300_000, Preemptions: 12, Step: 25 * time.Millisecond},
+	}})
+}
+
+func benchPeer(i int) *wire.Peer {
+	return ToPeer(member.Peer{
+		ID: fmt.Sprintf("hobart-a-%02d", i), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 8082),
+		Domain: "hobart-a", Region: "tas-south", Epoch: uint64(time.Now().UnixNano()), Revision: 100_000,
+	})
+}
+
+// BenchmarkExchange encodes and decodes an exchange that carries the news of
+// so many engines, and reports its size.
+func BenchmarkExchange(b *testing.B) {
+	for _, engines := range []int{0, 10, 50, 130} {
+		b.Run(fmt.Sprint("engines=", engines), func(b *testing.B) {
+			req := &wire.ExchangeRequest{From: benchPeer(0)}
+			for i := range engines {
+				req.Backends = append(req.Backends, benchBackend(i))
+			}
+			for i := range 8 {
+				req.Known = append(req.Known, benchPeer(i))
+			}
+			var size int
+			for b.Loop() {
+				data, err := proto.Marshal(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+				if err := proto.Unmarshal(data, new(wire.ExchangeRequest)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+}
+
+// BenchmarkTickets encodes and decodes a batch of so many tickets, each with
+// its progress and its end, and reports its size.
+func BenchmarkTickets(b *testing.B) {
+	now := time.Now()
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("tickets=", n), func(b *testing.B) {
+			batch := &ticket.Batch{From: "hobart-a-01", Epoch: 1}
+			for i := range uint64(n) {
+				batch.Submits = append(batch.Submits, &sched.Request{
+					ID: 1_000_000 + i, Workspace: "workspace-0123", Class: "summary", Model: "advice-7b", Prompt: 900, Prefix: "0123456789abcdef",
+					PrefixTokens: 64, Arrived: now, Policy: "forecast", Target: sched.Target{FirstToken: 630 * time.Millisecond, TokenGap: 29 * time.Millisecond},
+				})
+				batch.Progress = append(batch.Progress, ticket.Progress{ID: 1_000_000 + i, Generated: 300})
+				batch.Finishes = append(batch.Finishes, ticket.Finish{ID: 1_000_000 + i, Generated: 420})
+			}
+			var size int
+			for b.Loop() {
+				data, err := proto.Marshal(toTickets(now, batch))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+				m := new(wire.TicketsRequest)
+				if err := proto.Unmarshal(data, m); err != nil {
+					b.Fatal(err)
+				}
+				fromTickets(now, m)
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+}
