--- a/fold/repl/rig_test.go
+++ b/fold/repl/rig_test.go
@@ -1,7 +1,6 @@
 package repl_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -12,6 +11,7 @@
 	"fuchsiafold.example/fold/raft"
 	"fuchsiafold.example/fold/repl"
 	"fuchsiafold.example/fold/state"
+	"fuchsiafold.example/fold/timer"
 )
 
 // group runs replicas over a faulty network in virtual time, the same way for
@@ -20,7 +20,7 @@
 	t       *testing.T
 	random  *rand.Rand
 	now     time.Time
-	queue   events
+	timers  timer.Service
 	servers map[string]*server
 	vms     []string
 	// cut holds the pairs of VMs, from and to, between which messages are lost.
@@ -63,30 +63,6 @@
 	d.entries = append(d.entries[:keep:keep], w.Entries...)
 }
 
-type happening struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []happening
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(happening)) }
-func (q *events) Pop() any {
-	old := *q
-	h := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return h
-}
-
 func newGroup(t *testing.T, seed uint64, n, snapshotEvery int) *group {
 	g := &group{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), every: snapshotEvery,
@@ -117,19 +93,21 @@
 }
 
 func (g *group) after(d time.Duration, do func()) {
-	g.ids++
-	heap.Push(&g.queue, happening{at: g.now.Add(d), seq: int(g.ids), do: do})
+	g.timers.At(g.now.Add(d), func(time.Time) { do() })
 }
 
 func (g *group) runUntil(limit time.Duration, stop func() bool) {
 	end := g.now.Add(limit)
-	for len(g.queue) > 0 && !g.queue[0].at.After(end) {
+	for {
 		if stop != nil && stop() {
 			return
 		}
-		h := heap.Pop(&g.queue).(happening)
-		g.now = h.at
-		h.do()
+		next, ok := g.timers.Next()
+		if !ok || next.After(end) {
+			break
+		}
+		g.now = next
+		g.timers.Advance(next)
 	}
 	g.now = end
 }
--- a/foldfake/main.go
+++ b/foldfake/main.go
@@ -1,5 +1,5 @@
-// Command foldfake runs stand-ins for the systems that foldd serves, and the
-// load and replay tools that measure it.
+// Command foldfake runs stand-ins for the systems that foldd serves, and
+// replays traces against the scheduler.
 package main
 
 import (
@@ -14,7 +14,7 @@
 func main() {
 	cmd := &cli.Command{
 		Name:  "foldfake",
-		Usage: "stand-in engines and services, load and replay",
+		Usage: "stand-in engines and services, and replay",
 		Commands: []*cli.Command{
 			engineCommand(),
 			serviceCommand(),
--- a/foldfake/replay/replay.go
+++ b/foldfake/replay/replay.go
@@ -4,7 +4,6 @@
 package replay
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +11,7 @@
 	"fuchsiafold.example/fold/record"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/timer"
 	"fuchsiafold.example/foldfake/mix"
 	"fuchsiafold.example/foldfake/model"
 )
@@ -64,38 +64,12 @@
 	maxAttempts = 4
 )
 
-type happening struct {
-	at  time.Time
-	seq uint64
-	do  func()
-}
-
-type events []happening
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(happening)) }
-func (q *events) Pop() any {
-	old := *q
-	h := old[len(old)-1]
-	old[len(old)-1] = happening{}
-	*q = old[:len(old)-1]
-	return h
-}
-
 // run is a scenario in progress.
 type run struct {
 	Scenario
 	now     time.Time
 	start   time.Time
-	queue   events
-	seq     uint64
+	timers  timer.Service
 	random  *rand.Rand
 	engines []*engine
 	entries []*entry
@@ -142,18 +116,21 @@
 	}
 	r.load()
 	r.after(tickInterval, r.tick)
-	for len(r.queue) > 0 {
-		h := heap.Pop(&r.queue).(happening)
-		r.now = h.at
-		h.do()
-		if r.open == 0 && r.now.After(r.ends.Add(-drainTime)) || r.now.After(r.ends) {
-			break
-		}
+	for !r.over() {
+		r.now, _ = r.timers.Next()
+		r.timers.Advance(r.now)
 	}
 	r.finish()
 	return r.result
 }
 
+// over reports whether every request has an end, or the run has lasted too
+// long.
+func (r *run) over() bool {
+	arrived := r.now.After(r.ends.Add(-drainTime))
+	return r.open == 0 && arrived || r.now.After(r.ends)
+}
+
 func (r *run) newEntry(i int) *entry {
 	e := &entry{number: i, random: rand.New(rand.NewPCG(r.Seed, uint64(100+i)))}
 	e.own = r.newSched(r.entryOptions(e))
@@ -182,8 +159,7 @@
 }
 
 func (r *run) after(d time.Duration, do func()) {
-	r.seq++
-	heap.Push(&r.queue, happening{at: r.now.Add(d), seq: r.seq, do: do})
+	r.timers.At(r.now.Add(d), func(time.Time) { do() })
 }
 
 // load puts the trace's lines on the queue.
