--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -15,7 +15,7 @@
 	// ExchangeInterval is the time between two exchanges that a VM begins.
 	ExchangeInterval = time.Second
 	// PeerLease is how long a VM counts as live after it was last heard.
-	PeerLease = 6 * time.Second
+	PeerLease = 10 * time.Second
 	// Fanout is the number of VMs of the own failure domain in an exchange.
 	Fanout = 2
 	// SummaryPerModel is the number of backend servers of a model that one
--- /dev/null
+++ b/fold/member/member_test.go
@@ -0,0 +1,170 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func heard(seq uint64, leaving bool, age time.Duration) Heard {
+	return Heard{Age: age, Backend: Backend{ID: "e", Epoch: 1, Seq: seq, Leaving: leaving}}
+}
+
+func TestMerge(t *testing.T) {
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	restarted := heard(1, false, 0)
+	restarted.Epoch = 2
+	tests := []struct {
+		name    string
+		first   Heard
+		at      time.Time
+		second  Heard
+		change  Change
+		present bool
+		leaving bool
+	}{
+		{"later news", heard(1, false, 0), after(time.Second), heard(2, false, 0), Refreshed, true, false},
+		{"older news", heard(2, false, 0), after(time.Second), heard(1, true, 0), Stale, true, false},
+		{"the same news", heard(1, false, 0), after(time.Second), heard(1, false, 0), Stale, true, false},
+		{"it leaves", heard(1, false, 0), after(time.Second), heard(2, true, 0), Changed, true, true},
+		{"leaving is not taken back", heard(1, true, 0), after(time.Second), heard(2, false, 0), Refreshed, true, true},
+		{"a new start", heard(9, true, 0), after(time.Second), restarted, Changed, true, false},
+		{"news older than the lease", heard(1, false, 0), after(time.Second), heard(2, false, DefaultLease), Stale, true, false},
+		{"delayed news after the lease", heard(5, false, 0), after(2 * DefaultLease), heard(4, false, 0), Stale, false, false},
+		{"back after the lease", heard(5, true, 0), after(2 * DefaultLease), heard(6, false, 0), Changed, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var table Table
+			table.Merge(start, tt.first, "")
+			table.Expire(tt.at)
+			if c := table.Merge(tt.at, tt.second, ""); c != tt.change {
+				t.Errorf("change %d, want %d", c, tt.change)
+			}
+			b, present := table.Get("e")
+			if present != tt.present || (present && b.Leaving != tt.leaving) {
+				t.Errorf("present %t, leaving %t; want %t, %t", present, b.Leaving, tt.present, tt.leaving)
+			}
+		})
+	}
+}
+
+// fleet is VMs in failure domains that have all heard of each other.
+func fleet(domains, vms int) map[netip.AddrPort]*Group {
+	var peers []Peer
+	for d := range domains {
+		for i := range vms {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(d), 0, byte(i)}), 1)
+			peers = append(peers, Peer{ID: fmt.Sprintf("vm-%d-%d", d, i), Addr: addr, Domain: fmt.Sprint("d", d), Region: fmt.Sprint("r", d/3), Epoch: 1})
+		}
+	}
+	out := map[netip.AddrPort]*Group{}
+	for _, self := range peers {
+		g := &Group{Self: self}
+		for _, p := range peers {
+			g.Hear(start, p)
+		}
+		out[self.Addr] = g
+	}
+	return out
+}
+
+// TestUrgentNewsReachesAll follows urgent news from VM to VM: in two hops it
+// is everywhere, and no VM sends more than one message to each of its own
+// failure domain and one to each other domain.
+func TestUrgentNewsReachesAll(t *testing.T) {
+	for _, size := range [][2]int{{1, 3}, {3, 3}, {17, 19}} {
+		all := fleet(size[0], size[1])
+		r := rand.New(rand.NewPCG(1, 1))
+		var first *Group
+		for _, g := range all {
+			first = g
+			break
+		}
+		know := map[string]bool{first.Self.ID: true}
+		hop := map[*Group]string{first: ""}
+		hops := 0
+		for ; len(hop) > 0; hops++ {
+			next := map[*Group]string{}
+			for g, from := range hop {
+				targets := g.Urgent(start, from, r)
+				if most := size[0] + size[1]; len(targets) > most {
+					t.Errorf("%v: %d messages from one VM, want at most %d", size, len(targets), most)
+				}
+				for _, addr := range targets {
+					if p := all[addr]; !know[p.Self.ID] {
+						know[p.Self.ID] = true
+						next[p] = g.Self.ID
+					}
+				}
+			}
+			hop = next
+		}
+		if len(know) != len(all) || hops > 3 {
+			t.Errorf("%v: %d of %d VMs know after %d hops", size, len(know), len(all), hops)
+		}
+	}
+}
+
+// TestStewardIsAgreed: VMs that know the same others name the same steward,
+// and the loss of a VM moves only its own models.
+func TestStewardIsAgreed(t *testing.T) {
+	all := fleet(1, 12)
+	before := map[string]string{}
+	for i := range 200 {
+		model := fmt.Sprint("m", i)
+		for _, g := range all {
+			p, ok := g.Steward(start, model)
+			if !ok || (before[model] != "" && before[model] != p.ID) {
+				t.Fatalf("%s: %q and %q", model, before[model], p.ID)
+			}
+			before[model] = p.ID
+		}
+	}
+	var g *Group
+	for _, v := range all {
+		if v.Self.ID != "vm-0-3" {
+			g = v
+		}
+	}
+	delete(g.peers, "vm-0-3")
+	for model, was := range before {
+		if p, _ := g.Steward(start, model); p.ID != was && was != "vm-0-3" {
+			t.Errorf("%s moved from %s to %s", model, was, p.ID)
+		}
+	}
+}
+
+// TestEveryoneIsHeard runs the periodic exchanges of a large failure domain:
+// no live VM's lease runs out, although each exchanges with only a few.
+func TestEveryoneIsHeard(t *testing.T) {
+	all := fleet(1, 20)
+	r := rand.New(rand.NewPCG(2, 2))
+	now := start
+	for range 120 {
+		now = now.Add(ExchangeInterval)
+		for _, g := range all {
+			for _, addr := range g.Targets(now, r) {
+				o := all[addr]
+				known, back := g.Known(now, r), o.Known(now, r)
+				o.Hear(now, g.Self)
+				g.Hear(now, o.Self)
+				for _, h := range known {
+					o.HearOf(now, h)
+				}
+				for _, h := range back {
+					g.HearOf(now, h)
+				}
+			}
+		}
+		for _, g := range all {
+			if n := len(g.Live(now)); n != 19 {
+				t.Fatalf("after %v %s hears %d of 19", now.Sub(start), g.Self.ID, n)
+			}
+		}
+	}
+}
--- a/foldd/app/steward_test.go
+++ b/foldd/app/steward_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"fuchsiafold.example/foldd/app"
 	"fuchsiafold.example/foldd/conf"
@@ -74,3 +75,46 @@
 	other.Close()
 	waitFor(t, "the steward to forget it", func() bool { return steward.Node.Tickets() == 0 })
 }
+
+// TestLeavingAcrossDomains tells one VM of one failure domain that an engine
+// leaves; the VMs of the other one learn of it too.
+func TestLeavingAcrossDomains(t *testing.T) {
+	t.Parallel()
+	leaveAcrossDomains(t)
+}
+
+// BenchmarkLeaving reports the time until every VM knows that an engine
+// leaves. The promise is 2 s.
+func BenchmarkLeaving(b *testing.B) {
+	var total time.Duration
+	for range b.N {
+		total += leaveAcrossDomains(b)
+	}
+	b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/leave")
+}
+
+// leaveAcrossDomains returns the time until every VM knows.
+func leaveAcrossDomains(t testing.TB) time.Duration {
+	t.Helper()
+	a1 := startEntry(t, "a1", nil)
+	join := func(domain string) func(*conf.Settings) {
+		return func(s *conf.Settings) {
+			s.Domain = domain
+			s.Peers = append(s.Peers, a1.Addrs().Peers)
+		}
+	}
+	all := []*app.App{a1, startEntry(t, "a2", join("a")), startEntry(t, "b1", join("b")), startEntry(t, "b2", join("b"))}
+	for _, a := range all {
+		waitFor(t, "the VMs to know each other", func() bool { return len(a.Node.Peers()) == 3 })
+	}
+	e := startEngine(t, "e1", a1)
+	for _, a := range all {
+		waitFor(t, "the engine to be known", func() bool { _, ok := a.Node.Backend("e1"); return ok })
+	}
+	e.Leave()
+	start := time.Now()
+	for _, a := range all {
+		waitFor(t, "the VM to know", func() bool { b, _ := a.Node.Backend("e1"); return b.Leaving })
+	}
+	return time.Since(start)
+}
