Leave out of exchanges what the receiver knows

Change: news of a known engine is brief (ID, epoch, sequence, lease, load); a receiver that lacks the rest takes nothing and pulls all at its next exchange. Found by TestBriefNews: news for a VM whose name is not known yet left out what engines had said here directly; mended.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -60,6 +60,9 @@
 	Backend
 	// Age is the time since the backend server itself was heard.
 	Age time.Duration
+	// Brief says that only ID, Epoch, Seq, Leaving and Load are set: the
+	// receiver knows the rest.
+	Brief bool
 }
 
 type record struct {
@@ -67,7 +70,10 @@
 	heard time.Time
 	// version is the table's change counter at the record's last change.
 	version uint64
-	gone    bool
+	// identity is the version at which anything but the lease and the load last
+	// changed, at most version.
+	identity uint64
+	gone     bool
 	// from is the VM that the record came from, empty for the server itself.
 	from string
 }
@@ -93,6 +99,8 @@
 	Refreshed
 	// Changed: the backend server is new, has restarted or leaves.
 	Changed
+	// Unknown: brief news of a backend server that is not known here.
+	Unknown
 )
 
 func (t *Table) lease() time.Duration {
@@ -112,6 +120,12 @@
 	if r != nil && !h.Supersedes(r.Backend) {
 		return Stale
 	}
+	if h.Brief && (r == nil || r.Epoch != h.Epoch) {
+		return Unknown
+	}
+	if h.Brief {
+		h.Backend = r.renewed(h.Backend)
+	}
 	change := Changed
 	if r != nil && r.Epoch == h.Epoch {
 		h.Leaving = h.Leaving || r.Leaving
@@ -123,10 +137,22 @@
 		t.records = map[string]*record{}
 	}
 	t.version++
-	t.records[h.ID] = &record{Backend: h.Backend, heard: now.Add(-h.Age), version: t.version, from: from}
+	identity := t.version
+	if change == Refreshed {
+		identity = r.identity
+	}
+	t.records[h.ID] = &record{Backend: h.Backend, heard: now.Add(-h.Age), version: t.version, identity: identity, from: from}
 	return change
 }
 
+// renewed returns the record's backend server with the lease and load of brief
+// news.
+func (r *record) renewed(brief Backend) Backend {
+	b := r.Backend
+	b.Seq, b.Leaving, b.Load = brief.Seq, brief.Leaving, brief.Load
+	return b
+}
+
 // Expire marks backend servers whose lease has run out as gone and returns
 // their IDs in order.
 func (t *Table) Expire(now time.Time) []string {
@@ -167,12 +193,13 @@
 }
 
 // Since returns what changed after the given version and did not come from the
-// named VM, and the version that the answer covers.
+// VM that it is for, whose name may be unknown and empty, and the version that the answer covers. News of which the receiver
+// has the rest is marked brief.
 func (t *Table) Since(now time.Time, version uint64, to string) ([]Heard, uint64) {
 	var out []Heard
 	for _, r := range t.records {
-		if r.version > version && !r.gone && r.from != to {
-			out = append(out, Heard{Backend: r.Backend, Age: now.Sub(r.heard)})
+		if r.version > version && !r.gone && (to == "" || r.from != to) {
+			out = append(out, Heard{Backend: r.Backend, Age: now.Sub(r.heard), Brief: r.identity <= version})
 		}
 	}
 	slices.SortFunc(out, func(a, b Heard) int { return compare(a.ID, b.ID) })
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// Forget makes the next exchange with a VM bring all that it has.
+func (g *Group) Forget(id string) {
+	if r := g.peers[id]; r != nil {
+		r.have = 0
+	}
+}
+
 // Peer returns what is known of a VM.
 func (g *Group) Peer(id string) (Peer, bool) {
 	r := g.peers[id]
@@ -288,6 +295,8 @@
 		if !h.Leaving {
 			count[group]++
 		}
+		// What the receiver was told before depended on the loads then.
+		h.Brief = false
 		out = append(out, h)
 	}
 	return out
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -168,3 +168,39 @@
 		}
 	}
 }
+
+// TestBriefNews tells a VM that knows a backend server only what changes, and
+// one that does not is not misled.
+func TestBriefNews(t *testing.T) {
+	full := heard(1, false, 0)
+	full.Model, full.MemoryTokens = "m", 24_000
+	var a, b, c Table
+	a.Merge(start, full, "")
+	news, version := a.Since(start, 0, "")
+	if news[0].Brief {
+		t.Fatal("the first news is brief")
+	}
+	b.Merge(start, news[0], "a")
+	next := full
+	next.Seq, next.Load.Running = 2, 7
+	a.Merge(start, next, "")
+	news, version = a.Since(start, version, "")
+	if len(news) != 1 || !news[0].Brief {
+		t.Fatalf("news of the load: %+v", news)
+	}
+	brief := Heard{Brief: true, Backend: Backend{ID: "e", Epoch: 1, Seq: 2, Load: news[0].Load}}
+	if ch := b.Merge(start, brief, "a"); ch != Refreshed {
+		t.Errorf("change %d", ch)
+	}
+	if got, _ := b.Get("e"); got.Model != "m" || got.MemoryTokens != 24_000 || got.Load.Running != 7 {
+		t.Errorf("got %+v", got)
+	}
+	if ch := c.Merge(start, brief, "a"); ch != Unknown || len(c.Present()) != 0 {
+		t.Errorf("an unknown server: change %d, present %v", ch, c.Present())
+	}
+	next.Seq, next.Leaving = 3, true
+	a.Merge(start, next, "")
+	if news, _ = a.Since(start, version, ""); len(news) != 1 || news[0].Brief {
+		t.Errorf("news that it leaves: %+v", news)
+	}
+}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -25,7 +25,7 @@
 	now := time.Now()
 	change := n.table.Merge(now, h, from)
 	b, present := n.table.Get(h.ID)
-	if change != member.Stale && present && b.Kind == spec.KindEngine {
+	if (change == member.Refreshed || change == member.Changed) && present && b.Kind == spec.KindEngine {
 		n.eachSched(func(s *sched.Sched) {
 			if change == member.Changed {
 				s.Backend(now, b)
@@ -34,6 +34,9 @@
 		})
 		n.poll(now)
 	}
+	if change == member.Unknown {
+		n.group.Forget(from)
+	}
 	n.mu.Unlock()
 	if change == member.Changed {
 		n.Log.WithFields(logrus.Fields{"backend": h.ID, "leaving": b.Leaving, "epoch": h.Epoch}).Info("backend server changed")
--- a/foldd/peer/bench_test.go
+++ b/foldd/peer/bench_test.go
@@ -14,8 +14,8 @@
 	"fuchsiafold.example/wire"
 )
 
-func benchBackend(i int) *wire.Backend {
-	return ToBackend(member.Heard{Age: 300 * time.Millisecond, Backend: member.Backend{
+func benchBackend(i int, brief bool) *wire.Backend {
+	return ToBackend(member.Heard{Brief: brief, Age: 300 * time.Millisecond, Backend: member.Backend{
 		ID: fmt.Sprintf("engine-%04d", i), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i % 250)}), 9000),
 		Kind: "engine", Service: "advice-models", Model: "advice-7b", Version: "2026-11", Domain: "hobart-a",
 		MemoryTokens: 400_000, Epoch: uint64(time.Now().UnixNano()), Seq: 100_000,
@@ -34,28 +34,34 @@
 // so many engines, and reports its size.
 func BenchmarkExchange(b *testing.B) {
 	for _, engines := range []int{0, 10, 50, 130} {
-		b.Run(fmt.Sprint("engines=", engines), func(b *testing.B) {
-			req := &wire.ExchangeRequest{From: benchPeer(0)}
-			for i := range engines {
-				req.Backends = append(req.Backends, benchBackend(i))
-			}
-			for i := range 8 {
-				req.Known = append(req.Known, benchPeer(i))
+		for _, brief := range []bool{false, true} {
+			benchExchange(b, engines, brief)
+		}
+	}
+}
+
+func benchExchange(b *testing.B, engines int, brief bool) {
+	b.Run(fmt.Sprintf("engines=%d/brief=%t", engines, brief), func(b *testing.B) {
+		req := &wire.ExchangeRequest{From: benchPeer(0)}
+		for i := range engines {
+			req.Backends = append(req.Backends, benchBackend(i, brief))
+		}
+		for i := range 8 {
+			req.Known = append(req.Known, benchPeer(i))
+		}
+		var size int
+		for b.Loop() {
+			data, err := proto.Marshal(req)
+			if err != nil {
+				b.Fatal(err)
 			}
-			var size int
-			for b.Loop() {
-				data, err := proto.Marshal(req)
-				if err != nil {
-					b.Fatal(err)
-				}
-				size = len(data)
-				if err := proto.Unmarshal(data, new(wire.ExchangeRequest)); err != nil {
-					b.Fatal(err)
-				}
+			size = len(data)
+			if err := proto.Unmarshal(data, new(wire.ExchangeRequest)); err != nil {
+				b.Fatal(err)
 			}
-			b.ReportMetric(float64(size), "B/message")
-		})
-	}
+		}
+		b.ReportMetric(float64(size), "B/message")
+	})
 }
 
 // BenchmarkTickets encodes and decodes a batch of so many tickets, each with
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -45,6 +45,12 @@
 
 // ToBackend returns the wire form of a backend server.
 func ToBackend(h member.Heard) *wire.Backend {
+	if h.Brief {
+		return &wire.Backend{
+			Id: h.ID, Epoch: h.Epoch, Seq: h.Seq, Leaving: h.Leaving, Brief: true,
+			AgeMillis: uint64(h.Age.Milliseconds()), Load: toLoad(h.Load),
+		}
+	}
 	return &wire.Backend{
 		Id:           h.ID,
 		Addr:         h.Addr.String(),
@@ -60,14 +66,18 @@
 		Seq:          h.Seq,
 		Leaving:      h.Leaving,
 		AgeMillis:    uint64(h.Age.Milliseconds()),
-		Load: &wire.Load{
-			Running:          uint32(h.Load.Running),
-			Waiting:          uint32(h.Load.Waiting),
-			MemoryUsedTokens: uint64(h.Load.MemoryUsed),
-			Preemptions:      uint64(h.Load.Preemptions),
-			StepMicros:       uint64(h.Load.Step.Microseconds()),
-			LagMillis:        uint64(h.Load.Lag.Milliseconds()),
-		},
+		Load:         toLoad(h.Load),
+	}
+}
+
+func toLoad(l member.Load) *wire.Load {
+	return &wire.Load{
+		Running:          uint32(l.Running),
+		Waiting:          uint32(l.Waiting),
+		MemoryUsedTokens: uint64(l.MemoryUsed),
+		Preemptions:      uint64(l.Preemptions),
+		StepMicros:       uint64(l.Step.Microseconds()),
+		LagMillis:        uint64(l.Lag.Milliseconds()),
 	}
 }
 
@@ -75,12 +85,13 @@
 // one without a usable address.
 func FromBackend(b *wire.Backend) (member.Heard, bool) {
 	addr, err := netip.ParseAddrPort(b.GetAddr())
-	if err != nil || b.GetId() == "" {
+	if (err != nil && !b.GetBrief()) || b.GetId() == "" {
 		return member.Heard{}, false
 	}
 	l := b.GetLoad()
 	return member.Heard{
-		Age: time.Duration(b.GetAgeMillis()) * time.Millisecond,
+		Brief: b.GetBrief(),
+		Age:   time.Duration(b.GetAgeMillis()) * time.Millisecond,
 		Backend: member.Backend{
 			ID:           b.GetId(),
 			Addr:         addr,
