--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -44,7 +44,7 @@
 	}
 	ctx, span := trace.Start(trace.Incoming(r), "entry")
 	defer span.End()
-	if fault := e.serve(ctx, w, r); fault != nil {
+	if fault := e.serve(ctx, w, r); fault != nil && fault != errLeft {
 		e.Node.Count("errors."+fault.Code, 1)
 		fault.write(w)
 	}
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -27,7 +27,7 @@
 // silenceLimit bounds the silence of an engine that still answers probes.
 const silenceLimit = 2 * time.Minute
 
-// errLeft marks a request whose caller is gone; nobody reads the fault.
+// errLeft marks a request whose caller is gone; it is not written to anybody.
 var errLeft = &Fault{Status: http.StatusRequestTimeout, Code: "callerLeft", Message: "the caller has left"}
 
 // generation is one answer on its way to a caller.
--- a/foldd/entry/resume.go
+++ b/foldd/entry/resume.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 
@@ -11,8 +12,6 @@
 	"fuchsiafold.example/fold/handle"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/foldd/trace"
-
-	"time"
 )
 
 // resume continues a generation that any entry VM began, from the token after
