Take cache events of engines from announcements

Change: announcements carry cache events, late and with gaps, under the prefix name that entry VMs use.

--- a/fold/sched/sched_test.go
+++ b/fold/sched/sched_test.go
@@ -356,3 +356,39 @@
 		submit()
 	}
 }
+
+// TestPrefixIsPreferred sends a request to the engine that said that it has
+// the prefix, until it says that it has not.
+func TestPrefixIsPreferred(t *testing.T) {
+	for _, policy := range []string{spec.PolicyForecast, spec.PolicyPrefix} {
+		s := New(Options{})
+		for _, id := range []string{"e1", "e2", "e3"} {
+			s.Backend(epoch, testEngine(id, 100_000))
+		}
+		now := warm()
+		send := func(id uint64) string {
+			q := request(id, "c", check)
+			q.Policy, q.Prefix, q.Arrived = policy, "p", now
+			s.Submit(now, q)
+			d, _ := s.Poll(now)
+			if len(d) != 1 {
+				t.Fatalf("%s: request %d was not sent", policy, id)
+			}
+			s.Finish(now, id, Completed)
+			return d[0].Backend
+		}
+		s.Cached(now, "e3", "p", true)
+		if got := send(1); got != "e3" {
+			t.Errorf("%s: sent to %s, want e3", policy, got)
+		}
+		s.Cached(now, "e3", "p", false)
+		s.Cached(now, "e2", "p", true)
+		if got := send(2); got != "e2" {
+			t.Errorf("%s: sent to %s, want e2", policy, got)
+		}
+		now = now.Add(prefixLife)
+		if got := send(3); got != "e1" {
+			t.Errorf("%s: sent to %s after the prefix is forgotten, want e1", policy, got)
+		}
+	}
+}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -16,6 +16,16 @@
 	return n.merge(member.Heard{Backend: b}, "")
 }
 
+// Cached takes a backend server's word that a prefix entered or left its cache.
+// It counts at this VM only: a backend server tells one VM after the other, and
+// the scheduler does with the gaps.
+func (n *Node) Cached(id, prefix string, stored bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.eachSched(func(s *sched.Sched) { s.Cached(now, id, prefix, stored) })
+}
+
 // Learn takes what another VM says of a backend server.
 func (n *Node) Learn(h member.Heard, from string) member.Change { return n.merge(h, from) }
 
--- a/foldd/oper/backend.go
+++ b/foldd/oper/backend.go
@@ -31,6 +31,14 @@
 	Seq          uint64     `json:"seq"`
 	Leaving      bool       `json:"leaving"`
 	Load         loadReport `json:"load"`
+	// CacheEvents are changes of an engine's prefix cache; they may be late and
+	// have gaps.
+	CacheEvents []cacheEvent `json:"cacheEvents"`
+}
+
+type cacheEvent struct {
+	Prefix string `json:"prefix"`
+	Stored bool   `json:"stored"`
 }
 
 type loadReport struct {
@@ -104,6 +112,9 @@
 	}
 	n.Count("announcements", 1)
 	n.Announce(b)
+	for _, c := range a.CacheEvents {
+		n.Cached(b.ID, c.Prefix, c.Stored)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(announceReply{LeaseMS: member.DefaultLease.Milliseconds()})
 }
--- a/foldfake/host/announce.go
+++ b/foldfake/host/announce.go
@@ -26,6 +26,33 @@
 	Seq          uint64     `json:"seq"`
 	Leaving      bool       `json:"leaving,omitempty"`
 	Load         LoadReport `json:"load"`
+	// CacheEvents are changes of the prefix cache, late and with gaps.
+	CacheEvents []CacheEvent `json:"cacheEvents,omitempty"`
+}
+
+// CacheEvent tells that a prefix entered or left the cache.
+type CacheEvent struct {
+	// Prefix is the xxHash64 of the prompt's first 256 bytes, in hexadecimal.
+	Prefix string `json:"prefix"`
+	Stored bool   `json:"stored"`
+}
+
+// maxCacheEvents bounds the events in one announcement; the rest is lost.
+const maxCacheEvents = 64
+
+// cacheEvents returns the events that were there at the last announcement,
+// without each fourth one. The caller holds the lock.
+func (e *Engine) cacheEvents() []CacheEvent {
+	late := e.lateEvents
+	e.lateEvents = e.model.CacheEvents()
+	var out []CacheEvent
+	for i, c := range late {
+		if i%4 == 3 || len(out) == maxCacheEvents {
+			continue
+		}
+		out = append(out, CacheEvent{Prefix: c.Prefix, Stored: c.Stored})
+	}
+	return out
 }
 
 // LoadReport is the load in an Announcement.
@@ -86,6 +113,7 @@
 		Epoch:        e.epoch,
 		Seq:          e.seq,
 		Leaving:      e.leaving,
+		CacheEvents:  e.cacheEvents(),
 		Load: LoadReport{
 			Running:     l.Running,
 			Waiting:     l.Waiting,
--- a/foldfake/host/api.go
+++ b/foldfake/host/api.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/tmaxmax/go-sse"
 
@@ -132,7 +133,7 @@
 		req.Length = min(req.Length, c.MaxTokens)
 	}
 	if len(c.Prompt) >= prefixBytes {
-		req.Prefix = c.Prompt[:prefixBytes]
+		req.Prefix = strconv.FormatUint(xxhash.Sum64String(c.Prompt[:prefixBytes]), 16)
 		req.PrefixTokens = prefixBytes / bytesPerToken
 	}
 	return req
--- a/foldfake/host/host.go
+++ b/foldfake/host/host.go
@@ -67,6 +67,8 @@
 	epoch   uint64
 	seq     uint64
 	history []timedLoad
+	// lateEvents are the cache events of the next announcement.
+	lateEvents []model.CacheEvent
 }
 
 // New starts an engine.
