--- a/fold/sched/sched_test.go
+++ b/fold/sched/sched_test.go
@@ -316,10 +316,15 @@
 	}
 }
 
-// BenchmarkDecision is one request with 130 engines and 600 workspaces.
+// BenchmarkDecision is one request with so many engines and 600 workspaces.
 func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{10, 50, 130} {
+		b.Run(fmt.Sprint("engines=", engines), func(b *testing.B) { benchDecision(b, engines) })
+	}
+}
+
+func benchDecision(b *testing.B, engines int) {
 	const (
-		engines    = 130
 		workspaces = 600
 		running    = 20
 	)
