--- a/foldd/entry/answer.go
+++ b/foldd/entry/answer.go
@@ -14,6 +14,7 @@
 	"fuchsiafold.example/fold/handle"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/netio/serve"
 )
 
@@ -153,10 +154,10 @@
 
 // interrupt ends an answer of which a part was delivered. A caller that has
 // events gets a final one; another gets the fault as its response.
-func (a *answer) interrupt(p handle.Position) *Fault {
-	f := &Fault{
+func (a *answer) interrupt(p handle.Position) *fault.Fault {
+	f := &fault.Fault{
 		Status:  http.StatusBadGateway,
-		Code:    codeInterrupted,
+		Code:    fault.Interrupted,
 		Message: "the engine was lost after a part of the answer was delivered",
 		Outcome: retry.Interrupted,
 	}
@@ -164,7 +165,7 @@
 		return f
 	}
 	m := &sse.Message{Type: sse.Type("error")}
-	m.AppendData(string(f.body(p.Offset)))
+	m.AppendData(string(f.Body(p.Offset)))
 	var buf bytes.Buffer
 	m.WriteTo(&buf)
 	a.w.Write(buf.Bytes())
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -19,6 +19,7 @@
 
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/foldd/trace"
 )
 
@@ -44,17 +45,17 @@
 }
 
 // call serves a call by its route.
-func (e *Entry) call(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *Fault {
+func (e *Entry) call(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *fault.Fault {
 	route, ok := a.index.Route(r.URL.Path)
 	if !ok {
-		return notRun(http.StatusNotFound, codeUnknownRoute, "no route for "+strconv.Quote(r.URL.Path))
+		return fault.NotRun(http.StatusNotFound, fault.UnknownRoute, "no route for "+strconv.Quote(r.URL.Path))
 	}
 	if !slices.Contains(route.Methods, r.Method) {
-		return notRun(http.StatusMethodNotAllowed, codeUnknownRoute, "the route takes no "+r.Method)
+		return fault.NotRun(http.StatusMethodNotAllowed, fault.UnknownRoute, "the route takes no "+r.Method)
 	}
-	body, fault := e.readBody(r)
-	if fault != nil {
-		return fault
+	body, fail := e.readBody(r)
+	if fail != nil {
+		return fail
 	}
 	e.Node.Count("calls."+route.Service, 1)
 	c := &call{entry: e, asker: a, route: route, r: r, body: body}
@@ -67,21 +68,21 @@
 }
 
 // idempotent sends the call until a backend server answers, within budget.
-func (c *call) idempotent(ctx context.Context, w http.ResponseWriter) *Fault {
+func (c *call) idempotent(ctx context.Context, w http.ResponseWriter) *fault.Fault {
 	n := c.entry.Node
 	n.FirstAttempt()
 	for attempts := 1; ; attempts++ {
-		answer, attempt, fault := c.attempt(ctx)
-		if fault == nil {
+		answer, attempt, fail := c.attempt(ctx)
+		if fail == nil {
 			answer.write(w)
 			return nil
 		}
 		if ctx.Err() != nil || !attempt.Repeatable(true) {
-			return fault
+			return fail
 		}
 		wait, ok := n.MayRetry(attempts)
 		if !ok {
-			return fault
+			return fail
 		}
 		n.Count("calls.retries", 1)
 		sleep(ctx, wait)
@@ -89,10 +90,10 @@
 }
 
 // once runs the call at most once for its workspace and key.
-func (c *call) once(ctx context.Context, w http.ResponseWriter) *Fault {
+func (c *call) once(ctx context.Context, w http.ResponseWriter) *fault.Fault {
 	key := c.r.Header.Get(headerIdempotency)
 	if key == "" || len(key) > maxKey {
-		return notRun(http.StatusBadRequest, codeKeyNeeded, fmt.Sprintf("this call may run only once: send an %s of 1 to %d bytes", headerIdempotency, maxKey))
+		return fault.NotRun(http.StatusBadRequest, fault.KeyNeeded, fmt.Sprintf("this call may run only once: send an %s of 1 to %d bytes", headerIdempotency, maxKey))
 	}
 	if c.entry.Claims == nil {
 		return noQuorum("this deployment has no control VM")
@@ -111,9 +112,9 @@
 		recorded.write(w)
 		return nil
 	case ClaimPending:
-		return &Fault{Status: http.StatusConflict, Code: codeInProgress, Message: "a call with this key is in progress", Outcome: retry.Unknown, RetryAfter: time.Second}
+		return &fault.Fault{Status: http.StatusConflict, Code: fault.InProgress, Message: "a call with this key is in progress", Outcome: retry.Unknown, RetryAfter: time.Second}
 	case ClaimMismatch:
-		return notRun(http.StatusUnprocessableEntity, codeKeyMismatch, "the key was used for another request")
+		return fault.NotRun(http.StatusUnprocessableEntity, fault.KeyMismatch, "the key was used for another request")
 	}
 	return unknownOutcome("a call with this key was sent and its answer was lost")
 }
@@ -121,7 +122,7 @@
 // unclaimed makes the fault for a call whose claim no quorum decided. This
 // send has not run, but without a quorum nothing proves that no earlier send of
 // the key did, unless the caller says that there was none.
-func (c *call) unclaimed(err error) *Fault {
+func (c *call) unclaimed(err error) *fault.Fault {
 	f := noQuorum(err.Error())
 	if c.r.Header.Get(headerFirstSend) != "true" {
 		f.Outcome = retry.Unknown
@@ -129,23 +130,23 @@
 	return f
 }
 
-func noQuorum(message string) *Fault {
-	return notRun(http.StatusServiceUnavailable, codeNoQuorum, message).after(2 * time.Second)
+func noQuorum(message string) *fault.Fault {
+	return fault.NotRun(http.StatusServiceUnavailable, fault.NoQuorum, message).After(2 * time.Second)
 }
 
-func unknownOutcome(message string) *Fault {
-	return &Fault{Status: http.StatusGatewayTimeout, Code: codeUnknownOutcome, Message: message, Outcome: retry.Unknown}
+func unknownOutcome(message string) *fault.Fault {
+	return &fault.Fault{Status: http.StatusGatewayTimeout, Code: fault.UnknownOutcome, Message: message, Outcome: retry.Unknown}
 }
 
 // granted dispatches a claimed call and records how it ended.
-func (c *call) granted(ctx context.Context, w http.ResponseWriter, claim Claim) *Fault {
+func (c *call) granted(ctx context.Context, w http.ResponseWriter, claim Claim) *fault.Fault {
 	// A caller that leaves does not stop a call that may run only once.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.route.Timeout))
 	defer cancel()
-	answer, attempt, fault := c.attempt(ctx)
+	answer, attempt, fail := c.attempt(ctx)
 	settlement := SettleUnknown
 	switch {
-	case fault == nil:
+	case fail == nil:
 		settlement = SettleAnswered
 	case attempt.Outcome() == retry.NotRun:
 		settlement = SettleReleased
@@ -155,8 +156,8 @@
 	if err := c.entry.Claims.Settle(settle, claim, settlement, answer); err != nil {
 		c.entry.Node.Count("claims.unsettled", 1)
 	}
-	if fault != nil {
-		return fault
+	if fail != nil {
+		return fail
 	}
 	answer.write(w)
 	return nil
@@ -171,12 +172,12 @@
 }
 
 // attempt sends the call to one backend server.
-func (c *call) attempt(ctx context.Context) (Recorded, retry.Attempt, *Fault) {
+func (c *call) attempt(ctx context.Context) (Recorded, retry.Attempt, *fault.Fault) {
 	var a retry.Attempt
 	n := c.entry.Node
 	b, ok := n.PickCall(c.route.Service, c.avoid)
 	if !ok {
-		return Recorded{}, a, notRun(http.StatusServiceUnavailable, codeNoBackend, "no backend server of "+c.route.Service+" is present").after(time.Second)
+		return Recorded{}, a, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+c.route.Service+" is present").After(time.Second)
 	}
 	defer n.EndCall(b.ID)
 	c.avoid = append(c.avoid, b.ID)
@@ -184,7 +185,7 @@
 	defer span.End()
 	req, err := c.outgoing(ctx, "http://"+b.Addr.String())
 	if err != nil {
-		return Recorded{}, a, notRun(http.StatusBadRequest, codeBadRequest, err.Error())
+		return Recorded{}, a, fault.NotRun(http.StatusBadRequest, fault.BadRequest, err.Error())
 	}
 	a.Sent = true
 	res, err := c.transport().RoundTrip(req)
@@ -246,7 +247,7 @@
 	return req, nil
 }
 
-func (c *call) receive(res *http.Response, a retry.Attempt) (Recorded, retry.Attempt, *Fault) {
+func (c *call) receive(res *http.Response, a retry.Attempt) (Recorded, retry.Attempt, *fault.Fault) {
 	limit := c.entry.Node.Settings.Limits.MaxAnswer
 	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
 	if err != nil {
@@ -256,7 +257,7 @@
 	if len(body) > limit {
 		a.Began = true
 		f := unknownOutcome("the answer exceeds the size limit")
-		f.Code = codeAnswerTooLarge
+		f.Code = fault.AnswerTooLarge
 		f.Status = http.StatusBadGateway
 		return Recorded{}, a, f
 	}
@@ -264,15 +265,15 @@
 	return Recorded{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, a, nil
 }
 
-func callFault(a retry.Attempt, err error) *Fault {
-	f := &Fault{Status: http.StatusBadGateway, Code: codeBackendFailed, Message: err.Error(), Outcome: a.Outcome()}
+func callFault(a retry.Attempt, err error) *fault.Fault {
+	f := &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: a.Outcome()}
 	switch f.Outcome {
 	case retry.NotRun:
 		f.Status = http.StatusServiceUnavailable
 		f.RetryAfter = time.Second
 	case retry.Unknown:
 		f.Status = http.StatusGatewayTimeout
-		f.Code = codeUnknownOutcome
+		f.Code = fault.UnknownOutcome
 	}
 	return f
 }
--- a/foldd/entry/complete.go
+++ b/foldd/entry/complete.go
@@ -16,6 +16,7 @@
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
 )
@@ -50,13 +51,13 @@
 }
 
 // complete serves one generation from its beginning.
-func (e *Entry) complete(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *Fault {
+func (e *Entry) complete(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *fault.Fault {
 	if r.Method != http.MethodPost {
-		return notRun(http.StatusMethodNotAllowed, codeBadRequest, "use POST")
+		return fault.NotRun(http.StatusMethodNotAllowed, fault.BadRequest, "use POST")
 	}
-	req, class, fault := e.parseCompletion(r, a)
-	if fault != nil {
-		return fault
+	req, class, fail := e.parseCompletion(r, a)
+	if fail != nil {
+		return fail
 	}
 	e.Node.Count("requests."+class.Name, 1)
 	e.Node.FirstAttempt()
@@ -85,31 +86,31 @@
 	}
 }
 
-func (e *Entry) parseCompletion(r *http.Request, a asker) (completionRequest, spec.Class, *Fault) {
+func (e *Entry) parseCompletion(r *http.Request, a asker) (completionRequest, spec.Class, *fault.Fault) {
 	var req completionRequest
-	body, fault := e.readBody(r)
-	if fault != nil {
-		return req, spec.Class{}, fault
+	body, fail := e.readBody(r)
+	if fail != nil {
+		return req, spec.Class{}, fail
 	}
 	dec := json.NewDecoder(bytes.NewReader(body))
 	if err := dec.Decode(&req); err != nil {
-		return req, spec.Class{}, notRun(http.StatusBadRequest, codeBadRequest, "the body is not a completions request: "+err.Error())
+		return req, spec.Class{}, fault.NotRun(http.StatusBadRequest, fault.BadRequest, "the body is not a completions request: "+err.Error())
 	}
 	if req.Prompt == "" {
-		return req, spec.Class{}, notRun(http.StatusBadRequest, codeBadRequest, "prompt: want a text that is not empty")
+		return req, spec.Class{}, fault.NotRun(http.StatusBadRequest, fault.BadRequest, "prompt: want a text that is not empty")
 	}
 	if req.MaxTokens < 0 || req.MaxTokens > maxTokens {
-		return req, spec.Class{}, notRun(http.StatusBadRequest, codeBadRequest, "max_tokens: want 0 to "+strconv.Itoa(maxTokens))
+		return req, spec.Class{}, fault.NotRun(http.StatusBadRequest, fault.BadRequest, "max_tokens: want 0 to "+strconv.Itoa(maxTokens))
 	}
 	if _, ok := a.index.ModelService(req.Model); !ok {
-		return req, spec.Class{}, notRun(http.StatusNotFound, codeUnknownModel, "unknown model "+strconv.Quote(req.Model))
+		return req, spec.Class{}, fault.NotRun(http.StatusNotFound, fault.UnknownModel, "unknown model "+strconv.Quote(req.Model))
 	}
 	if h := r.Header.Get(headerClass); h != "" {
 		req.Class = h
 	}
 	class, ok := a.index.Class(req.Class)
 	if !ok {
-		return req, spec.Class{}, notRun(http.StatusBadRequest, codeUnknownClass, "unknown class "+strconv.Quote(req.Class)+": name one in the header "+headerClass)
+		return req, spec.Class{}, fault.NotRun(http.StatusBadRequest, fault.UnknownClass, "unknown class "+strconv.Quote(req.Class)+": name one in the header "+headerClass)
 	}
 	return req, class, nil
 }
@@ -122,7 +123,7 @@
 }
 
 // await waits for the scheduler's verdict on the request.
-func (g *generation) await(ctx context.Context) (node.Verdict, *Fault) {
+func (g *generation) await(ctx context.Context) (node.Verdict, *fault.Fault) {
 	ctx, span := trace.Start(ctx, "queue", attribute.String("class", g.sched.Class))
 	defer span.End()
 	n := g.entry.Node
@@ -143,14 +144,14 @@
 	}
 }
 
-func refusalFault(r node.Verdict) *Fault {
+func refusalFault(r node.Verdict) *fault.Fault {
 	switch r.Reason {
 	case sched.ReasonNoBackend:
-		return notRun(http.StatusServiceUnavailable, codeNoBackend, "no engine for the model is present").after(r.RetryAfter)
+		return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no engine for the model is present").After(r.RetryAfter)
 	case sched.ReasonTooLarge:
-		return notRun(http.StatusRequestEntityTooLarge, codeTooLarge, "the prompt fits no present engine")
+		return fault.NotRun(http.StatusRequestEntityTooLarge, fault.TooLarge, "the prompt fits no present engine")
 	}
-	return notRun(http.StatusTooManyRequests, codeOverload, "the request can't be served within its target: "+r.Reason.String()).after(r.RetryAfter)
+	return fault.NotRun(http.StatusTooManyRequests, fault.Overload, "the request can't be served within its target: "+r.Reason.String()).After(r.RetryAfter)
 }
 
 // engineRequest returns the request as the engine takes it.
--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -13,6 +13,7 @@
 	"fuchsiafold.example/fold/handle"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
 	"fuchsiafold.example/netio/serve"
@@ -44,9 +45,9 @@
 	}
 	ctx, span := trace.Start(trace.Incoming(r), "entry")
 	defer span.End()
-	if fault := e.serve(ctx, w, r); fault != nil && fault != errLeft {
-		e.Node.Count("errors."+fault.Code, 1)
-		fault.write(w)
+	if fail := e.serve(ctx, w, r); fail != nil && fail != errLeft {
+		e.Node.Count("errors."+fail.Code, 1)
+		fail.Write(w)
 	}
 }
 
@@ -67,13 +68,13 @@
 	caller    *serve.Caller
 }
 
-func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) *Fault {
-	a, fault := e.admit(r)
-	if fault != nil {
-		return fault
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) *fault.Fault {
+	a, fail := e.admit(r)
+	if fail != nil {
+		return fail
 	}
 	if !e.Node.Enter() {
-		return notRun(http.StatusTooManyRequests, codeOverload, "too many requests in progress on this VM").after(time.Second)
+		return fault.NotRun(http.StatusTooManyRequests, fault.Overload, "too many requests in progress on this VM").After(time.Second)
 	}
 	defer e.Node.Leave()
 	switch {
@@ -88,21 +89,21 @@
 }
 
 // admit checks whether requests are taken at all, and who asks.
-func (e *Entry) admit(r *http.Request) (asker, *Fault) {
+func (e *Entry) admit(r *http.Request) (asker, *fault.Fault) {
 	index := e.Node.Index()
 	if index == nil {
-		return asker{}, notRun(http.StatusServiceUnavailable, codeNotConfigured, "no configuration is in force yet").after(time.Second)
+		return asker{}, fault.NotRun(http.StatusServiceUnavailable, fault.NotConfigured, "no configuration is in force yet").After(time.Second)
 	}
 	if e.Node.Draining() {
-		return asker{}, notRun(http.StatusServiceUnavailable, codeDraining, "this VM is shutting down").after(time.Second)
+		return asker{}, fault.NotRun(http.StatusServiceUnavailable, fault.Draining, "this VM is shutting down").After(time.Second)
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		return asker{}, notRun(http.StatusUnauthorized, codeUnauthorized, "send the workspace key as \"Authorization: Bearer KEY\"")
+		return asker{}, fault.NotRun(http.StatusUnauthorized, fault.Unauthorized, "send the workspace key as \"Authorization: Bearer KEY\"")
 	}
 	workspace, ok := index.Workspace(key)
 	if !ok {
-		return asker{}, notRun(http.StatusUnauthorized, codeUnauthorized, "unknown workspace key")
+		return asker{}, fault.NotRun(http.StatusUnauthorized, fault.Unauthorized, "unknown workspace key")
 	}
 	return asker{workspace: workspace, index: index, caller: serve.CallerOf(r)}, nil
 }
@@ -117,7 +118,7 @@
 	Object string `json:"object"`
 }
 
-func (e *Entry) models(w http.ResponseWriter, a asker) *Fault {
+func (e *Entry) models(w http.ResponseWriter, a asker) *fault.Fault {
 	list := modelList{Object: "list"}
 	for _, s := range a.index.Document().Services {
 		for _, m := range s.Models {
@@ -134,14 +135,14 @@
 }
 
 // readBody reads a request's body up to the limit.
-func (e *Entry) readBody(r *http.Request) ([]byte, *Fault) {
+func (e *Entry) readBody(r *http.Request) ([]byte, *fault.Fault) {
 	limit := e.Node.Settings.Limits.MaxBody
 	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if err != nil {
-		return nil, notRun(http.StatusBadRequest, codeBadRequest, "the body can't be read: "+err.Error())
+		return nil, fault.NotRun(http.StatusBadRequest, fault.BadRequest, "the body can't be read: "+err.Error())
 	}
 	if len(b) > limit {
-		return nil, notRun(http.StatusRequestEntityTooLarge, codeTooLarge, "the body exceeds the size limit")
+		return nil, fault.NotRun(http.StatusRequestEntityTooLarge, fault.TooLarge, "the body exceeds the size limit")
 	}
 	return b, nil
 }
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -17,6 +17,7 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/trial"
 	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/foldd/trace"
 )
 
@@ -28,7 +29,7 @@
 const silenceLimit = 2 * time.Minute
 
 // errLeft marks a request whose caller is gone; it is not written to anybody.
-var errLeft = &Fault{Status: http.StatusRequestTimeout, Code: "callerLeft", Message: "the caller has left"}
+var errLeft = &fault.Fault{Status: http.StatusRequestTimeout, Code: "callerLeft", Message: "the caller has left"}
 
 // generation is one answer on its way to a caller.
 type generation struct {
@@ -59,32 +60,32 @@
 }
 
 // run serves the answer from its first generation to its end.
-func (g *generation) run(ctx context.Context) *Fault {
+func (g *generation) run(ctx context.Context) *fault.Fault {
 	defer g.measure()
 	for {
-		v, fault := g.await(ctx)
-		if fault != nil && g.out.taken && fault != errLeft {
+		v, fail := g.await(ctx)
+		if fail != nil && g.out.taken && fail != errLeft {
 			// An engine had begun an earlier attempt.
-			fault.Outcome = retry.Interrupted
+			fail.Outcome = retry.Interrupted
 		}
-		if fault != nil {
-			return fault
+		if fail != nil {
+			return fail
 		}
-		step, fault := g.attempt(ctx, v.Backend, v.Addr, v.Priority)
-		if fault != nil {
-			return fault
+		step, fail := g.attempt(ctx, v.Backend, v.Addr, v.Priority)
+		if fail != nil {
+			return fail
 		}
 		if step.Do == deliv.Finish {
 			return g.finish(step.Outcome)
 		}
-		if fault := g.pause(ctx, v.Backend); fault != nil {
-			return fault
+		if fail := g.pause(ctx, v.Backend); fail != nil {
+			return fail
 		}
 	}
 }
 
 // pause waits before the answer is begun again elsewhere.
-func (g *generation) pause(ctx context.Context, failed string) *Fault {
+func (g *generation) pause(ctx context.Context, failed string) *fault.Fault {
 	g.attempts++
 	wait, ok := g.entry.Node.MayRetry(g.attempts)
 	if !ok {
@@ -104,10 +105,10 @@
 // notRunOrLost is the end of an answer whose attempts are used up before the
 // caller got a token. Only when no attempt was taken by an engine is it
 // proved that nothing ran.
-func notRunOrLost(g *generation) *Fault {
-	f := &Fault{
+func notRunOrLost(g *generation) *fault.Fault {
+	f := &fault.Fault{
 		Status:     http.StatusBadGateway,
-		Code:       codeBackendFailed,
+		Code:       fault.BackendFailed,
 		Message:    "engines failed the request before its first token was delivered",
 		Outcome:    retry.Interrupted,
 		RetryAfter: time.Second,
@@ -120,7 +121,7 @@
 }
 
 // attempt runs one generation at one engine. It returns Restart or Finish.
-func (g *generation) attempt(ctx context.Context, backend string, addr netip.AddrPort, priority int) (deliv.Step, *Fault) {
+func (g *generation) attempt(ctx context.Context, backend string, addr netip.AddrPort, priority int) (deliv.Step, *fault.Fault) {
 	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", backend))
 	defer span.End()
 	n := g.entry.Node
@@ -132,16 +133,16 @@
 		return g.failedStart(ctx, addr, id, sent, err)
 	}
 	g.out.taken = true
-	step, fault := g.read(ctx, s, addr, id)
+	step, fail := g.read(ctx, s, addr, id)
 	switch {
-	case fault != nil:
+	case fail != nil:
 		n.Finish(g.sched.ID, sched.Cancelled)
 	case step.Outcome == retry.Done:
 		n.Finish(g.sched.ID, sched.Completed)
 	default:
 		n.Finish(g.sched.ID, sched.Failed)
 	}
-	return step, fault
+	return step, fail
 }
 
 func (g *generation) seal(backend string, addr netip.AddrPort, id string) {
@@ -156,7 +157,7 @@
 }
 
 // failedStart handles a generation that gave no stream.
-func (g *generation) failedStart(ctx context.Context, addr netip.AddrPort, id string, sent bool, err error) (deliv.Step, *Fault) {
+func (g *generation) failedStart(ctx context.Context, addr netip.AddrPort, id string, sent bool, err error) (deliv.Step, *fault.Fault) {
 	n := g.entry.Node
 	if ctx.Err() != nil {
 		n.Finish(g.sched.ID, sched.Cancelled)
@@ -170,7 +171,7 @@
 		n.Finish(g.sched.ID, sched.Rejected)
 		n.Count("engine.refused", 1)
 		if refused.Caller {
-			return deliv.Step{}, notRun(http.StatusBadRequest, codeBadRequest, "the engine refused the request: "+refused.Reason)
+			return deliv.Step{}, fault.NotRun(http.StatusBadRequest, fault.BadRequest, "the engine refused the request: "+refused.Reason)
 		}
 		return g.stream.EngineLost(id), nil
 	}
@@ -185,7 +186,7 @@
 
 // read delivers a generation until it ends, resuming it over new connections
 // as often as the delivery allows.
-func (g *generation) read(ctx context.Context, s *engine.Stream, addr netip.AddrPort, id string) (deliv.Step, *Fault) {
+func (g *generation) read(ctx context.Context, s *engine.Stream, addr netip.AddrPort, id string) (deliv.Step, *fault.Fault) {
 	heard := time.Now()
 	for {
 		var step deliv.Step
@@ -345,7 +346,7 @@
 }
 
 // finish ends the answer.
-func (g *generation) finish(o retry.Outcome) *Fault {
+func (g *generation) finish(o retry.Outcome) *fault.Fault {
 	if g.asker.caller.Gone() {
 		return errLeft
 	}
--- a/foldd/entry/resume.go
+++ b/foldd/entry/resume.go
@@ -11,26 +11,27 @@
 	"fuchsiafold.example/fold/deliv"
 	"fuchsiafold.example/fold/handle"
 	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/foldd/trace"
 )
 
 // resume continues a generation that any entry VM began, from the token after
 // the last event that the caller has.
-func (e *Entry) resume(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *Fault {
+func (e *Entry) resume(ctx context.Context, w http.ResponseWriter, r *http.Request, a asker) *fault.Fault {
 	sealed, position, err := handle.ParseEventID(r.Header.Get(headerLastEvent))
 	if err != nil {
-		return notRun(http.StatusBadRequest, codeBadHandle, err.Error())
+		return fault.NotRun(http.StatusBadRequest, fault.BadHandle, err.Error())
 	}
 	h, err := e.key().Open(sealed, time.Now())
-	if fault := handleFault(err); fault != nil {
-		return fault
+	if fail := handleFault(err); fail != nil {
+		return fail
 	}
 	if h.Workspace != a.workspace {
-		return notRun(http.StatusForbidden, codeBadHandle, "the handle belongs to another workspace")
+		return fault.NotRun(http.StatusForbidden, fault.BadHandle, "the handle belongs to another workspace")
 	}
 	class, ok := a.index.Class(h.Class)
 	if !ok {
-		return notRun(http.StatusGone, codeUnknownClass, "the handle's class is no longer configured")
+		return fault.NotRun(http.StatusGone, fault.UnknownClass, "the handle's class is no longer configured")
 	}
 	e.Node.Count("resumes", 1)
 	g := e.newGeneration(w, a, class, true)
@@ -42,19 +43,19 @@
 	return g.continueAt(ctx, h)
 }
 
-func handleFault(err error) *Fault {
+func handleFault(err error) *fault.Fault {
 	switch {
 	case err == nil:
 		return nil
 	case errors.Is(err, handle.ErrExpired):
-		return notRun(http.StatusGone, codeExpiredHandle, err.Error())
+		return fault.NotRun(http.StatusGone, fault.ExpiredHandle, err.Error())
 	}
-	return notRun(http.StatusBadRequest, codeBadHandle, err.Error())
+	return fault.NotRun(http.StatusBadRequest, fault.BadHandle, err.Error())
 }
 
 // continueAt reads on at the engine that the handle names. The answer is
 // bound to that generation: it can't be run again elsewhere.
-func (g *generation) continueAt(ctx context.Context, h handle.Handle) *Fault {
+func (g *generation) continueAt(ctx context.Context, h handle.Handle) *fault.Fault {
 	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", h.Backend))
 	defer span.End()
 	first := deliv.Step{Do: deliv.Resume, From: g.stream.Received()}
@@ -62,9 +63,9 @@
 	if s == nil {
 		return gone()
 	}
-	step, fault := g.read(ctx, s, h.Addr, h.Generation)
-	if fault != nil {
-		return fault
+	step, fail := g.read(ctx, s, h.Addr, h.Generation)
+	if fail != nil {
+		return fail
 	}
 	if step.Do == deliv.Restart {
 		return gone()
@@ -73,10 +74,10 @@
 }
 
 // gone is the answer to a resume whose generation is lost.
-func gone() *Fault {
-	return &Fault{
+func gone() *fault.Fault {
+	return &fault.Fault{
 		Status:  http.StatusGone,
-		Code:    codeGone,
+		Code:    fault.Gone,
 		Message: "the generation is no longer at its engine",
 		Outcome: retry.Interrupted,
 	}
--- a/foldd/entry/fault.go
+++ b/foldd/fault/fault.go
@@ -1,4 +1,6 @@
-package entry
+// Package fault is the errors that callers get: a status, a code, and the truth
+// about whether the request ran.
+package fault
 
 import (
 	"encoding/json"
@@ -12,27 +14,27 @@
 
 // Codes of the errors that a caller can get.
 const (
-	codeBadRequest     = "badRequest"
-	codeUnauthorized   = "unauthorized"
-	codeUnknownClass   = "unknownClass"
-	codeUnknownModel   = "unknownModel"
-	codeUnknownRoute   = "unknownRoute"
-	codeTooLarge       = "tooLarge"
-	codeBadHandle      = "badHandle"
-	codeExpiredHandle  = "expiredHandle"
-	codeGone           = "generationGone"
-	codeOverload       = "overload"
-	codeNoBackend      = "noBackend"
-	codeNoQuorum       = "noQuorum"
-	codeDraining       = "draining"
-	codeNotConfigured  = "notConfigured"
-	codeKeyNeeded      = "idempotencyKeyNeeded"
-	codeKeyMismatch    = "idempotencyKeyMismatch"
-	codeInProgress     = "inProgress"
-	codeInterrupted    = "interrupted"
-	codeUnknownOutcome = "unknownOutcome"
-	codeBackendFailed  = "backendFailed"
-	codeAnswerTooLarge = "answerTooLarge"
+	BadRequest     = "badRequest"
+	Unauthorized   = "unauthorized"
+	UnknownClass   = "unknownClass"
+	UnknownModel   = "unknownModel"
+	UnknownRoute   = "unknownRoute"
+	TooLarge       = "tooLarge"
+	BadHandle      = "badHandle"
+	ExpiredHandle  = "expiredHandle"
+	Gone           = "generationGone"
+	Overload       = "overload"
+	NoBackend      = "noBackend"
+	NoQuorum       = "noQuorum"
+	Draining       = "draining"
+	NotConfigured  = "notConfigured"
+	KeyNeeded      = "idempotencyKeyNeeded"
+	KeyMismatch    = "idempotencyKeyMismatch"
+	InProgress     = "inProgress"
+	Interrupted    = "interrupted"
+	UnknownOutcome = "unknownOutcome"
+	BackendFailed  = "backendFailed"
+	AnswerTooLarge = "answerTooLarge"
 )
 
 // Fault is an error as a caller gets it.
@@ -62,7 +64,8 @@
 	Tokens int `json:"tokens,omitempty"`
 }
 
-func (f *Fault) body(tokens int) []byte {
+// Body returns the JSON form, with the number of tokens delivered before.
+func (f *Fault) Body(tokens int) []byte {
 	b, err := json.Marshal(faultBody{faultFields{
 		Code:         f.Code,
 		Message:      f.Message,
@@ -76,9 +79,9 @@
 	return b
 }
 
-// write sends the fault as a whole response.
-func (f *Fault) write(w http.ResponseWriter) {
-	b := append(f.body(0), '\n')
+// Write sends the fault as a whole response.
+func (f *Fault) Write(w http.ResponseWriter) {
+	b := append(f.Body(0), '\n')
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
@@ -90,12 +93,13 @@
 	w.Write(b)
 }
 
-// notRun makes a fault for a request that provably did not run.
-func notRun(status int, code, message string) *Fault {
+// NotRun makes a fault for a request that provably did not run.
+func NotRun(status int, code, message string) *Fault {
 	return &Fault{Status: status, Code: code, Message: message, Outcome: retry.NotRun}
 }
 
-func (f *Fault) after(d time.Duration) *Fault {
+// After sets when the caller may come back and returns f.
+func (f *Fault) After(d time.Duration) *Fault {
 	f.RetryAfter = d
 	return f
 }
