Order news of backend servers that leave and of addresses used again

Cause: a VM that lags may learn first that a server leaves, and its word was stale at VMs that had a later sequence number; a server at an address of an earlier one left two records at one address. Change: leaving is news whatever the sequence number; a later start takes over its address; a small group tells urgent news to each VM directly, so that no silent VM in between holds it up.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -39,6 +39,9 @@
 	Domain       string
 	MemoryTokens int
 	ChecksFence  bool
+	// Slots is the number of requests that the server works on at once; zero
+	// is unknown.
+	Slots int
 	// Epoch grows with each start of the backend server, Seq with each of its
 	// announcements; together they order what is known of it.
 	Epoch   uint64
@@ -47,12 +50,14 @@
 	Load    Load
 }
 
-// Supersedes reports whether b is later news than o of the same server.
+// Supersedes reports whether b is later news than o of the same server. That a
+// server leaves is news whatever its sequence number: the word may come from
+// another VM that counted on by itself.
 func (b Backend) Supersedes(o Backend) bool {
 	if b.Epoch != o.Epoch {
 		return b.Epoch > o.Epoch
 	}
-	return b.Seq > o.Seq
+	return b.Seq > o.Seq || (b.Leaving && !o.Leaving)
 }
 
 // Heard is a backend server as passed between VMs.
@@ -126,9 +131,13 @@
 	if h.Brief {
 		h.Backend = r.renewed(h.Backend)
 	}
+	if t.addressTaken(h.Backend) {
+		return Stale
+	}
 	change := Changed
 	if r != nil && r.Epoch == h.Epoch {
 		h.Leaving = h.Leaving || r.Leaving
+		h.Seq = max(h.Seq, r.Seq)
 		if !r.gone && h.Leaving == r.Leaving && h.Addr == r.Addr && h.Model == r.Model {
 			change = Refreshed
 		}
@@ -137,6 +146,9 @@
 		t.records = map[string]*record{}
 	}
 	t.version++
+	if change == Changed {
+		t.vacate(h.Backend)
+	}
 	identity := t.version
 	if change == Refreshed {
 		identity = r.identity
@@ -145,6 +157,42 @@
 	return change
 }
 
+// addressTaken reports whether a backend server that started later is present
+// at the address of b: then b's word was held up until after its end.
+func (t *Table) addressTaken(b Backend) bool {
+	for _, r := range t.records {
+		if r.ID != b.ID && r.Addr == b.Addr && !r.gone && r.Epoch > b.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// vacate marks the backend servers gone that had the address of b before.
+func (t *Table) vacate(b Backend) {
+	for _, r := range t.records {
+		if r.ID != b.ID && r.Addr == b.Addr && !r.gone {
+			r.gone = true
+			r.version = t.version
+		}
+	}
+}
+
+// Leave marks a present backend server as leaving, by its own word or that of
+// its platform. It reports whether that is news. An epoch of zero means
+// whatever start is known.
+func (t *Table) Leave(now time.Time, id string, epoch uint64) (Backend, bool) {
+	r := t.records[id]
+	if r == nil || r.gone || r.Leaving || (epoch != 0 && epoch != r.Epoch) {
+		return Backend{}, false
+	}
+	t.version++
+	r.Leaving = true
+	r.version, r.identity = t.version, t.version
+	r.from = ""
+	return r.Backend, true
+}
+
 // renewed returns the record's backend server with the lease and load of brief
 // news.
 func (r *record) renewed(brief Backend) Backend {
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -35,6 +35,10 @@
 	Epoch    uint64
 	Revision uint64
 	Draining bool
+	// Control says that the VM runs a control replica, Callers that it takes
+	// callers' requests.
+	Control bool
+	Callers bool
 }
 
 type peerRecord struct {
@@ -52,7 +56,10 @@
 	Self Peer
 	// Seeds are addresses to try while no VM behind them has been heard.
 	Seeds []netip.AddrPort
-	peers map[string]*peerRecord
+	// Direct is the number of other VMs up to which this VM tells urgent news to
+	// each by itself.
+	Direct int
+	peers  map[string]*peerRecord
 }
 
 // Hear takes a VM's own word. Only news of the same or a later epoch counts.
@@ -92,10 +99,13 @@
 }
 
 // Live returns the VMs heard within the lease, ordered by ID.
-func (g *Group) Live(now time.Time) []Peer {
+func (g *Group) Live(now time.Time) []Peer { return g.LiveWithin(now, PeerLease) }
+
+// LiveWithin returns the VMs heard within a time, ordered by ID.
+func (g *Group) LiveWithin(now time.Time, within time.Duration) []Peer {
 	var out []Peer
 	for _, r := range g.peers {
-		if now.Sub(r.heard) < PeerLease {
+		if now.Sub(r.heard) < within {
 			out = append(out, r.Peer)
 		}
 	}
@@ -148,7 +158,13 @@
 // named VM. News that arose here goes to the whole failure domain and to one
 // VM of each other one, in whatever region; news from another domain goes to
 // the own one; news from the own domain has been told to all by its source.
+//
+// A group of up to Direct VMs needs no help: news that arose here goes to
+// each, so that no silent VM in between holds it up.
 func (g *Group) Urgent(now time.Time, from string, r *rand.Rand) []netip.AddrPort {
+	if live := g.Live(now); len(live) <= g.Direct {
+		return g.direct(live, from)
+	}
 	near, far, remote := g.split(now)
 	if p := g.peers[from]; p != nil && p.Domain == g.Self.Domain {
 		return nil
@@ -166,6 +182,19 @@
 	return out
 }
 
+// direct returns all live VMs for news that arose here, and none for news that
+// its source has told all of them.
+func (g *Group) direct(live []Peer, from string) []netip.AddrPort {
+	if from != "" {
+		return nil
+	}
+	var out []netip.AddrPort
+	for _, p := range live {
+		out = append(out, p.Addr)
+	}
+	return out
+}
+
 // oneOfEach returns the address of one VM of each failure domain.
 func oneOfEach(byDomain map[string][]Peer, r *rand.Rand) []netip.AddrPort {
 	var out []netip.AddrPort
