Form a control group from its founders, replace lost members, apply by highest version

- Founders: every control VM of the settings starts from the same membership on an empty disk, so nobody is chosen to begin.
- A replica whose disk failed starts again instead of staying down.
- Configurations may be applied by highest version beside compare-and-set, in the same state machine.
- Settings: roles without callers, backends or operators; seeds; a shared retry budget; addresses for health and metrics.

--- a/fold/raft/member.go
+++ b/fold/raft/member.go
@@ -1,5 +1,7 @@
 package raft
 
+import "time"
+
 // ChangeMember adds or replaces one member. A learner becomes a voter only
 // when it has every committed entry.
 func (n *Node) ChangeMember(m Member) error {
@@ -46,3 +48,13 @@
 	p := n.progress[id]
 	return p != nil && p.match >= n.commit && p.match > 0 && n.now.Sub(p.heard) < n.opts.Election
 }
+
+// Unheard returns how long ago the leader last heard a member; zero for one
+// that it can't tell of.
+func (n *Node) Unheard(id string) time.Duration {
+	p := n.progress[id]
+	if p == nil || id == n.opts.ID {
+		return 0
+	}
+	return n.now.Sub(p.heard)
+}
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -119,7 +119,13 @@
 // Bootstrap returns what the disk of the first replica of a new group holds.
 func Bootstrap(m Member) Restored {
 	m.Voter = true
-	return Restored{Snapshot: Snapshot{Index: 1, Term: 1, Membership: Membership{Members: []Member{m}}}, HardState: HardState{Term: 1}}
+	return Found(Membership{Members: []Member{m}})
+}
+
+// Found returns what the disk of each founder of a new group holds. All
+// founders must be given the same members.
+func Found(m Membership) Restored {
+	return Restored{Snapshot: Snapshot{Index: 1, Term: 1, Membership: m}, HardState: HardState{Term: 1}}
 }
 
 func (n *Node) rebuildMemberships() {
@@ -170,6 +176,14 @@
 	}
 }
 
+// Due returns when Tick has something to do next.
+func (n *Node) Due() time.Time {
+	if n.role == Leader {
+		return n.heartbeatAt
+	}
+	return n.electionAt
+}
+
 func (n *Node) tickLeader() {
 	if !n.hearsQuorum() {
 		n.follow(n.hard.Term, "")
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -78,6 +78,8 @@
 	// stamped is when the last command of term stampTerm was proposed here.
 	stamped   time.Time
 	stampTerm uint64
+	// led is when the replica last knew a leader, or started.
+	led time.Time
 }
 
 // New returns a replica that goes on from what its disk holds.
@@ -85,7 +87,7 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
-	p := &Replica{opts: o, node: raft.New(now, o.Raft, r), hard: r.HardState, waiting: map[uint64]waiting{}}
+	p := &Replica{opts: o, node: raft.New(now, o.Raft, r), hard: r.HardState, waiting: map[uint64]waiting{}, led: now}
 	if err := p.machine.Restore(r.Snapshot.Data); err != nil {
 		return nil, fmt.Errorf("restore snapshot: %w", err)
 	}
@@ -113,11 +115,24 @@
 // Tick tells the time.
 func (p *Replica) Tick(now time.Time) {
 	p.node.Tick(now)
+	if p.node.Leader() != "" {
+		p.led = now
+	}
 	if p.Leads() {
 		p.repair()
 	}
 }
 
+// Outside reports whether the replica has to ask to be taken in: it is no
+// member, or it has heard no leader for so long that it may be one no longer.
+func (p *Replica) Outside(now time.Time) bool {
+	_, in := p.Membership().Get(p.opts.Raft.ID)
+	return !in || now.Sub(p.led) >= leaderSilence
+}
+
+// Due returns when Tick has something to do next.
+func (p *Replica) Due() time.Time { return p.node.Due() }
+
 // Step takes a message from another replica.
 func (p *Replica) Step(now time.Time, m raft.Message) { p.node.Step(now, m) }
 
--- a/fold/state/state.go
+++ b/fold/state/state.go
@@ -45,10 +45,14 @@
 	Lease   *Lease        `json:"lease,omitempty"`
 }
 
-// Apply puts a configuration in force if Base is the newest revision.
+// Apply puts a configuration in force: by compare-and-set if Base is the newest
+// revision, or, if Version is set, by highest version.
 type Apply struct {
 	Base     uint64 `json:"base"`
 	ChangeID string `json:"changeId"`
+	// Version, if set, becomes the revision if it is above the newest one. A
+	// version that is not changes nothing, and that is no error.
+	Version uint64 `json:"version,omitempty"`
 	// Document has been checked before it was proposed, so that replicas of
 	// different versions can't differ on it.
 	Document []byte `json:"document"`
@@ -193,6 +197,9 @@
 }
 
 func (m *Machine) apply(a *Apply) Result {
+	if a.Version > 0 {
+		return m.applyVersion(a)
+	}
 	if c, ok := m.config.changes[a.ChangeID]; ok {
 		return Result{Revision: c.Revision}
 	}
@@ -215,6 +222,19 @@
 	return Result{Revision: m.config.revision}
 }
 
+// applyVersion puts a configuration in force whose version is above the newest
+// revision. A resend finds its own version in force and is answered alike.
+func (m *Machine) applyVersion(a *Apply) Result {
+	if len(a.Document) > MaxDocument {
+		return Result{Error: fmt.Sprintf("document: want at most %d bytes", MaxDocument)}
+	}
+	if a.Version > m.config.revision {
+		m.config.revision = a.Version
+		m.config.document = a.Document
+	}
+	return Result{Revision: m.config.revision}
+}
+
 // lease grants a lease that is free, expired or already the holder's. A new
 // holder gets a new fencing number.
 func (m *Machine) lease(l *Lease) Result {
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldd/ctrl"
 	"fuchsiafold.example/foldd/engine"
@@ -49,15 +50,38 @@
 	Backends  netip.AddrPort
 	Peers     netip.AddrPort
 	Operators netip.AddrPort
+	Health    netip.AddrPort
+	Metrics   netip.AddrPort
 }
 
-// New starts a process by its settings.
+// Adapter puts the protocols of a platform in the place of the product's own.
+// Fields that are nil leave the own one.
+type Adapter struct {
+	// Decode reads an operators' configuration.
+	Decode func(document []byte) (*spec.Document, error)
+	// Callers, Backends, Operators and Health return the handlers of those
+	// addresses.
+	Callers   func(a *App) http.Handler
+	Backends  func(a *App) http.Handler
+	Operators func(a *App) http.Handler
+	Health    func(a *App) http.Handler
+}
+
+// New starts a process by its settings, with the product's own protocols.
 func New(ctx context.Context, s *conf.Settings, log *logrus.Logger) (*App, error) {
+	return NewAdapted(ctx, s, log, Adapter{})
+}
+
+// NewAdapted starts a process by its settings on a platform.
+func NewAdapted(ctx context.Context, s *conf.Settings, log *logrus.Logger, p Adapter) (*App, error) {
 	flush, err := trace.Setup(ctx, s.Trace, s.ID, s.Domain)
 	if err != nil {
 		return nil, err
 	}
 	n := node.New(s, log)
+	if p.Decode != nil {
+		n.Decode = p.Decode
+	}
 	a := &App{Node: n, flush: flush, peers: peer.New(n)}
 	if s.Record != "" {
 		if err := n.StartRecording(s.Record); err != nil {
@@ -71,7 +95,7 @@
 		Calls:   entry.CallTransport(connect),
 		Once:    entry.OnceTransport(connect),
 	}
-	if err := a.listen(); err != nil {
+	if err := a.listen(p); err != nil {
 		a.Close()
 		return nil, err
 	}
@@ -84,7 +108,15 @@
 	return a, nil
 }
 
-func (a *App) listen() error {
+// or returns what an adapter puts in the place of the own handler.
+func (a *App) or(adapted func(a *App) http.Handler, own http.Handler) http.Handler {
+	if adapted == nil {
+		return own
+	}
+	return adapted(a)
+}
+
+func (a *App) listen(p Adapter) error {
 	s := a.Node.Settings
 	a.operators = &oper.Operators{Node: a.Node, Peers: a.peers, Gate: &a.gate}
 	parts := []struct {
@@ -95,11 +127,16 @@
 		bound   *netip.AddrPort
 	}{
 		{"peers", s.Listen.Peers, a.peerHandler(), maxControlBody, &a.addrs.Peers},
-		{"operators", s.Listen.Operators, a.operators.Handler(), maxControlBody, &a.addrs.Operators},
-		{"backends", s.Listen.Backends, oper.Backends(a.Node), s.Limits.MaxBody, &a.addrs.Backends},
-		{"callers", s.Listen.Callers, a.entry, s.Limits.MaxBody, &a.addrs.Callers},
+		{"operators", s.Listen.Operators, a.or(p.Operators, a.operators.Handler()), maxControlBody, &a.addrs.Operators},
+		{"backends", s.Listen.Backends, a.or(p.Backends, oper.Backends(a.Node)), s.Limits.MaxBody, &a.addrs.Backends},
+		{"metrics", s.Listen.Metrics, oper.Metrics(a.Node), 0, &a.addrs.Metrics},
+		{"health", s.Listen.Health, a.or(p.Health, a.entry), 0, &a.addrs.Health},
+		{"callers", s.Listen.Callers, a.or(p.Callers, a.entry), s.Limits.MaxBody, &a.addrs.Callers},
 	}
 	for _, p := range parts {
+		if !p.addr.IsValid() {
+			continue
+		}
 		server, err := serve.New(serve.Config{
 			Addr:         p.addr,
 			Handler:      p.handler,
@@ -124,6 +161,9 @@
 	return oper.RequireToken(a.Node.Settings.PeerToken, mux)
 }
 
+// Control returns the client of the control part, or nil if there is none.
+func (a *App) Control() *ctrl.Client { return a.client }
+
 // Addrs returns the addresses that the process listens on.
 func (a *App) Addrs() Addrs { return a.addrs }
 
--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
+	"slices"
 	"time"
 
 	"fuchsiafold.example/foldd/ctrl"
+	"fuchsiafold.example/foldd/store"
 )
 
 // Timing of the control part's start.
 const (
-	controlRetry = time.Second
+	controlRetry = 300 * time.Millisecond
 	firstConfig  = time.Second
 )
 
@@ -18,14 +21,10 @@
 // the client of the control part if there is one.
 func (a *App) startControl() error {
 	s := a.Node.Settings
-	addrs := s.Controls
-	if s.Control != nil && len(addrs) == 0 {
-		addrs = append(addrs, a.addrs.Peers)
-	}
-	if len(addrs) == 0 {
+	if s.Control == nil && len(s.Controls) == 0 {
 		return nil
 	}
-	a.client = ctrl.NewClient(a.peers.Client(), a.peers.Options(), addrs)
+	a.client = ctrl.NewClient(a.peers.Client(), a.peers.Options(), a.controls)
 	a.entry.Claims = a.client
 	a.operators.Control = a.client
 	if s.Control == nil {
@@ -36,36 +35,91 @@
 		VM:        s.ID,
 		Addr:      a.addrs.Peers,
 		Folder:    s.Control.DataFolder,
-		Peers:     addrs,
+		Peers:     a.controls,
 		Bootstrap: s.Control.Bootstrap,
 		HTTP:      a.peers.Client(),
 		Options:   a.peers.Options(),
 		Log:       a.Node.Log,
+		Check:     a.checkDocument,
 		Changed:   a.adopt,
 		Count:     a.Node.Count,
 	}
+	if s.Control.Form {
+		conf.Founders = s.Controls
+	}
 	return a.startReplica(conf)
 }
 
+// controls returns the addresses at which control VMs may be found: those of
+// the settings, which may be out of date, and those that have been heard.
+func (a *App) controls() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range a.Node.Peers() {
+		if p.Control {
+			out = append(out, p.Addr)
+		}
+	}
+	if a.Node.Settings.Control != nil {
+		out = append(out, a.addrs.Peers)
+	}
+	for _, c := range a.Node.Settings.Controls {
+		if !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (a *App) checkDocument(document []byte) error {
+	_, err := a.Node.Decode(document)
+	return err
+}
+
 // startReplica starts the replica, or tries on in the background while no
 // group is found to join.
 func (a *App) startReplica(conf ctrl.HostConfig) error {
 	h, err := ctrl.New(conf)
 	if errors.Is(err, ctrl.ErrNoGroup) {
 		a.Node.Log.WithError(err).Warn("control replica waits")
-		a.Node.Clock.At(time.Now().Add(controlRetry), func(time.Time) { go a.retryReplica(conf) })
+		a.restartReplica(conf)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	a.gate.Open(h)
+	go a.superviseReplica(h, conf)
 	return nil
 }
 
+// superviseReplica starts the replica again when its disk failed it: a disk
+// that is full or stalled may recover.
+func (a *App) superviseReplica(h *ctrl.Host, conf ctrl.HostConfig) {
+	<-h.Stopped()
+	if a.Node.Abandoned() {
+		return
+	}
+	if err := h.Close(); err != nil {
+		a.Node.Log.WithError(err).Warn("close control replica")
+	}
+	a.restartReplica(conf)
+}
+
+func (a *App) restartReplica(conf ctrl.HostConfig) {
+	a.Node.Clock.At(time.Now().Add(controlRetry), func(time.Time) { go a.retryReplica(conf) })
+}
+
 func (a *App) retryReplica(conf ctrl.HostConfig) {
-	if err := a.startReplica(conf); err != nil {
-		a.Node.Log.WithError(err).Error("control replica does not start")
+	if a.Node.Abandoned() {
+		return
+	}
+	err := a.startReplica(conf)
+	if err == nil {
+		return
+	}
+	a.Node.Log.WithError(err).Error("control replica does not start")
+	if !errors.Is(err, store.ErrDamaged) && !errors.Is(err, ctrl.ErrGroupExists) {
+		a.restartReplica(conf)
 	}
 }
 
--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/strict"
 )
 
@@ -22,6 +25,10 @@
 	// when a deployment has one region.
 	Region string `json:"region,omitempty"`
 	Listen Listen `json:"listen"`
+	// Seeds lists addresses of control VMs from which the others are found.
+	// Only their IP addresses count: the peer port is this VM's own. They are
+	// added to Peers and Controls.
+	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 	// Peers lists the peer addresses of other VMs.
 	Peers []netip.AddrPort `json:"peers,omitempty"`
 	// Controls lists the peer addresses of the control VMs.
@@ -35,24 +42,48 @@
 	Limits        Limits `json:"limits,omitempty"`
 	Log           Log    `json:"log,omitempty"`
 	Trace         Trace  `json:"trace,omitempty"`
+	// Private says that only VMs of the system reach the peers' and operators'
+	// addresses, so that these need no tokens.
+	Private bool  `json:"private,omitempty"`
+	Retry   Retry `json:"retry,omitempty"`
 	// Record names a file to which arrivals are appended for replay.
 	Record string `json:"record,omitempty"`
 }
 
-// Listen holds the addresses that the process serves on.
+// Listen holds the addresses that the process serves on. All but Peers may be
+// left out: a VM without Callers serves no callers, one without Backends takes
+// no announcements, one without Operators is steered through others.
 type Listen struct {
-	Callers   netip.AddrPort `json:"callers"`
-	Backends  netip.AddrPort `json:"backends"`
+	Callers   netip.AddrPort `json:"callers,omitzero"`
+	Backends  netip.AddrPort `json:"backends,omitzero"`
 	Peers     netip.AddrPort `json:"peers"`
-	Operators netip.AddrPort `json:"operators"`
+	Operators netip.AddrPort `json:"operators,omitzero"`
+	// Health answers whether the VM takes new callers.
+	Health netip.AddrPort `json:"health,omitzero"`
+	// Metrics serves counters and histograms as text.
+	Metrics netip.AddrPort `json:"metrics,omitzero"`
+}
+
+// Retry bounds what all VMs together send again, for each service.
+type Retry struct {
+	// Share is the number of repeats for each request.
+	Share float64 `json:"share,omitempty"`
+	// Window is the time over which repeats and requests are counted.
+	Window strict.Duration `json:"window,omitempty"`
+	// Reserve is the number of repeats in a window besides, for all VMs.
+	Reserve int `json:"reserve,omitempty"`
 }
 
 // Control makes the VM a control replica.
 type Control struct {
 	// DataFolder holds the replica's log and snapshots.
 	DataFolder string `json:"dataFolder"`
-	// Bootstrap starts a new group with the VMs of Controls as its voters.
+	// Bootstrap starts a new group with this VM as its only voter.
 	Bootstrap bool `json:"bootstrap,omitempty"`
+	// Form starts a new group with the VMs of Controls as its voters, if the
+	// folder is empty and this VM is one of them. Every one of them has the same
+	// Controls then.
+	Form bool `json:"form,omitempty"`
 }
 
 // Limits bounds what the process spends.
@@ -73,6 +104,9 @@
 	ConnectTimeout strict.Duration `json:"connectTimeout,omitempty"`
 	// HandleLife is how long a resume handle is good for.
 	HandleLife strict.Duration `json:"handleLife,omitempty"`
+	// BackendLease is how long a backend server counts as present after it was
+	// last heard.
+	BackendLease strict.Duration `json:"backendLease,omitempty"`
 }
 
 // Log sets the log's level and form.
@@ -108,8 +142,12 @@
 	DefaultStallTimeout   = 2 * time.Second
 	DefaultConnectTimeout = time.Second
 	DefaultHandleLife     = time.Hour
+	DefaultRetryWindow    = 10 * time.Second
 )
 
+// MaxControls bounds the control VMs that settings name.
+const MaxControls = 9
+
 // minHandleKey is the shortest handle key in bytes.
 const minHandleKey = 16
 
@@ -149,6 +187,12 @@
 	fillDuration(&l.StallTimeout, DefaultStallTimeout)
 	fillDuration(&l.ConnectTimeout, DefaultConnectTimeout)
 	fillDuration(&l.HandleLife, DefaultHandleLife)
+	fillDuration(&l.BackendLease, member.DefaultLease)
+	fillDuration(&s.Retry.Window, DefaultRetryWindow)
+	if s.Retry.Share == 0 {
+		s.Retry.Share = retry.DefaultShare
+	}
+	s.addSeeds()
 	fillString(&s.Log.Level, "info")
 	fillString(&s.Log.Format, "text")
 	fillString(&s.Trace.Exporter, ExporterNone)
@@ -157,6 +201,19 @@
 	}
 }
 
+// addSeeds makes peers and control VMs of the seeds.
+func (s *Settings) addSeeds() {
+	for _, seed := range s.Seeds {
+		a := netip.AddrPortFrom(seed.Addr(), s.Listen.Peers.Port())
+		if !slices.Contains(s.Controls, a) {
+			s.Controls = append(s.Controls, a)
+		}
+		if a != s.Listen.Peers && !slices.Contains(s.Peers, a) {
+			s.Peers = append(s.Peers, a)
+		}
+	}
+}
+
 func fillInt(v *int, d int) {
 	if *v == 0 {
 		*v = d
@@ -183,7 +240,7 @@
 	if s.Domain == "" {
 		errs.Add("domain", "want the name of this VM's failure domain")
 	}
-	if len(s.HandleKey) < minHandleKey {
+	if len(s.HandleKey) < minHandleKey && s.Listen.Callers.IsValid() {
 		errs.Add("handleKey", "want %d bytes or more", minHandleKey)
 	}
 	s.checkListen(&errs)
@@ -210,9 +267,14 @@
 		{"listen.backends", s.Listen.Backends},
 		{"listen.peers", s.Listen.Peers},
 		{"listen.operators", s.Listen.Operators},
+		{"listen.health", s.Listen.Health},
+		{"listen.metrics", s.Listen.Metrics},
 	}
 	seen := map[netip.AddrPort]string{}
 	for _, a := range addrs {
+		if !a.addr.IsValid() && a.path != "listen.peers" {
+			continue
+		}
 		if !a.addr.IsValid() {
 			errs.Add(a.path, "want an IP address and a port, such as \"127.0.0.1:8080\"")
 			continue
@@ -228,8 +290,8 @@
 
 // checkOpen refuses an address that other machines reach without a token.
 func (s *Settings) checkOpen(path string, a netip.AddrPort, field, token string, errs *strict.Errors) {
-	if a.IsValid() && !a.Addr().IsLoopback() && token == "" {
-		errs.Add(path, "%v is not a loopback address: set %s", a, field)
+	if a.IsValid() && !a.Addr().IsLoopback() && token == "" && !s.Private {
+		errs.Add(path, "%v is not a loopback address: set %s, or private", a, field)
 	}
 }
 
@@ -243,14 +305,23 @@
 	durationRange("limits.stallTimeout", l.StallTimeout, 50*time.Millisecond, time.Minute, errs)
 	durationRange("limits.connectTimeout", l.ConnectTimeout, 10*time.Millisecond, time.Minute, errs)
 	durationRange("limits.handleLife", l.HandleLife, time.Second, 7*24*time.Hour, errs)
+	durationRange("limits.backendLease", l.BackendLease, 100*time.Millisecond, time.Hour, errs)
+	durationRange("retry.window", s.Retry.Window, time.Second, time.Hour, errs)
+	intRange("retry.reserve", s.Retry.Reserve, 0, 1_000_000, errs)
+	if s.Retry.Share < 0 || s.Retry.Share > 10 {
+		errs.Add("retry.share", "want 0 to 10")
+	}
 }
 
 func (s *Settings) checkControl(errs *strict.Errors) {
 	if s.Control != nil && s.Control.DataFolder == "" {
 		errs.Add("control.dataFolder", "want a folder on this VM's disk")
 	}
-	if n := len(s.Controls); n > 5 {
-		errs.Add("controls", "want at most 5 control VMs, got %d", n)
+	if s.Control != nil && s.Control.Form && s.Control.Bootstrap {
+		errs.Add("control.form", "does not go with bootstrap")
+	}
+	if n := len(s.Controls); n > MaxControls {
+		errs.Add("controls", "want at most %d control VMs, got %d", MaxControls, n)
 	}
 }
 
--- a/foldd/ctrl/bench_test.go
+++ b/foldd/ctrl/bench_test.go
@@ -25,7 +25,8 @@
 	log.SetOutput(io.Discard)
 	h, err := New(HostConfig{
 		VM: "vm1", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Folder: filepath.Join(b.TempDir(), "data"), Bootstrap: true,
-		HTTP: http.DefaultClient, Options: connect.WithClientOptions(), Log: log,
+		Peers: func() []netip.AddrPort { return nil },
+		HTTP:  http.DefaultClient, Options: connect.WithClientOptions(), Log: log,
 	})
 	if err != nil {
 		b.Fatal(err)
--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -36,15 +36,17 @@
 type Client struct {
 	http    *http.Client
 	options connect.ClientOption
-	addrs   []netip.AddrPort
+	// addrs returns where control VMs may be found.
+	addrs func() []netip.AddrPort
 
 	mu sync.Mutex
 	// leader is the address that last decided.
 	leader string
 }
 
-// NewClient returns a client of the control VMs at the given addresses.
-func NewClient(h *http.Client, o connect.ClientOption, addrs []netip.AddrPort) *Client {
+// NewClient returns a client of the control VMs at the addresses that addrs
+// returns.
+func NewClient(h *http.Client, o connect.ClientOption, addrs func() []netip.AddrPort) *Client {
 	return &Client{http: h, options: o, addrs: addrs}
 }
 
@@ -100,7 +102,7 @@
 	if c.leader != "" {
 		out = append(out, c.leader)
 	}
-	for _, a := range c.addrs {
+	for _, a := range c.addrs() {
 		out = append(out, a.String())
 	}
 	return out
--- a/foldd/ctrl/host.go
+++ b/foldd/ctrl/host.go
@@ -18,6 +18,7 @@
 
 	"fuchsiafold.example/fold/raft"
 	"fuchsiafold.example/fold/repl"
+	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/store"
 	"fuchsiafold.example/wire"
@@ -28,25 +29,31 @@
 
 // Timing of a replica.
 const (
-	tickInterval = 20 * time.Millisecond
+	heartbeat    = 200 * time.Millisecond
 	joinInterval = 500 * time.Millisecond
 	// callQueue bounds the calls that wait for the replica's goroutine.
 	callQueue = 4096
 )
 
-// HostConfig describes a Host. All fields but Changed and Count are set.
+// HostConfig describes a Host. All fields but Changed, Count and Check are set.
 type HostConfig struct {
 	VM     string
 	Addr   netip.AddrPort
 	Folder string
-	// Peers lists the addresses of all control VMs.
-	Peers []netip.AddrPort
+	// Peers returns the addresses at which control VMs may be found.
+	Peers func() []netip.AddrPort
+	// Founders lists the voters of the group that starts if the folder is empty
+	// and Addr is one of them; all of them are given the same list.
+	Founders []netip.AddrPort
 	// Bootstrap starts a new group if the folder is empty and no other control
 	// VM knows of one.
 	Bootstrap bool
 	HTTP      *http.Client
 	Options   connect.ClientOption
 	Log       *logrus.Logger
+	// Check refuses configurations that must not be decided; nil checks by
+	// spec.Parse.
+	Check func(document []byte) error
 	// Changed is called with each configuration that is decided.
 	Changed func(revision uint64, document []byte)
 	// Count adds to a counter.
@@ -79,6 +86,12 @@
 	if c.Count == nil {
 		c.Count = func(string, int64) {}
 	}
+	if c.Check == nil {
+		c.Check = func(document []byte) error {
+			_, err := spec.Parse(document)
+			return err
+		}
+	}
 	if c.Changed == nil {
 		c.Changed = func(uint64, []byte) {}
 	}
@@ -96,7 +109,7 @@
 		outboxes: map[netip.AddrPort]chan *wire.LogMessage{},
 		addrs:    map[string]netip.AddrPort{},
 	}
-	o := raft.Options{ID: h.identity.ID, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	o := raft.Options{ID: h.identity.ID, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Heartbeat: heartbeat}
 	if h.rep, err = repl.New(time.Now(), repl.Options{Raft: o}, restored); err != nil {
 		folder.Close()
 		return nil, fmt.Errorf("start control replica: %w", err)
@@ -119,7 +132,7 @@
 // sends and answers once for all of it.
 func (h *Host) run() {
 	defer h.done.Done()
-	t := time.NewTicker(tickInterval)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
@@ -136,9 +149,14 @@
 			h.conf.Log.WithError(err).Error("control replica stops: its disk failed")
 			h.stopOnce.Do(func() { close(h.stop) })
 		}
+		t.Reset(max(0, time.Until(h.rep.Due())))
 	}
 }
 
+// Stopped is closed once the replica has stopped, by Close or since its disk
+// failed.
+func (h *Host) Stopped() <-chan struct{} { return h.stop }
+
 func (h *Host) drain() {
 	for range callQueue {
 		select {
--- a/foldd/ctrl/join.go
+++ b/foldd/ctrl/join.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,6 +38,9 @@
 	}
 	id := store.Identity{ID: c.VM + "#" + randomID()}
 	var start raft.Restored
+	if slices.Contains(c.Founders, c.Addr) {
+		return found(c)
+	}
 	group, err := findGroup(c)
 	switch {
 	case err == nil && c.Bootstrap:
@@ -52,6 +58,25 @@
 	return f, start, err
 }
 
+// found makes the folder of one of the founders of a group. All of them start
+// from the same membership, so that none has to be chosen to begin.
+func found(c HostConfig) (*store.Folder, raft.Restored, error) {
+	founders := slices.Clone(c.Founders)
+	slices.SortFunc(founders, netip.AddrPort.Compare)
+	var members raft.Membership
+	group := sha256.New()
+	for _, a := range slices.Compact(founders) {
+		members = members.With(raft.Member{ID: founderID(a), VM: a.String(), Addr: a, Voter: true})
+		fmt.Fprintln(group, a)
+	}
+	id := store.Identity{ID: founderID(c.Addr), Group: hex.EncodeToString(group.Sum(nil)[:6])}
+	start := raft.Found(members)
+	f, err := store.Create(c.Folder, id, start)
+	return f, start, err
+}
+
+func founderID(a netip.AddrPort) string { return a.String() + "#founder" }
+
 func randomID() string {
 	var b [6]byte
 	rand.Read(b[:])
@@ -60,7 +85,7 @@
 
 // findGroup asks the other control VMs for their group.
 func findGroup(c HostConfig) (string, error) {
-	for _, addr := range c.Peers {
+	for _, addr := range c.Peers() {
 		if addr == c.Addr {
 			continue
 		}
@@ -84,7 +109,8 @@
 	return res.Msg.GetGroup(), nil
 }
 
-// joinLoop asks to be taken in for as long as the replica is no member.
+// joinLoop asks to be taken in for as long as the replica is no member, or
+// hears no leader and may be one no longer.
 func (h *Host) joinLoop() {
 	defer h.done.Done()
 	t := time.NewTicker(joinInterval)
@@ -96,10 +122,10 @@
 			return
 		case <-t.C:
 		}
-		if h.member() {
+		if !h.outside() {
 			continue
 		}
-		for _, addr := range h.conf.Peers {
+		for _, addr := range h.conf.Peers() {
 			if addr == h.conf.Addr {
 				continue
 			}
@@ -110,10 +136,8 @@
 	}
 }
 
-func (h *Host) member() bool {
-	in := false
-	err := h.do(context.Background(), func(time.Time) {
-		_, in = h.rep.Membership().Get(h.identity.ID)
-	})
-	return err == nil && in
+func (h *Host) outside() bool {
+	outside := false
+	err := h.do(context.Background(), func(now time.Time) { outside = h.rep.Outside(now) })
+	return err == nil && outside
 }
--- a/foldd/ctrl/serve.go
+++ b/foldd/ctrl/serve.go
@@ -8,7 +8,6 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
-	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/store"
 	"fuchsiafold.example/wire"
@@ -78,10 +77,10 @@
 // Apply implements wire.ControlServiceHandler.
 func (h *Host) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
 	m := req.Msg
-	if _, err := spec.Parse(m.GetDocument()); err != nil {
+	if err := h.conf.Check(m.GetDocument()); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	r, err := h.Submit(ctx, state.Command{Apply: &state.Apply{Base: m.GetBaseRevision(), ChangeID: m.GetChangeId(), Document: m.GetDocument()}})
+	r, err := h.Submit(ctx, state.Command{Apply: &state.Apply{Base: m.GetBaseRevision(), ChangeID: m.GetChangeId(), Version: m.GetVersion(), Document: m.GetDocument()}})
 	if err != nil {
 		return nil, h.fault(ctx, err)
 	}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -49,14 +49,52 @@
 	}
 	n.mu.Unlock()
 	if change == member.Changed {
-		n.Log.WithFields(logrus.Fields{"backend": h.ID, "leaving": b.Leaving, "epoch": h.Epoch}).Info("backend server changed")
-		n.Spread(n.urgentTargets(from))
+		n.changed(b, from)
 	}
 	return change
 }
 
+// BackendLeaves takes the word that a backend server leaves. An epoch of zero
+// means whatever start of it is known. It reports whether that is news.
+func (n *Node) BackendLeaves(id string, epoch uint64) bool {
+	n.mu.Lock()
+	now := time.Now()
+	b, news := n.table.Leave(now, id, epoch)
+	if news && b.Kind == spec.KindEngine {
+		n.eachSched(func(s *sched.Sched) { s.Backend(now, b) })
+		n.poll(now)
+	}
+	n.mu.Unlock()
+	if news {
+		n.changed(b, "")
+	}
+	return news
+}
+
+// changed tells everyone concerned that a backend server is new, has started
+// again or leaves.
+func (n *Node) changed(b member.Backend, from string) {
+	n.Log.WithFields(logrus.Fields{"backend": b.ID, "addr": b.Addr, "service": b.Service, "domain": b.Domain, "leaving": b.Leaving, "epoch": b.Epoch, "seq": b.Seq, "from": from}).Info("backend server changed")
+	n.BackendChanged(b)
+	n.Spread(n.urgentTargets(from))
+}
+
+// deaf reports whether this VM knows backend servers only through control VMs
+// and has heard none of them lately: then what it knows is the best there is,
+// and nothing expires. The caller holds the lock.
+func (n *Node) deaf(now time.Time) bool {
+	if n.Settings.Listen.Backends.IsValid() || n.Settings.Control != nil || len(n.Settings.Controls) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(n.group.LiveWithin(now, n.table.Lease/2), func(p member.Peer) bool { return p.Control })
+}
+
 func (n *Node) expire(now time.Time) {
 	n.mu.Lock()
+	if n.deaf(now) {
+		n.mu.Unlock()
+		return
+	}
 	gone := n.table.Expire(now)
 	for _, id := range gone {
 		n.eachSched(func(s *sched.Sched) { s.Gone(now, id) })
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -30,12 +30,21 @@
 	expireInterval = 200 * time.Millisecond
 )
 
+// directPeers is the size of a group in which each VM tells urgent news to all
+// others by itself, so that no silent VM in between holds it up.
+const directPeers = 32
+
 // Node is the state of one process. Make it with New.
 type Node struct {
 	Settings *conf.Settings
 	Log      *logrus.Logger
 	Metrics  metrics.Registry
 	Clock    *clock.Service
+	// Decode reads a configuration; New sets it to spec.Parse.
+	Decode func(document []byte) (*spec.Document, error)
+	// BackendChanged is called, without the lock, when a backend server is new,
+	// has started again or leaves.
+	BackendChanged func(b member.Backend)
 	// Spread is called, without the lock, when news must reach the VMs at the
 	// given addresses at once.
 	Spread func(to []netip.AddrPort)
@@ -72,15 +81,17 @@
 // New returns a node without a configuration.
 func New(s *conf.Settings, log *logrus.Logger) *Node {
 	n := &Node{
-		Settings: s,
-		Log:      log,
-		Metrics:  metrics.NewRegistry(),
-		Clock:    clock.New(),
-		Spread:   func([]netip.AddrPort) {},
-		board:    ticket.NewBoard(sched.New(sched.Options{Domain: s.Domain})),
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		waiters:  map[uint64]chan Verdict{},
-		calls:    map[string]int{},
+		Settings:       s,
+		Log:            log,
+		Metrics:        metrics.NewRegistry(),
+		Clock:          clock.New(),
+		Spread:         func([]netip.AddrPort) {},
+		Decode:         spec.Parse,
+		BackendChanged: func(member.Backend) {},
+		board:          ticket.NewBoard(sched.New(sched.Options{Domain: s.Domain})),
+		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		waiters:        map[uint64]chan Verdict{},
+		calls:          map[string]int{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
@@ -88,8 +99,13 @@
 		Domain: s.Domain,
 		Region: s.Region,
 		Epoch:  uint64(time.Now().UnixNano()),
+		// A VM that names no address for callers serves none.
+		Callers: s.Listen.Callers.IsValid(),
+		Control: s.Control != nil,
 	}
+	n.table.Lease = time.Duration(s.Limits.BackendLease)
 	n.group.Seeds = slices.Clone(s.Peers)
+	n.group.Direct = directPeers
 	// Without a steward several VMs share the engines by late reports, and
 	// looking at two at random keeps them from running to the same one.
 	own := sched.New(sched.Options{Domain: s.Domain, Choices: 2, Random: n.random})
@@ -139,11 +155,14 @@
 // AdoptDocument puts a configuration in force that came from the named VM, or
 // from the control part if the name is empty, and passes the news on.
 func (n *Node) AdoptDocument(revision uint64, document []byte, from string) error {
-	d, err := spec.Parse(document)
+	if x := n.Index(); x != nil && x.Revision() >= revision {
+		return nil
+	}
+	d, err := n.Decode(document)
 	if err != nil {
 		return fmt.Errorf("configuration %d: %w", revision, err)
 	}
-	if n.Adopt(spec.NewIndex(d, revision)) {
+	if n.Adopt(spec.NewIndex(d, revision).WithSource(document)) {
 		n.Spread(n.urgentTargets(from))
 	}
 	return nil
--- /dev/null
+++ b/foldd/oper/metrics.go
@@ -0,0 +1,55 @@
+package oper
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiafold.example/foldd/node"
+)
+
+// quantiles of each histogram that the metrics page shows.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Metrics returns the handler of the metrics address: every counter, gauge and
+// histogram as text, a line each.
+func Metrics(n *node.Node) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		gauges(n)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		b := bufio.NewWriter(w)
+		defer b.Flush()
+		var names []string
+		n.Metrics.Each(func(name string, _ any) { names = append(names, name) })
+		slices.Sort(names)
+		for _, name := range names {
+			writeMetric(b, name, n.Metrics.Get(name))
+		}
+	})
+}
+
+func writeMetric(w io.Writer, name string, m any) {
+	switch m := m.(type) {
+	case metrics.Counter:
+		fmt.Fprintln(w, name, m.Count())
+	case metrics.Gauge:
+		fmt.Fprintln(w, name, m.Value())
+	case metrics.Histogram:
+		s := m.Snapshot()
+		fmt.Fprintln(w, name+".count", s.Count())
+		for i, v := range s.Percentiles(quantiles) {
+			fmt.Fprintf(w, "%s.p%.0f %.0f\n", name, quantiles[i]*100, v)
+		}
+	}
+}
+
+// gauges brings the gauges up to date.
+func gauges(n *node.Node) {
+	metrics.GetOrRegisterGauge("streams.open", n.Metrics).Update(n.Streams())
+	metrics.GetOrRegisterGauge("backends.present", n.Metrics).Update(int64(len(n.Backends())))
+	metrics.GetOrRegisterGauge("peers.live", n.Metrics).Update(int64(len(n.Peers())))
+}
--- a/foldd/oper/operator.go
+++ b/foldd/oper/operator.go
@@ -45,9 +45,7 @@
 
 // metrics writes every metric as one JSON document.
 func (o *Operators) metrics(w http.ResponseWriter, r *http.Request) {
-	metrics.GetOrRegisterGauge("streams.open", o.Node.Metrics).Update(o.Node.Streams())
-	metrics.GetOrRegisterGauge("backends.present", o.Node.Metrics).Update(int64(len(o.Node.Backends())))
-	metrics.GetOrRegisterGauge("peers.live", o.Node.Metrics).Update(int64(len(o.Node.Peers())))
+	gauges(o.Node)
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(o.Node.Metrics, w)
 }
--- a/foldd/peer/config.go
+++ b/foldd/peer/config.go
@@ -22,9 +22,12 @@
 	if x == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoConfig)
 	}
-	doc, err := json.Marshal(x.Document())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, err)
+	doc := x.Source()
+	if doc == nil {
+		var err error
+		if doc, err = json.Marshal(x.Document()); err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
 	}
 	return &wire.ConfigResponse{Revision: x.Revision(), Document: doc}, nil
 }
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -18,6 +18,8 @@
 		Epoch:          p.Epoch,
 		ConfigRevision: p.Revision,
 		Draining:       p.Draining,
+		Control:        p.Control,
+		ServesCallers:  p.Callers,
 	}
 }
 
@@ -33,6 +35,8 @@
 		Epoch:    p.GetEpoch(),
 		Revision: p.GetConfigRevision(),
 		Draining: p.GetDraining(),
+		Control:  p.GetControl(),
+		Callers:  p.GetServesCallers(),
 	}
 }
 
@@ -62,6 +66,7 @@
 		Domain:       h.Domain,
 		MemoryTokens: uint64(h.MemoryTokens),
 		ChecksFence:  h.ChecksFence,
+		Slots:        uint32(h.Slots),
 		Epoch:        h.Epoch,
 		Seq:          h.Seq,
 		Leaving:      h.Leaving,
@@ -103,6 +108,7 @@
 			Domain:       b.GetDomain(),
 			MemoryTokens: int(b.GetMemoryTokens()),
 			ChecksFence:  b.GetChecksFence(),
+			Slots:        int(b.GetSlots()),
 			Epoch:        b.GetEpoch(),
 			Seq:          b.GetSeq(),
 			Leaving:      b.GetLeaving(),
