--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -73,6 +73,8 @@
 type record struct {
 	Backend
 	heard time.Time
+	// first is when this start of the server was first heard, at most heard.
+	first time.Time
 	// version is the table's change counter at the record's last change.
 	version uint64
 	// identity is the version at which anything but the lease and the load last
@@ -153,15 +155,26 @@
 	if change == Refreshed {
 		identity = r.identity
 	}
-	t.records[h.ID] = &record{Backend: h.Backend, heard: now.Add(-h.Age), version: t.version, identity: identity, from: from}
+	first := now.Add(-h.Age)
+	if r != nil && r.Epoch == h.Epoch {
+		first = r.first
+	}
+	t.records[h.ID] = &record{Backend: h.Backend, heard: now.Add(-h.Age), first: first, version: t.version, identity: identity, from: from}
 	return change
 }
 
 // addressTaken reports whether a backend server that started later is present
 // at the address of b: then b's word was held up until after its end.
 func (t *Table) addressTaken(b Backend) bool {
+	known := t.records[b.ID]
 	for _, r := range t.records {
-		if r.ID != b.ID && r.Addr == b.Addr && !r.gone && r.Epoch > b.Epoch {
+		if r.ID == b.ID || r.Addr != b.Addr || r.gone {
+			continue
+		}
+		// Servers may not tell when they started: then the one that was heard
+		// first came first.
+		later := r.Epoch == b.Epoch && known != nil && known.Epoch == b.Epoch && r.first.After(known.first)
+		if r.Epoch > b.Epoch || later {
 			return true
 		}
 	}
@@ -240,6 +253,18 @@
 	return out
 }
 
+// OfService returns the present backend servers of a service, ordered by ID.
+func (t *Table) OfService(service string) []Backend {
+	var out []Backend
+	for _, r := range t.records {
+		if !r.gone && r.Service == service {
+			out = append(out, r.Backend)
+		}
+	}
+	slices.SortFunc(out, func(a, b Backend) int { return compare(a.ID, b.ID) })
+	return out
+}
+
 // Since returns what changed after the given version and did not come from the
 // VM that it is for, whose name may be unknown and empty, and the version that the answer covers. News of which the receiver
 // has the rest is marked brief.
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -213,18 +213,22 @@
 	old, late, next := heard(1, false, 0), heard(2, false, 0), heard(1, false, 0)
 	old.Addr = netip.MustParseAddrPort("10.0.0.1:80")
 	late.Addr, next.Addr = old.Addr, old.Addr
-	next.ID, next.Epoch = "f", old.Epoch+1
-	var table Table
-	table.Merge(start, old, "")
-	table.Merge(start, next, "")
-	if c := table.Merge(start, late, ""); c != Stale {
-		t.Errorf("late news: change %d, want Stale", c)
-	}
-	if _, ok := table.Get("e"); ok {
-		t.Error("the first server is present")
-	}
-	if _, ok := table.Get("f"); !ok {
-		t.Error("the second server is not present")
+	next.ID = "f"
+	// The second server may or may not tell that it started later.
+	for _, epoch := range []uint64{old.Epoch, old.Epoch + 1} {
+		next.Epoch = epoch
+		var table Table
+		table.Merge(start, old, "")
+		table.Merge(start.Add(time.Second), next, "")
+		if c := table.Merge(start.Add(2*time.Second), late, ""); c != Stale {
+			t.Errorf("epoch %d: late news: change %d, want Stale", epoch, c)
+		}
+		if _, ok := table.Get("e"); ok {
+			t.Errorf("epoch %d: the first server is present", epoch)
+		}
+		if _, ok := table.Get("f"); !ok {
+			t.Errorf("epoch %d: the second server is not present", epoch)
+		}
 	}
 }
 
--- /dev/null
+++ b/fold/retry/window.go
@@ -0,0 +1,75 @@
+package retry
+
+import "time"
+
+// windowSlots is the number of parts that a Window is counted in.
+const windowSlots = 20
+
+// Window is one VM's part of a budget that all VMs share: over any span of
+// Length they send at most Share repeats for each request, and Reserve besides.
+// The zero value takes DefaultShare, ten seconds and no reserve.
+type Window struct {
+	Share  float64
+	Length time.Duration
+	// Reserve is the VM's part of the reserve.
+	Reserve float64
+
+	slots [windowSlots + 1]windowSlot
+}
+
+type windowSlot struct {
+	// number counts slots since the zero time.
+	number  int64
+	firsts  int
+	repeats int
+}
+
+func (w *Window) length() time.Duration {
+	if w.Length == 0 {
+		return 10 * time.Second
+	}
+	return w.Length
+}
+
+func (w *Window) share() float64 {
+	if w.Share == 0 {
+		return DefaultShare
+	}
+	return w.Share
+}
+
+func (w *Window) slot(now time.Time) *windowSlot {
+	number := now.UnixNano() / int64(w.length()/windowSlots)
+	s := &w.slots[number%int64(len(w.slots))]
+	if s.number != number {
+		*s = windowSlot{number: number}
+	}
+	return s
+}
+
+// First counts a request that is sent for the first time.
+func (w *Window) First(now time.Time) { w.slot(now).firsts++ }
+
+// Repeat counts a repeat and reports true if the budget has room for it.
+func (w *Window) Repeat(now time.Time) bool {
+	current := w.slot(now)
+	var firsts, repeats int
+	for i := range w.slots {
+		s := &w.slots[i]
+		age := current.number - s.number
+		if age < 0 || age > windowSlots {
+			continue
+		}
+		// A span of Length may touch one slot more than it covers: that one
+		// counts for repeats, not for requests.
+		repeats += s.repeats
+		if age < windowSlots {
+			firsts += s.firsts
+		}
+	}
+	if float64(repeats+1) > w.share()*float64(firsts)+w.Reserve {
+		return false
+	}
+	current.repeats++
+	return true
+}
--- a/fold/ticket/desk.go
+++ b/fold/ticket/desk.go
@@ -285,6 +285,9 @@
 	}
 }
 
+// Busy reports whether any request waits or runs.
+func (d *Desk) Busy() bool { return len(d.requests) > 0 || len(d.batches) > 0 }
+
 // Counts returns the number of requests that wait and that run, by class.
 func (d *Desk) Counts() (queued, running map[string]int) {
 	queued, running = map[string]int{}, map[string]int{}
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -176,7 +176,11 @@
 	a.Node.Drain()
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
-	for a.Node.Streams() > 0 {
+	linger := time.Now()
+	if a.Node.Settings.Listen.Callers.IsValid() {
+		linger = linger.Add(time.Duration(a.Node.Settings.Limits.DrainLinger))
+	}
+	for a.Node.Streams() > 0 || time.Now().Before(linger) {
 		select {
 		case <-t.C:
 			continue
--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -62,7 +62,7 @@
 	if a.Node.Settings.Control != nil {
 		out = append(out, a.addrs.Peers)
 	}
-	for _, c := range a.Node.Settings.Controls {
+	for _, c := range a.Node.Controls() {
 		if !slices.Contains(out, c) {
 			out = append(out, c)
 		}
--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -96,6 +96,9 @@
 	MaxStreams int `json:"maxStreams,omitempty"`
 	// DrainTimeout bounds how long a shutdown waits for requests in progress.
 	DrainTimeout strict.Duration `json:"drainTimeout,omitempty"`
+	// DrainLinger is how long a shutdown goes on taking requests at least, until
+	// the balancer has noticed; only for VMs that serve callers.
+	DrainLinger strict.Duration `json:"drainLinger,omitempty"`
 	// WriteTimeout is how long a caller may read nothing.
 	WriteTimeout strict.Duration `json:"writeTimeout,omitempty"`
 	// StallTimeout is the silence after which an engine's link is probed.
@@ -301,6 +304,7 @@
 	intRange("limits.maxAnswer", l.MaxAnswer, 1_024, 256<<20, errs)
 	intRange("limits.maxStreams", l.MaxStreams, 1, 100_000, errs)
 	durationRange("limits.drainTimeout", l.DrainTimeout, time.Second, 24*time.Hour, errs)
+	durationRange("limits.drainLinger", l.DrainLinger, 0, time.Hour, errs)
 	durationRange("limits.writeTimeout", l.WriteTimeout, 100*time.Millisecond, time.Hour, errs)
 	durationRange("limits.stallTimeout", l.StallTimeout, 50*time.Millisecond, time.Minute, errs)
 	durationRange("limits.connectTimeout", l.ConnectTimeout, 10*time.Millisecond, time.Minute, errs)
--- a/foldd/demo.go
+++ b/foldd/demo.go
@@ -56,7 +56,8 @@
 func demo(ctx context.Context, port int, once bool) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	log := newLogger(conf.Log{Level: "warn"})
+	log, sink := app.NewLogger(conf.Log{Level: "warn"})
+	defer sink.Close()
 	folder, err := os.MkdirTemp("", "fuchsiafold-demo-")
 	if err != nil {
 		return fmt.Errorf("make data folder: %w", err)
@@ -80,11 +81,11 @@
 		return err
 	}
 	if once {
-		return drain(a, signals, demoWait)
+		return a.Drain(signals, demoWait)
 	}
 	printDemoHelp(a.Addrs())
 	<-signals
-	return drain(a, signals, demoWait)
+	return a.Drain(signals, demoWait)
 }
 
 func demoSettings(port int, folder string) (*conf.Settings, error) {
--- a/foldd/main.go
+++ b/foldd/main.go
@@ -6,12 +6,8 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"fuchsiafold.example/fold/spec"
@@ -45,11 +41,7 @@
 			if err != nil {
 				return err
 			}
-			s, err := conf.Load(path)
-			if err != nil {
-				return err
-			}
-			return run(ctx, s, newLogger(s.Log))
+			return app.Run(ctx, path, app.Adapter{})
 		},
 	}
 }
@@ -95,46 +87,3 @@
 	}
 	return c.Args().First(), nil
 }
-
-func newLogger(l conf.Log) *logrus.Logger {
-	log := logrus.New()
-	if level, err := logrus.ParseLevel(l.Level); err == nil {
-		log.SetLevel(level)
-	}
-	if l.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
-	}
-	return log
-}
-
-// errCut is the end of a process that cut off requests in progress.
-var errCut = eris.New("requests in progress were cut off")
-
-// run serves until a signal. The first one drains, the second ends at once.
-func run(ctx context.Context, s *conf.Settings, log *logrus.Logger) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	a, err := app.New(ctx, s, log)
-	if err != nil {
-		return err
-	}
-	<-signals
-	return drain(a, signals, time.Duration(s.Limits.DrainTimeout))
-}
-
-func drain(a *app.App, signals <-chan os.Signal, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	if cut := a.Shutdown(ctx); cut > 0 {
-		return fmt.Errorf("%d: %w", cut, errCut)
-	}
-	a.Node.Log.Info("stopped, nothing was cut off")
-	return nil
-}
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
@@ -27,7 +28,7 @@
 // Intervals of the node's own work.
 const (
 	pollInterval   = 20 * time.Millisecond
-	expireInterval = 200 * time.Millisecond
+	expireInterval = 500 * time.Millisecond
 )
 
 // directPeers is the size of a group in which each VM tells urgent news to all
@@ -49,8 +50,9 @@
 	// given addresses at once.
 	Spread func(to []netip.AddrPort)
 
-	index    atomic.Pointer[spec.Index]
-	draining atomic.Bool
+	index atomic.Pointer[spec.Index]
+	// drainedAt is when the shutdown began, in nanoseconds; zero before.
+	drainedAt atomic.Int64
 	// abandoned is set once the process gives up its requests in progress.
 	abandoned atomic.Bool
 	streams   atomic.Int64
@@ -75,7 +77,14 @@
 	random  *rand.Rand
 	waiters map[uint64]chan Verdict
 	// calls counts the plain calls in flight at each backend server.
-	calls map[string]int
+	calls    map[string]int
+	controls []netip.AddrPort
+	// ticking is set while a tick is due.
+	ticking bool
+	// placer places forwarded requests; repeats is the retry budget of each
+	// service.
+	placer  place.Placer
+	repeats map[string]*retry.Window
 }
 
 // New returns a node without a configuration.
@@ -92,6 +101,8 @@
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		waiters:        map[uint64]chan Verdict{},
 		calls:          map[string]int{},
+		placer:         place.Placer{Domain: s.Domain},
+		repeats:        map[string]*retry.Window{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
@@ -105,16 +116,33 @@
 	}
 	n.table.Lease = time.Duration(s.Limits.BackendLease)
 	n.group.Seeds = slices.Clone(s.Peers)
+	n.controls = slices.Clone(s.Controls)
 	n.group.Direct = directPeers
 	// Without a steward several VMs share the engines by late reports, and
 	// looking at two at random keeps them from running to the same one.
 	own := sched.New(sched.Options{Domain: s.Domain, Choices: 2, Random: n.random})
 	n.desk = ticket.NewDesk(s.ID, n.group.Self.Epoch, own, n.steward)
-	n.Clock.Every(pollInterval, n.tick)
 	n.Clock.Every(expireInterval, n.expire)
 	return n
 }
 
+// SetSeeds replaces the addresses at which other VMs and control VMs are
+// looked for.
+func (n *Node) SetSeeds(peers, controls []netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.Seeds = slices.Clone(peers)
+	n.controls = slices.Clone(controls)
+}
+
+// Controls returns the addresses of the settings at which control VMs are
+// looked for.
+func (n *Node) Controls() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.controls
+}
+
 // Count adds to a counter.
 func (n *Node) Count(name string, delta int64) {
 	metrics.GetOrRegisterCounter(name, n.Metrics).Inc(delta)
@@ -169,11 +197,28 @@
 }
 
 // Draining reports whether the process is shutting down.
-func (n *Node) Draining() bool { return n.draining.Load() }
+func (n *Node) Draining() bool { return n.drainedAt.Load() != 0 }
+
+// Ready reports whether new callers can be served: a configuration is in force
+// and the process is not shutting down.
+func (n *Node) Ready() bool { return n.Index() != nil && !n.Draining() }
+
+// DrainingSince returns when the shutdown began, and false before it.
+func (n *Node) DrainingSince() (time.Time, bool) {
+	at := n.drainedAt.Load()
+	return time.Unix(0, at), at != 0
+}
+
+// Random returns a random number in [0, 1).
+func (n *Node) Random() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.Float64()
+}
 
 // Drain turns the health red and refuses new requests.
 func (n *Node) Drain() {
-	if !n.draining.Swap(true) {
+	if n.drainedAt.CompareAndSwap(0, time.Now().UnixNano()) {
 		n.Log.WithField("streams", n.Streams()).Info("draining")
 		n.Spread(n.urgentTargets(""))
 	}
--- a/foldd/node/steward.go
+++ b/foldd/node/steward.go
@@ -45,10 +45,20 @@
 func (n *Node) tick(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.ticking = false
 	n.board.Expire(now)
 	n.poll(now)
 }
 
+// arm makes a tick due while requests wait or run. The caller holds the lock.
+func (n *Node) arm(now time.Time) {
+	if n.ticking || (len(n.waiters) == 0 && n.board.Tickets() == 0 && !n.desk.Busy()) {
+		return
+	}
+	n.ticking = true
+	n.Clock.At(now.Add(pollInterval), n.tick)
+}
+
 // poll carries tickets and decisions to where they belong, until nothing is
 // left to carry. The caller holds the lock.
 func (n *Node) poll(now time.Time) {
@@ -59,6 +69,7 @@
 	for to, list := range n.board.Poll(now) {
 		n.sendDecisions(now, to, list)
 	}
+	n.arm(now)
 }
 
 func (n *Node) sendBatch(now time.Time, to ticket.Steward, b *ticket.Batch) {
--- /dev/null
+++ b/foldd/relay/log.go
@@ -0,0 +1,23 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+var (
+	errRefused        = eris.New("the backend server did not begin the request")
+	errAnswerTooLarge = eris.New("the answer exceeds the size limit")
+	errCut            = eris.New("the stream broke off")
+)
+
+func sinceArrival(q *request) time.Duration { return time.Since(q.arrived) }
+
+// logAttempt writes the line about a send that failed.
+func (x *Relay) logAttempt(q *request, b backend, err error) {
+	x.Node.Log.WithFields(logrus.Fields{
+		"request": q.ask.ID, "backend": b.ID, "addr": b.Addr, "epoch": b.Epoch, "ms": sinceArrival(q).Milliseconds(),
+	}).WithError(err).Warn("attempt failed")
+}
--- /dev/null
+++ b/foldd/relay/move.go
@@ -0,0 +1,243 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/netio/pool"
+)
+
+// Errors of a Mover.
+var (
+	// ErrNoRun: the engine runs no such request, since it has ended.
+	ErrNoRun = eris.New("the engine runs no such request")
+	// ErrNoRoom: the target has no room or can't be reached. With a stop, the
+	// source holds the run under the handle that is returned besides.
+	ErrNoRoom = eris.New("the target has no room for the run")
+)
+
+// Mover copies the memory of a run from one engine to another.
+type Mover struct {
+	// Copy copies what is new of a run to another engine; with stop the run
+	// ends first. It returns the handle by which the run goes on.
+	Copy func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (handle string, err error)
+	// Free gives up a copy, at the source and at the target.
+	Free func(ctx context.Context, source netip.AddrPort, handle string) error
+}
+
+// move is one run on its way to another engine.
+type move struct {
+	target backend
+	// done is closed when the move has ended; handle is set if the run goes on
+	// at the target then, or atSource.
+	done   chan struct{}
+	handle string
+	// atSource is set when the target refused and the source holds the run.
+	atSource bool
+}
+
+const (
+	// copyTimeout bounds one copy.
+	copyTimeout = 3 * time.Second
+	// freeTimeout bounds the call that frees a copy.
+	freeTimeout = time.Second
+	// movesAtOnce is the number of runs that this VM moves off one engine at a
+	// time: the engine's link carries one copy after the other.
+	movesAtOnce = 2
+)
+
+func (x *Relay) enter(s *stream, b backend) {
+	x.mu.Lock()
+	if x.runs == nil {
+		x.runs = map[string]map[*stream]struct{}{}
+	}
+	if x.runs[b.ID] == nil {
+		x.runs[b.ID] = map[*stream]struct{}{}
+	}
+	x.runs[b.ID][s] = struct{}{}
+	x.mu.Unlock()
+	if now, ok := x.Node.Backend(b.ID); ok && now.Leaving {
+		x.evacuate([]*stream{s}, now)
+	}
+}
+
+func (x *Relay) leave(s *stream, b backend) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.runs[b.ID], s)
+	if len(x.runs[b.ID]) == 0 {
+		delete(x.runs, b.ID)
+	}
+}
+
+// BackendChanged moves the runs off an engine that leaves.
+func (x *Relay) BackendChanged(b member.Backend) {
+	if !b.Leaving || x.Mover == nil {
+		return
+	}
+	x.mu.Lock()
+	list := slices.Collect(maps.Keys(x.runs[b.ID]))
+	x.mu.Unlock()
+	x.evacuate(list, b)
+}
+
+// evacuate moves runs off an engine, those first that have come furthest.
+func (x *Relay) evacuate(list []*stream, b backend) {
+	list = slices.DeleteFunc(list, func(s *stream) bool { return !s.claim() })
+	if x.Mover == nil || len(list) == 0 {
+		return
+	}
+	slices.SortFunc(list, func(a, b *stream) int { return cmp.Compare(b.progress(), a.progress()) })
+	queue := make(chan *stream, len(list))
+	for _, s := range list {
+		queue <- s
+	}
+	close(queue)
+	for range movesAtOnce {
+		go func() {
+			for s := range queue {
+				x.moveRun(s, b)
+			}
+		}()
+	}
+}
+
+// claim takes the stream for a move; it returns false if the engine moves no
+// runs, or another move has it.
+func (s *stream) claim() bool {
+	if s.q.service.Engine == nil || !s.q.service.Engine.Moves {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.claimed {
+		return false
+	}
+	s.claimed = true
+	return true
+}
+
+// progress returns the number of events that the caller has.
+func (s *stream) progress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events
+}
+
+// moving returns the move under way, or nil.
+func (s *stream) moving() *move {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.move
+}
+
+// moved waits for the move under way and takes it off the stream; it returns
+// nil if there is none.
+func (s *stream) moved() *move {
+	m := s.moving()
+	if m == nil {
+		return nil
+	}
+	<-m.done
+	s.mu.Lock()
+	s.move = nil
+	s.claimed = false
+	s.mu.Unlock()
+	return m
+}
+
+// moveRun copies a run to another engine while it goes on, then stops it and
+// copies the rest. The stream's own goroutine resumes it there.
+func (x *Relay) moveRun(s *stream, from backend) {
+	target, ok := x.Node.Place(s.q.service.Name, place.Want{Avoid: []string{from.ID}, Tokens: s.tokens})
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	handle, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
+	if err != nil {
+		x.Node.Placed(target.ID, s.tokens, place.Left)
+		x.logMove(s, from, target, "copy", err)
+		return
+	}
+	m := &move{target: target, done: make(chan struct{})}
+	s.mu.Lock()
+	s.move = m
+	s.mu.Unlock()
+	last, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, true)
+	switch {
+	case err == nil:
+		m.handle = last
+	case errors.Is(err, ErrNoRoom) && last != "":
+		m.handle, m.atSource = last, true
+		x.Node.Placed(target.ID, s.tokens, place.Full)
+	default:
+		x.Node.Placed(target.ID, s.tokens, place.Left)
+		x.free(from.Addr, handle)
+	}
+	close(m.done)
+	x.logMove(s, from, target, "stop", err)
+}
+
+func (x *Relay) free(source netip.AddrPort, handle string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := x.Mover.Free(ctx, source, handle); err != nil {
+		x.Node.Log.WithError(err).WithField("handle", handle).Warn("copy of a run is not freed")
+	}
+}
+
+func (x *Relay) logMove(s *stream, from, to backend, step string, err error) {
+	x.Node.Count("moves."+step, 1)
+	l := x.Node.Log.WithFields(logrus.Fields{
+		"request": s.q.ask.ID, "from": from.ID, "to": to.ID, "step": step, "events": s.progress(), "tokens": s.tokens,
+	})
+	if err != nil {
+		x.Node.Count("moves.failed", 1)
+		l.WithError(err).Warn("run not moved")
+		return
+	}
+	l.Info("run moved")
+}
+
+// resume sends the request to the engine that holds the run's copy and returns
+// its answer, or nil if the run is lost.
+func (s *stream) resume(ctx context.Context, m *move) *pool.Response {
+	source := s.at
+	s.q.relay.leave(s, source)
+	s.split.Reset()
+	to := source
+	if !m.atSource {
+		to = m.target
+		s.q.relay.Node.Placed(source.ID, s.tokens, place.Left)
+	}
+	s.mu.Lock()
+	r := &Resume{Source: source.Addr, Handle: m.handle, After: s.last}
+	s.mu.Unlock()
+	res, err := s.q.relay.Pool.Do(ctx, s.q.onward(to, r))
+	if err == nil && res.Status != http.StatusOK {
+		res.Body.Close()
+		err = eris.Errorf("status %d", res.Status)
+	}
+	if err != nil {
+		s.q.relay.logMove(s, source, to, "resume", err)
+		s.q.relay.Node.Placed(to.ID, s.tokens, place.Failed)
+		return nil
+	}
+	s.q.moves++
+	s.q.backend = to.ID
+	s.enter(to)
+	return res
+}
--- /dev/null
+++ b/foldd/relay/plain.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/netio/pool"
+	"fuchsiafold.example/netio/serve"
+)
+
+type backend = member.Backend
+
+// answer is a backend server's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt is how one send of a request ended.
+type attempt struct {
+	retry.Attempt
+	answer *answer
+	err    error
+}
+
+// servePlain forwards a request whose answer is taken in whole before the
+// caller gets any of it: what breaks off never looks complete.
+func (x *Relay) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
+	if !q.forward.Idempotent() {
+		// A caller that leaves does not stop a request that may run only once.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.until)
+		defer cancel()
+	}
+	a, f := q.attempts(ctx)
+	switch {
+	case q.caller.Gone() || errors.Is(context.Cause(ctx), serve.ErrCallerGone):
+		q.log(0, retry.Unknown, "the caller has gone")
+		q.caller.Cut()
+	case f != nil:
+		x.refuse(w, q, f)
+	default:
+		q.log(a.status, retry.Done, "")
+		x.Node.Observe("forward.micros."+q.forward.Kind, sinceArrival(q))
+		a.write(w)
+	}
+}
+
+// maxUnsent bounds the servers that a request is offered without reaching them.
+const maxUnsent = 3
+
+// attempts sends the request until there is an answer to pass on.
+func (q *request) attempts(ctx context.Context) (*answer, *fault.Fault) {
+	var avoid []string
+	var best *answer
+	most := max(q.forward.Attempts, 1)
+	for unsent := 0; unsent < maxUnsent; {
+		b, ok := q.relay.Node.Place(q.service.Name, place.Want{Avoid: avoid})
+		if !ok {
+			break
+		}
+		avoid = append(avoid, b.ID)
+		a := q.attempt(ctx, b)
+		if a.Sent {
+			q.sent++
+		} else {
+			unsent++
+		}
+		if a.answer != nil {
+			best = a.answer
+		}
+		switch {
+		case ctx.Err() != nil && a.answer == nil:
+			return nil, q.expired()
+		case a.answer != nil && !a.again(q.forward.Idempotent()):
+			return a.answer, nil
+		case !a.Sent:
+			continue
+		case q.sent >= most || !a.Repeatable(q.forward.Idempotent()) && !a.again(q.forward.Idempotent()) || !q.relay.Node.MayRepeat(q.service.Name):
+			return q.last(best, a)
+		}
+		q.relay.Node.Count("forward.repeats", 1)
+	}
+	if best != nil {
+		return best, nil
+	}
+	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(turnaway)
+}
+
+// last returns what to tell the caller after the last attempt.
+func (q *request) last(best *answer, a attempt) (*answer, *fault.Fault) {
+	switch {
+	case best != nil && !a.Refused:
+		return best, nil
+	case a.Refused && q.sent == 1:
+		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").After(turnaway)
+	case best != nil:
+		return best, nil
+	case a.Refused && q.forward.Idempotent():
+		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend servers refused the request").After(turnaway)
+	}
+	return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: a.err.Error(), Outcome: a.Outcome()}
+}
+
+// again reports whether another server may do better than the answer: it
+// refused the request, or failed one that may run more than once.
+func (a attempt) again(idempotent bool) bool {
+	if a.Refused {
+		return true
+	}
+	return idempotent && a.answer != nil && a.answer.status >= http.StatusInternalServerError
+}
+
+// attempt sends the request to one backend server and takes its answer in.
+func (q *request) attempt(ctx context.Context, b backend) attempt {
+	q.backend = b.ID
+	var a attempt
+	res, err := q.relay.Pool.Do(ctx, q.onward(b, nil))
+	if err != nil {
+		return q.failed(ctx, b, a, err)
+	}
+	defer res.Body.Close()
+	a.Sent = true
+	reply := q.relay.Codec.Reply(res.Status, res.Header)
+	if reply.NotRun || reply.Elsewhere {
+		a.Refused = true
+		q.relay.turnedAway(b, 0, reply)
+		a.err = errRefused
+		return a
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, int64(q.relay.Node.Settings.Limits.MaxAnswer)+1))
+	if err != nil {
+		a.Began = true
+		return q.failed(ctx, b, a, err)
+	}
+	if len(body) > q.relay.Node.Settings.Limits.MaxAnswer {
+		a.Began = true
+		return q.failed(ctx, b, a, errAnswerTooLarge)
+	}
+	q.relay.Node.Placed(b.ID, 0, place.Answered)
+	a.Whole = true
+	a.answer = &answer{status: res.Status, header: res.Header, body: body}
+	return a
+}
+
+// failed ends an attempt without a whole answer.
+func (q *request) failed(ctx context.Context, b backend, a attempt, err error) attempt {
+	var pe *pool.Error
+	if errors.As(err, &pe) {
+		a.Sent = a.Sent || pe.Sent
+		a.Began = a.Began || pe.Began
+	}
+	a.err = err
+	outcome := place.Failed
+	if ctx.Err() != nil {
+		outcome = place.Left
+	}
+	q.relay.Node.Placed(b.ID, 0, outcome)
+	q.relay.Node.Count("forward.failures", 1)
+	q.relay.logAttempt(q, b, err)
+	return a
+}
+
+// turnedAway counts the end of a request that a server did not begin.
+func (x *Relay) turnedAway(b backend, tokens int, r Reply) {
+	x.Node.Placed(b.ID, tokens, place.Full)
+	x.Node.Count("forward.refused", 1)
+	if r.Elsewhere {
+		// Another server has the address by now.
+		x.Node.Shun(b.ID)
+		x.Pool.Forget(b.Addr)
+	}
+}
+
+// write sends a whole answer.
+func (a *answer) write(w http.ResponseWriter) {
+	copyHeader(w, a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	// A caller that is gone is noticed by the server.
+	_, _ = w.Write(a.body)
+}
--- /dev/null
+++ b/foldd/relay/stream.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"fuchsiafold.example/fold/event"
+	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/netio/pool"
+	"fuchsiafold.example/netio/serve"
+)
+
+// readChunk is the size of one read of a stream in bytes.
+const readChunk = 4 << 10
+
+// stream is one run whose events go to a caller as they come.
+type stream struct {
+	q *request
+	w http.ResponseWriter
+	// header is set once the caller has the answer's header.
+	header bool
+	split  event.Splitter
+
+	mu sync.Mutex
+	// at is the backend server of the run, tokens the memory counted there.
+	at     backend
+	tokens int
+	// events counts the events passed on, last is the ID of the last one.
+	events int
+	last   string
+	began  time.Time
+	// claimed is set while a move has the stream.
+	claimed bool
+	// move is set while the run is being moved; its end is sent on done.
+	move *move
+}
+
+// serveStream forwards a request whose answer is a stream of events.
+func (x *Relay) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
+	s := &stream{q: q, w: w, tokens: q.ask.Prompt.Tokens + expected(q.ask.Prompt)}
+	f := s.run(ctx)
+	gone := q.caller.Gone() || errors.Is(context.Cause(ctx), serve.ErrCallerGone)
+	switch {
+	case f == nil:
+		q.log(http.StatusOK, retry.Done, "")
+		x.Node.Observe("forward.micros."+q.forward.Kind, sinceArrival(q))
+	case gone:
+		q.log(0, retry.Interrupted, "the caller has gone")
+		q.caller.Cut()
+	case s.header:
+		x.Node.Count("errors."+f.Code, 1)
+		q.log(f.Status, retry.Interrupted, f.Message)
+		q.caller.Cut()
+	default:
+		x.refuse(w, q, f)
+	}
+}
+
+// expected returns how many tokens a run may generate, as far as is stated.
+func expected(p Prompt) int {
+	switch {
+	case p.Hint > 0 && p.MaxTokens > 0:
+		return min(p.Hint, p.MaxTokens)
+	case p.Hint > 0:
+		return p.Hint
+	}
+	return p.MaxTokens / 2
+}
+
+// run sends the request and passes its events on until their end.
+func (s *stream) run(ctx context.Context) *fault.Fault {
+	res, f := s.open(ctx)
+	if f != nil {
+		return f
+	}
+	for {
+		err := s.pass(res)
+		m := s.moved()
+		switch {
+		case err != nil && ctx.Err() != nil:
+			s.leave(place.Left)
+			return s.q.expired()
+		case m != nil && m.handle != "":
+			if res = s.resume(ctx, m); res == nil {
+				return s.broken(errCut)
+			}
+		case err != nil:
+			s.leave(place.Failed)
+			s.q.relay.logAttempt(s.q, s.at, err)
+			return s.broken(err)
+		default:
+			s.leave(place.Answered)
+			return nil
+		}
+	}
+}
+
+func (s *stream) broken(err error) *fault.Fault {
+	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.Interrupted, Message: err.Error(), Outcome: retry.Interrupted}
+}
+
+// open sends the request to a backend server. Another one is tried only if the
+// request provably did not get to run, within the forward's attempts.
+func (s *stream) open(ctx context.Context) (*pool.Response, *fault.Fault) {
+	q := s.q
+	var avoid []string
+	most := max(q.forward.Attempts, 1)
+	for unsent := 0; unsent < maxUnsent; {
+		b, ok := q.relay.Node.Place(q.service.Name, place.Want{Avoid: avoid, Tokens: s.tokens})
+		if !ok {
+			break
+		}
+		avoid = append(avoid, b.ID)
+		q.backend = b.ID
+		res, err := q.relay.Pool.Do(ctx, q.onward(b, nil))
+		if err == nil {
+			q.sent++
+			reply := q.relay.Codec.Reply(res.Status, res.Header)
+			if !reply.NotRun && !reply.Elsewhere {
+				s.enter(b)
+				return res, nil
+			}
+			res.Body.Close()
+			q.relay.turnedAway(b, s.tokens, reply)
+			if q.sent >= most || !q.relay.Node.MayRepeat(q.service.Name) {
+				return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").After(turnaway)
+			}
+			continue
+		}
+		var pe *pool.Error
+		sent := !errors.As(err, &pe) || pe.Sent
+		if ctx.Err() != nil {
+			q.relay.Node.Placed(b.ID, s.tokens, place.Left)
+			if sent {
+				q.sent++
+			}
+			return nil, q.expired()
+		}
+		q.relay.Node.Placed(b.ID, s.tokens, place.Failed)
+		q.relay.logAttempt(q, b, err)
+		if sent {
+			q.sent++
+			return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
+		}
+		unsent++
+	}
+	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(turnaway)
+}
+
+// enter puts the stream among the runs of its backend server.
+func (s *stream) enter(b backend) {
+	s.mu.Lock()
+	s.at = b
+	s.began = time.Now()
+	s.mu.Unlock()
+	s.q.relay.enter(s, b)
+}
+
+// leave takes the stream from the runs of its backend server.
+func (s *stream) leave(o place.Outcome) {
+	s.q.relay.leave(s, s.at)
+	s.q.relay.Node.Placed(s.at.ID, s.tokens, o)
+}
+
+// pass hands events on until the answer ends. A nil error is a whole answer.
+func (s *stream) pass(res *pool.Response) error {
+	defer res.Body.Close()
+	if !s.header {
+		s.header = true
+		copyHeader(s.w, res.Header)
+		s.w.WriteHeader(res.Status)
+	}
+	events := res.Status == http.StatusOK
+	buf := make([]byte, readChunk)
+	for {
+		n, err := res.Body.Read(buf)
+		s.split.Write(buf[:n])
+		if events {
+			s.passEvents()
+		}
+		if err == io.EOF {
+			return s.finish(events)
+		}
+		if err != nil {
+			s.split.Reset()
+			return err
+		}
+		if s.q.caller.Gone() {
+			return serve.ErrCallerGone
+		}
+	}
+}
+
+// passEvents hands the whole events on that have come.
+func (s *stream) passEvents() {
+	any := false
+	for e := s.split.Next(); e != nil; e = s.split.Next() {
+		any = true
+		// A caller that is gone is noticed by the server.
+		_, _ = s.w.Write(e)
+		s.mu.Lock()
+		s.events++
+		if id := event.ID(e); id != "" {
+			s.last = id
+		}
+		first := s.events == 1
+		s.mu.Unlock()
+		if first {
+			s.q.relay.Node.Observe("forward.firstEventMicros", sinceArrival(s.q))
+		}
+	}
+	if f, ok := s.w.(http.Flusher); any && ok {
+		f.Flush()
+	}
+}
+
+// finish hands on what is left at the end of an answer, unless the run goes on
+// elsewhere.
+func (s *stream) finish(events bool) error {
+	if m := s.moving(); m != nil && events {
+		return nil
+	}
+	_, _ = s.w.Write(s.split.Rest())
+	s.split.Reset()
+	return nil
+}
