--- a/foldd/app/run.go
+++ b/foldd/app/run.go
@@ -59,10 +59,11 @@
 		}
 	}()
 	cut := a.Shutdown(ctx)
-	a.Node.Log.WithField("cut", cut).Info("stopped")
 	if cut > 0 {
+		a.Node.Log.WithField("cut", cut).Warn("stopped")
 		return fmt.Errorf("%d: %w", cut, errCut)
 	}
+	a.Node.Log.Info("stopped, nothing was cut off")
 	return nil
 }
 
--- a/foldd/proc_test.go
+++ b/foldd/proc_test.go
@@ -129,6 +129,7 @@
 		v.t.Fatal(err)
 	}
 	v.process = exec.Command(bin, "serve", v.settings)
+	v.process.Stdout = &v.log
 	v.process.Stderr = &v.log
 	if err := v.process.Start(); err != nil {
 		v.t.Fatal(err)
