--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -65,6 +65,8 @@
 	Backend
 	// Age is the time since the backend server itself was heard.
 	Age time.Duration
+	// Direct says that the teller heard the backend server itself.
+	Direct bool
 	// Brief says that only ID, Epoch, Seq, Leaving and Load are set: the
 	// receiver knows the rest.
 	Brief bool
@@ -272,7 +274,7 @@
 	var out []Heard
 	for _, r := range t.records {
 		if r.version > version && !r.gone && (to == "" || r.from != to) {
-			out = append(out, Heard{Backend: r.Backend, Age: now.Sub(r.heard), Brief: r.identity <= version})
+			out = append(out, Heard{Backend: r.Backend, Age: now.Sub(r.heard), Direct: r.from == "", Brief: r.identity <= version})
 		}
 	}
 	slices.SortFunc(out, func(a, b Heard) int { return compare(a.ID, b.ID) })
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -308,7 +308,8 @@
 }
 
 // Summary cuts news down to what another failure domain is told: the least
-// loaded backend servers of each model of the own domain, and those leaving.
+// loaded backend servers of each model of the own domain, those leaving, and
+// whatever was heard here directly, since nobody else may have heard it.
 func Summary(news []Heard, domain string) []Heard {
 	byLoad := slices.Clone(news)
 	slices.SortStableFunc(byLoad, func(a, b Heard) int {
@@ -317,6 +318,10 @@
 	count := map[string]int{}
 	var out []Heard
 	for _, h := range byLoad {
+		if h.Direct {
+			out = append(out, h)
+			continue
+		}
 		group := h.Service + "/" + h.Model
 		if h.Domain != domain || (!h.Leaving && count[group] >= SummaryPerModel) {
 			continue
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -249,3 +249,19 @@
 		t.Errorf("leaving %t, sequence %d; want true, 9", b.Leaving, b.Seq)
 	}
 }
+
+// TestSummaryTellsWhatWasHeardHere tells another failure domain of a server
+// that announced itself to a VM outside its own domain.
+func TestSummaryTellsWhatWasHeardHere(t *testing.T) {
+	var table Table
+	here, told := heard(1, false, 0), heard(1, false, 0)
+	here.Domain, told.Domain, told.ID = "b", "b", "f"
+	told.Addr = netip.MustParseAddrPort("10.0.0.2:80")
+	table.Merge(start, here, "")
+	table.Merge(start, told, "another")
+	news, _ := table.Since(start, 0, "")
+	out := Summary(news, "a")
+	if len(out) != 1 || out[0].ID != "e" {
+		t.Errorf("summary %v, want only the server that was heard here", out)
+	}
+}
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -17,6 +17,8 @@
 	Tokens int
 	// Avoid lists servers that must not get it.
 	Avoid []string
+	// Near is the failure domain whose servers go first; empty takes the own one.
+	Near string
 	// Random breaks ties, in [0, 1).
 	Random float64
 }
@@ -46,6 +48,9 @@
 	// farRequests is the number of requests by which a server of another failure
 	// domain must be ahead.
 	farRequests = 1.5
+	// farCopies is the further number of requests for one that brings its memory
+	// along: a copy takes twice as long between failure domains.
+	farCopies = 4
 	// memoryShare is the share of a server's memory beyond which this VM sees
 	// it as full.
 	memoryShare = 0.9
@@ -101,8 +106,15 @@
 		l = &load{}
 	}
 	c := float64(l.requests)
-	if s.Domain != p.Domain {
+	near := p.Domain
+	if w.Near != "" {
+		near = w.Near
+	}
+	if s.Domain != near {
 		c += farRequests
+		if w.Near != "" {
+			c += farCopies
+		}
 	}
 	if s.Slots > 0 && l.requests >= s.Slots {
 		c += costFull
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -109,6 +109,9 @@
 	n.handed = n.stable
 	n.rebuildMemberships()
 	n.resetElection()
+	// Nobody is known to lead when a replica starts. One that hears its leader
+	// meanwhile does not vote against it.
+	n.electionAt = n.now.Add(n.opts.Election/10 + time.Duration(n.opts.Random.Int64N(int64(n.opts.Election/2))))
 	if m := n.Membership(); m.Voter(o.ID) && m.Quorum() == 1 {
 		// Nobody else can lead.
 		n.electionAt = now
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"fuchsiafold.example/fold/member"
@@ -44,6 +45,14 @@
 	n.group.Self.Addr = a
 }
 
+// Seeds returns the addresses of the settings at which other VMs are looked
+// for.
+func (n *Node) Seeds() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.group.Seeds)
+}
+
 // ExchangeTargets returns the addresses to exchange with now.
 func (n *Node) ExchangeTargets() []netip.AddrPort {
 	n.mu.Lock()
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -68,11 +68,24 @@
 
 // Start begins the exchanges.
 func (s *Service) Start() {
+	s.seek(time.Now())
 	s.node.Clock.Every(member.ExchangeInterval, func(time.Time) {
 		s.exchangeAll(s.node.ExchangeTargets())
 	})
 }
 
+// seekInterval is how often a VM without a configuration asks the seeds.
+const seekInterval = 250 * time.Millisecond
+
+// seek asks all seeds until a configuration is in force.
+func (s *Service) seek(now time.Time) {
+	if s.node.Index() != nil {
+		return
+	}
+	s.exchangeAll(s.node.Seeds())
+	s.node.Clock.At(now.Add(seekInterval), s.seek)
+}
+
 func (s *Service) exchangeAll(addrs []netip.AddrPort) {
 	for _, a := range addrs {
 		go s.exchangeOnce(a)
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -52,9 +52,15 @@
 	copyTimeout = 3 * time.Second
 	// freeTimeout bounds the call that frees a copy.
 	freeTimeout = time.Second
+	// maxTargets is the number of engines that a run is offered to.
+	maxTargets = 3
 	// movesAtOnce is the number of runs that this VM moves off one engine at a
 	// time: the engine's link carries one copy after the other.
 	movesAtOnce = 2
+	// shortNotice is the time that an engine which leaves surely has left.
+	shortNotice = 800 * time.Millisecond
+	// eventGap is the time between two events of a run of which no gap was seen.
+	eventGap = 50 * time.Millisecond
 )
 
 func (x *Relay) enter(s *stream, b backend) {
@@ -94,7 +100,7 @@
 
 // evacuate moves runs off an engine, those first that have come furthest.
 func (x *Relay) evacuate(list []*stream, b backend) {
-	list = slices.DeleteFunc(list, func(s *stream) bool { return !s.claim() })
+	list = slices.DeleteFunc(list, func(s *stream) bool { return s.endsWithin(shortNotice) || !s.claim() })
 	if x.Mover == nil || len(list) == 0 {
 		return
 	}
@@ -128,6 +134,26 @@
 	return true
 }
 
+// endsWithin reports whether the run will probably end by itself in a time.
+func (s *stream) endsWithin(d time.Duration) bool {
+	per := 1
+	if e := s.q.service.Engine; e != nil && e.EventTokens > 0 {
+		per = e.EventTokens
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := expected(s.q.ask.Prompt)/per - s.events
+	gap := eventGap
+	if s.events > 1 {
+		gap = s.lastAt.Sub(s.firstAt) / time.Duration(s.events-1)
+	}
+	if left <= 0 {
+		// The run is longer than was expected; how much longer is not known.
+		return false
+	}
+	return time.Duration(left)*gap < d
+}
+
 // progress returns the number of events that the caller has.
 func (s *stream) progress() int {
 	s.mu.Lock()
@@ -160,16 +186,10 @@
 // moveRun copies a run to another engine while it goes on, then stops it and
 // copies the rest. The stream's own goroutine resumes it there.
 func (x *Relay) moveRun(s *stream, from backend) {
-	target, ok := x.Node.Place(s.q.service.Name, place.Want{Avoid: []string{from.ID}, Tokens: s.tokens})
-	if !ok {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
-	handle, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
-	if err != nil {
-		x.Node.Placed(target.ID, s.tokens, place.Left)
-		x.logMove(s, from, target, "copy", err)
+	target, handle, ok := x.copyRun(ctx, s, from)
+	if !ok {
 		return
 	}
 	m := &move{target: target, done: make(chan struct{})}
@@ -191,6 +211,29 @@
 	x.logMove(s, from, target, "stop", err)
 }
 
+// copyRun copies a run to the first engine that has room for it. The target is
+// counted as if the run were there.
+func (x *Relay) copyRun(ctx context.Context, s *stream, from backend) (target backend, handle string, ok bool) {
+	want := place.Want{Avoid: []string{from.ID}, Tokens: s.tokens, Near: from.Domain}
+	for range maxTargets {
+		if target, ok = x.Node.Place(s.q.service.Name, want); !ok {
+			return target, "", false
+		}
+		handle, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
+		if err == nil {
+			return target, handle, true
+		}
+		x.logMove(s, from, target, "copy", err)
+		if !errors.Is(err, ErrNoRoom) {
+			x.Node.Placed(target.ID, s.tokens, place.Left)
+			return target, "", false
+		}
+		x.Node.Placed(target.ID, s.tokens, place.Full)
+		want.Avoid = append(want.Avoid, target.ID)
+	}
+	return target, "", false
+}
+
 func (x *Relay) free(source netip.AddrPort, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -69,6 +69,10 @@
 	sent int
 	// backend is the last server that it went to.
 	backend string
+	// firstEvent is when the first event of a stream was passed on, and pause
+	// the longest time between two.
+	firstEvent time.Time
+	pause      time.Duration
 	// moves counts the engines that the run went on at.
 	moves int
 }
@@ -228,6 +232,10 @@
 	if q.backend != "" {
 		fields["backend"] = q.backend
 	}
+	if !q.firstEvent.IsZero() {
+		fields["firstMs"] = q.firstEvent.Sub(q.arrived).Milliseconds()
+		fields["pauseMs"] = q.pause.Milliseconds()
+	}
 	if q.moves > 0 {
 		fields["moves"] = q.moves
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -34,7 +34,11 @@
 	// events counts the events passed on, last is the ID of the last one.
 	events int
 	last   string
-	began  time.Time
+	// firstAt and lastAt are when the first and the last event came.
+	firstAt, lastAt time.Time
+	// pause is the longest time between two events.
+	pause time.Duration
+	began           time.Time
 	// claimed is set while a move has the stream.
 	claimed bool
 	// move is set while the run is being moved; its end is sent on done.
@@ -45,6 +49,7 @@
 func (x *Relay) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	s := &stream{q: q, w: w, tokens: q.ask.Prompt.Tokens + expected(q.ask.Prompt)}
 	f := s.run(ctx)
+	q.firstEvent, q.pause = s.firstAt, s.pause
 	gone := q.caller.Gone() || errors.Is(context.Cause(ctx), serve.ErrCallerGone)
 	switch {
 	case f == nil:
@@ -210,6 +215,13 @@
 			s.last = id
 		}
 		first := s.events == 1
+		now := time.Now()
+		if first {
+			s.firstAt = now
+		} else {
+			s.pause = max(s.pause, now.Sub(s.lastAt))
+		}
+		s.lastAt = now
 		s.mu.Unlock()
 		if first {
 			s.q.relay.Node.Observe("forward.firstEventMicros", sinceArrival(s.q))
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -19,18 +19,19 @@
 
 // Defaults of a Pool.
 const (
-	DefaultDialTimeout = time.Second
+	DefaultDialTimeout = 300 * time.Millisecond
 	DefaultIdleTimeout = 2 * time.Second
 	DefaultMaxIdle     = 32
 )
 
 // Timing by which a connection that went silent is noticed.
 const (
-	probeIdle     = time.Second
-	probeInterval = time.Second
-	probeCount    = 2
-	// userTimeout is how long sent data may stay unacknowledged.
-	userTimeout = 2500 * time.Millisecond
+	probeIdle     = 2 * time.Second
+	probeInterval = 2 * time.Second
+	probeCount    = 3
+	// userTimeout is how long sent data and probes may stay unacknowledged. A
+	// link that is cut for a few seconds does not end a stream.
+	userTimeout = 8 * time.Second
 )
 
 const readBuffer = 4 << 10
