Stop a run for its last copy only once no first copy waits

Cause: all entries handed in a first copy and, run by run, the stop; each stopped run then waited behind first copies of others on the engine's link, 240 to 1,600 ms. Change: every first copy is handed in at the notice; a run stops when a repeated copy was quick, or 1.1 s after the notice.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -54,9 +54,11 @@
 	freeTimeout = time.Second
 	// maxTargets is the number of engines that a run is offered to.
 	maxTargets = 3
-	// movesAtOnce is the number of runs that this VM moves off one engine at a
-	// time: the engine's link carries one copy after the other.
-	movesAtOnce = 2
+	// quickCopy is the time of a copy behind which no other copy waits: then the
+	// run can stop for the last one without a long pause.
+	quickCopy = 30 * time.Millisecond
+	// settleTime is how long after the notice a run waits for that at most.
+	settleTime = 1100 * time.Millisecond
 	// shortNotice is the time that an engine which leaves surely has left.
 	shortNotice = 800 * time.Millisecond
 	// eventGap is the time between two events of a run of which no gap was seen.
@@ -105,17 +107,11 @@
 		return
 	}
 	slices.SortFunc(list, func(a, b *stream) int { return cmp.Compare(b.progress(), a.progress()) })
-	queue := make(chan *stream, len(list))
+	// The engine's link carries one copy after the other: all first copies are
+	// handed in before any run stops, so that no run stands still behind them.
+	notice := time.Now()
 	for _, s := range list {
-		queue <- s
-	}
-	close(queue)
-	for range movesAtOnce {
-		go func() {
-			for s := range queue {
-				x.moveRun(s, b)
-			}
-		}()
+		go x.moveRun(s, b, notice)
 	}
 }
 
@@ -185,11 +181,11 @@
 
 // moveRun copies a run to another engine while it goes on, then stops it and
 // copies the rest. The stream's own goroutine resumes it there.
-func (x *Relay) moveRun(s *stream, from backend) {
+func (x *Relay) moveRun(s *stream, from backend, notice time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
 	target, handle, ok := x.copyRun(ctx, s, from)
-	if !ok {
+	if !ok || !x.settle(ctx, s, from, target, notice) {
 		return
 	}
 	m := &move{target: target, done: make(chan struct{})}
@@ -211,6 +207,24 @@
 	x.logMove(s, from, target, "stop", err)
 }
 
+// settle copies what is new of a run until a copy is quick, or time runs short.
+// It returns false if the run needs no move any more.
+func (x *Relay) settle(ctx context.Context, s *stream, from, target backend, notice time.Time) bool {
+	for time.Since(notice) < settleTime {
+		start := time.Now()
+		_, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
+		if err != nil {
+			x.Node.Placed(target.ID, s.tokens, place.Left)
+			x.logMove(s, from, target, "copy", err)
+			return false
+		}
+		if time.Since(start) < quickCopy {
+			break
+		}
+	}
+	return true
+}
+
 // copyRun copies a run to the first engine that has room for it. The target is
 // counted as if the run were there.
 func (x *Relay) copyRun(ctx context.Context, s *stream, from backend) (target backend, handle string, ok bool) {
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -38,7 +38,7 @@
 	firstAt, lastAt time.Time
 	// pause is the longest time between two events.
 	pause time.Duration
-	began           time.Time
+	began time.Time
 	// claimed is set while a move has the stream.
 	claimed bool
 	// move is set while the run is being moved; its end is sent on done.
