Place requests for engines at one VM; give copies of runs their turns

Change: the VM with the highest hash of service and name places the service's requests for all, by what each VM says it has under way; a VM that gets no answer within 100 ms places by itself. For a run that is copied it picks by the time the copy ends and says when the copy begins; the run stops right after.

--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -1,6 +1,7 @@
-// Package place chooses the backend server for a request that is forwarded, by
-// what this VM itself has under way there and what it has seen fail. It answers
-// the load of many VMs that share engines without knowing of each other.
+// Package place chooses the backend server for a request that is forwarded. It
+// answers the load of many VMs that share engines: one VM places the requests
+// of a service for all of them, by what each says it has under way; a VM that
+// can't reach it places by what it has under way itself.
 package place
 
 import (
@@ -13,16 +14,38 @@
 
 // Want is what a request needs.
 type Want struct {
-	// Tokens is the memory that the request will take, zero for plain calls.
+	// Tokens is the memory that the request will take, zero for plain calls;
+	// Prompt is the part of it that has to be read before the first token.
 	Tokens int
+	Prompt int
 	// Avoid lists servers that must not get it.
 	Avoid []string
-	// Near is the failure domain whose servers go first; empty takes the own one.
-	Near string
+	// Domain is the failure domain whose servers go first; empty takes the
+	// placer's own.
+	Domain string
+	// Copy is set for a run that brings its memory along from another server.
+	Copy *Copy
 	// Random breaks ties, in [0, 1).
 	Random float64
 }
 
+// Copy describes the memory that a run brings along.
+type Copy struct {
+	// Source is the server that it comes from, in the failure domain of the Want.
+	Source string
+	// Time is how long the copy takes within a failure domain; to another one it
+	// takes twice as long.
+	Time time.Duration
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	Server member.Backend
+	// Wait is when the copy of a run's memory should begin: a server's link
+	// carries one copy after the other.
+	Wait time.Duration
+}
+
 // Outcome says how a request at a server ended.
 type Outcome int
 
@@ -45,36 +68,67 @@
 	maxPause   = 8 * time.Second
 	// fullPause is how long a server is avoided after it refused for lack of room.
 	fullPause = 250 * time.Millisecond
-	// farRequests is the number of requests by which a server of another failure
-	// domain must be ahead.
-	farRequests = 1.5
-	// farCopies is the further number of requests for one that brings its memory
-	// along: a copy takes twice as long between failure domains.
-	farCopies = 4
-	// memoryShare is the share of a server's memory beyond which this VM sees
-	// it as full.
-	memoryShare = 0.9
+	// guestLife is how long a VM's account of its requests counts.
+	guestLife = 3 * time.Second
+	// grantLife is how long a place that was given counts besides the VM's own
+	// account, which shows it by then.
+	grantLife = 150 * time.Millisecond
 )
 
+// Load is what is under way at a server.
+type Load struct {
+	Requests int
+	// Tokens is the memory of the requests, Prefill the prompts among it without
+	// a first token yet.
+	Tokens  int
+	Prefill int
+}
+
+func (l *Load) add(o Load) {
+	l.Requests += o.Requests
+	l.Tokens += o.Tokens
+	l.Prefill += o.Prefill
+}
+
 // Placer remembers what is under way at each server. The zero value knows of
 // nothing.
 type Placer struct {
 	// Domain is the own failure domain.
 	Domain string
-	loads  map[string]*load
+	own    map[string]*own
+	guests map[string]*guest
+	// links holds until when each server's link is taken by copies.
+	links map[string]time.Time
 }
 
-type load struct {
-	requests int
-	tokens   int
+// own is what this VM itself has at a server, and has seen of it.
+type own struct {
+	Load
 	failures int
 	// until is when the server is tried again; zero if it is not avoided.
 	until time.Time
 }
 
+// guest is what another VM says it has under way.
+type guest struct {
+	heard  time.Time
+	loads  map[string]Load
+	grants []grant
+}
+
+// grant is a place given to a guest lately.
+type grant struct {
+	at     time.Time
+	server string
+	load   Load
+}
+
+func (w Want) load() Load { return Load{Requests: 1, Tokens: w.Tokens, Prefill: w.Prompt} }
+
 // Pick chooses one of the servers. It returns false if there is none; servers
-// that failed lately are chosen only if no other is left.
-func (p *Placer) Pick(now time.Time, servers []member.Backend, w Want) (member.Backend, bool) {
+// that failed lately are chosen only if no other is left. For a run that is
+// copied, it takes the links of both servers for the time of the copy.
+func (p *Placer) Pick(now time.Time, servers []member.Backend, w Want) (Choice, bool) {
 	best := -1
 	least := math.Inf(1)
 	start := int(w.Random * float64(len(servers)))
@@ -89,96 +143,127 @@
 		}
 	}
 	if best < 0 {
-		return member.Backend{}, false
+		return Choice{}, false
+	}
+	c := Choice{Server: servers[best]}
+	if w.Copy != nil {
+		c.Wait = p.takeLinks(now, &servers[best], w)
 	}
-	return servers[best], true
+	return c, true
 }
 
-// Costs that no load reaches.
-const (
-	costFull    = 1_000
-	costAvoided = 1_000_000
-)
-
-func (p *Placer) cost(now time.Time, s *member.Backend, w Want) float64 {
-	l := p.loads[s.ID]
-	if l == nil {
-		l = &load{}
-	}
-	c := float64(l.requests)
-	near := p.Domain
-	if w.Near != "" {
-		near = w.Near
+// total returns what is under way at a server as far as is known here.
+func (p *Placer) total(now time.Time, id string) Load {
+	var l Load
+	if o := p.own[id]; o != nil {
+		l = o.Load
 	}
-	if s.Domain != near {
-		c += farRequests
-		if w.Near != "" {
-			c += farCopies
+	for _, g := range p.guests {
+		if now.Sub(g.heard) >= guestLife {
+			continue
+		}
+		l.add(g.loads[id])
+		for _, granted := range g.grants {
+			if granted.server == id && now.Sub(granted.at) < grantLife {
+				l.add(granted.load)
+			}
 		}
 	}
-	if s.Slots > 0 && l.requests >= s.Slots {
-		c += costFull
-	}
-	if s.MemoryTokens > 0 {
-		used := float64(l.tokens) / float64(s.MemoryTokens)
-		c += used * float64(max(s.Slots, 1)) / 2
-		if l.tokens+w.Tokens > int(memoryShare*float64(s.MemoryTokens)) {
-			c += costFull
+	return l
+}
+
+// Hear takes a VM's account of what it has under way.
+func (p *Placer) Hear(now time.Time, vm string, loads map[string]Load) {
+	g := p.guest(vm)
+	g.heard = now
+	g.loads = loads
+	g.grants = slices.DeleteFunc(g.grants, func(x grant) bool { return now.Sub(x.at) >= grantLife })
+}
+
+// Grant counts a place given to another VM until its own account shows it.
+func (p *Placer) Grant(now time.Time, vm, server string, w Want) {
+	g := p.guest(vm)
+	g.heard = now
+	g.grants = append(g.grants, grant{at: now, server: server, load: w.load()})
+}
+
+func (p *Placer) guest(vm string) *guest {
+	g := p.guests[vm]
+	if g == nil {
+		if p.guests == nil {
+			p.guests = map[string]*guest{}
 		}
+		g = &guest{}
+		p.guests[vm] = g
 	}
-	if now.Before(l.until) {
-		c += costAvoided
+	return g
+}
+
+// Own returns what this VM has under way at the servers.
+func (p *Placer) Own(servers []member.Backend) map[string]Load {
+	out := map[string]Load{}
+	for _, s := range servers {
+		if o := p.own[s.ID]; o != nil && o.Load != (Load{}) {
+			out[s.ID] = o.Load
+		}
 	}
-	return c
+	return out
 }
 
-func (p *Placer) load(id string) *load {
-	l := p.loads[id]
-	if l == nil {
-		if p.loads == nil {
-			p.loads = map[string]*load{}
+func (p *Placer) at(id string) *own {
+	o := p.own[id]
+	if o == nil {
+		if p.own == nil {
+			p.own = map[string]*own{}
 		}
-		l = &load{}
-		p.loads[id] = l
+		o = &own{}
+		p.own[id] = o
 	}
-	return l
+	return o
 }
 
 // Begin counts a request that goes to a server.
-func (p *Placer) Begin(id string, tokens int) {
-	l := p.load(id)
-	l.requests++
-	l.tokens += tokens
-}
-
-// End ends what Begin began, with the same tokens.
-func (p *Placer) End(now time.Time, id string, tokens int, o Outcome) {
-	l := p.load(id)
-	l.requests--
-	l.tokens -= tokens
-	switch o {
+func (p *Placer) Begin(id string, w Want) { p.at(id).add(w.load()) }
+
+// Prefilled says that a request's first token has come.
+func (p *Placer) Prefilled(id string, w Want) { p.at(id).Prefill -= w.Prompt }
+
+// End ends what Begin began, with the same want; its prompt is zero once
+// Prefilled was called.
+func (p *Placer) End(now time.Time, id string, w Want, outcome Outcome) {
+	o := p.at(id)
+	o.Requests--
+	o.Tokens -= w.Tokens
+	o.Prefill -= w.Prompt
+	switch outcome {
 	case Answered:
-		l.failures, l.until = 0, time.Time{}
+		o.failures, o.until = 0, time.Time{}
 	case Failed:
-		l.failures++
-		pause := min(firstPause<<min(l.failures-1, 8), maxPause)
-		l.until = now.Add(pause)
+		o.failures++
+		pause := min(firstPause<<min(o.failures-1, 8), maxPause)
+		o.until = now.Add(pause)
 	case Full:
-		l.until = now.Add(fullPause)
+		o.until = now.Add(fullPause)
 	}
 }
 
 // Avoid keeps requests away from a server for a while, as after a failure.
 func (p *Placer) Avoid(now time.Time, id string) {
-	l := p.load(id)
-	l.failures++
-	l.until = now.Add(maxPause)
+	o := p.at(id)
+	o.failures++
+	o.until = now.Add(maxPause)
+}
+
+// Avoided reports whether a server failed this VM lately.
+func (p *Placer) Avoided(now time.Time, id string) bool {
+	o := p.own[id]
+	return o != nil && now.Before(o.until)
 }
 
 // Forget drops what is known of a server that has gone, unless requests are
 // still under way there.
 func (p *Placer) Forget(id string) {
-	if l := p.loads[id]; l != nil && l.requests == 0 {
-		delete(p.loads, id)
+	if o := p.own[id]; o != nil && o.Requests == 0 {
+		delete(p.own, id)
 	}
 }
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,63 +10,86 @@
 
 var now = time.Unix(1000, 0)
 
-func servers() []member.Backend {
-	return []member.Backend{
-		{ID: "near", Domain: "a", Slots: 4, MemoryTokens: 1000},
-		{ID: "far", Domain: "b", Slots: 4, MemoryTokens: 1000},
+func plain() []member.Backend {
+	return []member.Backend{{ID: "near", Domain: "a", Slots: 4}, {ID: "far", Domain: "b", Slots: 4}}
+}
+
+func engines() []member.Backend {
+	list := plain()
+	for i := range list {
+		list[i].MemoryTokens = 1000
+	}
+	return list
+}
+
+func begin(p *Placer, id string, n int, w Want) {
+	for range n {
+		p.Begin(id, w)
 	}
 }
 
 func TestPick(t *testing.T) {
 	tests := []struct {
 		name  string
+		list  []member.Backend
 		setup func(*Placer)
-		edit  func([]member.Backend)
 		want  Want
 		id    string
 	}{
-		{"the own failure domain first", nil, nil, Want{}, "near"},
-		{"another one when it is ahead", func(p *Placer) { p.Begin("near", 0); p.Begin("near", 0) }, nil, Want{}, "far"},
-		{"not one that leaves", nil, func(s []member.Backend) { s[0].Leaving = true }, Want{}, "far"},
-		{"not one to avoid", nil, nil, Want{Avoid: []string{"near"}}, "far"},
-		{"not one that failed", func(p *Placer) { p.Begin("near", 0); p.End(now, "near", 0, Failed) }, nil, Want{}, "far"},
-		{"one that failed long ago", func(p *Placer) { p.Begin("near", 0); p.End(now.Add(-time.Minute), "near", 0, Failed) }, nil, Want{}, "near"},
-		{"not one without memory", func(p *Placer) { p.Begin("near", 800) }, nil, Want{Tokens: 300}, "far"},
-		{"none is left", nil, nil, Want{Avoid: []string{"near", "far"}}, ""},
+		{"the own failure domain first", plain(), nil, Want{}, "near"},
+		{"another one when it is ahead", plain(), func(p *Placer) { begin(p, "near", 2, Want{}) }, Want{}, "far"},
+		{"not one that leaves", []member.Backend{{ID: "near", Domain: "a", Leaving: true}, plain()[1]}, nil, Want{}, "far"},
+		{"not one to avoid", plain(), nil, Want{Avoid: []string{"near"}}, "far"},
+		{"not one that failed", plain(), func(p *Placer) { p.Begin("near", Want{}); p.End(now, "near", Want{}, Failed) }, Want{}, "far"},
+		{"one that failed long ago", plain(), func(p *Placer) { p.Begin("near", Want{}); p.End(now.Add(-time.Minute), "near", Want{}, Failed) }, Want{}, "near"},
+		{"not one without memory", engines(), func(p *Placer) { p.Begin("near", Want{Tokens: 800}) }, Want{Tokens: 300}, "far"},
+		{"not one that reads prompts", engines(), func(p *Placer) { p.Begin("near", Want{Prompt: 2000}) }, Want{Tokens: 10}, "far"},
+		{"one that has read them", engines(), func(p *Placer) {
+			p.Begin("near", Want{Prompt: 2000})
+			p.Prefilled("near", Want{Prompt: 2000})
+		}, Want{Tokens: 10}, "near"},
+		{"a copy stays in its domain", engines(), func(p *Placer) { begin(p, "far", 3, Want{}) }, Want{Tokens: 10, Domain: "b", Copy: &Copy{Source: "x", Time: 200 * time.Millisecond}}, "far"},
+		{"not where other VMs have requests", plain(), func(p *Placer) { p.Hear(now, "v", map[string]Load{"near": {Requests: 2}}) }, Want{}, "far"},
+		{"not where other VMs were sent", plain(), func(p *Placer) { p.Grant(now, "v", "near", Want{}); p.Grant(now, "v", "near", Want{}) }, Want{}, "far"},
+		{"a VM that is silent counts no more", plain(), func(p *Placer) {
+			p.Hear(now.Add(-time.Minute), "v", map[string]Load{"near": {Requests: 2}})
+		}, Want{}, "near"},
+		{"none is left", plain(), nil, Want{Avoid: []string{"near", "far"}}, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := Placer{Domain: "a"}
-			list := servers()
 			if tt.setup != nil {
 				tt.setup(&p)
 			}
-			if tt.edit != nil {
-				tt.edit(list)
-			}
 			for _, random := range []float64{0, 0.5, 0.99} {
 				tt.want.Random = random
-				if b, ok := p.Pick(now, list, tt.want); b.ID != tt.id || ok != (tt.id != "") {
-					t.Errorf("random %v: picked %q, want %q", random, b.ID, tt.id)
+				if c, ok := p.Pick(now, tt.list, tt.want); c.Server.ID != tt.id || ok != (tt.id != "") {
+					t.Errorf("random %v: picked %q, want %q", random, c.Server.ID, tt.id)
 				}
 			}
 		})
 	}
 }
 
-// TestSpread places requests of one size that all stay: no server gets two
-// more than another of its failure domain.
-func TestSpread(t *testing.T) {
-	p := Placer{Domain: "a"}
+func fleet() []member.Backend {
 	var list []member.Backend
 	for _, id := range []string{"1", "2", "3"} {
 		list = append(list, member.Backend{ID: id, Domain: "a", Slots: 24, MemoryTokens: 34_000})
 	}
+	return list
+}
+
+// TestSpread places requests of one size that all stay: every server gets the
+// same number.
+func TestSpread(t *testing.T) {
+	p := Placer{Domain: "a"}
 	count := map[string]int{}
 	for i := range 30 {
-		b, _ := p.Pick(now, list, Want{Tokens: 1000, Random: float64(i%7) / 7})
-		p.Begin(b.ID, 1000)
-		count[b.ID]++
+		w := Want{Tokens: 1000, Random: float64(i%7) / 7}
+		c, _ := p.Pick(now, fleet(), w)
+		p.Begin(c.Server.ID, w)
+		count[c.Server.ID]++
 	}
 	for id, n := range count {
 		if n != 10 {
@@ -73,3 +97,27 @@
 		}
 	}
 }
+
+// TestOnePlacerForMany plays an engine that leaves: eight VMs each move one run
+// at the same moment. One VM places them all: the runs spread over the engines
+// that are left, and each copy begins when the one before it has ended.
+func TestOnePlacerForMany(t *testing.T) {
+	const copyTime = 200 * time.Millisecond
+	run := Want{Tokens: 5000, Domain: "a", Copy: &Copy{Source: "1", Time: copyTime}, Avoid: []string{"1"}}
+	var steward Placer
+	count := map[string]int{}
+	for i := range 8 {
+		c, ok := steward.Pick(now, fleet(), run)
+		if !ok {
+			t.Fatal("no place")
+		}
+		steward.Grant(now, fmt.Sprint("vm", i), c.Server.ID, run)
+		count[c.Server.ID]++
+		if want := time.Duration(i) * (copyTime + copyGap); c.Wait != want {
+			t.Errorf("run %d waits %v, want %v", i, c.Wait, want)
+		}
+	}
+	if count["2"] != 4 || count["3"] != 4 {
+		t.Errorf("runs went to %v, want four to each", count)
+	}
+}
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -43,6 +44,9 @@
 	Clock    *clock.Service
 	// Decode reads a configuration; New sets it to spec.Parse.
 	Decode func(document []byte) (*spec.Document, error)
+	// AskPlace asks the VM that places a service's requests; nil places all
+	// here. It is called without the lock.
+	AskPlace func(ctx context.Context, to member.Peer, a PlaceAsk) (PlaceAnswer, error)
 	// BackendChanged is called, without the lock, when a backend server is new,
 	// has started again or leaves.
 	BackendChanged func(b member.Backend)
@@ -83,8 +87,13 @@
 	ticking bool
 	// placer places forwarded requests; repeats is the retry budget of each
 	// service.
-	placer  place.Placer
-	repeats map[string]*retry.Window
+	placer place.Placer
+	// distrusted holds until when a VM is not asked for places; told is what was
+	// last told of each service's load; telling is set while the next is due.
+	distrusted map[string]time.Time
+	told       map[string]map[string]place.Load
+	telling    bool
+	repeats    map[string]*retry.Window
 }
 
 // New returns a node without a configuration.
@@ -103,6 +112,8 @@
 		calls:          map[string]int{},
 		placer:         place.Placer{Domain: s.Domain},
 		repeats:        map[string]*retry.Window{},
+		distrusted:     map[string]time.Time{},
+		told:           map[string]map[string]place.Load{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"fuchsiafold.example/fold/member"
@@ -8,18 +11,173 @@
 	"fuchsiafold.example/fold/retry"
 )
 
+// PlaceAsk is what one VM says to the VM that places a service's requests.
+type PlaceAsk struct {
+	From    string
+	Service string
+	// Loads is what the VM has under way at each engine.
+	Loads map[string]place.Load
+	// Want is set if a place is asked for.
+	Want *place.Want
+}
+
+// PlaceAnswer names the server that a request goes to, none if it is empty, and
+// the wait before a copy begins.
+type PlaceAnswer struct {
+	Backend string
+	Wait    time.Duration
+}
+
+const (
+	// askTimeout bounds the wait for another VM to place a request.
+	askTimeout = 100 * time.Millisecond
+	// distrust is how long a VM that did not answer is not asked.
+	distrust = time.Second
+	// tellInterval is how often a VM tells what it has under way.
+	tellInterval = 250 * time.Millisecond
+	// freshPeer is how lately a VM must have been heard to place for others.
+	freshPeer = 4 * time.Second
+)
+
 // Place chooses a backend server of a service for a forwarded request and
 // counts the request there; the caller ends it with Placed. It returns false
-// if none is left.
-func (n *Node) Place(service string, w place.Want) (member.Backend, bool) {
+// if none is left. Requests for engines are placed by one VM for all, if it
+// answers; others, and those it leaves alone, by what this VM knows.
+func (n *Node) Place(ctx context.Context, service string, w place.Want) (place.Choice, bool) {
+	if c, ok := n.placeElsewhere(ctx, service, w); ok {
+		return c, true
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	w.Random = n.random.Float64()
-	b, ok := n.placer.Pick(time.Now(), n.candidates(service), w)
+	c, ok := n.placer.Pick(time.Now(), n.candidates(service), w)
 	if ok {
-		n.placer.Begin(b.ID, w.Tokens)
+		n.placer.Begin(c.Server.ID, w)
+	}
+	return c, ok
+}
+
+// placeElsewhere has the request placed by the VM that places for all.
+func (n *Node) placeElsewhere(ctx context.Context, service string, w place.Want) (place.Choice, bool) {
+	n.mu.Lock()
+	to, ok := n.placeSteward(time.Now(), service)
+	if !ok {
+		n.mu.Unlock()
+		return place.Choice{}, false
+	}
+	if w.Domain == "" {
+		w.Domain = n.Settings.Domain
+	}
+	ask := PlaceAsk{From: n.Settings.ID, Service: service, Want: &w, Loads: n.placer.Own(n.table.OfService(service))}
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := n.AskPlace(ctx, to, ask)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil {
+		n.distrusted[to.ID] = time.Now().Add(distrust)
+		n.Count("place.stewardsLost", 1)
+		n.Log.WithError(err).WithField("steward", to.ID).Warn("requests are placed here")
+		return place.Choice{}, false
 	}
-	return b, ok
+	return n.granted(service, answer, w)
+}
+
+// granted counts a request at the server that another VM chose, unless this VM
+// knows better of it. The caller holds the lock.
+func (n *Node) granted(service string, a PlaceAnswer, w place.Want) (place.Choice, bool) {
+	list := n.candidates(service)
+	i := slices.IndexFunc(list, func(b member.Backend) bool { return b.ID == a.Backend })
+	if i < 0 || list[i].Leaving || n.placer.Avoided(time.Now(), a.Backend) {
+		return place.Choice{}, false
+	}
+	n.placer.Begin(a.Backend, w)
+	return place.Choice{Server: list[i], Wait: a.Wait}, true
+}
+
+// placeSteward returns the VM that places a service's requests for all, and
+// false if this VM does. The caller holds the lock.
+func (n *Node) placeSteward(now time.Time, service string) (member.Peer, bool) {
+	x := n.Index()
+	if x == nil || n.AskPlace == nil {
+		return member.Peer{}, false
+	}
+	if s, ok := x.Service(service); !ok || s.Engine == nil {
+		return member.Peer{}, false
+	}
+	p := n.group.Placer(now, service, freshPeer, n.Draining())
+	if p.ID == n.Settings.ID || now.Before(n.distrusted[p.ID]) {
+		return member.Peer{}, false
+	}
+	return p, true
+}
+
+// PlaceFor answers a VM that asks for a place.
+func (n *Node) PlaceFor(a PlaceAsk) PlaceAnswer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.placer.Hear(now, a.From, a.Loads)
+	if a.Want == nil {
+		return PlaceAnswer{}
+	}
+	w := *a.Want
+	w.Random = n.random.Float64()
+	c, ok := n.placer.Pick(now, n.candidates(a.Service), w)
+	if !ok {
+		return PlaceAnswer{}
+	}
+	n.placer.Grant(now, a.From, c.Server.ID, w)
+	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait}
+}
+
+// tellLoads tells the VM that places for all what this VM has under way, while
+// it has anything.
+func (n *Node) tellLoads(now time.Time) {
+	n.mu.Lock()
+	n.telling = false
+	var asks []func()
+	busy := false
+	for service := range n.repeats {
+		loads := n.placer.Own(n.table.OfService(service))
+		to, ok := n.placeSteward(now, service)
+		if len(loads) == 0 && len(n.told[service]) == 0 {
+			continue
+		}
+		busy = true
+		if !ok || maps.Equal(loads, n.told[service]) {
+			continue
+		}
+		n.told[service] = loads
+		ask := PlaceAsk{From: n.Settings.ID, Service: service, Loads: loads}
+		asks = append(asks, func() { n.tellLoad(to, ask) })
+	}
+	if busy {
+		n.armTelling(now)
+	}
+	n.mu.Unlock()
+	for _, f := range asks {
+		go f()
+	}
+}
+
+func (n *Node) tellLoad(to member.Peer, ask PlaceAsk) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if _, err := n.AskPlace(ctx, to, ask); err != nil {
+		// The next change, or the next request, tells again.
+		n.Count("place.tellsFailed", 1)
+	}
+}
+
+// armTelling makes the next tellLoads due. The caller holds the lock.
+func (n *Node) armTelling(now time.Time) {
+	if n.telling {
+		return
+	}
+	n.telling = true
+	n.Clock.At(now.Add(tellInterval), n.tellLoads)
 }
 
 // candidates returns the backend servers of a service, with the memory that the
@@ -43,11 +201,19 @@
 	return list
 }
 
-// Placed ends what Place began, with the same tokens.
-func (n *Node) Placed(id string, tokens int, o place.Outcome) {
+// Prefilled says that the first token of a request has come.
+func (n *Node) Prefilled(id string, w place.Want) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.placer.Prefilled(id, w)
+}
+
+// Placed ends what Place began, with the same want; its prompt is zero once
+// Prefilled was called.
+func (n *Node) Placed(id string, w place.Want, o place.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.placer.End(time.Now(), id, tokens, o)
+	n.placer.End(time.Now(), id, w, o)
 }
 
 // Shun keeps forwarded requests away from a backend server for a while.
@@ -61,7 +227,9 @@
 func (n *Node) FirstSend(service string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.window(service).First(time.Now())
+	now := time.Now()
+	n.window(service).First(now)
+	n.armTelling(now)
 }
 
 // MayRepeat takes a repeat from the budget that all VMs share.
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -43,6 +43,7 @@
 	}
 	s := &Service{node: n, http: &http.Client{Transport: t}, busy: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
 	n.Connect(s.exchangeAll, s.sendTickets, s.sendDecisions)
+	n.AskPlace = s.askPlace
 	return s
 }
 
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -54,11 +54,8 @@
 	freeTimeout = time.Second
 	// maxTargets is the number of engines that a run is offered to.
 	maxTargets = 3
-	// quickCopy is the time of a copy behind which no other copy waits: then the
-	// run can stop for the last one without a long pause.
-	quickCopy = 30 * time.Millisecond
-	// settleTime is how long after the notice a run waits for that at most.
-	settleTime = 1100 * time.Millisecond
+	// firstEventPoll is how often a run that has no event yet is offered again.
+	firstEventPoll = 100 * time.Millisecond
 	// shortNotice is the time that an engine which leaves surely has left.
 	shortNotice = 800 * time.Millisecond
 	// eventGap is the time between two events of a run of which no gap was seen.
@@ -107,11 +104,8 @@
 		return
 	}
 	slices.SortFunc(list, func(a, b *stream) int { return cmp.Compare(b.progress(), a.progress()) })
-	// The engine's link carries one copy after the other: all first copies are
-	// handed in before any run stops, so that no run stands still behind them.
-	notice := time.Now()
 	for _, s := range list {
-		go x.moveRun(s, b, notice)
+		go x.moveRun(s, b)
 	}
 }
 
@@ -181,11 +175,11 @@
 
 // moveRun copies a run to another engine while it goes on, then stops it and
 // copies the rest. The stream's own goroutine resumes it there.
-func (x *Relay) moveRun(s *stream, from backend, notice time.Time) {
+func (x *Relay) moveRun(s *stream, from backend) {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
 	target, handle, ok := x.copyRun(ctx, s, from)
-	if !ok || !x.settle(ctx, s, from, target, notice) {
+	if !ok {
 		return
 	}
 	m := &move{target: target, done: make(chan struct{})}
@@ -198,56 +192,74 @@
 		m.handle = last
 	case errors.Is(err, ErrNoRoom) && last != "":
 		m.handle, m.atSource = last, true
-		x.Node.Placed(target.ID, s.tokens, place.Full)
+		x.Node.Placed(target.ID, s.copied(from), place.Full)
 	default:
-		x.Node.Placed(target.ID, s.tokens, place.Left)
+		x.Node.Placed(target.ID, s.copied(from), place.Left)
 		x.free(from.Addr, handle)
 	}
 	close(m.done)
 	x.logMove(s, from, target, "stop", err)
 }
 
-// settle copies what is new of a run until a copy is quick, or time runs short.
-// It returns false if the run needs no move any more.
-func (x *Relay) settle(ctx context.Context, s *stream, from, target backend, notice time.Time) bool {
-	for time.Since(notice) < settleTime {
-		start := time.Now()
-		_, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
-		if err != nil {
-			x.Node.Placed(target.ID, s.tokens, place.Left)
-			x.logMove(s, from, target, "copy", err)
-			return false
-		}
-		if time.Since(start) < quickCopy {
-			break
-		}
+// copied returns what the run needs at an engine that it is copied to.
+func (s *stream) copied(from backend) place.Want {
+	w := place.Want{Avoid: []string{from.ID}, Tokens: s.size, Domain: from.Domain, Copy: &place.Copy{Source: from.ID}}
+	if e := s.q.service.Engine; e.LinkMbps > 0 {
+		bits := float64(s.memory()) * float64(e.TokenBytes) * 8
+		w.Copy.Time = time.Duration(bits / e.LinkMbps * float64(time.Microsecond))
 	}
-	return true
+	return w
 }
 
-// copyRun copies a run to the first engine that has room for it. The target is
-// counted as if the run were there.
+// memory returns the tokens that the run has in its engine's memory.
+func (s *stream) memory() int {
+	return s.q.ask.Prompt.Tokens + s.progress()*max(1, s.q.service.Engine.EventTokens)
+}
+
+// copyRun copies a run to the first engine that has room for it, in its turn on
+// the links. The target is counted as if the run were there.
 func (x *Relay) copyRun(ctx context.Context, s *stream, from backend) (target backend, handle string, ok bool) {
-	want := place.Want{Avoid: []string{from.ID}, Tokens: s.tokens, Near: from.Domain}
+	want := s.copied(from)
 	for range maxTargets {
-		if target, ok = x.Node.Place(s.q.service.Name, want); !ok {
-			return target, "", false
+		choice, ok := x.Node.Place(ctx, s.q.service.Name, want)
+		if !ok {
+			break
 		}
-		handle, err := x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
+		sleep(ctx, choice.Wait)
+		handle, err := x.firstCopy(ctx, s, from, choice.Server)
 		if err == nil {
-			return target, handle, true
+			return choice.Server, handle, true
 		}
-		x.logMove(s, from, target, "copy", err)
+		x.logMove(s, from, choice.Server, "copy", err)
 		if !errors.Is(err, ErrNoRoom) {
-			x.Node.Placed(target.ID, s.tokens, place.Left)
-			return target, "", false
+			x.Node.Placed(choice.Server.ID, want, place.Left)
+			break
 		}
-		x.Node.Placed(target.ID, s.tokens, place.Full)
-		want.Avoid = append(want.Avoid, target.ID)
+		x.Node.Placed(choice.Server.ID, want, place.Full)
+		want.Avoid = append(want.Avoid, choice.Server.ID)
 	}
 	return target, "", false
 }
 
+// firstCopy copies a run for the first time. A run whose prompt is still being
+// read can't be copied until it has its first event.
+func (x *Relay) firstCopy(ctx context.Context, s *stream, from, target backend) (handle string, err error) {
+	for {
+		handle, err = x.Mover.Copy(ctx, from.Addr, s.q.ask.ID, target.Addr, false)
+		if !errors.Is(err, ErrNoRun) || s.progress() > 0 || ctx.Err() != nil {
+			return handle, err
+		}
+		sleep(ctx, firstEventPoll)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (x *Relay) free(source netip.AddrPort, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
@@ -259,7 +271,7 @@
 func (x *Relay) logMove(s *stream, from, to backend, step string, err error) {
 	x.Node.Count("moves."+step, 1)
 	l := x.Node.Log.WithFields(logrus.Fields{
-		"request": s.q.ask.ID, "from": from.ID, "to": to.ID, "step": step, "events": s.progress(), "tokens": s.tokens,
+		"request": s.q.ask.ID, "from": from.ID, "to": to.ID, "step": step, "events": s.progress(), "tokens": s.size,
 	})
 	if err != nil {
 		x.Node.Count("moves.failed", 1)
@@ -278,7 +290,7 @@
 	to := source
 	if !m.atSource {
 		to = m.target
-		s.q.relay.Node.Placed(source.ID, s.tokens, place.Left)
+		s.q.relay.Node.Placed(source.ID, s.want, place.Left)
 	}
 	s.mu.Lock()
 	r := &Resume{Source: source.Addr, Handle: m.handle, After: s.last}
@@ -290,7 +302,7 @@
 	}
 	if err != nil {
 		s.q.relay.logMove(s, source, to, "resume", err)
-		s.q.relay.Node.Placed(to.ID, s.tokens, place.Failed)
+		s.q.relay.Node.Placed(to.ID, s.want, place.Failed)
 		return nil
 	}
 	s.q.moves++
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -63,10 +63,11 @@
 	var best *answer
 	most := max(q.forward.Attempts, 1)
 	for unsent := 0; unsent < maxUnsent; {
-		b, ok := q.relay.Node.Place(q.service.Name, place.Want{Avoid: avoid})
+		choice, ok := q.relay.Node.Place(ctx, q.service.Name, place.Want{Avoid: avoid})
 		if !ok {
 			break
 		}
+		b := choice.Server
 		avoid = append(avoid, b.ID)
 		a := q.attempt(ctx, b)
 		if a.Sent {
@@ -132,7 +133,7 @@
 	reply := q.relay.Codec.Reply(res.Status, res.Header)
 	if reply.NotRun || reply.Elsewhere {
 		a.Refused = true
-		q.relay.turnedAway(b, 0, reply)
+		q.relay.turnedAway(b, place.Want{}, reply)
 		a.err = errRefused
 		return a
 	}
@@ -145,7 +146,7 @@
 		a.Began = true
 		return q.failed(ctx, b, a, errAnswerTooLarge)
 	}
-	q.relay.Node.Placed(b.ID, 0, place.Answered)
+	q.relay.Node.Placed(b.ID, place.Want{}, place.Answered)
 	a.Whole = true
 	a.answer = &answer{status: res.Status, header: res.Header, body: body}
 	return a
@@ -163,15 +164,15 @@
 	if ctx.Err() != nil {
 		outcome = place.Left
 	}
-	q.relay.Node.Placed(b.ID, 0, outcome)
+	q.relay.Node.Placed(b.ID, place.Want{}, outcome)
 	q.relay.Node.Count("forward.failures", 1)
 	q.relay.logAttempt(q, b, err)
 	return a
 }
 
 // turnedAway counts the end of a request that a server did not begin.
-func (x *Relay) turnedAway(b backend, tokens int, r Reply) {
-	x.Node.Placed(b.ID, tokens, place.Full)
+func (x *Relay) turnedAway(b backend, w place.Want, r Reply) {
+	x.Node.Placed(b.ID, w, place.Full)
 	x.Node.Count("forward.refused", 1)
 	if r.Elsewhere {
 		// Another server has the address by now.
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -28,9 +28,11 @@
 	split  event.Splitter
 
 	mu sync.Mutex
-	// at is the backend server of the run, tokens the memory counted there.
-	at     backend
-	tokens int
+	// size is the memory that the run will take, in tokens.
+	size int
+	// at is the backend server of the run, want what is counted there.
+	at   backend
+	want place.Want
 	// events counts the events passed on, last is the ID of the last one.
 	events int
 	last   string
@@ -47,7 +49,8 @@
 
 // serveStream forwards a request whose answer is a stream of events.
 func (x *Relay) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &stream{q: q, w: w, tokens: q.ask.Prompt.Tokens + expected(q.ask.Prompt)}
+	s := &stream{q: q, w: w, size: q.ask.Prompt.Tokens + expected(q.ask.Prompt)}
+	s.want = place.Want{Tokens: s.size, Prompt: q.ask.Prompt.Tokens}
 	f := s.run(ctx)
 	q.firstEvent, q.pause = s.firstAt, s.pause
 	gone := q.caller.Gone() || errors.Is(context.Cause(ctx), serve.ErrCallerGone)
@@ -117,10 +120,13 @@
 	var avoid []string
 	most := max(q.forward.Attempts, 1)
 	for unsent := 0; unsent < maxUnsent; {
-		b, ok := q.relay.Node.Place(q.service.Name, place.Want{Avoid: avoid, Tokens: s.tokens})
+		want := s.want
+		want.Avoid = avoid
+		choice, ok := q.relay.Node.Place(ctx, q.service.Name, want)
 		if !ok {
 			break
 		}
+		b := choice.Server
 		avoid = append(avoid, b.ID)
 		q.backend = b.ID
 		res, err := q.relay.Pool.Do(ctx, q.onward(b, nil))
@@ -132,7 +138,7 @@
 				return res, nil
 			}
 			res.Body.Close()
-			q.relay.turnedAway(b, s.tokens, reply)
+			q.relay.turnedAway(b, s.want, reply)
 			if q.sent >= most || !q.relay.Node.MayRepeat(q.service.Name) {
 				return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").After(turnaway)
 			}
@@ -141,13 +147,13 @@
 		var pe *pool.Error
 		sent := !errors.As(err, &pe) || pe.Sent
 		if ctx.Err() != nil {
-			q.relay.Node.Placed(b.ID, s.tokens, place.Left)
+			q.relay.Node.Placed(b.ID, s.want, place.Left)
 			if sent {
 				q.sent++
 			}
 			return nil, q.expired()
 		}
-		q.relay.Node.Placed(b.ID, s.tokens, place.Failed)
+		q.relay.Node.Placed(b.ID, s.want, place.Failed)
 		q.relay.logAttempt(q, b, err)
 		if sent {
 			q.sent++
@@ -170,7 +176,7 @@
 // leave takes the stream from the runs of its backend server.
 func (s *stream) leave(o place.Outcome) {
 	s.q.relay.leave(s, s.at)
-	s.q.relay.Node.Placed(s.at.ID, s.tokens, o)
+	s.q.relay.Node.Placed(s.at.ID, s.want, o)
 }
 
 // pass hands events on until the answer ends. A nil error is a whole answer.
@@ -224,7 +230,7 @@
 		s.lastAt = now
 		s.mu.Unlock()
 		if first {
-			s.q.relay.Node.Observe("forward.firstEventMicros", sinceArrival(s.q))
+			s.prefilled()
 		}
 	}
 	if f, ok := s.w.(http.Flusher); any && ok {
@@ -232,6 +238,14 @@
 	}
 }
 
+// prefilled says that the run's prompt has been read.
+func (s *stream) prefilled() {
+	n := s.q.relay.Node
+	n.Observe("forward.firstEventMicros", sinceArrival(s.q))
+	n.Prefilled(s.at.ID, s.want)
+	s.want.Prompt = 0
+}
+
 // finish hands on what is left at the end of an answer, unless the run goes on
 // elsewhere.
 func (s *stream) finish(events bool) error {
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -46,6 +46,8 @@
 	PeerServiceTicketsProcedure = "/wire.v1.PeerService/Tickets"
 	// PeerServiceDecisionsProcedure is the fully-qualified name of the PeerService's Decisions RPC.
 	PeerServiceDecisionsProcedure = "/wire.v1.PeerService/Decisions"
+	// PeerServicePlaceProcedure is the fully-qualified name of the PeerService's Place RPC.
+	PeerServicePlaceProcedure = "/wire.v1.PeerService/Place"
 	// ControlServiceClaimProcedure is the fully-qualified name of the ControlService's Claim RPC.
 	ControlServiceClaimProcedure = "/wire.v1.ControlService/Claim"
 	// ControlServiceSettleProcedure is the fully-qualified name of the ControlService's Settle RPC.
@@ -79,6 +81,7 @@
 	InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error)
 	Tickets(context.Context, *connect.Request[TicketsRequest]) (*connect.Response[TicketsResponse], error)
 	Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error)
+	Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the wire.v1.PeerService service. By default, it uses
@@ -122,6 +125,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Decisions")),
 			connect.WithClientOptions(opts...),
 		),
+		place: connect.NewClient[PlaceRequest, PlaceResponse](
+			httpClient,
+			baseURL+PeerServicePlaceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -132,6 +141,7 @@
 	inForce   *connect.Client[InForceRequest, InForceResponse]
 	tickets   *connect.Client[TicketsRequest, TicketsResponse]
 	decisions *connect.Client[DecisionsRequest, DecisionsResponse]
+	place     *connect.Client[PlaceRequest, PlaceResponse]
 }
 
 // Exchange calls wire.v1.PeerService.Exchange.
@@ -159,6 +169,11 @@
 	return c.decisions.CallUnary(ctx, req)
 }
 
+// Place calls wire.v1.PeerService.Place.
+func (c *peerServiceClient) Place(ctx context.Context, req *connect.Request[PlaceRequest]) (*connect.Response[PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the wire.v1.PeerService service.
 type PeerServiceHandler interface {
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
@@ -166,6 +181,7 @@
 	InForce(context.Context, *connect.Request[InForceRequest]) (*connect.Response[InForceResponse], error)
 	Tickets(context.Context, *connect.Request[TicketsRequest]) (*connect.Response[TicketsResponse], error)
 	Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error)
+	Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -205,6 +221,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Decisions")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePlaceHandler := connect.NewUnaryHandler(
+		PeerServicePlaceProcedure,
+		svc.Place,
+		connect.WithSchema(peerServiceMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -217,6 +239,8 @@
 			peerServiceTicketsHandler.ServeHTTP(w, r)
 		case PeerServiceDecisionsProcedure:
 			peerServiceDecisionsHandler.ServeHTTP(w, r)
+		case PeerServicePlaceProcedure:
+			peerServicePlaceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -246,6 +270,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Decisions is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Place is not implemented"))
+}
+
 // ControlServiceClient is a client for the wire.v1.ControlService service.
 type ControlServiceClient interface {
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
