--- a/fold/raft/election.go
+++ b/fold/raft/election.go
@@ -4,6 +4,8 @@
 // Candidate.
 func (n *Node) campaign(role Role) {
 	if !n.Membership().Voter(n.opts.ID) {
+		// A learner only learns that it hears no leader.
+		n.leader = ""
 		return
 	}
 	n.role = role
--- a/fold/repl/rig_test.go
+++ b/fold/repl/rig_test.go
@@ -64,7 +64,8 @@
 	d.entries = append(d.entries[:keep:keep], w.Entries...)
 }
 
-func newGroup(t *testing.T, seed uint64, n, snapshotEvery int) *group {
+// newRig makes VMs without disks.
+func newRig(t *testing.T, seed uint64, n, snapshotEvery int) *group {
 	g := &group{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), every: snapshotEvery,
 		servers: map[string]*server{}, cut: map[[2]string]bool{}, clients: map[uint64]func(repl.Done){},
@@ -74,6 +75,11 @@
 		g.vms = append(g.vms, vm)
 		g.servers[vm] = &server{vm: vm}
 	}
+	return g
+}
+
+func newGroup(t *testing.T, seed uint64, n, snapshotEvery int) *group {
+	g := newRig(t, seed, n, snapshotEvery)
 	first := g.servers[g.vms[0]]
 	first.id = first.vm + "#1"
 	boot := raft.Bootstrap(member(first))
--- a/fold/state/state_test.go
+++ b/fold/state/state_test.go
@@ -102,3 +102,41 @@
 		reload(t, &m)
 	}
 }
+
+// TestHighestVersion applies configurations by version: the highest one wins,
+// in whatever order they come, and a resend is answered like the first send.
+func TestHighestVersion(t *testing.T) {
+	var m Machine
+	tests := []struct {
+		version  uint64
+		document string
+		revision uint64
+		in       string
+	}{
+		{5, "five", 5, "five"},
+		{5, "five", 5, "five"},
+		{3, "three", 5, "five"},
+		{5, "another five", 5, "five"},
+		{9, "nine", 9, "nine"},
+	}
+	for _, tt := range tests {
+		data, err := json.Marshal(Command{Apply: &Apply{Version: tt.version, Document: []byte(tt.document)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := m.Apply(data); r.Error != "" || r.Conflict || r.Revision != tt.revision {
+			t.Errorf("version %d: %+v, want revision %d", tt.version, r, tt.revision)
+		}
+		if got := string(m.Document()); got != tt.in {
+			t.Errorf("version %d: %q in force, want %q", tt.version, got, tt.in)
+		}
+	}
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var restored Machine
+	if err := restored.Restore(snapshot); err != nil || restored.Revision() != 9 {
+		t.Errorf("restored revision %d, error %v", restored.Revision(), err)
+	}
+}
--- /dev/null
+++ b/foldd/relay/rig_test.go
@@ -0,0 +1,155 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/relay"
+	"fuchsiafold.example/foldfake/origin"
+	"fuchsiafold.example/netio/pool"
+	"fuchsiafold.example/netio/serve"
+)
+
+// rig is one VM that forwards requests, with stand-in servers behind it.
+type rig struct {
+	t     *testing.T
+	node  *node.Node
+	relay *relay.Relay
+	addr  string
+}
+
+const document = `{
+	"services": [
+		{"name": "app", "kind": "plain"},
+		{"name": "models", "kind": "plain", "engine": {"slots": 4, "memoryTokens": 100000, "eventTokens": 4, "moves": true}},
+	],
+	"forwards": [
+		{"name": "read", "host": "h.example", "prefix": "/read/", "kind": "safe", "timeout": "2s", "attempts": 2, "services": [{"service": "app", "part": 1}]},
+		{"name": "deep", "host": "h.example", "prefix": "/read/deep/", "kind": "safe", "timeout": "2s", "services": [{"service": "app", "part": 1}], "public": true},
+		{"name": "write", "host": "h.example", "prefix": "/write/", "kind": "unsafe", "timeout": "2s", "services": [{"service": "app", "part": 1}]},
+		{"name": "brief", "host": "h.example", "prefix": "/brief/", "kind": "unsafe", "timeout": "150ms", "services": [{"service": "app", "part": 1}]},
+		{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "stream", "timeout": "20s", "services": [{"service": "models", "part": 1}]},
+	],
+	"workspaces": [{"name": "w", "keySHA256": %q, "rank": 3}],
+}`
+
+func start(t *testing.T) *rig {
+	t.Helper()
+	s, err := conf.Parse([]byte(`{
+		"id": "vm", "domain": "a", "handleKey": "0123456789abcdef",
+		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+		"retry": {"share": 0.2, "reserve": 320},
+	}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := node.New(s, log)
+	t.Cleanup(n.Clock.Stop)
+	d, err := spec.Parse(fmt.Appendf(nil, document, spec.HashKey("key")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Adopt(spec.NewIndex(d, 1))
+	x := &relay.Relay{Node: n, Pool: &pool.Pool{}, Codec: relay.OwnCodec()}
+	n.BackendChanged = x.BackendChanged
+	server, err := serve.New(serve.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Handler: x, MaxBody: 1 << 20, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	return &rig{t: t, node: n, relay: x, addr: server.Addr().String()}
+}
+
+// backend starts a stand-in server of a service.
+func (r *rig) backend(id, service string, behave func(r *http.Request) origin.Behaviour) *origin.Server {
+	r.t.Helper()
+	s, err := origin.New(id, behave)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(s.Close)
+	r.announce(s, service, false)
+	return s
+}
+
+func (r *rig) announce(s *origin.Server, service string, leaving bool) {
+	seq := uint64(1)
+	if leaving {
+		seq = 2
+	}
+	r.node.Announce(member.Backend{ID: s.ID, Addr: s.Addr(), Kind: spec.KindPlain, Service: service, Domain: "a", Epoch: 1, Seq: seq, Leaving: leaving})
+}
+
+// ask is one request of a caller.
+func (r *rig) ask(method, path, id, body string, header ...string) (*http.Response, error) {
+	r.t.Helper()
+	req, err := http.NewRequest(method, "http://"+r.addr+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Fold-Request-Id", id)
+	req.Header.Set("Authorization", "Bearer key")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+}
+
+// get sends a request and reads its whole answer.
+func (r *rig) get(method, path, id, body string, header ...string) (status int, text string, err error) {
+	r.t.Helper()
+	res, err := r.ask(method, path, id, body, header...)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+func answer(b origin.Behaviour) func(*http.Request) origin.Behaviour {
+	return func(*http.Request) origin.Behaviour { return b }
+}
+
+// patience bounds every wait of these tests. No verdict depends on it while
+// the system does what it should.
+const patience = 20 * time.Second
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("gave up waiting for %s", what)
+		}
+	}
+}
+
+// raw sends bytes on a connection and returns the reader of what comes back.
+func (r *rig) raw(text string) (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		r.t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
