--- a/foldd/app/fault_test.go
+++ b/foldd/app/fault_test.go
@@ -152,6 +152,8 @@
 	read(res, func(r *received) bool { return r.events == 3 })
 	cancel()
 	waitFor(t, "the engine to be free", func() bool { l := e.Load(); return l.Running == 0 && l.MemoryUsed == 0 })
+	// The engine is free before its answer to the cancel is back.
+	waitFor(t, "the cancel to be counted", func() bool { return counter(a, "engine.cancels") > 0 })
 	if n := counter(a, "engine.cancels"); n != 1 {
 		t.Errorf("%d cancels, want 1", n)
 	}
