Hold requests on a VM that has just started until it knows the engines

Change: a VM asks its seeds every 250 ms for its first 3 s; a request that meets no configuration or no engine there is held for a quarter of its time at most; callers that are refused for that are told 1.2 s.

--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -68,6 +68,9 @@
 	SendTickets   func(to netip.AddrPort, steward ticket.Steward, b *ticket.Batch)
 	SendDecisions func(to member.Peer, list []ticket.Decision)
 
+	// started is when the process started.
+	started time.Time
+
 	meters meters
 	// recorder is set before the first request, or never.
 	recorder *recorder
@@ -111,6 +114,7 @@
 		waiters:        map[uint64]chan Verdict{},
 		calls:          map[string]int{},
 		placer:         place.Placer{Domain: s.Domain},
+		started:        time.Now(),
 		repeats:        map[string]*retry.Window{},
 		distrusted:     map[string]time.Time{},
 		told:           map[string]map[string]place.Load{},
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -180,6 +180,20 @@
 	n.Clock.At(now.Add(tellInterval), n.tellLoads)
 }
 
+// startTime is how long after its start a VM may lack news that others have.
+const startTime = 5 * time.Second
+
+// Awaits reports whether a service has no backend server here only because
+// this VM has just started.
+func (n *Node) Awaits(service string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Starting() && len(n.table.OfService(service)) == 0
+}
+
+// Starting reports whether the process has just started.
+func (n *Node) Starting() bool { return time.Since(n.started) < startTime }
+
 // candidates returns the backend servers of a service, with the memory that the
 // configuration states for its engines. The caller holds the lock.
 func (n *Node) candidates(service string) []member.Backend {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -25,6 +25,8 @@
 type Service struct {
 	node *node.Node
 	http *http.Client
+	// started is set by Start.
+	started time.Time
 
 	mu sync.Mutex
 	// busy holds the addresses with an exchange under way; the value says
@@ -69,18 +71,25 @@
 
 // Start begins the exchanges.
 func (s *Service) Start() {
-	s.seek(time.Now())
+	s.started = time.Now()
+	s.seek(s.started)
 	s.node.Clock.Every(member.ExchangeInterval, func(time.Time) {
 		s.exchangeAll(s.node.ExchangeTargets())
 	})
 }
 
-// seekInterval is how often a VM without a configuration asks the seeds.
-const seekInterval = 250 * time.Millisecond
+const (
+	// seekInterval is how often a VM that has just started asks the seeds.
+	seekInterval = 250 * time.Millisecond
+	// seekTime is how long it does at least: by then every backend server has
+	// announced itself to VMs that may have started at the same moment.
+	seekTime = 3 * time.Second
+)
 
-// seek asks all seeds until a configuration is in force.
+// seek asks all seeds, until a configuration is in force and a while has gone
+// by since the start.
 func (s *Service) seek(now time.Time) {
-	if s.node.Index() != nil {
+	if s.node.Index() != nil && now.Sub(s.started) > seekTime {
 		return
 	}
 	s.exchangeAll(s.node.Seeds())
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -93,7 +93,7 @@
 	if best != nil {
 		return best, nil
 	}
-	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(turnaway)
+	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(notReady)
 }
 
 // last returns what to tell the caller after the last attempt.
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -37,8 +37,18 @@
 	runs map[string]map[*stream]struct{}
 }
 
-// turnaway is when a caller that can't be served now may come back.
-const turnaway = 500 * time.Millisecond
+const (
+	// turnaway is when a caller may come back that met a busy server.
+	turnaway = 500 * time.Millisecond
+	// notReady is when a caller may come back that met a VM which knows no
+	// configuration or no backend server yet: an election and an announcement
+	// take about as long.
+	notReady = 1200 * time.Millisecond
+	// awaitShare is the part of a request's time that it waits for the first
+	// backend server to be known, at awaitPoll.
+	awaitShare = 4
+	awaitPoll  = 50 * time.Millisecond
+)
 
 // drainTail is how long after the start of a shutdown new requests are taken:
 // by then the platform sends none, but for connections that are kept.
@@ -92,6 +102,7 @@
 		return
 	}
 	defer x.Node.Leave()
+	x.await(r.Context(), q)
 	x.Node.FirstSend(q.service.Name)
 	x.Node.Count("forward.requests."+q.forward.Kind, 1)
 	ctx, cancel := context.WithDeadline(r.Context(), q.until)
@@ -103,12 +114,31 @@
 	x.servePlain(ctx, w, q)
 }
 
+// awaitConfig returns the configuration in force. On a VM that has just started
+// and has none yet it holds the request for a while.
+func (x *Relay) awaitConfig(ctx context.Context, q *request) *spec.Index {
+	limit := q.arrived.Add(q.ask.Patience / awaitShare)
+	for x.Node.Index() == nil && x.Node.Starting() && time.Now().Before(limit) && ctx.Err() == nil {
+		sleep(ctx, awaitPoll)
+	}
+	return x.Node.Index()
+}
+
+// await holds a request for a while on a VM that has just started and knows no
+// backend server of the service yet.
+func (x *Relay) await(ctx context.Context, q *request) {
+	limit := q.arrived.Add(q.until.Sub(q.arrived) / awaitShare)
+	for x.Node.Awaits(q.service.Name) && time.Now().Before(limit) && ctx.Err() == nil {
+		sleep(ctx, awaitPoll)
+	}
+}
+
 // admit reads a request and checks that it may be forwarded.
 func (x *Relay) admit(r *http.Request) (*request, *fault.Fault) {
 	q := &request{relay: x, r: r, arrived: time.Now(), ask: x.Codec.Ask(r.Header), caller: serve.CallerOf(r)}
-	index := x.Node.Index()
+	index := x.awaitConfig(r.Context(), q)
 	if index == nil {
-		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NotConfigured, "no configuration is in force yet").After(time.Second)
+		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NotConfigured, "no configuration is in force yet").After(notReady)
 	}
 	q.revision = index.Revision()
 	if at, draining := x.Node.DrainingSince(); draining && q.arrived.Sub(at) > drainTail {
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -318,3 +318,19 @@
 		t.Errorf("server got %q and %q", a, b)
 	}
 }
+
+// TestAwaitsFirstBackend sends a request to a VM that has just started, before
+// any server has announced itself: it is held until one has.
+func TestAwaitsFirstBackend(t *testing.T) {
+	r := start(t)
+	done := make(chan int)
+	go func() {
+		status, _, _ := r.get(http.MethodPost, "/write/x", "1", "")
+		done <- status
+	}()
+	waitFor(t, "the request to arrive", func() bool { return r.node.Streams() == 1 })
+	r.backend("s", "app", answer(origin.Behaviour{Body: "ok"}))
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -161,7 +161,7 @@
 		}
 		unsent++
 	}
-	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(turnaway)
+	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(notReady)
 }
 
 // enter puts the stream among the runs of its backend server.
