Avoid failure domains that can't be reached; let the next VM in line place

Change: a VM that did not answer is passed over for 3 s and the next one by hash places; a domain to which no connection opened is avoided as a whole, for longer with each failure. Lines for control VMs that fall silent and are heard again, and for who placed a request.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -337,21 +337,22 @@
 }
 
 // Placer returns the VM of the region that places a service's requests for all:
-// of those that serve callers, do not drain and were heard lately, the one with
-// the highest hash of both names. draining says that this VM itself drains.
-func (g *Group) Placer(now time.Time, service string, lately time.Duration, draining bool) Peer {
+// of those that serve callers, do not drain, were heard lately and are not
+// distrusted, the one with the highest hash of both names. draining says that
+// this VM itself drains; it is returned if no other is left.
+func (g *Group) Placer(now time.Time, service string, lately time.Duration, draining bool, distrusted func(id string) bool) Peer {
 	best := g.Self
 	most := uint64(0)
 	consider := func(p Peer) {
-		if h := xxhash.Sum64String(service + "\x00" + p.ID); p.Callers && !p.Draining && h > most {
+		if h := xxhash.Sum64String(service + "\x00" + p.ID); h > most {
 			best, most = p, h
 		}
 	}
-	self := g.Self
-	self.Draining = draining
-	consider(self)
+	if g.Self.Callers && !draining {
+		consider(g.Self)
+	}
 	for _, p := range g.LiveWithin(now, lately) {
-		if p.Region == g.Self.Region {
+		if p.Region == g.Self.Region && p.Callers && !p.Draining && !distrusted(p.ID) {
 			consider(p)
 		}
 	}
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -265,3 +265,46 @@
 		t.Errorf("summary %v, want only the server that was heard here", out)
 	}
 }
+
+// TestPlacer names one VM for all that hear the same ones, passes over those
+// that can't place, and comes back to it.
+func TestPlacer(t *testing.T) {
+	var peers []Peer
+	for _, id := range []string{"a", "b", "c", "d"} {
+		peers = append(peers, Peer{ID: id, Callers: true, Epoch: 1})
+	}
+	peers = append(peers, Peer{ID: "control", Control: true, Epoch: 1})
+	nobody := func(string) bool { return false }
+	view := func(self int, skip string) Peer {
+		g := Group{Self: peers[self]}
+		for i, p := range peers {
+			if i != self && p.ID != skip {
+				g.Hear(start, p)
+			}
+		}
+		return g.Placer(start, "service", time.Second, false, nobody)
+	}
+	first := view(0, "")
+	for i := range 4 {
+		if p := view(i, ""); p.ID != first.ID {
+			t.Errorf("VM %s names %s, VM a names %s", peers[i].ID, p.ID, first.ID)
+		}
+	}
+	other := 0
+	if peers[0].ID == first.ID {
+		other = 1
+	}
+	second := view(other, first.ID)
+	if second.ID == first.ID || !second.Callers {
+		t.Errorf("without %s: %+v", first.ID, second)
+	}
+	g := Group{Self: peers[other]}
+	for i, p := range peers {
+		if i != other {
+			g.Hear(start, p)
+		}
+	}
+	if p := g.Placer(start, "service", time.Second, false, func(id string) bool { return id == first.ID }); p.ID != second.ID {
+		t.Errorf("with %s distrusted: %s, want %s", first.ID, p.ID, second.ID)
+	}
+}
--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -20,6 +20,8 @@
 	costCall = 40
 	// costFar is the cost of another failure domain.
 	costFar = 60
+	// costCut is the cost of a failure domain that could not be reached lately.
+	costCut = 10_000
 	// costFull and costAvoided are beyond any load.
 	costFull    = 100_000
 	costAvoided = 10_000_000
@@ -43,9 +45,12 @@
 	if s.Slots > 0 && l.Requests >= s.Slots {
 		c += costFull
 	}
-	if o := p.own[s.ID]; o != nil && now.Before(o.until) {
+	if p.Avoided(now, s.ID) {
 		c += costAvoided
 	}
+	if p.cut[s.Domain].avoided(now) {
+		c += costCut
+	}
 	return c
 }
 
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -44,6 +44,8 @@
 	// Wait is when the copy of a run's memory should begin: a server's link
 	// carries one copy after the other.
 	Wait time.Duration
+	// By names the VM that chose, empty for this one.
+	By string
 }
 
 // Outcome says how a request at a server ended.
@@ -53,8 +55,11 @@
 const (
 	// Answered: the server answered, whatever the status.
 	Answered Outcome = iota
-	// Failed: the connection failed or broke off.
+	// Failed: the connection broke off.
 	Failed
+	// Unreached: no connection could be opened; the whole failure domain may be
+	// cut off.
+	Unreached
 	// Full: the server refused the request for lack of room.
 	Full
 	// Left: the caller or another server took the request away.
@@ -97,6 +102,8 @@
 	Domain string
 	own    map[string]*own
 	guests map[string]*guest
+	// cut holds what was seen of other failure domains.
+	cut map[string]*trust
 	// links holds until when each server's link is taken by copies.
 	links map[string]time.Time
 }
@@ -104,11 +111,23 @@
 // own is what this VM itself has at a server, and has seen of it.
 type own struct {
 	Load
+	trust
+}
+
+// trust is what failures in a row have taken.
+type trust struct {
 	failures int
-	// until is when the server is tried again; zero if it is not avoided.
+	// until is when the next try may come; zero if nothing is avoided.
 	until time.Time
 }
 
+func (t *trust) fail(now time.Time) {
+	t.failures++
+	t.until = now.Add(min(firstPause<<min(t.failures-1, 8), maxPause))
+}
+
+func (t *trust) avoided(now time.Time) bool { return t != nil && now.Before(t.until) }
+
 // guest is what another VM says it has under way.
 type guest struct {
 	heard  time.Time
@@ -237,16 +256,31 @@
 	o.Prefill -= w.Prompt
 	switch outcome {
 	case Answered:
-		o.failures, o.until = 0, time.Time{}
-	case Failed:
-		o.failures++
-		pause := min(firstPause<<min(o.failures-1, 8), maxPause)
-		o.until = now.Add(pause)
+		o.trust = trust{}
+	case Failed, Unreached:
+		o.fail(now)
 	case Full:
 		o.until = now.Add(fullPause)
 	}
 }
 
+// DomainSeen tells how a request at a server of a failure domain ended.
+func (p *Placer) DomainSeen(now time.Time, domain string, outcome Outcome) {
+	switch {
+	case domain == p.Domain:
+	case outcome == Answered:
+		delete(p.cut, domain)
+	case outcome == Unreached:
+		if p.cut == nil {
+			p.cut = map[string]*trust{}
+		}
+		if p.cut[domain] == nil {
+			p.cut[domain] = &trust{}
+		}
+		p.cut[domain].fail(now)
+	}
+}
+
 // Avoid keeps requests away from a server for a while, as after a failure.
 func (p *Placer) Avoid(now time.Time, id string) {
 	o := p.at(id)
@@ -257,7 +291,7 @@
 // Avoided reports whether a server failed this VM lately.
 func (p *Placer) Avoided(now time.Time, id string) bool {
 	o := p.own[id]
-	return o != nil && now.Before(o.until)
+	return o != nil && o.avoided(now)
 }
 
 // Forget drops what is known of a server that has gone, unless requests are
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -54,6 +54,16 @@
 		{"a VM that is silent counts no more", plain(), func(p *Placer) {
 			p.Hear(now.Add(-time.Minute), "v", map[string]Load{"near": {Requests: 2}})
 		}, Want{}, "near"},
+		{"not where a domain can't be reached", []member.Backend{{ID: "near", Domain: "b"}, {ID: "far", Domain: "c"}}, func(p *Placer) {
+			p.Begin("other", Want{})
+			p.End(now, "other", Want{}, Unreached)
+			p.DomainSeen(now, "b", Unreached)
+		}, Want{}, "far"},
+		{"where a domain is reached again", []member.Backend{{ID: "near", Domain: "b"}, {ID: "far", Domain: "c"}}, func(p *Placer) {
+			p.DomainSeen(now, "b", Unreached)
+			p.DomainSeen(now, "b", Answered)
+			p.Begin("far", Want{})
+		}, Want{}, "near"},
 		{"none is left", plain(), nil, Want{Avoid: []string{"near", "far"}}, ""},
 	}
 	for _, tt := range tests {
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -104,10 +104,25 @@
 		return nil, err
 	}
 	a.peers.Start()
-	log.WithFields(logrus.Fields{"id": s.ID, "domain": s.Domain, "callers": a.addrs.Callers.String()}).Info("serving")
+	log.WithFields(a.addresses()).Info("serving")
 	return a, nil
 }
 
+// addresses returns what the line about the start tells.
+func (a *App) addresses() logrus.Fields {
+	s := a.Node.Settings
+	fields := logrus.Fields{"id": s.ID, "domain": s.Domain, "region": s.Region, "controls": s.Controls}
+	for name, addr := range map[string]netip.AddrPort{
+		"callers": a.addrs.Callers, "backends": a.addrs.Backends, "peers": a.addrs.Peers,
+		"operators": a.addrs.Operators, "health": a.addrs.Health, "metrics": a.addrs.Metrics,
+	} {
+		if addr.IsValid() {
+			fields[name] = addr
+		}
+	}
+	return fields
+}
+
 // or returns what an adapter puts in the place of the own handler.
 func (a *App) or(adapted func(a *App) http.Handler, own http.Handler) http.Handler {
 	if adapted == nil {
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -89,8 +89,35 @@
 	return !slices.ContainsFunc(n.group.LiveWithin(now, n.table.Lease/2), func(p member.Peer) bool { return p.Control })
 }
 
+// watchControl writes a line when the control VMs fall silent, and when one is
+// heard again. The caller holds the lock.
+func (n *Node) watchControl(now time.Time) {
+	if len(n.controls) == 0 || n.Settings.Control != nil {
+		return
+	}
+	var heard []string
+	for _, p := range n.group.LiveWithin(now, controlSilence) {
+		if p.Control {
+			heard = append(heard, p.ID)
+		}
+	}
+	silent := len(heard) == 0 && !n.Starting()
+	if silent == n.controlSilent {
+		return
+	}
+	n.controlSilent = silent
+	log := n.Log.WithFields(logrus.Fields{"seeds": n.controls, "silenceMs": controlSilence.Milliseconds(), "heard": heard})
+	if silent {
+		n.Count("control.silences", 1)
+		log.Warn("control VMs are silent: what is known of configuration and backend servers stays in force")
+		return
+	}
+	log.Info("control VMs are heard again")
+}
+
 func (n *Node) expire(now time.Time) {
 	n.mu.Lock()
+	n.watchControl(now)
 	if n.deaf(now) {
 		n.mu.Unlock()
 		return
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -30,6 +30,9 @@
 const (
 	pollInterval   = 20 * time.Millisecond
 	expireInterval = 500 * time.Millisecond
+	// controlSilence is the time without news of any control VM after which they
+	// count as lost.
+	controlSilence = 4 * time.Second
 )
 
 // directPeers is the size of a group in which each VM tells urgent news to all
@@ -86,6 +89,8 @@
 	// calls counts the plain calls in flight at each backend server.
 	calls    map[string]int
 	controls []netip.AddrPort
+	// controlSilent is set while no control VM is heard.
+	controlSilent bool
 	// ticking is set while a tick is due.
 	ticking bool
 	// placer places forwarded requests; repeats is the retry budget of each
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -31,8 +31,9 @@
 const (
 	// askTimeout bounds the wait for another VM to place a request.
 	askTimeout = 100 * time.Millisecond
-	// distrust is how long a VM that did not answer is not asked.
-	distrust = time.Second
+	// distrust is how long a VM that did not answer is not asked; the next one in
+	// line places meanwhile.
+	distrust = 3 * time.Second
 	// tellInterval is how often a VM tells what it has under way.
 	tellInterval = 250 * time.Millisecond
 	// freshPeer is how lately a VM must have been heard to place for others.
@@ -81,7 +82,9 @@
 		n.Log.WithError(err).WithField("steward", to.ID).Warn("requests are placed here")
 		return place.Choice{}, false
 	}
-	return n.granted(service, answer, w)
+	c, ok := n.granted(service, answer, w)
+	c.By = to.ID
+	return c, ok
 }
 
 // granted counts a request at the server that another VM chose, unless this VM
@@ -106,8 +109,8 @@
 	if s, ok := x.Service(service); !ok || s.Engine == nil {
 		return member.Peer{}, false
 	}
-	p := n.group.Placer(now, service, freshPeer, n.Draining())
-	if p.ID == n.Settings.ID || now.Before(n.distrusted[p.ID]) {
+	p := n.group.Placer(now, service, freshPeer, n.Draining(), func(id string) bool { return now.Before(n.distrusted[id]) })
+	if p.ID == n.Settings.ID {
 		return member.Peer{}, false
 	}
 	return p, true
@@ -227,7 +230,11 @@
 func (n *Node) Placed(id string, w place.Want, o place.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.placer.End(time.Now(), id, w, o)
+	now := time.Now()
+	n.placer.End(now, id, w, o)
+	if b, ok := n.table.Get(id); ok {
+		n.placer.DomainSeen(now, b.Domain, o)
+	}
 }
 
 // Shun keeps forwarded requests away from a backend server for a while.
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -55,7 +55,7 @@
 }
 
 // maxUnsent bounds the servers that a request is offered without reaching them.
-const maxUnsent = 3
+const maxUnsent = 4
 
 // attempts sends the request until there is an answer to pass on.
 func (q *request) attempts(ctx context.Context) (*answer, *fault.Fault) {
@@ -161,8 +161,11 @@
 	}
 	a.err = err
 	outcome := place.Failed
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		outcome = place.Left
+	case !a.Sent:
+		outcome = place.Unreached
 	}
 	q.relay.Node.Placed(b.ID, place.Want{}, outcome)
 	q.relay.Node.Count("forward.failures", 1)
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -77,8 +77,10 @@
 	until time.Time
 	// sent counts the backend servers that may have got the request.
 	sent int
-	// backend is the last server that it went to.
-	backend string
+	// backend is the last server that it went to, placedBy the other VM that
+	// chose it.
+	backend  string
+	placedBy string
 	// firstEvent is when the first event of a stream was passed on, and pause
 	// the longest time between two.
 	firstEvent time.Time
@@ -266,6 +268,9 @@
 		fields["firstMs"] = q.firstEvent.Sub(q.arrived).Milliseconds()
 		fields["pauseMs"] = q.pause.Milliseconds()
 	}
+	if q.placedBy != "" {
+		fields["placedBy"] = q.placedBy
+	}
 	if q.moves > 0 {
 		fields["moves"] = q.moves
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -128,7 +128,7 @@
 		}
 		b := choice.Server
 		avoid = append(avoid, b.ID)
-		q.backend = b.ID
+		q.backend, q.placedBy = b.ID, choice.By
 		res, err := q.relay.Pool.Do(ctx, q.onward(b, nil))
 		if err == nil {
 			q.sent++
@@ -153,12 +153,13 @@
 			}
 			return nil, q.expired()
 		}
-		q.relay.Node.Placed(b.ID, s.want, place.Failed)
 		q.relay.logAttempt(q, b, err)
 		if sent {
+			q.relay.Node.Placed(b.ID, s.want, place.Failed)
 			q.sent++
 			return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
 		}
+		q.relay.Node.Placed(b.ID, s.want, place.Unreached)
 		unsent++
 	}
 	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(notReady)
