--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -211,6 +212,12 @@
 // TestMove lets an engine leave during streams: they go on at another engine,
 // without a piece missing or twice, and the caller does not notice.
 func TestMove(t *testing.T) {
+	for _, clean := range []bool{false, true} {
+		t.Run(fmt.Sprint("clean=", clean), func(t *testing.T) { testMove(t, clean) })
+	}
+}
+
+func testMove(t *testing.T, clean bool) {
 	const events, streams = 200, 6
 	whole := ""
 	for i := range events {
@@ -219,6 +226,7 @@
 	r := start(t)
 	behave := answer(origin.Behaviour{Events: events, Gap: 2 * time.Millisecond})
 	a := r.backend("a", "models", behave)
+	a.CleanStop = clean
 	type result struct {
 		body string
 		err  error
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -53,9 +53,12 @@
 
 // Server is one stand-in. Make it with New.
 type Server struct {
-	ID     string
-	behave func(r *http.Request) Behaviour
-	l      net.Listener
+	ID string
+	// CleanStop ends the answer of a run that Stop ends in good order, as some
+	// engines do, so that only the missing events show that it goes on elsewhere.
+	CleanStop bool
+	behave    func(r *http.Request) Behaviour
+	l         net.Listener
 
 	mu sync.Mutex
 	// ran counts the requests that ran, by ID.
@@ -290,6 +293,9 @@
 		stopped := m.stopped
 		s.mu.Unlock()
 		if stopped {
+			if s.CleanStop {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
 			return false
 		}
 		e := Event(m.made + 1)
