Count a moved run's place once, also when its caller leaves during the move

Cause (reading the code): a caller that left while its run was moved left the target counted, and a move before the first event was passed on took the prompt off twice. TestNothingStaysCounted plays both beside calls that fail.

--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -124,6 +124,7 @@
 	}
 	gone := n.table.Expire(now)
 	for _, id := range gone {
+		n.placer.Forget(id)
 		n.eachSched(func(s *sched.Sched) { s.Gone(now, id) })
 	}
 	n.poll(now)
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -287,3 +287,10 @@
 	}
 	return max(count, minSharers)
 }
+
+// Loads returns what this VM has under way at each backend server of a service.
+func (n *Node) Loads(service string) map[string]place.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.placer.Own(n.table.OfService(service))
+}
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -281,6 +281,15 @@
 	l.Info("run moved")
 }
 
+// drop gives up a move whose run nobody waits for any more.
+func (s *stream) drop(m *move) {
+	if m == nil || m.handle == "" || m.atSource {
+		return
+	}
+	s.q.relay.Node.Placed(m.target.ID, s.copied(s.at), place.Left)
+	go s.q.relay.free(s.at.Addr, m.handle)
+}
+
 // resume sends the request to the engine that holds the run's copy and returns
 // its answer, or nil if the run is lost.
 func (s *stream) resume(ctx context.Context, m *move) *pool.Response {
@@ -291,6 +300,7 @@
 	if !m.atSource {
 		to = m.target
 		s.q.relay.Node.Placed(source.ID, s.want, place.Left)
+		s.want = s.copied(source)
 	}
 	s.mu.Lock()
 	r := &Resume{Source: source.Addr, Handle: m.handle, After: s.last}
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -342,3 +342,37 @@
 		t.Errorf("status %d, want 200", status)
 	}
 }
+
+// TestNothingStaysCounted runs streams that end, move and are left by their
+// callers, and calls that fail: no server is left with a load.
+func TestNothingStaysCounted(t *testing.T) {
+	r := start(t)
+	a := r.backend("a", "models", answer(origin.Behaviour{Events: 60, Gap: 2 * time.Millisecond}))
+	r.backend("s", "app", answer(origin.Behaviour{Body: "x", Cut: 1}))
+	done := make(chan bool)
+	for i := range 8 {
+		go func() {
+			id := string(rune('1' + i))
+			if i%2 == 0 {
+				res, err := r.ask(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", "100", "Fold-Max-Tokens", "50")
+				if err == nil {
+					time.Sleep(20 * time.Millisecond)
+					res.Body.Close()
+				}
+			} else {
+				_, _, _ = r.get(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", "100", "Fold-Max-Tokens", "50")
+				_, _, _ = r.get(http.MethodGet, "/read/x", id, "")
+			}
+			done <- true
+		}()
+	}
+	waitFor(t, "a stream to run", func() bool { return a.Made("2") > 2 })
+	b := r.backend("b", "models", answer(origin.Behaviour{Events: 60, Gap: 2 * time.Millisecond}))
+	r.relay.Mover = mover(a, b)
+	r.announce(a, "models", true)
+	for range 8 {
+		<-done
+	}
+	waitFor(t, "all requests to end", func() bool { return r.node.Streams() == 0 })
+	waitFor(t, "the servers to be free", func() bool { return len(r.node.Loads("models")) == 0 && len(r.node.Loads("app")) == 0 })
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -93,6 +93,7 @@
 		switch {
 		case err != nil && ctx.Err() != nil:
 			s.leave(place.Left)
+			s.drop(m)
 			return s.q.expired()
 		case m != nil && m.handle != "":
 			if res = s.resume(ctx, m); res == nil {
