Send streams elsewhere that won't end before a shutdown; say when to come back in fractions

Cause: an entry VM took streams for 3 s after its SIGTERM that were cut at the end of the grace; callers were told whole seconds, rounded up. Change: a stream whose expected time is longer than what is left is refused as not run, to come back in 20 ms at another VM.

--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -79,14 +79,15 @@
 	return b
 }
 
-// Write sends the fault as a whole response.
+// Write sends the fault as a whole response. A Retry-After header that is set
+// already stays.
 func (f *Fault) Write(w http.ResponseWriter) {
 	b := append(f.Body(0), '\n')
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
 	h.Set("Fold-Outcome", f.Outcome.String())
-	if f.RetryAfter > 0 {
+	if f.RetryAfter > 0 && h.Get("Retry-After") == "" {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(f.Status)
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -67,6 +67,8 @@
 	Ask    func(h http.Header) Ask
 	Onward func(h http.Header, o Onward)
 	Reply  func(status int, h http.Header) Reply
+	// RetryAfter writes when a caller may come back; nil writes whole seconds.
+	RetryAfter func(d time.Duration) string
 }
 
 // Header names of the product's own protocol.
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -59,7 +59,7 @@
 	// shortNotice is the time that an engine which leaves surely has left.
 	shortNotice = 800 * time.Millisecond
 	// eventGap is the time between two events of a run of which no gap was seen.
-	eventGap = 50 * time.Millisecond
+	eventGap = 60 * time.Millisecond
 )
 
 func (x *Relay) enter(s *stream, b backend) {
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -44,6 +44,10 @@
 	// configuration or no backend server yet: an election and an announcement
 	// take about as long.
 	notReady = 1200 * time.Millisecond
+	// elsewhere is when a caller may come back that should reach another VM.
+	elsewhere = 20 * time.Millisecond
+	// firstEventTime is the time that a stream takes to its first event.
+	firstEventTime = 500 * time.Millisecond
 	// awaitShare is the part of a request's time that it waits for the first
 	// backend server to be known, at awaitPoll.
 	awaitShare = 4
@@ -143,9 +147,6 @@
 		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NotConfigured, "no configuration is in force yet").After(notReady)
 	}
 	q.revision = index.Revision()
-	if at, draining := x.Node.DrainingSince(); draining && q.arrived.Sub(at) > drainTail {
-		return q, fault.NotRun(http.StatusServiceUnavailable, fault.Draining, "this VM is shutting down").After(turnaway)
-	}
 	var ok bool
 	if q.forward, ok = index.Forward(r.Host, r.URL.Path); !ok {
 		return q, fault.NotRun(http.StatusNotFound, fault.UnknownRoute, "no forward for "+strconv.Quote(r.Host+r.URL.Path))
@@ -157,12 +158,39 @@
 		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "the service is not configured").After(turnaway)
 	}
 	q.until = q.arrived.Add(time.Duration(q.forward.Timeout))
+	if !q.endsBeforeShutdown() {
+		return q, fault.NotRun(http.StatusServiceUnavailable, fault.Draining, "this VM is shutting down").After(elsewhere)
+	}
 	if q.ask.Patience > 0 {
 		q.until = q.arrived.Add(min(q.ask.Patience, time.Duration(q.forward.Timeout)))
 	}
 	return q, q.read()
 }
 
+// endsBeforeShutdown reports whether the request may still be taken: on a VM
+// that shuts down, only in the first while, and if it will end in time.
+func (q *request) endsBeforeShutdown() bool {
+	at, draining := q.relay.Node.DrainingSince()
+	if !draining {
+		return true
+	}
+	gone := q.arrived.Sub(at)
+	if gone > drainTail {
+		return false
+	}
+	left := time.Duration(q.relay.Node.Settings.Limits.DrainTimeout) - gone
+	return q.forward.Kind != spec.ForwardStream || q.expectedTime() < left
+}
+
+// expectedTime returns how long a stream will probably take.
+func (q *request) expectedTime() time.Duration {
+	per := 1
+	if e := q.service.Engine; e != nil {
+		per = max(per, e.EventTokens)
+	}
+	return firstEventTime + time.Duration(expected(q.ask.Prompt)/per)*eventGap
+}
+
 // authorize finds the workspace of the caller's key and reports whether the
 // request may pass. A deployment without workspaces needs no key.
 func (q *request) authorize(index *spec.Index) bool {
@@ -248,6 +276,9 @@
 func (x *Relay) refuse(w http.ResponseWriter, q *request, f *fault.Fault) {
 	x.Node.Count("errors."+f.Code, 1)
 	q.log(f.Status, f.Outcome, f.Message)
+	if f.RetryAfter > 0 && x.Codec.RetryAfter != nil {
+		w.Header().Set("Retry-After", x.Codec.RetryAfter(f.RetryAfter))
+	}
 	f.Write(w)
 }
 
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -306,6 +306,13 @@
 	if r.node.Ready() {
 		t.Error("a VM that shuts down counts as ready")
 	}
+	r.backend("e", "models", answer(origin.Behaviour{Events: 2}))
+	for tokens, want := range map[string]int{"10": http.StatusOK, "100000": http.StatusServiceUnavailable} {
+		status, _, err := r.get(http.MethodPost, "/draft/x", tokens, "", "Fold-Max-Tokens", tokens)
+		if err != nil || status != want {
+			t.Errorf("a stream of up to %s tokens: status %d, error %v, want %d", tokens, status, err, want)
+		}
+	}
 }
 
 // TestKeptConnection serves several requests on one connection, one with a
--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -52,6 +52,7 @@
 		"id": "vm", "domain": "a", "handleKey": "0123456789abcdef",
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
 		"retry": {"share": 0.2, "reserve": 320},
+		"limits": {"drainTimeout": "10s"},
 	}`))
 	if err != nil {
 		t.Fatal(err)
