--- a/fold/spec/spec.go
+++ b/fold/spec/spec.go
@@ -59,6 +59,9 @@
 	// with forwards may have no classes and no workspaces; without workspaces
 	// its forwards are open to every caller.
 	Forwards []Forward `json:"forwards,omitempty"`
+	// MaxBody is the largest body of a forwarded request in bytes; zero leaves
+	// it to the VMs' settings.
+	MaxBody int `json:"maxBody,omitempty"`
 }
 
 // Target states what a class of work is promised. A zero field promises
@@ -165,6 +168,9 @@
 	d.checkServices(&errs)
 	d.checkRoutes(&errs)
 	d.checkForwards(&errs)
+	if d.MaxBody < 0 {
+		errs.Add("maxBody", "want 0 or more, got %d", d.MaxBody)
+	}
 	d.checkWorkspaces(&errs)
 	return errs.Err()
 }
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -71,11 +71,15 @@
 	}
 	ask := PlaceAsk{From: n.Settings.ID, Service: service, Want: &w, Loads: n.placer.Own(n.table.OfService(service))}
 	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := n.AskPlace(ctx, to, ask)
+	answer, err := n.AskPlace(limited, to, ask)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if ctx.Err() != nil {
+		// Nobody waits for the request any more; that tells nothing of the other VM.
+		return place.Choice{}, false
+	}
 	if err != nil {
 		n.distrusted[to.ID] = time.Now().Add(distrust)
 		n.Count("place.stewardsLost", 1)
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -164,7 +164,7 @@
 	if q.ask.Patience > 0 {
 		q.until = q.arrived.Add(min(q.ask.Patience, time.Duration(q.forward.Timeout)))
 	}
-	return q, q.read()
+	return q, q.read(index)
 }
 
 // endsBeforeShutdown reports whether the request may still be taken: on a VM
@@ -205,8 +205,11 @@
 }
 
 // read takes in the body.
-func (q *request) read() *fault.Fault {
+func (q *request) read(index *spec.Index) *fault.Fault {
 	limit := q.relay.Node.Settings.Limits.MaxBody
+	if most := index.Document().MaxBody; most > 0 {
+		limit = min(limit, most)
+	}
 	if q.r.Body == nil {
 		return nil
 	}
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// TestMaxBody refuses a body beyond the configuration's limit.
+func TestMaxBody(t *testing.T) {
+	r := start(t)
+	s := r.backend("s", "app", answer(origin.Behaviour{Body: "ok"}))
+	for size, want := range map[int]int{4096: http.StatusOK, 4097: http.StatusRequestEntityTooLarge} {
+		if status, _, err := r.get(http.MethodPost, "/write/x", "1", strings.Repeat("x", size)); err != nil || status != want {
+			t.Errorf("%d bytes: status %d, error %v, want %d", size, status, err, want)
+		}
+	}
+	if s.Ran("1") != 1 {
+		t.Errorf("%d requests ran", s.Ran("1"))
+	}
+}
+
 // TestRepeats lets the first server that gets a request fail it in each way. A
 // safe request goes to a second server; another only if it provably did not
 // run there, and then the caller learns that.
--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -43,6 +43,7 @@
 		{"name": "brief", "host": "h.example", "prefix": "/brief/", "kind": "unsafe", "timeout": "150ms", "services": [{"service": "app", "part": 1}]},
 		{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "stream", "timeout": "20s", "services": [{"service": "models", "part": 1}]},
 	],
+	"maxBody": 4096,
 	"workspaces": [{"name": "w", "keySHA256": %q, "rank": 3}],
 }`
 
