Move smaller runs first

Cause: on engines with more runs than a notice has time for, the order of copies was by chance. Change: a run's turn is asked for 3 us a token later.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -56,6 +56,9 @@
 	maxTargets = 3
 	// firstEventPoll is how often a run that has no event yet is offered again.
 	firstEventPoll = 100 * time.Millisecond
+	// orderPerToken delays a run's turn by its size, so that of all VMs' runs the
+	// smallest are copied first and most are away in time.
+	orderPerToken = 3 * time.Microsecond
 	// shortNotice is the time that an engine which leaves surely has left.
 	shortNotice = 800 * time.Millisecond
 	// eventGap is the time between two events of a run of which no gap was seen.
@@ -219,6 +222,7 @@
 // copyRun copies a run to the first engine that has room for it, in its turn on
 // the links. The target is counted as if the run were there.
 func (x *Relay) copyRun(ctx context.Context, s *stream, from backend) (target backend, handle string, ok bool) {
+	sleep(ctx, time.Duration(s.memory())*orderPerToken)
 	want := s.copied(from)
 	for range maxTargets {
 		choice, ok := x.Node.Place(ctx, s.q.service.Name, want)
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -397,3 +398,43 @@
 	waitFor(t, "all requests to end", func() bool { return r.node.Streams() == 0 })
 	waitFor(t, "the servers to be free", func() bool { return len(r.node.Loads("models")) == 0 && len(r.node.Loads("app")) == 0 })
 }
+
+// TestSmallRunsMoveFirst lets an engine leave that runs a large and a small
+// prompt: the small one is copied first, so that most runs are away in time.
+func TestSmallRunsMoveFirst(t *testing.T) {
+	r := start(t)
+	behave := answer(origin.Behaviour{Events: 200, Gap: 2 * time.Millisecond})
+	a := r.backend("a", "models", behave)
+	done := make(chan error)
+	for id, tokens := range map[string]string{"large": "40000", "small": "10"} {
+		go func() {
+			_, _, err := r.get(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", tokens)
+			done <- err
+		}()
+	}
+	waitFor(t, "both to run", func() bool { return a.Made("large") > 2 && a.Made("small") > 2 })
+	b := r.backend("b", "models", behave)
+	inner := mover(a, b)
+	var order sync.Map
+	var turns atomic.Int32
+	r.relay.Mover = &relay.Mover{
+		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, error) {
+			if !stop {
+				order.Store(id, turns.Add(1))
+			}
+			return inner.Copy(ctx, source, id, target, stop)
+		},
+		Free: inner.Free,
+	}
+	r.announce(a, "models", true)
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	small, _ := order.Load("small")
+	large, _ := order.Load("large")
+	if small != int32(1) || large != int32(2) {
+		t.Errorf("turns: small %v, large %v; want 1 and 2", small, large)
+	}
+}
