--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -273,6 +273,9 @@
 		{"listen.health", s.Listen.Health},
 		{"listen.metrics", s.Listen.Metrics},
 	}
+	if !s.Listen.Callers.IsValid() && s.Control == nil {
+		errs.Add("listen", "want an address for callers, or control for a VM that serves none")
+	}
 	seen := map[netip.AddrPort]string{}
 	for _, a := range addrs {
 		if !a.addr.IsValid() && a.path != "listen.peers" {
--- a/foldd/conf/conf_test.go
+++ b/foldd/conf/conf_test.go
@@ -40,6 +40,13 @@
 		{"unknown exporter", `"id"`, `"trace": {"exporter": "x"}, "id"`, "trace.exporter:"},
 		{"no endpoint", `"id"`, `"trace": {"exporter": "otlp"}, "id"`, "trace.endpoint:"},
 		{"no data folder", `"id"`, `"control": {}, "id"`, "control.dataFolder:"},
+		{"both ways to start a group", `"id"`, `"control": {"dataFolder": "d", "form": true, "bootstrap": true}, "id"`, "control.form: does not go with bootstrap"},
+		{"a share of repeats out of range", `"id"`, `"retry": {"share": -1}, "id"`, "retry.share: want 0 to 10"},
+		{"a window out of range", `"id"`, `"retry": {"window": "1ms"}, "id"`, "retry.window:"},
+		{"a reserve out of range", `"id"`, `"retry": {"reserve": -1}, "id"`, "retry.reserve:"},
+		{"a lease out of range", `"id"`, `"limits": {"backendLease": "1ms"}, "id"`, "limits.backendLease:"},
+		{"a seed that is no address", `"id"`, `"seeds": ["nowhere"], "id"`, "seeds"},
+		{"no role", `"callers": "127.0.0.1:1", `, ``, "listen: want an address for callers, or control"},
 		{"null", `"hobart-a"`, `null`, "domain: null is not allowed"},
 	}
 	for _, tt := range tests {
