Refuse streams when the memory of every engine is spoken for

Change: the placing VM counts each run to its expected end; beyond 1.15 of every engine's memory a new one is told at once that it did not run, and to come back in 2 s. Runs that move are never turned away.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -28,6 +28,9 @@
 	// memoryShare is the part of an engine's memory that is used by choice: what
 	// is generated is only forecast.
 	memoryShare = 0.9
+	// fullShare is the part of an engine's memory, all requests to their ends
+	// counted, beyond which a further one would only make others wait.
+	fullShare = 1.15
 )
 
 func (p *Placer) cost(now time.Time, s *member.Backend, w Want) float64 {
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -44,6 +44,9 @@
 	// Wait is when the copy of a run's memory should begin: a server's link
 	// carries one copy after the other.
 	Wait time.Duration
+	// Full says that no server has room, and this one the least want of it: the
+	// request is not counted there.
+	Full bool
 	// By names the VM that chose, empty for this one.
 	By string
 }
@@ -164,7 +167,7 @@
 	if best < 0 {
 		return Choice{}, false
 	}
-	c := Choice{Server: servers[best]}
+	c := Choice{Server: servers[best], Full: w.Copy == nil && least >= costFull*fullShare && least < costAvoided}
 	if w.Copy != nil {
 		c.Wait = p.takeLinks(now, &servers[best], w)
 	}
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -131,3 +131,37 @@
 		t.Errorf("runs went to %v, want four to each", count)
 	}
 }
+
+// TestFull plays more runs than the engines' memory holds: those beyond it are
+// told so and counted nowhere, and there is room again once runs have ended.
+func TestFull(t *testing.T) {
+	var p Placer
+	run := Want{Tokens: 5000, Prompt: 4000}
+	placed := map[string]int{}
+	for range 40 {
+		c, ok := p.Pick(now, fleet(), run)
+		if !ok {
+			t.Fatal("no place")
+		}
+		if c.Full {
+			continue
+		}
+		p.Begin(c.Server.ID, run)
+		placed[c.Server.ID]++
+	}
+	for _, s := range fleet() {
+		used := placed[s.ID] * run.Tokens
+		if used > int(fullShare*float64(s.MemoryTokens)) || used < int(memoryShare*float64(s.MemoryTokens)) {
+			t.Errorf("engine %s has runs of %d tokens in %d", s.ID, used, s.MemoryTokens)
+		}
+	}
+	p.End(now, "1", run, Answered)
+	if c, _ := p.Pick(now, fleet(), run); c.Full || c.Server.ID != "1" {
+		t.Errorf("after an end: %+v", c)
+	}
+	// A run that is moved is not turned away: it has no other place to be.
+	p.Begin("1", run)
+	if c, ok := p.Pick(now, fleet(), Want{Tokens: 5000, Copy: &Copy{Source: "x"}}); !ok || c.Full {
+		t.Errorf("a move: %+v", c)
+	}
+}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -26,6 +26,8 @@
 type PlaceAnswer struct {
 	Backend string
 	Wait    time.Duration
+	// Full says that no server has room: the request is not counted.
+	Full bool
 }
 
 const (
@@ -52,7 +54,7 @@
 	defer n.mu.Unlock()
 	w.Random = n.random.Float64()
 	c, ok := n.placer.Pick(time.Now(), n.candidates(service), w)
-	if ok {
+	if ok && !c.Full {
 		n.placer.Begin(c.Server.ID, w)
 	}
 	return c, ok
@@ -99,8 +101,10 @@
 	if i < 0 || list[i].Leaving || n.placer.Avoided(time.Now(), a.Backend) {
 		return place.Choice{}, false
 	}
-	n.placer.Begin(a.Backend, w)
-	return place.Choice{Server: list[i], Wait: a.Wait}, true
+	if !a.Full {
+		n.placer.Begin(a.Backend, w)
+	}
+	return place.Choice{Server: list[i], Wait: a.Wait, Full: a.Full}, true
 }
 
 // placeSteward returns the VM that places a service's requests for all, and
@@ -135,8 +139,10 @@
 	if !ok {
 		return PlaceAnswer{}
 	}
-	n.placer.Grant(now, a.From, c.Server.ID, w)
-	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait}
+	if !c.Full {
+		n.placer.Grant(now, a.From, c.Server.ID, w)
+	}
+	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait, Full: c.Full}
 }
 
 // tellLoads tells the VM that places for all what this VM has under way, while
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return node.PlaceAnswer{}, fmt.Errorf("ask %s for a place: %w", to.ID, err)
 	}
-	return node.PlaceAnswer{Backend: res.Msg.GetBackend(), Wait: time.Duration(res.Msg.GetWaitMicros()) * time.Microsecond}, nil
+	return node.PlaceAnswer{Backend: res.Msg.GetBackend(), Wait: time.Duration(res.Msg.GetWaitMicros()) * time.Microsecond, Full: res.Msg.GetFull()}, nil
 }
 
 // Place implements wire.PeerServiceHandler.
@@ -58,5 +58,5 @@
 		}
 	}
 	answer := s.node.PlaceFor(a)
-	return connect.NewResponse(&wire.PlaceResponse{Backend: answer.Backend, WaitMicros: uint64(answer.Wait.Microseconds())}), nil
+	return connect.NewResponse(&wire.PlaceResponse{Backend: answer.Backend, WaitMicros: uint64(answer.Wait.Microseconds()), Full: answer.Full}), nil
 }
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -64,7 +64,7 @@
 	most := max(q.forward.Attempts, 1)
 	for unsent := 0; unsent < maxUnsent; {
 		choice, ok := q.relay.Node.Place(ctx, q.service.Name, place.Want{Avoid: avoid})
-		if !ok {
+		if !ok || choice.Full {
 			break
 		}
 		b := choice.Server
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -438,3 +438,47 @@
 		t.Errorf("turns: small %v, large %v; want 1 and 2", small, large)
 	}
 }
+
+// TestEnginesFull asks for more runs than the engines' memory holds: those that
+// are taken end whole, the others are told at once that they did not run.
+func TestEnginesFull(t *testing.T) {
+	r := start(t)
+	e := r.backend("e", "models", answer(origin.Behaviour{Events: 40, Gap: 5 * time.Millisecond}))
+	const requests = 8
+	type result struct {
+		id     string
+		status int
+		body   string
+	}
+	results := make(chan result, requests)
+	for i := range requests {
+		go func() {
+			id := string(rune('1' + i))
+			status, body, err := r.get(http.MethodPost, "/draft/x", id, "", "Fold-Prompt-Tokens", "30000")
+			if err != nil {
+				t.Error(err)
+			}
+			results <- result{id, status, body}
+		}()
+	}
+	taken := 0
+	for range requests {
+		switch res := <-results; res.status {
+		case http.StatusOK:
+			taken++
+			if strings.Count(res.body, "id: ") != 40 {
+				t.Errorf("stream %s is not whole", res.id)
+			}
+		case http.StatusServiceUnavailable:
+			if e.Ran(res.id) != 0 {
+				t.Errorf("request %s was told that it did not run", res.id)
+			}
+		default:
+			t.Errorf("request %s: status %d", res.id, res.status)
+		}
+	}
+	// The engine's memory is 100,000 tokens.
+	if taken != 3 {
+		t.Errorf("%d streams were taken, want 3", taken)
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -16,6 +16,10 @@
 	"fuchsiafold.example/netio/serve"
 )
 
+// engineTurnaway is when a caller may come back that found every engine full:
+// some runs end by then.
+const engineTurnaway = 2 * time.Second
+
 // readChunk is the size of one read of a stream in bytes.
 const readChunk = 4 << 10
 
@@ -127,6 +131,9 @@
 		if !ok {
 			break
 		}
+		if choice.Full {
+			return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the memory of every engine is taken").After(engineTurnaway)
+		}
 		b := choice.Server
 		avoid = append(avoid, b.ID)
 		q.backend, q.placedBy = b.ID, choice.By
