--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -61,8 +60,6 @@
 	orderPerToken = 3 * time.Microsecond
 	// shortNotice is the time that an engine which leaves surely has left.
 	shortNotice = 800 * time.Millisecond
-	// eventGap is the time between two events of a run of which no gap was seen.
-	eventGap = 60 * time.Millisecond
 )
 
 func (x *Relay) enter(s *stream, b backend) {
@@ -100,13 +97,12 @@
 	x.evacuate(list, b)
 }
 
-// evacuate moves runs off an engine, those first that have come furthest.
+// evacuate moves runs off an engine, but for those that end soon.
 func (x *Relay) evacuate(list []*stream, b backend) {
 	list = slices.DeleteFunc(list, func(s *stream) bool { return s.endsWithin(shortNotice) || !s.claim() })
 	if x.Mover == nil || len(list) == 0 {
 		return
 	}
-	slices.SortFunc(list, func(a, b *stream) int { return cmp.Compare(b.progress(), a.progress()) })
 	for _, s := range list {
 		go x.moveRun(s, b)
 	}
@@ -129,22 +125,10 @@
 
 // endsWithin reports whether the run will probably end by itself in a time.
 func (s *stream) endsWithin(d time.Duration) bool {
-	per := 1
-	if e := s.q.service.Engine; e != nil && e.EventTokens > 0 {
-		per = e.EventTokens
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	left := expected(s.q.ask.Prompt)/per - s.events
-	gap := eventGap
-	if s.events > 1 {
-		gap = s.lastAt.Sub(s.firstAt) / time.Duration(s.events-1)
-	}
-	if left <= 0 {
-		// The run is longer than was expected; how much longer is not known.
-		return false
-	}
-	return time.Duration(left)*gap < d
+	left, known := s.q.length().Left(s.events, s.lastAt.Sub(s.firstAt))
+	return known && left < d
 }
 
 // progress returns the number of events that the caller has.
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/fault"
@@ -46,8 +47,6 @@
 	notReady = 1200 * time.Millisecond
 	// elsewhere is when a caller may come back that should reach another VM.
 	elsewhere = 20 * time.Millisecond
-	// firstEventTime is the time that a stream takes to its first event.
-	firstEventTime = 500 * time.Millisecond
 	// awaitShare is the part of a request's time that it waits for the first
 	// backend server to be known, at awaitPoll.
 	awaitShare = 4
@@ -179,16 +178,16 @@
 		return false
 	}
 	left := time.Duration(q.relay.Node.Settings.Limits.DrainTimeout) - gone
-	return q.forward.Kind != spec.ForwardStream || q.expectedTime() < left
+	return q.forward.Kind != spec.ForwardStream || q.length().Time() < left
 }
 
-// expectedTime returns how long a stream will probably take.
-func (q *request) expectedTime() time.Duration {
-	per := 1
+// length returns what is stated of the length of the answer.
+func (q *request) length() place.Length {
+	l := place.Length{Hint: q.ask.Prompt.Hint, Most: q.ask.Prompt.MaxTokens}
 	if e := q.service.Engine; e != nil {
-		per = max(per, e.EventTokens)
+		l.EventTokens = e.EventTokens
 	}
-	return firstEventTime + time.Duration(expected(q.ask.Prompt)/per)*eventGap
+	return l
 }
 
 // authorize finds the workspace of the caller's key and reports whether the
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -53,7 +53,7 @@
 
 // serveStream forwards a request whose answer is a stream of events.
 func (x *Relay) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &stream{q: q, w: w, size: q.ask.Prompt.Tokens + expected(q.ask.Prompt)}
+	s := &stream{q: q, w: w, size: q.ask.Prompt.Tokens + q.length().Tokens()}
 	s.want = place.Want{Tokens: s.size, Prompt: q.ask.Prompt.Tokens}
 	f := s.run(ctx)
 	q.firstEvent, q.pause = s.firstAt, s.pause
@@ -74,17 +74,6 @@
 	}
 }
 
-// expected returns how many tokens a run may generate, as far as is stated.
-func expected(p Prompt) int {
-	switch {
-	case p.Hint > 0 && p.MaxTokens > 0:
-		return min(p.Hint, p.MaxTokens)
-	case p.Hint > 0:
-		return p.Hint
-	}
-	return p.MaxTokens / 2
-}
-
 // run sends the request and passes its events on until their end.
 func (s *stream) run(ctx context.Context) *fault.Fault {
 	res, f := s.open(ctx)
