Tell the truth after two servers; split the choice to repeat from its conclusion

Cause (reading the diff): a safe request that a first server broke off and a second one refused was told that it had not run. TestTruthAfterTwoServers fails before and passes after.

--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -60,64 +60,58 @@
 // attempts sends the request until there is an answer to pass on.
 func (q *request) attempts(ctx context.Context) (*answer, *fault.Fault) {
 	var avoid []string
-	var best *answer
-	most := max(q.forward.Attempts, 1)
+	var last attempt
 	for unsent := 0; unsent < maxUnsent; {
 		choice, ok := q.relay.Node.Place(ctx, q.service.Name, place.Want{Avoid: avoid})
 		if !ok || choice.Full {
 			break
 		}
-		b := choice.Server
-		avoid = append(avoid, b.ID)
-		a := q.attempt(ctx, b)
-		if a.Sent {
-			q.sent++
-		} else {
+		avoid = append(avoid, choice.Server.ID)
+		a := q.attempt(ctx, choice.Server)
+		if !a.Sent {
 			unsent++
+			if ctx.Err() != nil {
+				return nil, q.expired()
+			}
+			continue
 		}
-		if a.answer != nil {
-			best = a.answer
+		q.sent++
+		q.ran = q.ran || !a.Refused
+		if a.answer == nil {
+			a.answer = last.answer
 		}
+		last = a
 		switch {
 		case ctx.Err() != nil && a.answer == nil:
 			return nil, q.expired()
-		case a.answer != nil && !a.again(q.forward.Idempotent()):
-			return a.answer, nil
-		case !a.Sent:
-			continue
-		case q.sent >= most || !a.Repeatable(q.forward.Idempotent()) && !a.again(q.forward.Idempotent()) || !q.relay.Node.MayRepeat(q.service.Name):
-			return q.last(best, a)
+		case !q.again(a):
+			return q.conclude(last)
 		}
 		q.relay.Node.Count("forward.repeats", 1)
 	}
-	if best != nil {
-		return best, nil
-	}
-	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(notReady)
+	return q.conclude(last)
 }
 
-// last returns what to tell the caller after the last attempt.
-func (q *request) last(best *answer, a attempt) (*answer, *fault.Fault) {
-	switch {
-	case best != nil && !a.Refused:
-		return best, nil
-	case a.Refused && q.sent == 1:
-		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").After(turnaway)
-	case best != nil:
-		return best, nil
-	case a.Refused && q.forward.Idempotent():
-		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend servers refused the request").After(turnaway)
-	}
-	return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: a.err.Error(), Outcome: a.Outcome()}
+// again reports whether the request goes to another server: its forward and
+// the budget allow it, and another one may do better.
+func (q *request) again(a attempt) bool {
+	safe := q.forward.Idempotent()
+	better := a.Refused || safe && (!a.Whole || a.answer.status >= http.StatusInternalServerError)
+	return better && q.sent < max(q.forward.Attempts, 1) && q.relay.Node.MayRepeat(q.service.Name)
 }
 
-// again reports whether another server may do better than the answer: it
-// refused the request, or failed one that may run more than once.
-func (a attempt) again(idempotent bool) bool {
-	if a.Refused {
-		return true
+// conclude returns what to tell the caller after the last attempt: a server's
+// answer if there is one, and else the truth about whether the request ran.
+func (q *request) conclude(last attempt) (*answer, *fault.Fault) {
+	switch {
+	case last.answer != nil:
+		return last.answer, nil
+	case q.ran:
+		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: last.err.Error(), Outcome: retry.Unknown}
+	case last.Refused:
+		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").After(turnaway)
 	}
-	return idempotent && a.answer != nil && a.answer.status >= http.StatusInternalServerError
+	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(notReady)
 }
 
 // attempt sends the request to one backend server and takes its answer in.
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -80,6 +80,8 @@
 	until time.Time
 	// sent counts the backend servers that may have got the request.
 	sent int
+	// ran is set once one of them may have begun it.
+	ran bool
 	// backend is the last server that it went to, placedBy the other VM that
 	// chose it.
 	backend  string
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -482,3 +482,28 @@
 		t.Errorf("%d streams were taken, want 3", taken)
 	}
 }
+
+// TestTruthAfterTwoServers lets the first server break a safe request off and
+// the second one refuse it, or go: the caller isn't told that it did not run.
+func TestTruthAfterTwoServers(t *testing.T) {
+	for _, second := range []origin.Behaviour{{NotRun: true}, {Body: "xy", Cut: 1}} {
+		r := start(t)
+		var sends atomic.Int32
+		behave := func(*http.Request) origin.Behaviour {
+			if sends.Add(1) == 1 {
+				return origin.Behaviour{Body: "hello", Cut: 2}
+			}
+			return second
+		}
+		r.backend("a", "app", behave)
+		r.backend("b", "app", behave)
+		res, err := r.ask(http.MethodGet, "/read/x", "1", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != http.StatusBadGateway || res.Header.Get("Fold-Outcome") != "unknown" {
+			t.Errorf("status %d, outcome %q; want 502, unknown", res.StatusCode, res.Header.Get("Fold-Outcome"))
+		}
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -44,10 +44,9 @@
 	firstAt, lastAt time.Time
 	// pause is the longest time between two events.
 	pause time.Duration
-	began time.Time
 	// claimed is set while a move has the stream.
 	claimed bool
-	// move is set while the run is being moved; its end is sent on done.
+	// move is set while the run is being moved; its done is closed at the end.
 	move *move
 }
 
@@ -166,7 +165,6 @@
 func (s *stream) enter(b backend) {
 	s.mu.Lock()
 	s.at = b
-	s.began = time.Now()
 	s.mu.Unlock()
 	s.q.relay.enter(s, b)
 }
