--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -239,7 +239,8 @@
 		whole += origin.Event(i + 1)
 	}
 	r := start(t)
-	behave := answer(origin.Behaviour{Events: events, Gap: 2 * time.Millisecond})
+	release := make(chan struct{})
+	behave := answer(origin.Behaviour{Events: events, Hold: release, HoldAt: 5})
 	a := r.backend("a", "models", behave)
 	a.CleanStop = clean
 	type result struct {
@@ -264,6 +265,15 @@
 	b := r.backend("b", "models", behave)
 	r.relay.Mover = mover(a, b)
 	r.announce(a, "models", true)
+	waitFor(t, "the streams to move", func() bool {
+		for i := range streams {
+			if !b.Running(string(rune('1' + i))) {
+				return false
+			}
+		}
+		return true
+	})
+	close(release)
 	for range streams {
 		res := <-results
 		if res.err != nil || res.body != whole {
@@ -282,9 +292,12 @@
 // streams stay and end there.
 func TestMoveFails(t *testing.T) {
 	r := start(t)
-	a := r.backend("a", "models", answer(origin.Behaviour{Events: 100, Gap: 2 * time.Millisecond}))
+	release := make(chan struct{})
+	a := r.backend("a", "models", answer(origin.Behaviour{Events: 100, Hold: release, HoldAt: 5}))
+	var tried sync.Once
 	r.relay.Mover = &relay.Mover{
 		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, error) {
+			tried.Do(func() { close(release) })
 			return "", errors.New("on purpose")
 		},
 	}
@@ -369,29 +382,33 @@
 // callers, and calls that fail: no server is left with a load.
 func TestNothingStaysCounted(t *testing.T) {
 	r := start(t)
-	a := r.backend("a", "models", answer(origin.Behaviour{Events: 60, Gap: 2 * time.Millisecond}))
+	release := make(chan struct{})
+	behave := answer(origin.Behaviour{Events: 60, Hold: release, HoldAt: 5})
+	a := r.backend("a", "models", behave)
 	r.backend("s", "app", answer(origin.Behaviour{Body: "x", Cut: 1}))
 	done := make(chan bool)
 	for i := range 8 {
 		go func() {
 			id := string(rune('1' + i))
 			if i%2 == 0 {
-				res, err := r.ask(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", "100", "Fold-Max-Tokens", "50")
+				res, err := r.ask(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", "100", "Fold-Max-Tokens", "5000")
 				if err == nil {
 					time.Sleep(20 * time.Millisecond)
 					res.Body.Close()
 				}
 			} else {
-				_, _, _ = r.get(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", "100", "Fold-Max-Tokens", "50")
+				_, _, _ = r.get(http.MethodPost, "/draft/x", id, "prompt", "Fold-Prompt-Tokens", "100", "Fold-Max-Tokens", "5000")
 				_, _, _ = r.get(http.MethodGet, "/read/x", id, "")
 			}
 			done <- true
 		}()
 	}
 	waitFor(t, "a stream to run", func() bool { return a.Made("2") > 2 })
-	b := r.backend("b", "models", answer(origin.Behaviour{Events: 60, Gap: 2 * time.Millisecond}))
+	b := r.backend("b", "models", behave)
 	r.relay.Mover = mover(a, b)
 	r.announce(a, "models", true)
+	waitFor(t, "a stream to move", func() bool { return b.Running("2") })
+	close(release)
 	for range 8 {
 		<-done
 	}
@@ -403,7 +420,8 @@
 // prompt: the small one is copied first, so that most runs are away in time.
 func TestSmallRunsMoveFirst(t *testing.T) {
 	r := start(t)
-	behave := answer(origin.Behaviour{Events: 200, Gap: 2 * time.Millisecond})
+	release := make(chan struct{})
+	behave := answer(origin.Behaviour{Events: 20, Hold: release, HoldAt: 5})
 	a := r.backend("a", "models", behave)
 	done := make(chan error)
 	for id, tokens := range map[string]string{"large": "40000", "small": "10"} {
@@ -427,6 +445,8 @@
 		Free: inner.Free,
 	}
 	r.announce(a, "models", true)
+	waitFor(t, "both to move", func() bool { return b.Running("large") && b.Running("small") })
+	close(release)
 	for range 2 {
 		if err := <-done; err != nil {
 			t.Error(err)
@@ -443,8 +463,13 @@
 // are taken end whole, the others are told at once that they did not run.
 func TestEnginesFull(t *testing.T) {
 	r := start(t)
-	e := r.backend("e", "models", answer(origin.Behaviour{Events: 40, Gap: 5 * time.Millisecond}))
-	const requests = 8
+	release := make(chan struct{})
+	e := r.backend("e", "models", answer(origin.Behaviour{Events: 40, Hold: release, HoldAt: 5}))
+	const (
+		requests = 8
+		// The engine's memory is 100,000 tokens.
+		fit = 3
+	)
 	type result struct {
 		id     string
 		status int
@@ -462,7 +487,11 @@
 		}()
 	}
 	taken := 0
-	for range requests {
+	for i := range requests {
+		if i == requests-fit {
+			// All that are left are taken: none has ended before.
+			close(release)
+		}
 		switch res := <-results; res.status {
 		case http.StatusOK:
 			taken++
@@ -477,9 +506,8 @@
 			t.Errorf("request %s: status %d", res.id, res.status)
 		}
 	}
-	// The engine's memory is 100,000 tokens.
-	if taken != 3 {
-		t.Errorf("%d streams were taken, want 3", taken)
+	if taken != fit {
+		t.Errorf("%d streams were taken, want %d", taken, fit)
 	}
 }
 
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -49,6 +49,10 @@
 	// Events sends a stream of so many events, Gap apart.
 	Events int
 	Gap    time.Duration
+	// Hold, if set, stops a stream after HoldAt events until it is closed, or the
+	// run is stopped.
+	Hold   <-chan struct{}
+	HoldAt int
 }
 
 // Server is one stand-in. Make it with New.
@@ -289,10 +293,10 @@
 	}
 	for m.made < m.total {
 		time.Sleep(b.Gap)
-		s.mu.Lock()
-		stopped := m.stopped
-		s.mu.Unlock()
-		if stopped {
+		if b.Hold != nil && m.made == b.HoldAt {
+			s.hold(m, b.Hold)
+		}
+		if s.isStopped(m) {
 			if s.CleanStop {
 				_, _ = io.WriteString(c, "0\r\n\r\n")
 			}
@@ -315,5 +319,25 @@
 	return err == nil
 }
 
+// holdPoll is how often a stream that is held looks whether it was stopped.
+const holdPoll = time.Millisecond
+
+// hold waits until the channel is closed or the run is stopped.
+func (s *Server) hold(m *run, until <-chan struct{}) {
+	for !s.isStopped(m) {
+		select {
+		case <-until:
+			return
+		case <-time.After(holdPoll):
+		}
+	}
+}
+
+func (s *Server) isStopped(m *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m.stopped
+}
+
 // Event returns the event with a number.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
