Do not take a burst of events for a run's pace

Cause: TestNothingStaysCounted failed once in two runs: events that came in a burst gave a gap of microseconds, the run counted as about to end and was left on the engine that was leaving. Change: a gap below 30 ms is not believed.

--- a/fold/place/length.go
+++ b/fold/place/length.go
@@ -8,6 +8,9 @@
 	firstEventTime = 500 * time.Millisecond
 	// eventGap is the time between two events.
 	eventGap = 60 * time.Millisecond
+	// minEventGap is the shortest time between two events that is believed: events
+	// that come in a burst say nothing of the pace.
+	minEventGap = 30 * time.Millisecond
 )
 
 // Length is what is stated of the length of a run's output. Zero fields say
@@ -49,7 +52,7 @@
 	}
 	gap := eventGap
 	if events > 1 {
-		gap = in / time.Duration(events-1)
+		gap = max(in/time.Duration(events-1), minEventGap)
 	}
 	return time.Duration(left) * gap, true
 }
--- a/fold/place/length_test.go
+++ b/fold/place/length_test.go
@@ -33,6 +33,9 @@
 	if left, ok := l.Left(11, time.Second); !ok || left != 900*time.Millisecond {
 		t.Errorf("half-way: %v, %t; want 0.9 s", left, ok)
 	}
+	if left, ok := l.Left(11, 0); !ok || left != 9*minEventGap {
+		t.Errorf("after a burst: %v, %t; want %v", left, ok, 9*minEventGap)
+	}
 	if _, ok := l.Left(20, time.Second); ok {
 		t.Error("a run that has made all that was expected has a known end")
 	}
