--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -99,7 +99,7 @@
 	// distrusted holds until when a VM is not asked for places; told is what was
 	// last told of each service's load; telling is set while the next is due.
 	distrusted map[string]time.Time
-	told       map[string]map[string]place.Load
+	told       map[string]account
 	telling    bool
 	repeats    map[string]*retry.Window
 }
@@ -122,7 +122,7 @@
 		started:        time.Now(),
 		repeats:        map[string]*retry.Window{},
 		distrusted:     map[string]time.Time{},
-		told:           map[string]map[string]place.Load{},
+		told:           map[string]account{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -36,8 +36,11 @@
 	// distrust is how long a VM that did not answer is not asked; the next one in
 	// line places meanwhile.
 	distrust = 3 * time.Second
-	// tellInterval is how often a VM tells what it has under way.
-	tellInterval = 250 * time.Millisecond
+	// tellInterval is how often a VM tells what it has under way, if that has
+	// changed; retellInterval is how often it tells it all the same, well within
+	// the time that the other VM believes it.
+	tellInterval   = 250 * time.Millisecond
+	retellInterval = time.Second
 	// freshPeer is how lately a VM must have been heard to place for others.
 	freshPeer = 4 * time.Second
 )
@@ -145,6 +148,12 @@
 	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait, Full: c.Full}
 }
 
+// account is what a VM told another one of its load, and when.
+type account struct {
+	loads map[string]place.Load
+	at    time.Time
+}
+
 // tellLoads tells the VM that places for all what this VM has under way, while
 // it has anything.
 func (n *Node) tellLoads(now time.Time) {
@@ -155,14 +164,15 @@
 	for service := range n.repeats {
 		loads := n.placer.Own(n.table.OfService(service))
 		to, ok := n.placeSteward(now, service)
-		if len(loads) == 0 && len(n.told[service]) == 0 {
+		told := n.told[service]
+		if len(loads) == 0 && len(told.loads) == 0 {
 			continue
 		}
 		busy = true
-		if !ok || maps.Equal(loads, n.told[service]) {
+		if !ok || (maps.Equal(loads, told.loads) && now.Sub(told.at) < retellInterval) {
 			continue
 		}
-		n.told[service] = loads
+		n.told[service] = account{loads: loads, at: now}
 		ask := PlaceAsk{From: n.Settings.ID, Service: service, Loads: loads}
 		asks = append(asks, func() { n.tellLoad(to, ask) })
 	}
--- /dev/null
+++ b/foldd/node/place_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/conf"
+)
+
+// TestSteadyLoadIsToldAgain keeps one request under way that never changes: the
+// VM that places for all is told of it again and again, since it believes no
+// account for long.
+func TestSteadyLoadIsToldAgain(t *testing.T) {
+	s, err := conf.Parse([]byte(`{"id": "vm", "domain": "a", "handleKey": "0123456789abcdef", "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := New(s, log)
+	t.Cleanup(n.Clock.Stop)
+	d, err := spec.Parse([]byte(`{
+		"services": [{"name": "models", "kind": "plain", "engine": {"memoryTokens": 1000}}],
+		"forwards": [{"host": "h", "prefix": "/", "kind": "stream", "timeout": "1s", "services": [{"service": "models", "part": 1}]}],
+	}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Adopt(spec.NewIndex(d, 1))
+	n.Announce(member.Backend{ID: "e", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Kind: spec.KindPlain, Service: "models", Epoch: 1, Seq: 1})
+	var told atomic.Int32
+	n.AskPlace = func(_ context.Context, _ member.Peer, a PlaceAsk) (PlaceAnswer, error) {
+		if a.Want == nil && a.Loads["e"].Requests == 1 {
+			told.Add(1)
+		}
+		return PlaceAnswer{Backend: "e"}, nil
+	}
+	// Of many names one has a higher hash than this VM's.
+	for _, id := range []string{"b", "c", "d", "f", "g", "h", "i", "j", "k", "l"} {
+		n.HearPeer(member.Peer{ID: id, Epoch: 1, Callers: true})
+	}
+	if _, ok := n.Place(context.Background(), "models", place.Want{Tokens: 10}); !ok {
+		t.Fatal("no place")
+	}
+	n.FirstSend("models")
+	for deadline := time.Now().Add(20 * time.Second); told.Load() < 2; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("told %d times", told.Load())
+		}
+	}
+}
