Forward by the product's own interface too

Requests that a forward of the configuration covers go to the same relay in the product's own protocol; all others to the entry as before (TestForwards). The platform's adapter gives its codec and its mover.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -20,7 +20,9 @@
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/oper"
 	"fuchsiafold.example/foldd/peer"
+	"fuchsiafold.example/foldd/relay"
 	"fuchsiafold.example/foldd/trace"
+	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/serve"
 	"fuchsiafold.example/wire"
 )
@@ -131,6 +133,41 @@
 	return adapted(a)
 }
 
+// callers returns the handler of callers' requests: an adapter's, or the own
+// one, which forwards what the configuration has a forward for.
+func (a *App) callers(adapted func(a *App) http.Handler) http.Handler {
+	if adapted != nil {
+		return adapted(a)
+	}
+	forward := a.NewRelay(relay.OwnCodec(), nil)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if x := a.Node.Index(); x != nil {
+			if _, ok := x.Forward(r.Host, r.URL.Path); ok {
+				forward.ServeHTTP(w, r)
+				return
+			}
+		}
+		a.entry.ServeHTTP(w, r)
+	})
+}
+
+// sweepInterval is how often connections that are no longer used are closed.
+const sweepInterval = 5 * time.Second
+
+// NewRelay returns the handler that forwards requests in a protocol. mover
+// copies runs between engines, given the connections to them; it may be nil.
+func (a *App) NewRelay(c relay.Codec, mover func(p *pool.Pool) *relay.Mover) *relay.Relay {
+	n := a.Node
+	p := &pool.Pool{Dialled: func() { n.Count("forward.connections", 1) }}
+	x := &relay.Relay{Node: n, Pool: p, Codec: c}
+	if mover != nil {
+		x.Mover = mover(p)
+	}
+	n.BackendChanged = x.BackendChanged
+	n.Clock.Every(sweepInterval, p.Sweep)
+	return x
+}
+
 func (a *App) listen(p Adapter) error {
 	s := a.Node.Settings
 	a.operators = &oper.Operators{Node: a.Node, Peers: a.peers, Gate: &a.gate}
@@ -146,7 +183,7 @@
 		{"backends", s.Listen.Backends, a.or(p.Backends, oper.Backends(a.Node)), s.Limits.MaxBody, &a.addrs.Backends},
 		{"metrics", s.Listen.Metrics, oper.Metrics(a.Node), 0, &a.addrs.Metrics},
 		{"health", s.Listen.Health, a.or(p.Health, a.entry), 0, &a.addrs.Health},
-		{"callers", s.Listen.Callers, a.or(p.Callers, a.entry), s.Limits.MaxBody, &a.addrs.Callers},
+		{"callers", s.Listen.Callers, a.callers(p.Callers), s.Limits.MaxBody, &a.addrs.Callers},
 	}
 	for _, p := range parts {
 		if !p.addr.IsValid() {
