Answer 502 for a server's status that nbhttp can't say

Cause (reading nbhttp): it drops a status without a name and answers 200, so a server's 599 became a success. TestUnnamedStatus fails without the check with 200 on all three paths.

--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -10,6 +10,7 @@
 var (
 	errRefused        = eris.New("the backend server did not begin the request")
 	errAnswerTooLarge = eris.New("the answer exceeds the size limit")
+	errStatus         = eris.New("the backend server answered with a status that can't be passed on")
 	errCut            = eris.New("the stream broke off")
 )
 
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -92,6 +92,10 @@
 	return q.conclude(last)
 }
 
+// sayable reports whether the server under us can answer with a status: one
+// that has no name it would turn into a success.
+func sayable(status int) bool { return http.StatusText(status) != "" }
+
 // again reports whether the request goes to another server: its forward and
 // the budget allow it, and another one may do better.
 func (q *request) again(a attempt) bool {
@@ -104,6 +108,8 @@
 // answer if there is one, and else the truth about whether the request ran.
 func (q *request) conclude(last attempt) (*answer, *fault.Fault) {
 	switch {
+	case last.answer != nil && !sayable(last.answer.status):
+		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: errStatus.Error(), Outcome: retry.Unknown}
 	case last.answer != nil:
 		return last.answer, nil
 	case q.ran:
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -279,3 +279,16 @@
 		}
 	}
 }
+
+// TestUnnamedStatus answers with a status that has no name: the caller gets a
+// failure and not, as nbhttp would have it, a success.
+func TestUnnamedStatus(t *testing.T) {
+	r := start(t)
+	r.backend("s", "app", answer(origin.Behaviour{Status: 599, Body: "no"}))
+	r.backend("e", "models", answer(origin.Behaviour{Status: 599, Body: "no"}))
+	for _, path := range []string{"/read/x", "/write/x", "/draft/x"} {
+		if status, _, err := r.get(http.MethodPost, path, "1", ""); err != nil || status != http.StatusBadGateway {
+			t.Errorf("%s: status %d, error %v, want 502", path, status, err)
+		}
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -178,6 +178,9 @@
 // pass hands events on until the answer ends. A nil error is a whole answer.
 func (s *stream) pass(res *pool.Response) error {
 	defer res.Body.Close()
+	if !sayable(res.Status) {
+		return errStatus
+	}
 	if !s.header {
 		s.header = true
 		copyHeader(s.w, res.Header)
