--- a/fold/spec/index.go
+++ b/fold/spec/index.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"net"
 	"slices"
 	"strings"
 )
@@ -70,10 +69,7 @@
 // Forward returns the forward of a host with the longest prefix that begins
 // the path. The host may bear a port.
 func (x *Index) Forward(host, path string) (*Forward, bool) {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	for _, f := range x.forwards[strings.ToLower(host)] {
+	for _, f := range x.forwards[strings.ToLower(withoutPort(host))] {
 		if strings.HasPrefix(path, f.Prefix) {
 			return f, true
 		}
@@ -81,6 +77,15 @@
 	return nil, false
 }
 
+// withoutPort returns a host without its port, and an IPv6 address without its
+// brackets.
+func withoutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.Trim(host, "[]")
+}
+
 // Service returns the named service.
 func (x *Index) Service(name string) (*Service, bool) {
 	s, ok := x.services[name]
--- a/fold/spec/spec_test.go
+++ b/fold/spec/spec_test.go
@@ -55,3 +55,37 @@
 		}
 	}
 }
+
+// TestForwardOfHost finds a forward by its host, in any letters, with and
+// without a port, and the longest prefix first.
+func TestForwardOfHost(t *testing.T) {
+	d := &Document{Services: []Service{{Name: "s", Kind: KindPlain}}}
+	for _, at := range [][2]string{{"h.example", "/"}, {"h.example", "/a/"}, {"::1", "/"}} {
+		d.Forwards = append(d.Forwards, Forward{
+			Name: at[0] + at[1], Host: at[0], Prefix: at[1], Kind: ForwardSafe, Timeout: 1e9, Services: []Share{{Service: "s", Part: 1}},
+		})
+	}
+	if err := d.Check(); err != nil {
+		t.Fatal(err)
+	}
+	x := NewIndex(d, 1)
+	tests := []struct{ host, path, name string }{
+		{"h.example", "/x", "h.example/"},
+		{"H.Example", "/a/x", "h.example/a/"},
+		{"h.example:8080", "/a", "h.example/"},
+		{"[::1]:80", "/", "::1/"},
+		{"[::1]", "/", "::1/"},
+		{"other", "/", ""},
+		{"", "/", ""},
+		{":80", "/", ""},
+	}
+	for _, tt := range tests {
+		name := ""
+		if f, ok := x.Forward(tt.host, tt.path); ok {
+			name = f.Name
+		}
+		if name != tt.name {
+			t.Errorf("%q %q: forward %q, want %q", tt.host, tt.path, name, tt.name)
+		}
+	}
+}
