--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -86,8 +86,9 @@
 	// chose it.
 	backend  string
 	placedBy string
-	// firstEvent is when the first event of a stream was passed on, and pause
-	// the longest time between two.
+	// events counts the events of a stream that were passed on; firstEvent is
+	// when the first one was, and pause the longest time between two.
+	events     int
 	firstEvent time.Time
 	pause      time.Duration
 	// moves counts the engines that the run went on at.
@@ -302,6 +303,12 @@
 	if !q.firstEvent.IsZero() {
 		fields["firstMs"] = q.firstEvent.Sub(q.arrived).Milliseconds()
 		fields["pauseMs"] = q.pause.Milliseconds()
+		fields["events"] = q.events
+	}
+	if p := q.ask.Prompt; p.Tokens > 0 {
+		fields["promptTokens"] = p.Tokens
+		fields["hintTokens"] = p.Hint
+		fields["maxTokens"] = p.MaxTokens
 	}
 	if q.placedBy != "" {
 		fields["placedBy"] = q.placedBy
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -55,7 +55,7 @@
 	s := &stream{q: q, w: w, size: q.ask.Prompt.Tokens + q.length().Tokens()}
 	s.want = place.Want{Tokens: s.size, Prompt: q.ask.Prompt.Tokens}
 	f := s.run(ctx)
-	q.firstEvent, q.pause = s.firstAt, s.pause
+	q.events, q.firstEvent, q.pause = s.events, s.firstAt, s.pause
 	gone := q.caller.Gone() || errors.Is(context.Cause(ctx), serve.ErrCallerGone)
 	switch {
 	case f == nil:
