--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -71,7 +71,7 @@
 	// Window is the time over which repeats and requests are counted.
 	Window strict.Duration `json:"window,omitempty"`
 	// Reserve is the number of repeats in a window besides, for all VMs.
-	Reserve int `json:"reserve,omitempty"`
+	Reserve float64 `json:"reserve,omitempty"`
 }
 
 // Control makes the VM a control replica.
@@ -305,15 +305,17 @@
 	intRange("limits.maxBody", l.MaxBody, 1_024, 64<<20, errs)
 	intRange("limits.maxAnswer", l.MaxAnswer, 1_024, 256<<20, errs)
 	intRange("limits.maxStreams", l.MaxStreams, 1, 100_000, errs)
-	durationRange("limits.drainTimeout", l.DrainTimeout, time.Second, 24*time.Hour, errs)
+	durationRange("limits.drainTimeout", l.DrainTimeout, 100*time.Millisecond, 24*time.Hour, errs)
 	durationRange("limits.drainLinger", l.DrainLinger, 0, time.Hour, errs)
 	durationRange("limits.writeTimeout", l.WriteTimeout, 100*time.Millisecond, time.Hour, errs)
 	durationRange("limits.stallTimeout", l.StallTimeout, 50*time.Millisecond, time.Minute, errs)
 	durationRange("limits.connectTimeout", l.ConnectTimeout, 10*time.Millisecond, time.Minute, errs)
 	durationRange("limits.handleLife", l.HandleLife, time.Second, 7*24*time.Hour, errs)
 	durationRange("limits.backendLease", l.BackendLease, 100*time.Millisecond, time.Hour, errs)
-	durationRange("retry.window", s.Retry.Window, time.Second, time.Hour, errs)
-	intRange("retry.reserve", s.Retry.Reserve, 0, 1_000_000, errs)
+	durationRange("retry.window", s.Retry.Window, 100*time.Millisecond, time.Hour, errs)
+	if s.Retry.Reserve < 0 || s.Retry.Reserve > 1_000_000 {
+		errs.Add("retry.reserve", "want 0 to 1000000, got %v", s.Retry.Reserve)
+	}
 	if s.Retry.Share < 0 || s.Retry.Share > 10 {
 		errs.Add("retry.share", "want 0 to 10")
 	}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -279,7 +279,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	w := n.window(service)
-	w.Reserve = float64(n.Settings.Retry.Reserve) / float64(2*n.sharers(now))
+	w.Reserve = n.Settings.Retry.Reserve / float64(2*n.sharers(now))
 	return w.Repeat(now)
 }
 
