Forecast engines' memory from learned lengths when placing for the users' engines

Cause: the placing VM counted each run at its prompt and the caller's hint, up to 1.15 of an engine's memory.

Change: the product's own forecast (mean memory at nine horizons from learned chances to go on) moves from fold/sched to fold/usage and places the users' runs too. VMs tell their runs, and how runs grew and ended, to the VM that places. A place that was given counts until the VM's account shows it. A run that leaves with its engine stays only if it ends in time by what was learned. The hint is read no more. A group starts from lengths spread below its stated limit. Tests: TestForecastOfLengths, TestLeft, TestGrantUntilTold, fold/usage.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/usage"
 )
 
 // Costs of a place, in milliseconds of delay or what is as bad.
@@ -28,31 +29,43 @@
 	// memoryShare is the part of an engine's memory that is used by choice: what
 	// is generated is only forecast.
 	memoryShare = 0.9
-	// fullShare is the part of an engine's memory, all requests to their ends
-	// counted, beyond which a further one would only make others wait.
-	fullShare = 1.15
+	// fullShare is the part of an engine's memory beyond which a further request
+	// would only make others wait. The mean of the forecast counts: a margin would
+	// leave more of the memory idle than it saves.
+	fullShare = 1.0
 )
 
-func (p *Placer) cost(now time.Time, s *member.Backend, w Want) float64 {
-	l := p.total(now, s.ID)
-	c := p.distance(s, w)
+// cost is what a place costs.
+type cost struct {
+	// delay is in milliseconds, or what is as bad.
+	delay float64
+	// full says that the engine has no room for the request.
+	full bool
+}
+
+func (p *Placer) cost(now time.Time, s *member.Backend, w Want, item *usage.Forecast) cost {
+	requests, prefill := p.counts(now, s.ID)
+	c := cost{delay: p.distance(s, w)}
 	if w.Copy != nil {
 		start, d := p.copySpan(now, s, w)
-		c += float64(start.Add(d).Sub(now).Milliseconds())
+		c.delay += float64(start.Add(d).Sub(now).Milliseconds())
+	}
+	if s.Slots > 0 && requests >= s.Slots {
+		c.delay += costFull
 	}
 	if s.MemoryTokens > 0 {
-		c += engineCost(s, l, w)
+		used := p.forecast(now, s.ID).Peak(item, float64(s.MemoryTokens), 0)
+		c.delay += engineCost(requests, prefill, used)
+		c.full = used > fullShare
 	} else {
-		c += costCall * float64(l.Requests)
-	}
-	if s.Slots > 0 && l.Requests >= s.Slots {
-		c += costFull
+		c.delay += costCall * float64(requests)
 	}
 	if p.Avoided(now, s.ID) {
-		c += costAvoided
+		c.delay += costAvoided
+		c.full = false
 	}
 	if p.cut[s.Domain].avoided(now) {
-		c += costCut
+		c.delay += costCut
 	}
 	return c
 }
@@ -68,9 +81,8 @@
 	return costFar
 }
 
-func engineCost(s *member.Backend, l Load, w Want) float64 {
-	used := float64(l.Tokens+w.Tokens) / float64(s.MemoryTokens)
-	c := float64(l.Prefill)/prefillTokensPerMS + costRunning*float64(l.Requests) + costMemory*used*used
+func engineCost(requests, prefill int, used float64) float64 {
+	c := float64(prefill)/prefillTokensPerMS + costRunning*float64(requests) + costMemory*used*used
 	if used > memoryShare {
 		c += costFull * used
 	}
--- a/fold/sched/forecast.go
+++ b/fold/sched/forecast.go
@@ -1,52 +1,15 @@
 package sched
 
 import (
-	"math"
 	"time"
 
 	"fuchsiafold.example/fold/learn"
+	"fuchsiafold.example/fold/usage"
 )
 
-// horizons are the numbers of steps ahead at which the memory in use is
-// forecast.
-var horizons = [...]int{0, 32, 64, 128, 256, 512, 1024, 2048, 4096}
-
-// usage is a forecast of the memory in use at each horizon: its mean and its
-// variance, in tokens.
-type usage struct {
-	mean     [len(horizons)]float64
-	variance [len(horizons)]float64
-}
-
-// addItem adds one answer: it holds its memory and one token more a step,
-// until it ends.
-func (u *usage) addItem(held, generated int, s *learn.Survival) {
-	for i, k := range horizons {
-		p := s.Beyond(generated, generated+k)
-		size := float64(held + k)
-		u.mean[i] += p * size
-		u.variance[i] += p * (1 - p) * size * size
-	}
-}
-
-// peak returns the highest share of a memory that two forecasts together
-// reach, with a margin of so many standard deviations. Once a share is above
-// 1, the rest is not looked at.
-func (u *usage) peak(o *usage, memory, margin float64) float64 {
-	most := 0.0
-	for i := range horizons {
-		need := u.mean[i] + o.mean[i] + margin*math.Sqrt(u.variance[i]+o.variance[i])
-		most = max(most, need)
-		if most > memory {
-			break
-		}
-	}
-	return most / memory
-}
-
 // forecast keeps an engine's usage. It is made anew once it is old.
 type forecast struct {
-	usage
+	usage.Forecast
 	valid bool
 	made  time.Time
 }
@@ -61,10 +24,7 @@
 		f.valid = false
 		return
 	}
-	for i := range horizons {
-		f.mean[i] += it.usage.mean[i]
-		f.variance[i] += it.usage.variance[i]
-	}
+	f.Join(it.usage)
 }
 
 // othersAge is the length that others' answers are taken to have reached.
@@ -76,17 +36,17 @@
 	if f.valid && now.Sub(f.made) < forecastLife {
 		return
 	}
-	f.usage = usage{}
+	f.Forecast = usage.Forecast{}
 	e.gap = 0
 	for _, it := range e.own {
 		e.gap = tighter(e.gap, it.Target.TokenGap)
-		f.addItem(it.Prompt+it.generated, it.generated, s.lengths.Survival(it.group()))
+		f.Add(it.Prompt+it.generated, it.generated, 0, s.lengths.Survival(it.group()))
 	}
 	if n := e.others.Running; n > 0 {
 		survival := s.lengths.Survival(learn.Group{Model: e.info.Model})
 		each := e.others.MemoryUsed / n
 		for range n {
-			f.addItem(each, othersAge, survival)
+			f.Add(each, othersAge, 0, survival)
 		}
 	}
 	f.valid = true
@@ -110,6 +70,6 @@
 	if it.usage != nil {
 		return
 	}
-	it.usage = new(usage)
-	it.usage.addItem(it.Prompt, 0, s.lengths.Survival(it.group()))
+	it.usage = new(usage.Forecast)
+	it.usage.Add(it.Prompt, 0, 0, s.lengths.Survival(it.group()))
 }
--- a/fold/sched/ours.go
+++ b/fold/sched/ours.go
@@ -197,7 +197,7 @@
 		share -= s.fairness(it.Model).reserve(now)
 	}
 	memory := float64(e.info.MemoryTokens) * share * s.opts.Share
-	peak := e.usage.peak(it.usage, memory, margin)
+	peak := e.Peak(it.usage, memory, margin)
 	// An idle engine takes what no forecast allows, or it would wait forever.
 	if peak > 1 && batch > 0 {
 		return 0, false
--- a/fold/sched/sched.go
+++ b/fold/sched/sched.go
@@ -11,6 +11,7 @@
 
 	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/usage"
 )
 
 // Target is what a request's class is promised. Zero fields promise nothing.
@@ -109,7 +110,7 @@
 	lastToken  time.Time
 	// usage is the forecast of the request's memory, nil for policies that
 	// make none.
-	usage *usage
+	usage *usage.Forecast
 	// work is the expected size of the request in tokens.
 	work float64
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -99,9 +99,13 @@
 	// distrusted holds until when a VM is not asked for places; told is what was
 	// last told of each service's load; telling is set while the next is due.
 	distrusted map[string]time.Time
-	told       map[string]account
-	telling    bool
-	repeats    map[string]*retry.Window
+	told       map[string]told
+	// growth is what the VM that places for all is told next of runs' lengths, by
+	// service; lastRun is the number of the last run.
+	growth  map[string][]place.Growth
+	lastRun atomic.Uint64
+	telling bool
+	repeats map[string]*retry.Window
 }
 
 // New returns a node without a configuration.
@@ -122,7 +126,8 @@
 		started:        time.Now(),
 		repeats:        map[string]*retry.Window{},
 		distrusted:     map[string]time.Time{},
-		told:           map[string]account{},
+		told:           map[string]told{},
+		growth:         map[string][]place.Growth{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -17,6 +17,8 @@
 	Service string
 	// Loads is what the VM has under way at each engine.
 	Loads map[string]place.Load
+	// Growth is what it has seen of its runs' lengths since it last told.
+	Growth []place.Growth
 	// Want is set if a place is asked for.
 	Want *place.Want
 }
@@ -74,7 +76,8 @@
 	if w.Domain == "" {
 		w.Domain = n.Settings.Domain
 	}
-	ask := PlaceAsk{From: n.Settings.ID, Service: service, Want: &w, Loads: n.placer.Own(n.table.OfService(service))}
+	ask := n.account(service)
+	ask.Want = &w
 	n.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -133,6 +136,9 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	n.placer.Hear(now, a.From, a.Loads)
+	for _, g := range a.Growth {
+		n.placer.Learn(g)
+	}
 	if a.Want == nil {
 		return PlaceAnswer{}
 	}
@@ -148,12 +154,49 @@
 	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait, Full: c.Full}
 }
 
-// account is what a VM told another one of its load, and when.
-type account struct {
+// told is what a VM last told another one of its load, and when.
+type told struct {
 	loads map[string]place.Load
 	at    time.Time
 }
 
+// account returns what this VM tells of a service's load. The caller holds the
+// lock.
+func (n *Node) account(service string) PlaceAsk {
+	a := PlaceAsk{From: n.Settings.ID, Service: service, Loads: n.placer.Own(n.table.OfService(service)), Growth: n.growth[service]}
+	delete(n.growth, service)
+	return a
+}
+
+// maxGrowth bounds what is kept of runs' lengths for the VM that places.
+const maxGrowth = 512
+
+// Grown takes what was seen of the length of a run of a service.
+func (n *Node) Grown(service string, g place.Growth) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.placer.Learn(g)
+	if _, ok := n.placeSteward(time.Now(), service); !ok {
+		return
+	}
+	if len(n.growth[service]) >= maxGrowth {
+		n.Count("place.growthDropped", 1)
+		return
+	}
+	n.growth[service] = append(n.growth[service], g)
+}
+
+// TokensLeft returns how many tokens a run will generate yet at most, with a
+// chance.
+func (n *Node) TokensLeft(r place.Run, chance float64) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.placer.Left(r, chance)
+}
+
+// NextRun returns a number that tells a run of this VM apart from others.
+func (n *Node) NextRun() uint64 { return n.lastRun.Add(1) }
+
 // tellLoads tells the VM that places for all what this VM has under way, while
 // it has anything.
 func (n *Node) tellLoads(now time.Time) {
@@ -164,16 +207,16 @@
 	for service := range n.repeats {
 		loads := n.placer.Own(n.table.OfService(service))
 		to, ok := n.placeSteward(now, service)
-		told := n.told[service]
-		if len(loads) == 0 && len(told.loads) == 0 {
+		last := n.told[service]
+		if len(loads) == 0 && len(last.loads) == 0 {
 			continue
 		}
 		busy = true
-		if !ok || (maps.Equal(loads, told.loads) && now.Sub(told.at) < retellInterval) {
+		if !ok || (maps.EqualFunc(loads, last.loads, place.Load.Same) && now.Sub(last.at) < retellInterval) {
 			continue
 		}
-		n.told[service] = account{loads: loads, at: now}
-		ask := PlaceAsk{From: n.Settings.ID, Service: service, Loads: loads}
+		n.told[service] = told{loads: loads, at: now}
+		ask := n.account(service)
 		asks = append(asks, func() { n.tellLoad(to, ask) })
 	}
 	if busy {
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/foldd/node"
@@ -15,22 +16,8 @@
 
 // askPlace asks another VM to place a request, or only tells it a load.
 func (s *Service) askPlace(ctx context.Context, to member.Peer, a node.PlaceAsk) (node.PlaceAnswer, error) {
-	req := &wire.PlaceRequest{From: a.From, Service: a.Service}
-	for id, l := range a.Loads {
-		req.Loads = append(req.Loads, &wire.EngineLoad{
-			Backend: id, Requests: uint32(l.Requests), Tokens: uint64(l.Tokens), PrefillTokens: uint64(l.Prefill),
-		})
-	}
-	if w := a.Want; w != nil {
-		req.Want = &wire.PlaceWant{
-			Tokens: uint64(w.Tokens), PromptTokens: uint64(w.Prompt), Avoid: w.Avoid, Domain: w.Domain,
-		}
-		if c := w.Copy; c != nil {
-			req.Want.CopySource, req.Want.CopyMicros = c.Source, uint64(c.Time.Microseconds())
-		}
-	}
 	c := wire.NewPeerServiceClient(s.http, "http://"+to.Addr.String(), s.Options())
-	res, err := c.Place(ctx, connect.NewRequest(req))
+	res, err := c.Place(ctx, connect.NewRequest(placeRequest(a)))
 	if err != nil {
 		return node.PlaceAnswer{}, fmt.Errorf("ask %s for a place: %w", to.ID, err)
 	}
@@ -39,24 +26,68 @@
 
 // Place implements wire.PeerServiceHandler.
 func (s *Service) Place(ctx context.Context, req *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
-	m := req.Msg
-	a := node.PlaceAsk{From: m.GetFrom(), Service: m.GetService(), Loads: map[string]place.Load{}}
+	a := placeAsk(req.Msg)
 	if a.From == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
+	answer := s.node.PlaceFor(a)
+	return connect.NewResponse(&wire.PlaceResponse{Backend: answer.Backend, WaitMicros: uint64(answer.Wait.Microseconds()), Full: answer.Full}), nil
+}
+
+func placeRequest(a node.PlaceAsk) *wire.PlaceRequest {
+	m := &wire.PlaceRequest{From: a.From, Service: a.Service}
+	for id, l := range a.Loads {
+		load := &wire.EngineLoad{Backend: id, Requests: uint32(l.Requests), PrefillTokens: uint64(l.Prefill)}
+		for _, r := range l.Runs {
+			load.Runs = append(load.Runs, runMessage(r))
+		}
+		m.Loads = append(m.Loads, load)
+	}
+	for _, g := range a.Growth {
+		m.Growth = append(m.Growth, &wire.RunGrowth{Group: groupMessage(g.Group), From: uint64(g.From), To: uint64(g.To), Ended: g.Ended})
+	}
+	if w := a.Want; w != nil {
+		m.Want = &wire.PlaceWant{Run: runMessage(w.Run), PromptTokens: uint64(w.Prompt), Avoid: w.Avoid, Domain: w.Domain}
+		if c := w.Copy; c != nil {
+			m.Want.CopySource, m.Want.CopyMicros = c.Source, uint64(c.Time.Microseconds())
+		}
+	}
+	return m
+}
+
+func placeAsk(m *wire.PlaceRequest) node.PlaceAsk {
+	a := node.PlaceAsk{From: m.GetFrom(), Service: m.GetService(), Loads: map[string]place.Load{}}
 	for _, l := range m.GetLoads() {
-		a.Loads[l.GetBackend()] = place.Load{
-			Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Prefill: int(l.GetPrefillTokens()),
+		load := place.Load{Requests: int(l.GetRequests()), Prefill: int(l.GetPrefillTokens())}
+		for _, r := range l.GetRuns() {
+			load.Runs = append(load.Runs, runOf(r))
 		}
+		a.Loads[l.GetBackend()] = load
+	}
+	for _, g := range m.GetGrowth() {
+		a.Growth = append(a.Growth, place.Growth{Group: groupOf(g.GetGroup()), From: int(g.GetFrom()), To: int(g.GetTo()), Ended: g.GetEnded()})
 	}
 	if w := m.GetWant(); w != nil {
-		a.Want = &place.Want{
-			Tokens: int(w.GetTokens()), Prompt: int(w.GetPromptTokens()), Avoid: w.GetAvoid(), Domain: w.GetDomain(),
-		}
+		a.Want = &place.Want{Run: runOf(w.GetRun()), Prompt: int(w.GetPromptTokens()), Avoid: w.GetAvoid(), Domain: w.GetDomain()}
 		if w.GetCopySource() != "" {
 			a.Want.Copy = &place.Copy{Source: w.GetCopySource(), Time: time.Duration(w.GetCopyMicros()) * time.Microsecond}
 		}
 	}
-	answer := s.node.PlaceFor(a)
-	return connect.NewResponse(&wire.PlaceResponse{Backend: answer.Backend, WaitMicros: uint64(answer.Wait.Microseconds()), Full: answer.Full}), nil
+	return a
+}
+
+func runMessage(r place.Run) *wire.EngineRun {
+	return &wire.EngineRun{Id: r.ID, Group: groupMessage(r.Group), Held: uint64(r.Held), Made: uint64(r.Made), Most: uint64(r.Most)}
+}
+
+func runOf(m *wire.EngineRun) place.Run {
+	return place.Run{ID: m.GetId(), Group: groupOf(m.GetGroup()), Held: int(m.GetHeld()), Made: int(m.GetMade()), Most: int(m.GetMost())}
+}
+
+func groupMessage(g learn.Group) *wire.RunGroup {
+	return &wire.RunGroup{Workspace: g.Workspace, Class: g.Class, Model: g.Model}
+}
+
+func groupOf(m *wire.RunGroup) learn.Group {
+	return learn.Group{Workspace: m.GetWorkspace(), Class: m.GetClass(), Model: m.GetModel()}
 }
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -25,8 +25,6 @@
 	// Tokens is the size of the prompt, MaxTokens the most to be generated.
 	Tokens    int
 	MaxTokens int
-	// Hint is the caller's estimate of what will be generated; zero says nothing.
-	Hint int
 }
 
 // Onward is what the system says to a backend server with a request.
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -127,9 +127,11 @@
 // endsWithin reports whether the run will probably end by itself in a time.
 func (s *stream) endsWithin(d time.Duration) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	left, known := s.q.length().Left(s.events, s.lastAt.Sub(s.firstAt))
-	return known && left < d
+	p := place.Pace{Events: s.events, In: s.lastAt.Sub(s.firstAt)}
+	s.mu.Unlock()
+	r := s.kind
+	r.Made = s.made()
+	return s.q.timeLeft(r, p) < d
 }
 
 // progress returns the number of events that the caller has.
@@ -139,6 +141,9 @@
 	return s.events
 }
 
+// made returns the number of tokens that the run has generated.
+func (s *stream) made() int { return s.progress() * s.q.eventTokens() }
+
 // moving returns the move under way, or nil.
 func (s *stream) moving() *move {
 	s.mu.Lock()
@@ -191,7 +196,7 @@
 
 // copied returns what the run needs at an engine that it is copied to.
 func (s *stream) copied(from backend) place.Want {
-	w := place.Want{Avoid: []string{from.ID}, Tokens: s.size, Domain: from.Domain, Copy: &place.Copy{Source: from.ID}}
+	w := place.Want{Run: s.kind, Progress: s.made, Avoid: []string{from.ID}, Domain: from.Domain, Copy: &place.Copy{Source: from.ID}}
 	if e := s.q.service.Engine; e.LinkMbps > 0 {
 		bits := float64(s.memory()) * float64(e.TokenBytes) * 8
 		w.Copy.Time = time.Duration(bits / e.LinkMbps * float64(time.Microsecond))
@@ -200,9 +205,7 @@
 }
 
 // memory returns the tokens that the run has in its engine's memory.
-func (s *stream) memory() int {
-	return s.q.ask.Prompt.Tokens + s.progress()*max(1, s.q.service.Engine.EventTokens)
-}
+func (s *stream) memory() int { return s.q.ask.Prompt.Tokens + s.made() }
 
 // copyRun copies a run to the first engine that has room for it, in its turn on
 // the links. The target is counted as if the run were there.
@@ -260,7 +263,7 @@
 func (x *Relay) logMove(s *stream, from, to backend, step string, err error) {
 	x.Node.Count("moves."+step, 1)
 	l := x.Node.Log.WithFields(logrus.Fields{
-		"request": s.q.ask.ID, "from": from.ID, "to": to.ID, "step": step, "events": s.progress(), "tokens": s.size,
+		"request": s.q.ask.ID, "from": from.ID, "to": to.ID, "step": step, "events": s.progress(), "tokens": s.memory(),
 	})
 	if err != nil {
 		x.Node.Count("moves.failed", 1)
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/bits"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -16,6 +18,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/spec"
@@ -181,16 +184,42 @@
 		return false
 	}
 	left := time.Duration(q.relay.Node.Settings.Limits.DrainTimeout) - gone
-	return q.forward.Kind != spec.ForwardStream || q.length().Time() < left
+	return q.forward.Kind != spec.ForwardStream || q.timeLeft(q.run(), place.Pace{}) < left
 }
 
-// length returns what is stated of the length of the answer.
-func (q *request) length() place.Length {
-	l := place.Length{Hint: q.ask.Prompt.Hint, Most: q.ask.Prompt.MaxTokens}
+// run returns the run that the request will be at an engine.
+func (q *request) run() place.Run {
+	p := &q.ask.Prompt
+	r := place.Run{
+		Group: learn.Group{Class: fmt.Sprintf("%s<%d", q.forward.Name, limitBand(p.MaxTokens)), Model: p.Model},
+		Held:  p.Tokens,
+		Most:  p.MaxTokens,
+	}
+	if q.workspace != nil {
+		r.Group.Workspace = q.workspace.Name
+	}
+	return r
+}
+
+// limitBand returns a power of four above a limit on tokens: runs whose limits
+// differ much are learned apart.
+func limitBand(most int) int { return 1 << (2 * ((bits.Len(uint(most)) + 1) / 2)) }
+
+// likely is the chance with which a run ends within the time that counts as its
+// length.
+const likely = 0.8
+
+// timeLeft returns how long a run will probably go on.
+func (q *request) timeLeft(r place.Run, p place.Pace) time.Duration {
+	return p.Time(q.relay.Node.TokensLeft(r, likely) / q.eventTokens())
+}
+
+// eventTokens returns the number of tokens in an event.
+func (q *request) eventTokens() int {
 	if e := q.service.Engine; e != nil {
-		l.EventTokens = e.EventTokens
+		return max(e.EventTokens, 1)
 	}
-	return l
+	return 1
 }
 
 // authorize finds the workspace of the caller's key and reports whether the
@@ -307,7 +336,6 @@
 	}
 	if p := q.ask.Prompt; p.Tokens > 0 {
 		fields["promptTokens"] = p.Tokens
-		fields["hintTokens"] = p.Hint
 		fields["maxTokens"] = p.MaxTokens
 	}
 	if q.placedBy != "" {
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -31,15 +31,18 @@
 	header bool
 	split  event.Splitter
 
+	// kind is the run as it begins.
+	kind place.Run
+
 	mu sync.Mutex
-	// size is the memory that the run will take, in tokens.
-	size int
 	// at is the backend server of the run, want what is counted there.
 	at   backend
 	want place.Want
-	// events counts the events passed on, last is the ID of the last one.
-	events int
-	last   string
+	// events counts the events passed on, last is the ID of the last one; learned
+	// is the number of tokens that was told of the run's length.
+	events  int
+	last    string
+	learned int
 	// firstAt and lastAt are when the first and the last event came.
 	firstAt, lastAt time.Time
 	// pause is the longest time between two events.
@@ -52,8 +55,9 @@
 
 // serveStream forwards a request whose answer is a stream of events.
 func (x *Relay) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &stream{q: q, w: w, size: q.ask.Prompt.Tokens + q.length().Tokens()}
-	s.want = place.Want{Tokens: s.size, Prompt: q.ask.Prompt.Tokens}
+	s := &stream{q: q, w: w, kind: q.run()}
+	s.kind.ID = x.Node.NextRun()
+	s.want = place.Want{Run: s.kind, Prompt: q.ask.Prompt.Tokens, Progress: s.made}
 	f := s.run(ctx)
 	q.events, q.firstEvent, q.pause = s.events, s.firstAt, s.pause
 	gone := q.caller.Gone() || errors.Is(context.Cause(ctx), serve.ErrCallerGone)
@@ -96,6 +100,7 @@
 			s.q.relay.logAttempt(s.q, s.at, err)
 			return s.broken(err)
 		default:
+			s.learn(true)
 			s.leave(place.Answered)
 			return nil
 		}
@@ -232,6 +237,7 @@
 			s.prefilled()
 		}
 	}
+	s.learn(false)
 	if f, ok := s.w.(http.Flusher); any && ok {
 		f.Flush()
 	}
@@ -245,6 +251,19 @@
 	s.want.Prompt = 0
 }
 
+// learnStep is the growth in tokens after which a run's length is told.
+const learnStep = 64
+
+// learn tells how the run has grown, and that it ended by itself.
+func (s *stream) learn(ended bool) {
+	made := s.made()
+	if made == 0 || (!ended && made-s.learned < learnStep) {
+		return
+	}
+	s.q.relay.Node.Grown(s.q.service.Name, place.Growth{Group: s.kind.Group, From: s.learned, To: made, Ended: ended})
+	s.learned = made
+}
+
 // finish hands on what is left at the end of an answer, unless the run goes on
 // elsewhere.
 func (s *stream) finish(events bool) error {
