Refuse a vote in the replica's own term

Cause: a refused question whether an election would succeed was answered in the term that was asked for. The candidate took it for a newer term and counted up its own; with a stale log it could not win, and in the higher term it refused the votes of those that could. Where every live replica is needed for the quorum - six of which two have lost their disks - the elections went on in vain for seconds.

Change: the refusal carries the replica's own term.

--- a/fold/raft/election.go
+++ b/fold/raft/election.go
@@ -40,8 +40,11 @@
 	}
 	grant := m.Term >= n.hard.Term && n.log.coveredBy(m.Index, m.LogTerm)
 	if m.Type == PreVote {
-		grant = grant && m.Term > n.hard.Term
-		n.send(Message{Type: PreVoteReply, To: m.From, Term: m.Term, Reject: !grant})
+		if !grant || m.Term <= n.hard.Term {
+			n.refuseVote(m)
+			return
+		}
+		n.send(Message{Type: PreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
 	grant = grant && (n.hard.Vote == "" || n.hard.Vote == m.From)
@@ -52,6 +55,9 @@
 	n.send(Message{Type: VoteReply, To: m.From, Reject: !grant})
 }
 
+// refuseVote says no, in the replica's own term: the one that was asked for
+// would make a candidate that can't win count up its term, and refuse one that
+// could.
 func (n *Node) refuseVote(m Message) {
 	reply := VoteReply
 	if m.Type == PreVote {
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -152,6 +152,12 @@
 // Term returns the current term.
 func (n *Node) Term() uint64 { return n.hard.Term }
 
+// MembershipIndex returns the index of the membership in force.
+func (n *Node) MembershipIndex() uint64 { return n.memberships[len(n.memberships)-1].index }
+
+// LastIndex returns the index of the last entry.
+func (n *Node) LastIndex() uint64 { return n.log.last() }
+
 // Commit returns the index of the last committed entry.
 func (n *Node) Commit() uint64 { return n.commit }
 
--- a/fold/repl/found_test.go
+++ b/fold/repl/found_test.go
@@ -119,3 +119,35 @@
 		t.Errorf("%d members, want 3", n)
 	}
 }
+
+// TestTwoOfSixLoseDisks kills a group of six right after it has acknowledged a
+// change; two disks are lost, that of the leader among them. The four others
+// are the quorum: they agree on a leader, and the change is there.
+func TestTwoOfSixLoseDisks(t *testing.T) {
+	const recovery = 4 * time.Second
+	for seed := range uint64(100) {
+		g := found(t, seed, 6, 3, []int{0, 1, 2, 3, 4, 5})
+		g.apply(0, "acknowledged")
+		first := g.leader().vm
+		other := g.others(first)[seed%5]
+		for _, vm := range g.vms {
+			g.kill(vm)
+		}
+		g.servers[first].disk = nil
+		g.servers[other].disk = nil
+		for _, vm := range g.vms {
+			at := time.Duration(g.random.Int64N(int64(300 * time.Millisecond)))
+			g.after(at, func() { g.start(vm) })
+		}
+		g.runUntil(recovery, func() bool { return g.leader() != nil })
+		l := g.leader()
+		if l == nil {
+			t.Errorf("seed %d: no leader after %v", seed, recovery)
+			continue
+		}
+		g.runUntil(time.Second, nil)
+		if r := l.rep.Machine().Revision(); r != 1 {
+			t.Errorf("seed %d: revision %d", seed, r)
+		}
+	}
+}
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -109,6 +109,12 @@
 // Membership returns the membership in force.
 func (p *Replica) Membership() raft.Membership { return p.node.Membership() }
 
+// MembershipIndex returns the log index of the membership in force.
+func (p *Replica) MembershipIndex() uint64 { return p.node.MembershipIndex() }
+
+// LastIndex returns the index of the last entry of the log.
+func (p *Replica) LastIndex() uint64 { return p.node.LastIndex() }
+
 // Term returns the current term.
 func (p *Replica) Term() uint64 { return p.node.Term() }
 
