Log how a control replica sees its group

Cause: the trace of the vain elections lacked who led, in which term, and who had a vote.

Change: one line, 'control group changed', whenever the leader, the term or the membership changes at a replica, with its voters, learners and last index. A change of term takes a second at least, so the volume is bounded.

--- a/foldd/ctrl/host.go
+++ b/foldd/ctrl/host.go
@@ -79,6 +79,7 @@
 	addrs    map[string]netip.AddrPort
 	revision uint64
 	leads    bool
+	group    groupView
 }
 
 // New opens the data folder, or makes a new one, and starts the replica.
@@ -214,6 +215,37 @@
 		h.conf.Count("control.leaderChanges", 1)
 		h.conf.Log.WithFields(logrus.Fields{"replica": h.identity.ID, "leads": leads, "term": h.rep.Term()}).Info("control leadership changed")
 	}
+	h.tellGroup()
+}
+
+// tellGroup logs how the replica sees its group, whenever that changes.
+func (h *Host) tellGroup() {
+	leader, _ := h.rep.Leader()
+	g := groupView{leader: leader.ID, term: h.rep.Term(), members: h.rep.MembershipIndex()}
+	if g == h.group {
+		return
+	}
+	h.group = g
+	var voters, learners []string
+	for _, m := range h.rep.Membership().Members {
+		if m.Voter {
+			voters = append(voters, m.ID)
+		} else {
+			learners = append(learners, m.ID)
+		}
+	}
+	h.conf.Log.WithFields(logrus.Fields{
+		"replica": h.identity.ID, "leader": g.leader, "term": g.term, "membershipIndex": g.members, "lastIndex": h.rep.LastIndex(),
+		"voters": voters, "learners": learners,
+	}).Info("control group changed")
+}
+
+// groupView is how a replica sees its group.
+type groupView struct {
+	leader string
+	term   uint64
+	// members is the log index of the membership.
+	members uint64
 }
 
 // do runs f on the replica's goroutine and returns when it has run.
