Turn requests away whose first token would come too late at every engine

Cause: an engine that has just come is empty, and is the only one below 0.9 of its memory; every request goes there and waits for the prompts before it.

Change: a request names the time that is left until its first token is due; an engine counts as full for it if the prompts before it take longer. TestNotWhereLate fails before. It answers loads that are above what the engines hold.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -26,8 +26,7 @@
 	// costFull and costAvoided are beyond any load.
 	costFull    = 100_000
 	costAvoided = 10_000_000
-	// memoryShare is the part of an engine's memory that is used by choice: what
-	// is generated is only forecast.
+	// memoryShare is the part of an engine's memory that is used by choice.
 	memoryShare = 0.9
 	// fullShare is the part of an engine's memory beyond which a further request
 	// would only make others wait. The mean of the forecast counts: a margin would
@@ -39,7 +38,8 @@
 type cost struct {
 	// delay is in milliseconds, or what is as bad.
 	delay float64
-	// full says that the engine has no room for the request.
+	// full says that the engine has no room for the request, or would begin with
+	// it too late.
 	full bool
 }
 
@@ -56,7 +56,10 @@
 	if s.MemoryTokens > 0 {
 		used := p.forecast(now, s.ID).Peak(item, float64(s.MemoryTokens), 0)
 		c.delay += engineCost(requests, prefill, used)
-		c.full = used > fullShare
+		c.full = used > fullShare || (w.Within > 0 && firstTokenTime(prefill+w.Prompt) > w.Within)
+		if c.full || used > memoryShare {
+			c.delay += costFull * used
+		}
 	} else {
 		c.delay += costCall * float64(requests)
 	}
@@ -81,10 +84,13 @@
 	return costFar
 }
 
+// firstTokenTime returns how long an engine takes to read prompts while it
+// generates for others.
+func firstTokenTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillTokensPerMS * float64(time.Millisecond))
+}
+
 func engineCost(requests, prefill int, used float64) float64 {
-	c := float64(prefill)/prefillTokensPerMS + costRunning*float64(requests) + costMemory*used*used
-	if used > memoryShare {
-		c += costFull * used
-	}
-	return c
+	first := float64(firstTokenTime(prefill).Milliseconds())
+	return first + costRunning*float64(requests) + costMemory*used*used
 }
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -28,6 +28,8 @@
 	Domain string
 	// Copy is set for a run that brings its memory along from another server.
 	Copy *Copy
+	// Within is the time left until the first token is due; zero means never.
+	Within time.Duration
 	// Random breaks ties, in [0, 1).
 	Random float64
 }
@@ -47,8 +49,8 @@
 	// Wait is when the copy of a run's memory should begin: a server's link
 	// carries one copy after the other.
 	Wait time.Duration
-	// Full says that no server has room, and this one the least want of it: the
-	// request is not counted there.
+	// Full says that no server has room or would begin in time, and this one the
+	// least want of it: the request is not counted there.
 	Full bool
 	// By names the VM that chose, empty for this one.
 	By string
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -241,3 +241,34 @@
 		t.Errorf("%d requests after the run, want 0", n)
 	}
 }
+
+// TestNotWhereLate plays a new engine beside full ones, to which every request
+// would go: those whose first token would come too late there are turned away,
+// while the prompts before them are read, instead of waiting in vain.
+func TestNotWhereLate(t *testing.T) {
+	const target = 1500 * time.Millisecond
+	var p Placer
+	servers := fleet()[:1]
+	begun := 0
+	for i := range 40 {
+		run := held(uint64(i+1), 100)
+		run.Prompt, run.Within = 2000, target
+		c, ok := p.Pick(now, servers, run)
+		if !ok {
+			t.Fatal("no place")
+		}
+		if c.Full {
+			continue
+		}
+		p.Begin(c.Server.ID, run)
+		begun++
+	}
+	if first := firstTokenTime(begun * 2000); first > target || begun == 0 {
+		t.Errorf("%d requests begun, the last token of a prompt after %v; want %v", begun, first, target)
+	}
+	run := held(100, 100)
+	run.Prompt = 2000
+	if c, _ := p.Pick(now, servers, run); c.Full {
+		t.Error("a request without a target is turned away")
+	}
+}
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -47,7 +47,7 @@
 		m.Growth = append(m.Growth, &wire.RunGrowth{Group: groupMessage(g.Group), From: uint64(g.From), To: uint64(g.To), Ended: g.Ended})
 	}
 	if w := a.Want; w != nil {
-		m.Want = &wire.PlaceWant{Run: runMessage(w.Run), PromptTokens: uint64(w.Prompt), Avoid: w.Avoid, Domain: w.Domain}
+		m.Want = &wire.PlaceWant{Run: runMessage(w.Run), PromptTokens: uint64(w.Prompt), Avoid: w.Avoid, Domain: w.Domain, WithinMicros: uint64(w.Within.Microseconds())}
 		if c := w.Copy; c != nil {
 			m.Want.CopySource, m.Want.CopyMicros = c.Source, uint64(c.Time.Microseconds())
 		}
@@ -68,7 +68,10 @@
 		a.Growth = append(a.Growth, place.Growth{Group: groupOf(g.GetGroup()), From: int(g.GetFrom()), To: int(g.GetTo()), Ended: g.GetEnded()})
 	}
 	if w := m.GetWant(); w != nil {
-		a.Want = &place.Want{Run: runOf(w.GetRun()), Prompt: int(w.GetPromptTokens()), Avoid: w.GetAvoid(), Domain: w.GetDomain()}
+		a.Want = &place.Want{
+			Run: runOf(w.GetRun()), Prompt: int(w.GetPromptTokens()), Avoid: w.GetAvoid(), Domain: w.GetDomain(),
+			Within: time.Duration(w.GetWithinMicros()) * time.Microsecond,
+		}
 		if w.GetCopySource() != "" {
 			a.Want.Copy = &place.Copy{Source: w.GetCopySource(), Time: time.Duration(w.GetCopyMicros()) * time.Microsecond}
 		}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -119,13 +119,13 @@
 	most := max(q.forward.Attempts, 1)
 	for unsent := 0; unsent < maxUnsent; {
 		want := s.want
-		want.Avoid = avoid
+		want.Avoid, want.Within = avoid, s.untilDue()
 		choice, ok := q.relay.Node.Place(ctx, q.service.Name, want)
 		if !ok {
 			break
 		}
 		if choice.Full {
-			return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the memory of every engine is taken").After(engineTurnaway)
+			return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "every engine is full or would begin too late").After(engineTurnaway)
 		}
 		b := choice.Server
 		avoid = append(avoid, b.ID)
@@ -166,6 +166,16 @@
 	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").After(notReady)
 }
 
+// untilDue returns the time left until the first token is due, zero for never.
+func (s *stream) untilDue() time.Duration {
+	q := s.q
+	target := time.Duration(q.forward.Target.FirstToken)
+	if target == 0 {
+		return 0
+	}
+	return max(time.Until(q.arrived.Add(target)), 1)
+}
+
 // enter puts the stream among the runs of its backend server.
 func (s *stream) enter(b backend) {
 	s.mu.Lock()
