Tell callers when to come back by how many were turned away of late

Cause: a request that found every engine full was told to come back after 2 s, whatever the load. In a load that lasts it came back late, and either was refused again or took the room of a request that could still have been in time.

Change: the VM that places counts the requests of the last 10 s that got a place and those that did not, and tells the time in which the latter get theirs, each counted twice, 2 to 15 s. It answers loads that last longer than a moment.

--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -52,6 +52,8 @@
 	// Full says that no server has room or would begin in time, and this one the
 	// least want of it: the request is not counted there.
 	Full bool
+	// Back is when there will probably be room, set with Full.
+	Back time.Duration
 	// By names the VM that chose, empty for this one.
 	By string
 }
@@ -103,6 +105,8 @@
 	forecasts map[string]*forecast
 	// cut holds what was seen of other failure domains.
 	cut map[string]*trust
+	// away counts the requests for engines that were turned away.
+	away turnaways
 	// links holds until when each server's link is taken by copies.
 	links map[string]time.Time
 }
@@ -143,8 +147,14 @@
 		return Choice{}, false
 	}
 	c := Choice{Server: servers[best], Full: least.full && w.Copy == nil}
-	if w.Copy != nil {
+	switch {
+	case w.Copy != nil:
 		c.Wait = p.takeLinks(now, &servers[best], w)
+	case servers[best].MemoryTokens > 0:
+		p.away.count(now, c.Full)
+	}
+	if c.Full {
+		c.Back = p.away.back(now)
 	}
 	return c, true
 }
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -28,8 +28,10 @@
 type PlaceAnswer struct {
 	Backend string
 	Wait    time.Duration
-	// Full says that no server has room: the request is not counted.
+	// Full says that no server has room: the request is not counted. Back is when
+	// there will probably be some.
 	Full bool
+	Back time.Duration
 }
 
 const (
@@ -110,7 +112,7 @@
 	if !a.Full {
 		n.placer.Begin(a.Backend, w)
 	}
-	return place.Choice{Server: list[i], Wait: a.Wait, Full: a.Full}, true
+	return place.Choice{Server: list[i], Wait: a.Wait, Full: a.Full, Back: a.Back}, true
 }
 
 // placeSteward returns the VM that places a service's requests for all, and
@@ -151,7 +153,7 @@
 	if !c.Full {
 		n.placer.Grant(now, a.From, c.Server.ID, w)
 	}
-	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait, Full: c.Full}
+	return PlaceAnswer{Backend: c.Server.ID, Wait: c.Wait, Full: c.Full, Back: c.Back}
 }
 
 // told is what a VM last told another one of its load, and when.
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -21,7 +21,9 @@
 	if err != nil {
 		return node.PlaceAnswer{}, fmt.Errorf("ask %s for a place: %w", to.ID, err)
 	}
-	return node.PlaceAnswer{Backend: res.Msg.GetBackend(), Wait: time.Duration(res.Msg.GetWaitMicros()) * time.Microsecond, Full: res.Msg.GetFull()}, nil
+	return node.PlaceAnswer{
+		Backend: res.Msg.GetBackend(), Wait: micros(res.Msg.GetWaitMicros()), Full: res.Msg.GetFull(), Back: micros(res.Msg.GetBackMicros()),
+	}, nil
 }
 
 // Place implements wire.PeerServiceHandler.
@@ -31,7 +33,9 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
 	answer := s.node.PlaceFor(a)
-	return connect.NewResponse(&wire.PlaceResponse{Backend: answer.Backend, WaitMicros: uint64(answer.Wait.Microseconds()), Full: answer.Full}), nil
+	return connect.NewResponse(&wire.PlaceResponse{
+		Backend: answer.Backend, WaitMicros: uint64(answer.Wait.Microseconds()), Full: answer.Full, BackMicros: uint64(answer.Back.Microseconds()),
+	}), nil
 }
 
 func placeRequest(a node.PlaceAsk) *wire.PlaceRequest {
@@ -70,10 +74,10 @@
 	if w := m.GetWant(); w != nil {
 		a.Want = &place.Want{
 			Run: runOf(w.GetRun()), Prompt: int(w.GetPromptTokens()), Avoid: w.GetAvoid(), Domain: w.GetDomain(),
-			Within: time.Duration(w.GetWithinMicros()) * time.Microsecond,
+			Within: micros(w.GetWithinMicros()),
 		}
 		if w.GetCopySource() != "" {
-			a.Want.Copy = &place.Copy{Source: w.GetCopySource(), Time: time.Duration(w.GetCopyMicros()) * time.Microsecond}
+			a.Want.Copy = &place.Copy{Source: w.GetCopySource(), Time: micros(w.GetCopyMicros())}
 		}
 	}
 	return a
@@ -94,3 +98,5 @@
 func groupOf(m *wire.RunGroup) learn.Group {
 	return learn.Group{Workspace: m.GetWorkspace(), Class: m.GetClass(), Model: m.GetModel()}
 }
+
+func micros(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -16,10 +16,6 @@
 	"fuchsiafold.example/netio/serve"
 )
 
-// engineTurnaway is when a caller may come back that found every engine full:
-// some runs end by then.
-const engineTurnaway = 2 * time.Second
-
 // readChunk is the size of one read of a stream in bytes.
 const readChunk = 4 << 10
 
@@ -125,7 +121,7 @@
 			break
 		}
 		if choice.Full {
-			return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "every engine is full or would begin too late").After(engineTurnaway)
+			return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "every engine is full or would begin too late").After(choice.Back)
 		}
 		b := choice.Server
 		avoid = append(avoid, b.ID)
