Show operators what a VM of the users' platform sees

Cause: on the users' platform the operators' address speaks the platform's calls, so foldctl had nobody to ask; who places, how old the news of an engine is and what is left of the budget for repeats stood in logs only.

The window of repeats tells its usage by the same count that decides.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -243,6 +243,15 @@
 	return r.Backend, true
 }
 
+// Age returns the time since a present backend server itself was heard.
+func (t *Table) Age(now time.Time, id string) (time.Duration, bool) {
+	r := t.records[id]
+	if r == nil || r.gone {
+		return 0, false
+	}
+	return now.Sub(r.heard), true
+}
+
 // Present returns all present backend servers, ordered by ID.
 func (t *Table) Present() []Backend {
 	var out []Backend
--- a/fold/retry/window.go
+++ b/fold/retry/window.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// DefaultWindow is the length of a Window that states none.
@@ -56,8 +59,17 @@
 
 // Repeat counts a repeat and reports true if the budget has room for it.
 func (w *Window) Repeat(now time.Time) bool {
+	if _, _, left := w.Usage(now); left < 1 {
+		return false
+	}
+	w.slot(now).repeats++
+	return true
+}
+
+// Usage returns how many requests and repeats were sent in the window, and how
+// many more repeats may be.
+func (w *Window) Usage(now time.Time) (firsts, repeats, left int) {
 	current := w.slot(now)
-	var firsts, repeats int
 	for i := range w.slots {
 		s := &w.slots[i]
 		age := current.number - s.number
@@ -71,9 +83,6 @@
 			firsts += s.firsts
 		}
 	}
-	if float64(repeats+1) > w.share()*float64(firsts)+w.Reserve {
-		return false
-	}
-	current.repeats++
-	return true
+	most := w.share()*float64(firsts) + w.Reserve
+	return firsts, repeats, max(int(math.Floor(most))-repeats, 0)
 }
--- a/fold/retry/window_test.go
+++ b/fold/retry/window_test.go
@@ -60,3 +60,21 @@
 		t.Error("a repeat without a request")
 	}
 }
+
+// TestWindowUsage tells what was sent and what may be.
+func TestWindowUsage(t *testing.T) {
+	w := Window{Share: 0.2, Length: 10 * time.Second, Reserve: 0.5}
+	now := time.Unix(1000, 0)
+	for range 10 {
+		w.First(now)
+	}
+	if !w.Repeat(now) {
+		t.Fatal("no repeat for ten requests")
+	}
+	if firsts, repeats, left := w.Usage(now); firsts != 10 || repeats != 1 || left != 1 {
+		t.Errorf("%d requests, %d repeats, %d left; want 10, 1, 1", firsts, repeats, left)
+	}
+	if firsts, repeats, left := w.Usage(now.Add(time.Minute)); firsts != 0 || repeats != 0 || left != 0 {
+		t.Errorf("a minute later: %d requests, %d repeats, %d left", firsts, repeats, left)
+	}
+}
--- a/foldctl/client.go
+++ b/foldctl/client.go
@@ -19,6 +19,17 @@
 
 // clientAt returns the client for the VM at an address.
 func clientAt(c *cli.Command, addr string) wire.OperatorServiceClient {
+	return wire.NewOperatorServiceClient(httpClient(), "http://"+addr, withToken(c))
+}
+
+// watcherAt returns the client for the metrics address of a VM.
+func watcherAt(c *cli.Command, addr string) wire.WatchServiceClient {
+	return wire.NewWatchServiceClient(httpClient(), "http://"+addr, withToken(c))
+}
+
+func httpClient() *http.Client { return &http.Client{Timeout: callTimeout} }
+
+func withToken(c *cli.Command) connect.ClientOption {
 	token := c.String("token")
 	send := func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
@@ -28,6 +39,5 @@
 			return next(ctx, req)
 		}
 	}
-	h := &http.Client{Timeout: callTimeout}
-	return wire.NewOperatorServiceClient(h, "http://"+addr, connect.WithInterceptors(connect.UnaryInterceptorFunc(send)))
+	return connect.WithInterceptors(connect.UnaryInterceptorFunc(send))
 }
--- a/foldctl/main.go
+++ b/foldctl/main.go
@@ -14,6 +14,8 @@
 	cmd := &cli.Command{
 		Name:  "foldctl",
 		Usage: "steer a fuchsiafold deployment",
+		// The command 'completion' writes a script for the shell.
+		EnableShellCompletion: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "addr", Value: "127.0.0.1:8083", Usage: "operators' address of a VM", Sources: cli.EnvVars("FOLD_ADDR")},
 			&cli.StringFlag{Name: "token", Usage: "operators' token", Sources: cli.EnvVars("FOLD_TOKEN")},
--- a/foldctl/status.go
+++ b/foldctl/status.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
 
 	"fuchsiafold.example/wire"
 )
@@ -16,15 +18,47 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show what a VM sees: VMs, backend servers, classes",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			res, err := client(c).Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
-			if err != nil {
-				return fmt.Errorf("status: %w", err)
-			}
-			return writeStatus(os.Stdout, res.Msg)
+		Usage: "show what VMs see: VMs, backend servers, classes, services, errors",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "watch", Usage: "metrics address of a VM to ask instead; may be given more than once"},
+			&cli.BoolFlag{Name: "json", Usage: "write one JSON document a VM"},
 		},
+		Action: status,
+	}
+}
+
+func status(ctx context.Context, c *cli.Command) error {
+	write := writeStatus
+	if c.Bool("json") {
+		write = writeJSON
+	}
+	watched := c.StringSlice("watch")
+	if len(watched) == 0 {
+		res, err := client(c).Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
+		if err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+		return write(os.Stdout, res.Msg)
+	}
+	for _, addr := range watched {
+		res, err := watcherAt(c, addr).Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
+		if err != nil {
+			return fmt.Errorf("status of %s: %w", addr, err)
+		}
+		if err := write(os.Stdout, res.Msg); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+func writeJSON(w io.Writer, s *wire.StatusResponse) error {
+	b, err := protojson.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("encode status: %w", err)
+	}
+	_, err = fmt.Fprintf(w, "%s\n", b)
+	return err
 }
 
 func writeStatus(w io.Writer, s *wire.StatusResponse) error {
@@ -46,6 +80,7 @@
 	for _, c := range s.GetClasses() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", c.GetName(), c.GetQueued(), c.GetRunning())
 	}
+	writeServices(t, s)
 	if len(s.GetControls()) > 0 {
 		fmt.Fprintln(t, "\ncontrol replica\tVM\tvoter\tleader")
 		for _, m := range s.GetControls() {
@@ -55,6 +90,27 @@
 	return t.Flush()
 }
 
+// writeServices writes what the VM has under way of forwarded requests, how old
+// its news of each backend server is, what is left of the budget for repeats, and
+// the errors that it has answered with.
+func writeServices(w io.Writer, s *wire.StatusResponse) {
+	for _, v := range s.GetServices() {
+		fmt.Fprintf(w, "\nservice %s: %d requests and %d repeats in the window, %d repeats left%s\n",
+			v.GetService(), v.GetRequests(), v.GetRepeats(), v.GetRepeatsLeft(), flag(v.GetPlacedBy() != "", ", placed by "+v.GetPlacedBy()))
+		fmt.Fprintln(w, "backend server\tdomain\trequests here\tprompt tokens to read\tnews ms ago\tstate")
+		for _, b := range v.GetBackends() {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", b.GetBackend(), b.GetDomain(), b.GetLoad().GetRequests(),
+				b.GetLoad().GetPrefillTokens(), b.GetNewsMillis(), strings.TrimSpace(flag(b.GetLeaving(), "leaving ")+flag(b.GetAvoided(), "avoided")))
+		}
+	}
+	if len(s.GetErrors()) > 0 {
+		fmt.Fprintln(w, "\nerror answered\tsince the start")
+	}
+	for _, e := range s.GetErrors() {
+		fmt.Fprintf(w, "%s\t%d\n", e.GetCode(), e.GetCount())
+	}
+}
+
 func flag(set bool, text string) string {
 	if set {
 		return text
--- /dev/null
+++ b/foldctl/status_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"fuchsiafold.example/wire"
+)
+
+func sampleStatus() *wire.StatusResponse {
+	return &wire.StatusResponse{
+		Self:     &wire.Peer{Id: "entry-1", Domain: "a", ConfigRevision: 7},
+		Peers:    []*wire.Peer{{Id: "entry-2", Domain: "b", ConfigRevision: 6, Draining: true}},
+		Services: []*wire.ServiceStatus{{Service: "models", PlacedBy: "entry-2", Requests: 40, Repeats: 3, RepeatsLeft: 5, Backends: []*wire.BackendView{{Backend: "e1", Domain: "a", NewsMillis: 320, Avoided: true, Load: &wire.EngineLoad{Requests: 2, PrefillTokens: 900}}}}},
+		Errors:   []*wire.ErrorCount{{Code: "overload", Count: 12}},
+	}
+}
+
+func TestWriteStatus(t *testing.T) {
+	var out bytes.Buffer
+	if err := writeStatus(&out, sampleStatus()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"VM entry-1 in a: revision 7",
+		"entry-2  b       6         draining",
+		"service models: 40 requests and 3 repeats in the window, 5 repeats left, placed by entry-2",
+		"e1              a       2              900                    320          avoided",
+		"overload        12",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no line with %q in:\n%s", want, out.String())
+		}
+	}
+}
+
+func TestWriteJSON(t *testing.T) {
+	var out bytes.Buffer
+	if err := writeJSON(&out, sampleStatus()); err != nil {
+		t.Fatal(err)
+	}
+	var got struct {
+		Services []struct {
+			Service  string
+			Backends []struct{ Backend string }
+		}
+	}
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Services) != 1 || got.Services[0].Service != "models" || got.Services[0].Backends[0].Backend != "e1" {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -181,7 +181,7 @@
 		{"peers", s.Listen.Peers, a.peerHandler(), maxControlBody, &a.addrs.Peers},
 		{"operators", s.Listen.Operators, a.or(p.Operators, a.operators.Handler()), maxControlBody, &a.addrs.Operators},
 		{"backends", s.Listen.Backends, a.or(p.Backends, oper.Backends(a.Node)), s.Limits.MaxBody, &a.addrs.Backends},
-		{"metrics", s.Listen.Metrics, oper.Metrics(a.Node), 0, &a.addrs.Metrics},
+		{"metrics", s.Listen.Metrics, a.operators.Watch(), maxControlBody, &a.addrs.Metrics},
 		{"health", s.Listen.Health, a.or(p.Health, a.entry), 0, &a.addrs.Health},
 		{"callers", s.Listen.Callers, a.callers(p.Callers), s.Limits.MaxBody, &a.addrs.Callers},
 	}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -323,9 +323,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	return n.repeatBudget(now, service).Repeat(now)
+}
+
+// repeatBudget returns the window of a service with this VM's part of the reserve. The
+// caller holds the lock.
+func (n *Node) repeatBudget(now time.Time, service string) *retry.Window {
 	w := n.window(service)
 	w.Reserve = n.Settings.Retry.Reserve / float64(2*n.sharers(now))
-	return w.Repeat(now)
+	return w
 }
 
 func (n *Node) window(service string) *retry.Window {
--- a/foldd/oper/operator.go
+++ b/foldd/oper/operator.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -43,6 +45,15 @@
 	return RequireToken(o.Node.Settings.OperatorToken, mux)
 }
 
+// Watch returns the handler of the metrics address: the metrics as text, and
+// the status for foldctl. Nothing can be changed there.
+func (o *Operators) Watch() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewWatchServiceHandler(o))
+	mux.Handle("/", Metrics(o.Node))
+	return mux
+}
+
 // metrics writes every metric as one JSON document.
 func (o *Operators) metrics(w http.ResponseWriter, r *http.Request) {
 	gauges(o.Node)
@@ -61,6 +72,13 @@
 		res.Backends = append(res.Backends, peer.ToBackend(member.Heard{Backend: b}))
 	}
 	res.Classes = o.classes()
+	for _, v := range n.ServiceViews() {
+		res.Services = append(res.Services, peer.ToServiceStatus(v))
+	}
+	counts := n.ErrorCounts()
+	for _, code := range slices.Sorted(maps.Keys(counts)) {
+		res.Errors = append(res.Errors, &wire.ErrorCount{Code: code, Count: uint64(counts[code])})
+	}
 	if h := o.Gate.Host(); h != nil {
 		members, leader, err := h.Status(ctx)
 		if err != nil {
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -41,11 +41,7 @@
 func placeRequest(a node.PlaceAsk) *wire.PlaceRequest {
 	m := &wire.PlaceRequest{From: a.From, Service: a.Service}
 	for id, l := range a.Loads {
-		load := &wire.EngineLoad{Backend: id, Requests: uint32(l.Requests), PrefillTokens: uint64(l.Prefill)}
-		for _, r := range l.Runs {
-			load.Runs = append(load.Runs, runMessage(r))
-		}
-		m.Loads = append(m.Loads, load)
+		m.Loads = append(m.Loads, loadMessage(id, l))
 	}
 	for _, g := range a.Growth {
 		m.Growth = append(m.Growth, &wire.RunGrowth{Group: groupMessage(g.Group), From: uint64(g.From), To: uint64(g.To), Ended: g.Ended})
@@ -83,6 +79,29 @@
 	return a
 }
 
+func loadMessage(backend string, l place.Load) *wire.EngineLoad {
+	m := &wire.EngineLoad{Backend: backend, Requests: uint32(l.Requests), PrefillTokens: uint64(l.Prefill)}
+	for _, r := range l.Runs {
+		m.Runs = append(m.Runs, runMessage(r))
+	}
+	return m
+}
+
+// ToServiceStatus returns the message for a view of a service.
+func ToServiceStatus(v node.ServiceView) *wire.ServiceStatus {
+	m := &wire.ServiceStatus{
+		Service: v.Service, PlacedBy: v.PlacedBy,
+		Requests: uint64(v.Requests), Repeats: uint64(v.Repeats), RepeatsLeft: uint64(v.RepeatsLeft),
+	}
+	for _, b := range v.Backends {
+		m.Backends = append(m.Backends, &wire.BackendView{
+			Backend: b.ID, Domain: b.Domain, Leaving: b.Leaving, Avoided: b.Avoided,
+			NewsMillis: uint64(max(b.Age, 0).Milliseconds()), Load: loadMessage(b.ID, b.Load),
+		})
+	}
+	return m
+}
+
 func runMessage(r place.Run) *wire.EngineRun {
 	return &wire.EngineRun{Id: r.ID, Group: groupMessage(r.Group), Held: uint64(r.Held), Made: uint64(r.Made), Most: uint64(r.Most)}
 }
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -24,6 +24,8 @@
 	PeerServiceName = "wire.v1.PeerService"
 	// ControlServiceName is the fully-qualified name of the ControlService service.
 	ControlServiceName = "wire.v1.ControlService"
+	// WatchServiceName is the fully-qualified name of the WatchService service.
+	WatchServiceName = "wire.v1.WatchService"
 	// OperatorServiceName is the fully-qualified name of the OperatorService service.
 	OperatorServiceName = "wire.v1.OperatorService"
 )
@@ -62,6 +64,8 @@
 	ControlServiceStepProcedure = "/wire.v1.ControlService/Step"
 	// ControlServiceJoinProcedure is the fully-qualified name of the ControlService's Join RPC.
 	ControlServiceJoinProcedure = "/wire.v1.ControlService/Join"
+	// WatchServiceStatusProcedure is the fully-qualified name of the WatchService's Status RPC.
+	WatchServiceStatusProcedure = "/wire.v1.WatchService/Status"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
 	OperatorServiceStatusProcedure = "/wire.v1.OperatorService/Status"
 	// OperatorServiceApplyProcedure is the fully-qualified name of the OperatorService's Apply RPC.
@@ -500,6 +504,76 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Join is not implemented"))
 }
 
+// WatchServiceClient is a client for the wire.v1.WatchService service.
+type WatchServiceClient interface {
+	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
+}
+
+// NewWatchServiceClient constructs a client for the wire.v1.WatchService service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewWatchServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) WatchServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	watchServiceMethods := File_wire_v1_wire_proto.Services().ByName("WatchService").Methods()
+	return &watchServiceClient{
+		status: connect.NewClient[StatusRequest, StatusResponse](
+			httpClient,
+			baseURL+WatchServiceStatusProcedure,
+			connect.WithSchema(watchServiceMethods.ByName("Status")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// watchServiceClient implements WatchServiceClient.
+type watchServiceClient struct {
+	status *connect.Client[StatusRequest, StatusResponse]
+}
+
+// Status calls wire.v1.WatchService.Status.
+func (c *watchServiceClient) Status(ctx context.Context, req *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error) {
+	return c.status.CallUnary(ctx, req)
+}
+
+// WatchServiceHandler is an implementation of the wire.v1.WatchService service.
+type WatchServiceHandler interface {
+	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
+}
+
+// NewWatchServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewWatchServiceHandler(svc WatchServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	watchServiceMethods := File_wire_v1_wire_proto.Services().ByName("WatchService").Methods()
+	watchServiceStatusHandler := connect.NewUnaryHandler(
+		WatchServiceStatusProcedure,
+		svc.Status,
+		connect.WithSchema(watchServiceMethods.ByName("Status")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/wire.v1.WatchService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case WatchServiceStatusProcedure:
+			watchServiceStatusHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedWatchServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedWatchServiceHandler struct{}
+
+func (UnimplementedWatchServiceHandler) Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.WatchService.Status is not implemented"))
+}
+
 // OperatorServiceClient is a client for the wire.v1.OperatorService service.
 type OperatorServiceClient interface {
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
