Check settings and configurations in the build for the users' platform too

Cause: only the product's own build had the command, so an operator of the platform learnt of a fault in a file from a VM that did not start.

Change: the command moves to foldd/cmds, which both builds use; it reads configurations by the adapter's decoder.

--- a/foldd/main.go
+++ b/foldd/main.go
@@ -10,9 +10,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/app"
-	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/cmds"
 )
 
 func main() {
@@ -21,7 +20,7 @@
 		Usage: "serve generations of unknown length on crowded model engines",
 		Commands: []*cli.Command{
 			serveCommand(),
-			checkCommand(),
+			cmds.Check(app.Adapter{}),
 			demoCommand(),
 		},
 	}
@@ -37,7 +36,7 @@
 		Usage:     "run by a settings file",
 		ArgsUsage: "SETTINGS",
 		Action: func(ctx context.Context, c *cli.Command) error {
-			path, err := oneArg(c)
+			path, err := cmds.OneArg(c)
 			if err != nil {
 				return err
 			}
@@ -45,45 +44,3 @@
 		},
 	}
 }
-
-func checkCommand() *cli.Command {
-	return &cli.Command{
-		Name:      "check",
-		Usage:     "check a settings file, or with --config an operators' configuration",
-		ArgsUsage: "FILE",
-		Flags:     []cli.Flag{&cli.BoolFlag{Name: "config", Usage: "the file is an operators' configuration"}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			path, err := oneArg(c)
-			if err != nil {
-				return err
-			}
-			if err := check(path, c.Bool("config")); err != nil {
-				return err
-			}
-			fmt.Println(path, "is valid")
-			return nil
-		},
-	}
-}
-
-func check(path string, config bool) error {
-	if !config {
-		_, err := conf.Load(path)
-		return err
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return fmt.Errorf("read configuration: %w", err)
-	}
-	_, err = spec.Parse(data)
-	return err
-}
-
-var errOneFile = eris.New("want exactly one file")
-
-func oneArg(c *cli.Command) (string, error) {
-	if c.Args().Len() != 1 {
-		return "", errOneFile
-	}
-	return c.Args().First(), nil
-}
