Name the same placing VM everywhere, and ask none in a silent domain

Cause: a VM counted as fit to place only if it had been heard within 4 s. In a domain that is cut off each VM asked VMs of the other domains one after the other, 100 ms each.

Change: every live VM counts; one that does not answer is left alone for 3 s, 6 s, 12 s. Silence of a VM in another failure domain, not a refused connection, leaves the whole domain alone. It answers many VMs that share engines. TestPlacer (old news) and TestCutDomainIsAskedOnce fail before.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -337,10 +337,11 @@
 }
 
 // Placer returns the VM of the region that places a service's requests for all:
-// of those that serve callers, do not drain, were heard lately and are not
-// distrusted, the one with the highest hash of both names. draining says that
-// this VM itself drains; it is returned if no other is left.
-func (g *Group) Placer(now time.Time, service string, lately time.Duration, draining bool, distrusted func(id string) bool) Peer {
+// of those that serve callers, are live, do not drain and are not distrusted, the
+// one with the highest hash of both names. News of a VM may be seconds old among
+// many: were only those heard lately considered, each VM would name another one.
+// draining says that this VM itself drains; it is returned if no other is left.
+func (g *Group) Placer(now time.Time, service string, draining bool, distrusted func(p Peer) bool) Peer {
 	best := g.Self
 	most := uint64(0)
 	consider := func(p Peer) {
@@ -351,8 +352,8 @@
 	if g.Self.Callers && !draining {
 		consider(g.Self)
 	}
-	for _, p := range g.LiveWithin(now, lately) {
-		if p.Region == g.Self.Region && p.Callers && !p.Draining && !distrusted(p.ID) {
+	for _, p := range g.Live(now) {
+		if p.Region == g.Self.Region && p.Callers && !p.Draining && !distrusted(p) {
 			consider(p)
 		}
 	}
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -274,7 +274,7 @@
 		peers = append(peers, Peer{ID: id, Callers: true, Epoch: 1})
 	}
 	peers = append(peers, Peer{ID: "control", Control: true, Epoch: 1})
-	nobody := func(string) bool { return false }
+	nobody := func(Peer) bool { return false }
 	view := func(self int, skip string) Peer {
 		g := Group{Self: peers[self]}
 		for i, p := range peers {
@@ -282,9 +282,21 @@
 				g.Hear(start, p)
 			}
 		}
-		return g.Placer(start, "service", time.Second, false, nobody)
+		return g.Placer(start, "service", false, nobody)
 	}
 	first := view(0, "")
+	// Among many VMs the news of one may be nearly as old as its lease.
+	late := Group{Self: peers[4]}
+	for _, p := range peers[:4] {
+		age := time.Second
+		if p.ID == first.ID {
+			age = PeerLease - time.Second
+		}
+		late.HearOf(start, HeardPeer{Peer: p, Age: age})
+	}
+	if p := late.Placer(start, "service", false, nobody); p.ID != first.ID {
+		t.Errorf("with old news of %s: %s", first.ID, p.ID)
+	}
 	for i := range 4 {
 		if p := view(i, ""); p.ID != first.ID {
 			t.Errorf("VM %s names %s, VM a names %s", peers[i].ID, p.ID, first.ID)
@@ -304,7 +316,7 @@
 			g.Hear(start, p)
 		}
 	}
-	if p := g.Placer(start, "service", time.Second, false, func(id string) bool { return id == first.ID }); p.ID != second.ID {
+	if p := g.Placer(start, "service", false, func(p Peer) bool { return p.ID == first.ID }); p.ID != second.ID {
 		t.Errorf("with %s distrusted: %s, want %s", first.ID, p.ID, second.ID)
 	}
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -96,9 +96,11 @@
 	// placer places forwarded requests; repeats is the retry budget of each
 	// service.
 	placer place.Placer
-	// distrusted holds until when a VM is not asked for places; told is what was
+	// distrusted holds the VMs that are not asked for places, silent the failure
+	// domains of which none is; told is what was
 	// last told of each service's load; telling is set while the next is due.
-	distrusted map[string]time.Time
+	distrusted avoidance
+	silent     avoidance
 	told       map[string]told
 	// growth is what the VM that places for all is told next of runs' lengths, by
 	// service; lastRun is the number of the last run.
@@ -125,7 +127,8 @@
 		placer:         place.Placer{Domain: s.Domain},
 		started:        time.Now(),
 		repeats:        map[string]*retry.Window{},
-		distrusted:     map[string]time.Time{},
+		distrusted:     avoidance{},
+		silent:         avoidance{},
 		told:           map[string]told{},
 		growth:         map[string][]place.Growth{},
 	}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -37,16 +37,14 @@
 const (
 	// askTimeout bounds the wait for another VM to place a request.
 	askTimeout = 100 * time.Millisecond
-	// distrust is how long a VM that did not answer is not asked; the next one in
-	// line places meanwhile.
-	distrust = 3 * time.Second
+	// distrustTime is how long a VM that did not answer is not asked, and twice as long
+	// each further time in a row; the next one in line places meanwhile.
+	distrustTime = 3 * time.Second
 	// tellInterval is how often a VM tells what it has under way, if that has
 	// changed; retellInterval is how often it tells it all the same, well within
 	// the time that the other VM believes it.
 	tellInterval   = 250 * time.Millisecond
 	retellInterval = time.Second
-	// freshPeer is how lately a VM must have been heard to place for others.
-	freshPeer = 4 * time.Second
 )
 
 // Place chooses a backend server of a service for a forwarded request and
@@ -91,11 +89,17 @@
 		return place.Choice{}, false
 	}
 	if err != nil {
-		n.distrusted[to.ID] = time.Now().Add(distrust)
+		n.distrusted.fail(time.Now(), to.ID)
+		if limited.Err() != nil && to.Domain != n.Settings.Domain {
+			// Silence may be that of the whole failure domain.
+			n.silent.fail(time.Now(), to.Domain)
+		}
 		n.Count("place.stewardsLost", 1)
 		n.Log.WithError(err).WithField("steward", to.ID).Warn("requests are placed here")
 		return place.Choice{}, false
 	}
+	delete(n.distrusted, to.ID)
+	delete(n.silent, to.Domain)
 	c, ok := n.granted(service, answer, w)
 	c.By = to.ID
 	return c, ok
@@ -115,6 +119,25 @@
 	return place.Choice{Server: list[i], Wait: a.Wait, Full: a.Full, Back: a.Back}, true
 }
 
+// avoidance keeps questions for places from VMs, or failure domains, that did not
+// answer lately.
+type avoidance map[string]silence
+
+// silence counts the questions in a row without an answer.
+type silence struct {
+	failures int
+	until    time.Time
+}
+
+func (a avoidance) fail(now time.Time, key string) {
+	s := a[key]
+	s.until = now.Add(distrustTime << min(s.failures, 2))
+	s.failures++
+	a[key] = s
+}
+
+func (a avoidance) holds(now time.Time, key string) bool { return now.Before(a[key].until) }
+
 // placeSteward returns the VM that places a service's requests for all, and
 // false if this VM does. The caller holds the lock.
 func (n *Node) placeSteward(now time.Time, service string) (member.Peer, bool) {
@@ -125,7 +148,9 @@
 	if s, ok := x.Service(service); !ok || s.Engine == nil {
 		return member.Peer{}, false
 	}
-	p := n.group.Placer(now, service, freshPeer, n.Draining(), func(id string) bool { return now.Before(n.distrusted[id]) })
+	p := n.group.Placer(now, service, n.Draining(), func(p member.Peer) bool {
+		return n.distrusted.holds(now, p.ID) || n.silent.holds(now, p.Domain)
+	})
 	if p.ID == n.Settings.ID {
 		return member.Peer{}, false
 	}
--- a/foldd/node/place_test.go
+++ b/foldd/node/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"sync/atomic"
@@ -16,10 +17,9 @@
 	"fuchsiafold.example/foldd/conf"
 )
 
-// TestSteadyLoadIsToldAgain keeps one request under way that never changes: the
-// VM that places for all is told of it again and again, since it believes no
-// account for long.
-func TestSteadyLoadIsToldAgain(t *testing.T) {
+// testNode returns a VM that knows one engine of the service models.
+func testNode(t *testing.T) *Node {
+	t.Helper()
 	s, err := conf.Parse([]byte(`{"id": "vm", "domain": "a", "handleKey": "0123456789abcdef", "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}`))
 	if err != nil {
 		t.Fatal(err)
@@ -37,6 +37,14 @@
 	}
 	n.Adopt(spec.NewIndex(d, 1))
 	n.Announce(member.Backend{ID: "e", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Kind: spec.KindPlain, Service: "models", Epoch: 1, Seq: 1})
+	return n
+}
+
+// TestSteadyLoadIsToldAgain keeps one request under way that never changes: the
+// VM that places for all is told of it again and again, since it believes no
+// account for long.
+func TestSteadyLoadIsToldAgain(t *testing.T) {
+	n := testNode(t)
 	var told atomic.Int32
 	n.AskPlace = func(_ context.Context, _ member.Peer, a PlaceAsk) (PlaceAnswer, error) {
 		if a.Want == nil && a.Loads["e"].Requests == 1 {
@@ -58,3 +66,36 @@
 		}
 	}
 }
+
+// TestCutDomainIsAskedOnce leaves the questions to a failure domain that is cut
+// off without an answer: after the first, another domain's VM places.
+func TestCutDomainIsAskedOnce(t *testing.T) {
+	n := testNode(t)
+	var asked []string
+	n.AskPlace = func(ctx context.Context, to member.Peer, a PlaceAsk) (PlaceAnswer, error) {
+		asked = append(asked, to.Domain)
+		if to.Domain == "cut" {
+			<-ctx.Done()
+			return PlaceAnswer{}, ctx.Err()
+		}
+		return PlaceAnswer{Backend: "e"}, nil
+	}
+	for i := range 20 {
+		n.HearPeer(member.Peer{ID: fmt.Sprint("cut", i), Domain: "cut", Epoch: 1, Callers: true})
+	}
+	n.HearPeer(member.Peer{ID: "near", Domain: "near", Epoch: 1, Callers: true})
+	for i := range 10 {
+		if _, ok := n.Place(t.Context(), "models", place.Want{Run: place.Run{ID: uint64(i + 1), Held: 10}}); !ok {
+			t.Fatal("no place")
+		}
+	}
+	cut := 0
+	for _, domain := range asked {
+		if domain == "cut" {
+			cut++
+		}
+	}
+	if cut != 1 {
+		t.Errorf("asked %v: the domain that is cut off %d times, want once", asked, cut)
+	}
+}
