--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -29,9 +29,11 @@
 	// memoryShare is the part of an engine's memory that is used by choice.
 	memoryShare = 0.9
 	// fullShare is the part of an engine's memory beyond which a further request
-	// would only make others wait. The mean of the forecast counts: a margin would
-	// leave more of the memory idle than it saves.
+	// would only make others wait.
 	fullShare = 1.0
+	// margin is the number of standard deviations of a forecast that count as
+	// memory in use.
+	margin = 0.7
 )
 
 // cost is what a place costs.
@@ -54,7 +56,7 @@
 		c.delay += costFull
 	}
 	if s.MemoryTokens > 0 {
-		used := p.forecast(now, s.ID).Peak(item, float64(s.MemoryTokens), 0)
+		used := p.forecast(now, s.ID).Peak(item, float64(s.MemoryTokens), margin)
 		c.delay += engineCost(requests, prefill, used)
 		c.full = used > fullShare || (w.Within > 0 && firstTokenTime(prefill+w.Prompt) > w.Within)
 		if c.full || used > memoryShare {
