Bound the groups whose lengths start from their limit

Cause: found on reading the diff: callers name their models, and every new name was remembered for good.

--- a/fold/place/forecast.go
+++ b/fold/place/forecast.go
@@ -56,6 +56,10 @@
 // have while nothing is known of the group.
 var seeds = [...]float64{0.125, 0.25, 0.5, 0.75}
 
+// maxSeeded bounds the groups that are started from their limit: callers name
+// them.
+const maxSeeded = 4096
+
 // Growth is what was seen of the length of a run: it grew from one number of
 // tokens to another, and ended there by itself if Ended is set.
 type Growth struct {
@@ -75,7 +79,7 @@
 // seed gives a group of which nothing is known lengths below its limit.
 func (p *Placer) seed(g learn.Group, most int) {
 	class := learn.Group{Class: g.Class, Model: g.Model}
-	if most <= 0 || p.seeded[class] {
+	if most <= 0 || p.seeded[class] || len(p.seeded) >= maxSeeded {
 		return
 	}
 	if p.seeded == nil {
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -272,3 +272,15 @@
 		t.Error("a request without a target is turned away")
 	}
 }
+
+// TestSeedsAreBounded meets more groups than are worth remembering: callers name
+// their models.
+func TestSeedsAreBounded(t *testing.T) {
+	var p Placer
+	for i := range maxSeeded + 100 {
+		p.Left(Run{Group: learn.Group{Class: "c", Model: fmt.Sprint(i)}, Most: 100}, 0.5)
+	}
+	if len(p.seeded) != maxSeeded {
+		t.Errorf("%d groups are remembered, want %d", len(p.seeded), maxSeeded)
+	}
+}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -37,8 +37,8 @@
 const (
 	// askTimeout bounds the wait for another VM to place a request.
 	askTimeout = 100 * time.Millisecond
-	// distrustTime is how long a VM that did not answer is not asked, and twice as long
-	// each further time in a row; the next one in line places meanwhile.
+	// distrustTime is how long a VM that did not answer is not asked, twice as long
+	// after each further time in a row; the next one in line places meanwhile.
 	distrustTime = 3 * time.Second
 	// tellInterval is how often a VM tells what it has under way, if that has
 	// changed; retellInterval is how often it tells it all the same, well within
@@ -187,8 +187,8 @@
 	at    time.Time
 }
 
-// account returns what this VM tells of a service's load. The caller holds the
-// lock.
+// account returns what this VM tells of a service's load. What was seen of runs'
+// lengths is told once, and lost with the message. The caller holds the lock.
 func (n *Node) account(service string) PlaceAsk {
 	a := PlaceAsk{From: n.Settings.ID, Service: service, Loads: n.placer.Own(n.table.OfService(service)), Growth: n.growth[service]}
 	delete(n.growth, service)
@@ -351,8 +351,8 @@
 	return n.repeatBudget(now, service).Repeat(now)
 }
 
-// repeatBudget returns the window of a service with this VM's part of the reserve. The
-// caller holds the lock.
+// repeatBudget returns the window of a service with this VM's part of the
+// reserve. The caller holds the lock.
 func (n *Node) repeatBudget(now time.Time, service string) *retry.Window {
 	w := n.window(service)
 	w.Reserve = n.Settings.Retry.Reserve / float64(2*n.sharers(now))
