Relay, node: log each placement of a run with the load it was based on

The VM that places a run logs the server chosen, its load and the age of the oldest load report; the entry VM logs the request that it sends. The run number joins the two lines.

--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -6,6 +6,7 @@
 
 	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/usage"
 )
 
 // Run is one generation in an engine's memory. It is zero for a request that
@@ -121,6 +122,21 @@
 	return requests, prefill
 }
 
+// serverLoad returns the load of a server as this placer knows it.
+func (p *Placer) serverLoad(now time.Time, s *member.Backend) ServerLoad {
+	var l ServerLoad
+	l.Requests, l.PrefillTokens = p.counts(now, s.ID)
+	if s.MemoryTokens > 0 {
+		l.MemoryShare = p.forecast(now, s.ID).Peak(&usage.Forecast{}, float64(s.MemoryTokens), marginStdDevs)
+	}
+	for _, peer := range p.peers {
+		if age := now.Sub(peer.lastSeen); age < peerLoadTTL {
+			l.ReportAge = max(l.ReportAge, age)
+		}
+	}
+	return l
+}
+
 // forEachRun calls f for every run that any VM has at an engine.
 func (p *Placer) forEachRun(now time.Time, id string, f func(Run)) {
 	if b := p.backends[id]; b != nil {
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -62,6 +62,22 @@
 	RetryAfter time.Duration
 	// ChosenBy is the ID of the VM that made the choice, empty for this VM.
 	ChosenBy string
+	// Load is the load of Server that the choice was based on, without the
+	// request itself. It is zero if another VM made the choice.
+	Load ServerLoad
+}
+
+// ServerLoad is the load of a server as the placer knows it.
+type ServerLoad struct {
+	// Requests is the number of requests that all VMs have under way there.
+	Requests int
+	// PrefillTokens is the size in tokens of the prompts not yet read.
+	PrefillTokens int
+	// MemoryShare is the forecast peak share of an engine's memory that is in
+	// use, zero for other servers.
+	MemoryShare float64
+	// ReportAge is the age of the oldest load report that counts.
+	ReportAge time.Duration
 }
 
 // Result is how a request at a server ended.
@@ -162,7 +178,7 @@
 	if best < 0 {
 		return Choice{}, false
 	}
-	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil}
+	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Load: p.serverLoad(now, &servers[best])}
 	switch {
 	case req.Copy != nil:
 		c.CopyDelay = p.reserveLinks(now, &servers[best], req)
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
@@ -66,10 +68,34 @@
 	defer n.mu.Unlock()
 	r.Random = n.random.Float64()
 	c, ok := n.placer.Pick(time.Now(), n.candidates(service), r)
-	if ok && !c.Full {
+	if !ok {
+		return c, false
+	}
+	if !c.Full {
 		n.placer.Begin(c.Server.ID, r)
 	}
-	return c, ok
+	if r.ID != 0 {
+		n.logPlacement(n.Settings.ID, service, r, c)
+	}
+	return c, true
+}
+
+// logPlacement logs the choice of a server for a run of the VM from, with the
+// load that it was based on. Plain calls are not logged here: their server is in
+// the line at their end.
+func (n *Node) logPlacement(from, service string, r place.Request, c place.Choice) {
+	fields := logrus.Fields{
+		"vm": from, "run": r.ID, "service": service, "backend": c.Server.ID, "domain": c.Server.Domain, "preferred": r.Domain,
+		"full": c.Full, "requests": c.Load.Requests, "prefillTokens": c.Load.PrefillTokens,
+		"memoryPercent": int(100 * c.Load.MemoryShare), "loadAgeMs": c.Load.ReportAge.Milliseconds(),
+	}
+	if r.Copy != nil {
+		fields["copyFrom"], fields["copyDelayMs"] = r.Copy.Source, c.CopyDelay.Milliseconds()
+	}
+	if c.Full {
+		fields["retryAfterMs"] = c.RetryAfter.Milliseconds()
+	}
+	n.Log.WithFields(fields).Info("server chosen")
 }
 
 // placeRemotely requests a placement from the placement VM of a service. It
@@ -192,6 +218,7 @@
 	if !c.Full {
 		n.placer.Reserve(now, req.From, c.Server.ID, r)
 	}
+	n.logPlacement(req.From, req.Service, r, c)
 	return PlacementResponse{Backend: c.Server.ID, CopyDelay: c.CopyDelay, Full: c.Full, RetryAfter: c.RetryAfter}
 }
 
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -5,6 +5,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/place"
 )
 
 var (
@@ -16,6 +18,16 @@
 
 func sinceArrival(q *request) time.Duration { return time.Since(q.arrived) }
 
+// logSend logs that a stream's request is sent to the backend server chosen for
+// it. Its run number joins the line with the one of the VM that chose.
+func (s *stream) logSend(req place.Request) {
+	q := s.q
+	q.relay.Node.Log.WithFields(logrus.Fields{
+		"request": q.params.ID, "run": req.ID, "backend": q.backend, "placedBy": q.placedBy, "forward": q.forward.Name,
+		"promptTokens": req.PromptTokens, "budgetMs": req.FirstTokenBudget.Milliseconds(), "ms": sinceArrival(q).Milliseconds(),
+	}).Info("request sent")
+}
+
 // logAttempt logs a failed attempt to send the request to a backend server.
 func (x *Relay) logAttempt(q *request, b backend, err error) {
 	x.Node.Log.WithFields(logrus.Fields{
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -138,6 +138,7 @@
 		b := choice.Server
 		tried = append(tried, b.ID)
 		q.backend, q.placedBy = b.ID, choice.ChosenBy
+		s.logSend(req)
 		res, err := q.relay.Pool.Do(ctx, q.backendRequest(b, nil))
 		if err == nil {
 			q.sent++
