Place: cost of an engine is the time that the run and those beside it lose

Change: an engine's cost is now the time to read the prompts before it, the delay that the request's prompt causes to each run there, and the mean remaining length times the observed time per token of the engine. The placement VM takes the pace from the load reports that it has. In another domain each millisecond of generating counts three times.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -14,7 +14,7 @@
 	// prompts while it generates for other requests.
 	prefillTokensPerMS = 6.5
 	// costRunning is the delay that each request in an engine's batch adds for
-	// the others.
+	// the others once its prompt has been read.
 	costRunning = 12
 	// costMemory is the cost of an engine whose memory is full. The cost grows
 	// with the square of the share in use.
@@ -24,6 +24,11 @@
 	costCall = 40
 	// costOtherDomain is the cost of a server in another failure domain.
 	costOtherDomain = 60
+	// otherDomainExposure is the additional cost of each millisecond for which a
+	// run generates in another failure domain. As long as it does, it is lost
+	// not only if its own VM or engine fails, but also if the domains are
+	// partitioned.
+	otherDomainExposure = 2
 	// costUnreachableDomain is the cost of a failure domain that was
 	// unreachable recently.
 	costUnreachableDomain = 10_000
@@ -51,21 +56,34 @@
 	full bool
 }
 
-// cost returns the cost of placing req at s. added is the memory forecast of
-// the request's run.
-func (p *Placer) cost(now time.Time, s *member.Backend, req Request, added *usage.Forecast) cost {
+// demand is what the run of a request will probably need at an engine.
+type demand struct {
+	memory *usage.Forecast
+	// tokens is the mean number of tokens that the run will still generate.
+	tokens float64
+}
+
+// demand returns the demand of a request, zero for a plain call.
+func (p *Placer) demand(req Request) demand {
+	r := req.currentRun()
+	return demand{memory: p.runForecast(req), tokens: p.meanRemaining(r)}
+}
+
+// cost returns the cost of placing req at s. tokenTime is the time per token at
+// s.
+func (p *Placer) cost(now time.Time, s *member.Backend, req Request, need demand, tokenTime time.Duration) cost {
 	requests, prefill := p.counts(now, s.ID)
-	c := cost{delay: p.domainCost(s, req)}
+	var c cost
 	if req.Copy != nil {
 		start, d := p.copySchedule(now, s, req)
-		c.delay += float64(start.Add(d).Sub(now).Milliseconds())
+		c.delay += milliseconds(start.Add(d).Sub(now))
 	}
 	if s.Slots > 0 && requests >= s.Slots {
 		c.delay += costFull
 	}
 	if s.MemoryTokens > 0 {
-		used := p.forecast(now, s.ID).Peak(added, float64(s.MemoryTokens), marginStdDevs)
-		c.delay += engineCost(requests, prefill, used)
+		used := p.forecast(now, s.ID).Peak(need.memory, float64(s.MemoryTokens), marginStdDevs)
+		c.delay += engineCost(requests, prefill, used) + milliseconds(firstTokenTime(req.PromptTokens))*float64(requests)
 		c.full = used > maxMemoryShare || (req.FirstTokenBudget > 0 && firstTokenTime(prefill+req.PromptTokens) > req.FirstTokenBudget)
 		if c.full || used > targetMemoryShare {
 			c.delay += costFull * used
@@ -73,6 +91,7 @@
 	} else {
 		c.delay += costCall * float64(requests)
 	}
+	c.delay += p.durationCost(s, req, need.tokens*milliseconds(tokenTime))
 	if p.BackedOff(now, s.ID) {
 		c.delay += costBackedOff
 		c.full = false
@@ -83,19 +102,27 @@
 	return c
 }
 
-// domainCost returns the cost of the failure domain of s: zero for the
-// request's preferred domain, or the placer's own if the request has none.
-func (p *Placer) domainCost(s *member.Backend, req Request) float64 {
-	preferred := p.Domain
-	if req.Domain != "" {
-		preferred = req.Domain
+// durationCost returns the cost of a run that generates at s for the given time
+// in milliseconds, zero for a plain call.
+func (p *Placer) durationCost(s *member.Backend, req Request, generating float64) float64 {
+	if s.Domain == p.preferredDomain(req) {
+		return generating
 	}
-	if s.Domain == preferred {
-		return 0
+	return costOtherDomain + (1+otherDomainExposure)*generating
+}
+
+// preferredDomain returns the failure domain whose servers are preferred for a
+// request.
+func (p *Placer) preferredDomain(req Request) string {
+	if req.Domain != "" {
+		return req.Domain
 	}
-	return costOtherDomain
+	return p.Domain
 }
 
+// milliseconds returns d in milliseconds.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // firstTokenTime returns how long an engine takes to read prompts of the given
 // size in tokens while it generates for other requests.
 func firstTokenTime(tokens int) time.Duration {
@@ -106,6 +133,5 @@
 // batch, prefill the prompt tokens not yet read, and used the forecast share of
 // its memory.
 func engineCost(requests, prefill int, used float64) float64 {
-	first := float64(firstTokenTime(prefill).Milliseconds())
-	return first + costRunning*float64(requests) + costMemory*used*used
+	return milliseconds(firstTokenTime(prefill)) + costRunning*float64(requests) + costMemory*used*used
 }
--- a/fold/place/forecast.go
+++ b/fold/place/forecast.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// meanRemaining returns the mean number of tokens that a run will still
+// generate, zero for a plain call.
+func (p *Placer) meanRemaining(r Run) float64 {
+	if r.BaseTokens == 0 {
+		return 0
+	}
+	p.seed(r.Group, r.MaxTokens)
+	mean := p.Lengths.Survival(r.Group).Mean(r.Generated)
+	if r.MaxTokens > 0 {
+		mean = min(mean, float64(r.MaxTokens))
+	}
+	return max(mean-float64(r.Generated), 0)
+}
+
 // Remaining returns an upper bound on the number of tokens that a run will
 // still generate. The bound holds with the given probability and never exceeds
 // the run's limit.
--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -76,7 +76,9 @@
 // reservations made for the VM since.
 type peerLoad struct {
 	// lastSeen is the time of the VM's last load report or placement request.
-	lastSeen     time.Time
+	lastSeen time.Time
+	// reportedAt is the time of the last load report, loads.
+	reportedAt   time.Time
 	loads        map[string]Load
 	reservations []reservation
 }
@@ -163,7 +165,10 @@
 // drops the reservations that no longer count.
 func (p *Placer) UpdatePeerLoad(now time.Time, vm string, loads map[string]Load) {
 	peer := p.peerLoadOf(vm)
-	peer.lastSeen = now
+	for id, l := range loads {
+		p.observeGrowth(now, id, peer.loads[id], l, now.Sub(peer.reportedAt))
+	}
+	peer.lastSeen, peer.reportedAt = now, now
 	peer.loads = loads
 	peer.reservations = slices.DeleteFunc(peer.reservations, func(res reservation) bool { return !peer.pending(now, &res) })
 }
@@ -256,6 +261,8 @@
 // requests are still under way there.
 func (p *Placer) Forget(id string) {
 	delete(p.forecasts, id)
+	delete(p.paces, id)
+	delete(p.localReports, id)
 	if b := p.backends[id]; b != nil && b.requests == 0 {
 		delete(p.backends, id)
 	}
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -137,6 +137,11 @@
 	// linksBusyUntil is the time until which copies occupy each server's link,
 	// by server ID.
 	linksBusyUntil map[string]time.Time
+	// paces holds the observed pace of each engine.
+	paces map[string]*pace
+	// localReports holds the load of this VM at each engine at the last call of
+	// ObserveLocal.
+	localReports map[string]localReport
 }
 
 // backoff is the back-off state after failures in a row.
@@ -163,7 +168,8 @@
 func (p *Placer) Pick(now time.Time, servers []member.Backend, req Request) (Choice, bool) {
 	best := -1
 	var lowest cost
-	added := p.runForecast(req)
+	need := p.demand(req)
+	tokenTimes := p.tokenTimes(now, servers)
 	start := int(req.Random * float64(len(servers)))
 	for i := range servers {
 		i = (i + start) % len(servers)
@@ -171,7 +177,7 @@
 		if s.Leaving || slices.Contains(req.Exclude, s.ID) {
 			continue
 		}
-		if c := p.cost(now, s, req, added); best < 0 || c.delay < lowest.delay {
+		if c := p.cost(now, s, req, need, tokenTimes[i]); best < 0 || c.delay < lowest.delay {
 			best, lowest = i, c
 		}
 	}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -278,6 +278,7 @@
 	busy := false
 	for service := range n.forwardBudgets {
 		loads := n.placer.LocalLoad(n.table.OfService(service))
+		n.placer.ObserveLocal(now, loads)
 		to, ok := n.placementVM(now, service)
 		last := n.sentReports[service]
 		if len(loads) == 0 && len(last.loads) == 0 {
