Member: a VM that starts later takes no placements over

Cause: when VMs are added or restart, the one with the highest hash became the placement VM at once, without loads, lengths or paces, and VMs that had not heard of it kept asking the one before.

Change: only the VMs that started first, within 10 s of each other, are candidates, until they are gone.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -24,6 +24,9 @@
 	// not leaving in a summary for another failure domain. Direct updates are
 	// not counted.
 	SummaryPerModel = 4
+	// startWindow is the time within which VMs count as started together. It
+	// exceeds the difference between their clocks.
+	startWindow = 10 * time.Second
 	// maxSampledPeers is the largest number of other VMs in one message.
 	maxSampledPeers = 8
 )
@@ -34,7 +37,8 @@
 	Addr   netip.AddrPort
 	Domain string
 	Region string
-	// Epoch grows with each start of the VM's process.
+	// Epoch is when the VM's process started, by its own clock, in nanoseconds
+	// since the Unix epoch. It grows with each start.
 	Epoch uint64
 	// Revision is the revision of the VM's configuration.
 	Revision uint64
@@ -358,27 +362,36 @@
 }
 
 // PlacementVM returns the VM that chooses the backend servers for a service's
-// requests from the whole region. It is the VM with the highest hash of the
-// service and the VM's ID among those that serve callers, are live, are not
-// draining and are not backed off. All live VMs are candidates because reports may
-// be seconds old in a large group: with a limit below PeerLease, VMs would disagree
-// on the placement VM. draining means that this VM is draining; it is still returned
-// if no other VM is eligible.
+// requests from the whole region. Eligible are the VMs that serve callers, are
+// live, are not draining and are not backed off. Of those that started first, it is
+// the one with the highest hash of the service and the VM's ID.
+//
+// A VM that starts later takes no placements over, because it knows neither the
+// loads of the other VMs nor the lengths and the pace of runs, and because the VMs
+// learn of it one after another and would meanwhile disagree on the placement VM.
+// All live VMs count because reports may be seconds old in a large group: with a
+// limit below PeerLease, VMs would disagree as well. draining means that this VM is
+// draining; it is still returned if no other VM is eligible.
 func (g *Group) PlacementVM(now time.Time, service string, draining bool, backedOff func(p Peer) bool) Peer {
-	best := g.Self
-	highest := uint64(0)
-	consider := func(p Peer) {
-		if h := xxhash.Sum64String(service + "\x00" + p.ID); h > highest {
-			best, highest = p, h
-		}
-	}
+	var eligible []Peer
 	if g.Self.ServesCallers && !draining {
-		consider(g.Self)
+		eligible = append(eligible, g.Self)
 	}
 	for _, p := range g.Live(now) {
 		if p.Region == g.Self.Region && p.ServesCallers && !p.Draining && !backedOff(p) {
-			consider(p)
+			eligible = append(eligible, p)
 		}
 	}
-	return best
+	if len(eligible) == 0 {
+		return g.Self
+	}
+	first := slices.MinFunc(eligible, func(a, b Peer) int { return cmp.Compare(a.Epoch, b.Epoch) }).Epoch
+	eligible = slices.DeleteFunc(eligible, func(p Peer) bool { return p.Epoch-first > uint64(startWindow) })
+	return slices.MaxFunc(eligible, func(a, b Peer) int { return cmp.Compare(placementHash(service, a), placementHash(service, b)) })
+}
+
+// placementHash returns the rank of a VM among those that may place a service's
+// requests.
+func placementHash(service string, p Peer) uint64 {
+	return xxhash.Sum64String(service + "\x00" + p.ID)
 }
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -324,3 +324,31 @@
 		t.Errorf("with %s backed off: placement VM %s, want %s", first.ID, p.ID, second.ID)
 	}
 }
+
+// TestNewVMTakesNoPlacementsOver checks that a VM which starts later than the others
+// becomes the placement VM of no service before they are gone, and that all VMs are
+// candidates after a common start.
+func TestNewVMTakesNoPlacementsOver(t *testing.T) {
+	const services = 50
+	noneBackedOff := func(Peer) bool { return false }
+	chosen := func(epochs ...time.Duration) map[string]int {
+		g := Group{Self: Peer{ID: "control"}}
+		for i, e := range epochs {
+			g.ReceiveDirect(start, Peer{ID: string(rune('a' + i)), ServesCallers: true, Epoch: uint64(start.Add(e).UnixNano())})
+		}
+		count := map[string]int{}
+		for i := range services {
+			count[g.PlacementVM(start, fmt.Sprint("service", i), false, noneBackedOff).ID]++
+		}
+		return count
+	}
+	if got := chosen(0, time.Second, time.Minute); got["c"] != 0 || got["a"] == 0 || got["b"] == 0 {
+		t.Errorf("services by placement VM %v, want none at c, which started a minute later", got)
+	}
+	if got := chosen(0, time.Second, startWindow); got["c"] == 0 {
+		t.Errorf("services by placement VM %v, want some at c, which started with the others", got)
+	}
+	if got := chosen(time.Minute); got["a"] != services {
+		t.Errorf("services by placement VM %v, want all at a", got)
+	}
+}
