Relay, place: runs return to their failure domain

Change: every 1.5 s a run in another domain asks for an engine of its own domain. The run may stay, and does unless the move saves 1 s of expected time, counting each millisecond in another domain three times, and both links are free.

--- a/fold/place/copy.go
+++ b/fold/place/copy.go
@@ -21,7 +21,7 @@
 		}
 	}
 	d = req.Copy.Duration
-	if s.Domain != req.Domain {
+	if s.Domain != req.Copy.Domain {
 		d *= 2
 	}
 	return start, d
--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -29,6 +29,9 @@
 	// not only if its own VM or engine fails, but also if the domains are
 	// partitioned.
 	otherDomainExposure = 2
+	// costOptionalMove is what the move of a run that may stay has to save. Its
+	// stream pauses for some steps.
+	costOptionalMove = 1000
 	// costUnreachableDomain is the cost of a failure domain that was
 	// unreachable recently.
 	costUnreachableDomain = 10_000
@@ -66,7 +69,7 @@
 // demand returns the demand of a request, zero for a plain call.
 func (p *Placer) demand(req Request) demand {
 	r := req.currentRun()
-	return demand{memory: p.runForecast(req), tokens: p.meanRemaining(r)}
+	return demand{memory: p.runForecast(req), tokens: p.MeanRemaining(r)}
 }
 
 // cost returns the cost of placing req at s. tokenTime is the time per token at
@@ -74,9 +77,13 @@
 func (p *Placer) cost(now time.Time, s *member.Backend, req Request, need demand, tokenTime time.Duration) cost {
 	requests, prefill := p.counts(now, s.ID)
 	var c cost
-	if req.Copy != nil {
-		start, d := p.copySchedule(now, s, req)
-		c.delay += milliseconds(start.Add(d).Sub(now))
+	switch {
+	case req.Stays(s.ID):
+		// The run is part of the load already.
+		requests--
+		need.memory = &usage.Forecast{}
+	case req.Copy != nil:
+		c.delay += p.copyCost(now, s, req)
 	}
 	if s.Slots > 0 && requests >= s.Slots {
 		c.delay += costFull
@@ -102,6 +109,20 @@
 	return c
 }
 
+// copyCost returns the cost of the copy of a run to s. A run that may stay is
+// moved only if that saves costOptionalMove, and if no other copy is under way.
+func (p *Placer) copyCost(now time.Time, s *member.Backend, req Request) float64 {
+	start, d := p.copySchedule(now, s, req)
+	c := milliseconds(start.Add(d).Sub(now))
+	if !req.Copy.MayStay {
+		return c
+	}
+	if start.After(now) {
+		c += costFull
+	}
+	return c + costOptionalMove
+}
+
 // durationCost returns the cost of a run that generates at s for the given time
 // in milliseconds, zero for a plain call.
 func (p *Placer) durationCost(s *member.Backend, req Request, generating float64) float64 {
--- a/fold/place/forecast.go
+++ b/fold/place/forecast.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// meanRemaining returns the mean number of tokens that a run will still
+// MeanRemaining returns the mean number of tokens that a run will still
 // generate, zero for a plain call.
-func (p *Placer) meanRemaining(r Run) float64 {
+func (p *Placer) MeanRemaining(r Run) float64 {
 	if r.BaseTokens == 0 {
 		return 0
 	}
--- a/fold/place/pace_test.go
+++ b/fold/place/pace_test.go
@@ -119,6 +119,47 @@
 	}
 }
 
+// TestRunReturnsToItsDomain checks when a run that generates in another failure
+// domain moves back: its stream would be lost if the domains were partitioned, but
+// each move pauses it.
+func TestRunReturnsToItsDomain(t *testing.T) {
+	engines := func() []member.Backend {
+		list := threeEngines()[:2]
+		list[1].Domain = "b"
+		return list
+	}
+	tests := []struct {
+		name   string
+		domain string
+		setup  func(*Placer)
+		want   string
+	}{
+		{"own engine has room", "a", nil, "1"},
+		{"own engine is full", "a", func(p *Placer) { p.Begin("1", fixedSizeRequest(7, 33_500)) }, "2"},
+		{"own engine receives another copy", "a", func(p *Placer) {
+			p.linksBusyUntil = map[string]time.Time{"1": now.Add(100 * time.Millisecond)}
+		}, "2"},
+		{"is in its domain already", "b", nil, "2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := Placer{Domain: tt.domain}
+			if tt.setup != nil {
+				tt.setup(&p)
+			}
+			req := longRun(&p, 9)
+			req.Copy = &Copy{Source: "2", Domain: "b", Duration: 200 * time.Millisecond, MayStay: true}
+			c, ok := p.Pick(now, engines(), req)
+			if !ok || c.Server.ID != tt.want {
+				t.Errorf("chose engine %q, want %s", c.Server.ID, tt.want)
+			}
+			if busy := !p.linksBusyUntil["2"].IsZero(); busy != (tt.want == "1") {
+				t.Errorf("link of the source reserved: %t", busy)
+			}
+		})
+	}
+}
+
 // TestLocalRunsAreObserved checks that the runs of this VM count like those that
 // other VMs report.
 func TestLocalRunsAreObserved(t *testing.T) {
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -38,12 +38,22 @@
 
 // Copy describes a copy of a run's memory between servers.
 type Copy struct {
-	// Source is the ID of the server to copy from, which is in the failure
-	// domain of the Request.
+	// Source is the ID of the server to copy from, and Domain its failure
+	// domain.
 	Source string
+	Domain string
 	// Duration is how long the copy takes within a failure domain. A copy to
 	// another failure domain takes twice as long.
 	Duration time.Duration
+	// MayStay means that the run may stay at Source, which Pick then chooses
+	// unless the move saves more than it costs. If it is not set, Source must be
+	// in Exclude.
+	MayStay bool
+}
+
+// Stays reports whether choosing the server leaves the run where it is.
+func (req *Request) Stays(id string) bool {
+	return req.Copy != nil && req.Copy.MayStay && req.Copy.Source == id
 }
 
 // Choice is the server chosen for a request.
@@ -186,6 +196,8 @@
 	}
 	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Load: p.serverLoad(now, &servers[best])}
 	switch {
+	case req.Stays(c.Server.ID):
+		// Nothing is copied.
 	case req.Copy != nil:
 		c.CopyDelay = p.reserveLinks(now, &servers[best], req)
 	case servers[best].MemoryTokens > 0:
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -60,7 +60,7 @@
 			p.Begin("near", Request{PromptTokens: 2000})
 			p.Prefilled("near", Request{PromptTokens: 2000})
 		}, fixedSizeRequest(9, 10), "near"},
-		{"copy stays in its failure domain", engineServers(), func(p *Placer) { beginN(p, "far", 3, Request{}) }, Request{Run: Run{ID: 9, BaseTokens: 10}, Domain: "b", Copy: &Copy{Source: "x", Duration: 200 * time.Millisecond}}, "far"},
+		{"copy stays in its failure domain", engineServers(), func(p *Placer) { beginN(p, "far", 3, Request{}) }, Request{Run: Run{ID: 9, BaseTokens: 10}, Domain: "b", Copy: &Copy{Source: "x", Domain: "b", Duration: 200 * time.Millisecond}}, "far"},
 		{"counts the reported load of other VMs", plainServers(), func(p *Placer) { p.UpdatePeerLoad(now, "v", map[string]Load{"near": {Requests: 2}}) }, Request{}, "far"},
 		{"counts reservations for other VMs", plainServers(), func(p *Placer) { p.Reserve(now, "v", "near", Request{}); p.Reserve(now, "v", "near", Request{}) }, Request{}, "far"},
 		{"ignores an old load report", plainServers(), func(p *Placer) {
@@ -129,7 +129,7 @@
 func TestMovedRunsOfManyVMsSpread(t *testing.T) {
 	const copyTime = 200 * time.Millisecond
 	req := fixedSizeRequest(1, 5000)
-	req.Domain, req.Copy, req.Exclude = "a", &Copy{Source: "1", Duration: copyTime}, []string{"1"}
+	req.Domain, req.Copy, req.Exclude = "a", &Copy{Source: "1", Domain: "a", Duration: copyTime}, []string{"1"}
 	var placer Placer
 	count := map[string]int{}
 	for i := range 8 {
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -54,8 +54,9 @@
 )
 
 // Place chooses a backend server of a service for a forwarded request. Unless
-// the choice is Full, it counts the request there, and the caller must call
-// EndPlacement when the request ends. It returns false if no server is left.
+// the choice is Full or leaves a run where it is, it counts the request there, and
+// the caller must call EndPlacement when the request ends. It returns false if no
+// server is left.
 //
 // Requests for engines are placed by the placement VM of the service. Other
 // requests, and those for which the placement VM fails to name a usable server,
@@ -71,7 +72,7 @@
 	if !ok {
 		return c, false
 	}
-	if !c.Full {
+	if !c.Full && !r.Stays(c.Server.ID) {
 		n.placer.Begin(c.Server.ID, r)
 	}
 	if r.ID != 0 {
@@ -148,7 +149,7 @@
 	if i < 0 || list[i].Leaving || n.placer.BackedOff(time.Now(), res.Backend) {
 		return place.Choice{}, false
 	}
-	if !res.Full {
+	if !res.Full && !r.Stays(res.Backend) {
 		n.placer.Begin(res.Backend, r)
 	}
 	return place.Choice{Server: list[i], CopyDelay: res.CopyDelay, Full: res.Full, RetryAfter: res.RetryAfter}, true
@@ -215,7 +216,7 @@
 	if !ok {
 		return PlacementResponse{}
 	}
-	if !c.Full {
+	if !c.Full && !r.Stays(c.Server.ID) {
 		n.placer.Reserve(now, req.From, c.Server.ID, r)
 	}
 	n.logPlacement(req.From, req.Service, r, c)
@@ -265,6 +266,14 @@
 	return n.placer.Remaining(r, chance)
 }
 
+// MeanRemainingTokens returns the mean number of tokens that a run has yet to
+// generate.
+func (n *Node) MeanRemainingTokens(r place.Run) float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.placer.MeanRemaining(r)
+}
+
 // NextRunID returns an ID for a run, unique among the runs of this process.
 func (n *Node) NextRunID() uint64 { return n.lastRunID.Add(1) }
 
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -51,6 +52,7 @@
 		m.Want = &wire.PlaceWant{Run: toEngineRun(r.Run), PromptTokens: uint64(r.PromptTokens), Avoid: r.Exclude, Domain: r.Domain, WithinMicros: uint64(r.FirstTokenBudget.Microseconds())}
 		if c := r.Copy; c != nil {
 			m.Want.CopySource, m.Want.CopyMicros = c.Source, uint64(c.Duration.Microseconds())
+			m.Want.CopyDomain, m.Want.MayStay = c.Domain, c.MayStay
 		}
 	}
 	return m
@@ -74,7 +76,10 @@
 			FirstTokenBudget: micros(w.GetWithinMicros()),
 		}
 		if w.GetCopySource() != "" {
-			req.Request.Copy = &place.Copy{Source: w.GetCopySource(), Duration: micros(w.GetCopyMicros())}
+			req.Request.Copy = &place.Copy{
+				Source: w.GetCopySource(), Domain: cmp.Or(w.GetCopyDomain(), w.GetDomain()),
+				Duration: micros(w.GetCopyMicros()), MayStay: w.GetMayStay(),
+			}
 		}
 	}
 	return req
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -194,6 +194,12 @@
 	if !ok {
 		return
 	}
+	x.finishMove(ctx, s, from, target, handle)
+}
+
+// finishMove stops a run that was copied while it ran, and copies the rest. handle
+// identifies the first copy.
+func (x *Relay) finishMove(ctx context.Context, s *stream, from, target backend, handle string) {
 	m := &move{target: target, done: make(chan struct{})}
 	s.mu.Lock()
 	s.move = m
@@ -216,7 +222,7 @@
 // copyRequest returns the placement request for a copy of the run from an
 // engine to another one.
 func (s *stream) copyRequest(from backend) place.Request {
-	req := place.Request{Run: s.initialRun, Progress: s.generated, Exclude: []string{from.ID}, Domain: from.Domain, Copy: &place.Copy{Source: from.ID}}
+	req := place.Request{Run: s.initialRun, Progress: s.generated, Exclude: []string{from.ID}, Domain: from.Domain, Copy: &place.Copy{Source: from.ID, Domain: from.Domain}}
 	if e := s.q.service.Engine; e.LinkMbps > 0 {
 		bits := float64(s.memoryTokens()) * float64(e.TokenBytes) * 8
 		req.Copy.Duration = time.Duration(bits / e.LinkMbps * float64(time.Microsecond))
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -32,8 +32,8 @@
 
 	// mu protects the fields below, which the goroutine of a move also uses. Only the
 	// stream's own goroutine writes server, events, lastEventID, firstAt and lastAt,
-	// so it reads them without the lock; it alone uses placement, reportedTokens and
-	// maxEventGap.
+	// so it reads them without the lock; it alone uses placement, reportedTokens,
+	// maxEventGap and returnChecked.
 	mu sync.Mutex
 	// server is the backend server of the run. placement is the request with
 	// which the run was placed there and with which the placement must be ended.
@@ -52,6 +52,9 @@
 	// moveBegun is set once a move has begun, so that there is no second one
 	// at the same time. It stays set if no copy of the run succeeds.
 	moveBegun bool
+	// returnChecked is when it was last asked whether the run can return to this
+	// VM's failure domain.
+	returnChecked time.Time
 	// move is set from the start of the final copy until awaitMove; move.done is
 	// closed when that copy has ended.
 	move *move
@@ -260,6 +263,7 @@
 		}
 	}
 	s.recordLength(false)
+	s.q.relay.returnRun(s)
 	if f, ok := s.w.(http.Flusher); wrote && ok {
 		f.Flush()
 	}
