Relay, place: reject at once what only an unreachable domain could serve

Change: after two failed connections in a row a domain counts as unreachable for up to 1 s. Requests for which only its servers are left are rejected at once, with the time until it is tried again; one request at a time tries it.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -103,7 +103,7 @@
 		c.delay += costBackedOff
 		c.full = false
 	}
-	if p.domainBackoffs[s.Domain].active(now) {
+	if p.domains[s.Domain].active(now) {
 		c.delay += costUnreachableDomain
 	}
 	return c
--- /dev/null
+++ b/fold/place/domain.go
@@ -0,0 +1,63 @@
+package place
+
+import "time"
+
+const (
+	// maxDomainBackoff bounds the back-off from a failure domain. It is short,
+	// because requests that only that domain can serve are rejected meanwhile.
+	maxDomainBackoff = time.Second
+	// unreachableFailures is the number of failures in a row after which a failure
+	// domain counts as unreachable. One may be due to a single server.
+	unreachableFailures = 2
+	// domainProbeTime is the time that one request is given to find out whether a
+	// failure domain is reachable again. It exceeds the time to open a connection.
+	domainProbeTime = 400 * time.Millisecond
+)
+
+// domainBackoff is the back-off from a failure domain after connections to its
+// servers failed in a row.
+type domainBackoff struct {
+	failures int
+	until    time.Time
+}
+
+// active reports whether the back-off lasts at now. It is false for a nil b.
+func (b *domainBackoff) active(now time.Time) bool { return b != nil && now.Before(b.until) }
+
+// RecordDomainResult updates the back-off from another failure domain by how a
+// request at one of its servers ended.
+func (p *Placer) RecordDomainResult(now time.Time, domain string, result Result) {
+	switch {
+	case domain == p.Domain:
+	case result == Answered:
+		delete(p.domains, domain)
+	case result == Unreachable:
+		if p.domains == nil {
+			p.domains = map[string]*domainBackoff{}
+		}
+		b := p.domains[domain]
+		if b == nil {
+			b = &domainBackoff{}
+			p.domains[domain] = b
+		}
+		b.failures++
+		b.until = now.Add(min(minBackoff<<min(b.failures-1, 8), maxDomainBackoff))
+	}
+}
+
+// DomainUnreachable reports whether a failure domain is known to be unreachable,
+// and the time until it is tried again. A request for it would only wait for a
+// connection in vain. Once the back-off has ended, DomainUnreachable returns false
+// once, for the request that tries the domain again, and true for those that come
+// before domainProbeTime.
+func (p *Placer) DomainUnreachable(now time.Time, domain string) (time.Duration, bool) {
+	b := p.domains[domain]
+	if b == nil || b.failures < unreachableFailures {
+		return 0, false
+	}
+	if b.active(now) {
+		return b.until.Sub(now), true
+	}
+	b.until = now.Add(domainProbeTime)
+	return 0, false
+}
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -68,8 +68,13 @@
 	// server in back-off.
 	Full bool
 	// RetryAfter is the time until there will probably be capacity. It is set if
-	// Full is.
+	// Full or Unreachable is.
 	RetryAfter time.Duration
+	// Unreachable reports that Server, and every other one left, is in a failure
+	// domain that this VM can't reach. The request must not be sent or counted
+	// there. RetryAfter is then the time until the domain is tried again. Pick
+	// leaves it unset: see DomainUnreachable.
+	Unreachable bool
 	// ChosenBy is the ID of the VM that made the choice, empty for this VM.
 	ChosenBy string
 	// Load is the load of Server that the choice was based on, without the
@@ -139,8 +144,8 @@
 	peers map[string]*peerLoad
 	// forecasts caches the memory forecast of each engine.
 	forecasts map[string]*cachedForecast
-	// domainBackoffs holds the back-off from other failure domains.
-	domainBackoffs map[string]*backoff
+	// domains holds the back-off from other failure domains.
+	domains map[string]*domainBackoff
 	// rejections counts the requests for engines that were placed and those for
 	// which Pick returned a Full choice.
 	rejections rejectionRate
@@ -209,24 +214,6 @@
 	return c, true
 }
 
-// RecordDomainResult updates the back-off from another failure domain by how a
-// request at one of its servers ended.
-func (p *Placer) RecordDomainResult(now time.Time, domain string, result Result) {
-	switch {
-	case domain == p.Domain:
-	case result == Answered:
-		delete(p.domainBackoffs, domain)
-	case result == Unreachable:
-		if p.domainBackoffs == nil {
-			p.domainBackoffs = map[string]*backoff{}
-		}
-		if p.domainBackoffs[domain] == nil {
-			p.domainBackoffs[domain] = &backoff{}
-		}
-		p.domainBackoffs[domain].recordFailure(now)
-	}
-}
-
 // BackOff counts a failure of a server and starts the longest back-off from it.
 func (p *Placer) BackOff(now time.Time, id string) {
 	b := p.backend(id)
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -94,6 +94,39 @@
 	}
 }
 
+// TestDomainUnreachable plays a partition: after two failures in a row, requests for
+// a failure domain are rejected at once, but for one at a time that tries it again.
+func TestDomainUnreachable(t *testing.T) {
+	p := Placer{Domain: "a"}
+	at := now
+	check := func(what string, want bool) {
+		t.Helper()
+		wait, got := p.DomainUnreachable(at, "b")
+		if got != want || got != (wait > 0) || wait > maxDomainBackoff {
+			t.Errorf("%s: unreachable %t for %v, want %t", what, got, wait, want)
+		}
+	}
+	check("before any failure", false)
+	p.RecordDomainResult(at, "b", Unreachable)
+	check("after one failure", false)
+	p.RecordDomainResult(at, "b", Unreachable)
+	check("after two failures", true)
+	at = at.Add(maxDomainBackoff)
+	check("first request after the back-off", false)
+	check("second request after the back-off", true)
+	at = at.Add(domainProbeTime)
+	check("after a try without a result", false)
+	p.RecordDomainResult(at, "b", Unreachable)
+	check("after a try that failed", true)
+	p.RecordDomainResult(at, "b", Answered)
+	check("after an answer", false)
+	p.RecordDomainResult(at, "a", Unreachable)
+	p.RecordDomainResult(at, "a", Unreachable)
+	if _, unreachable := p.DomainUnreachable(at, "a"); unreachable {
+		t.Error("the placer's own failure domain counts as unreachable")
+	}
+}
+
 // threeEngines returns three equal engines in failure domain a.
 func threeEngines() []member.Backend {
 	var list []member.Backend
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -54,7 +54,7 @@
 )
 
 // Place chooses a backend server of a service for a forwarded request. Unless
-// the choice is Full or leaves a run where it is, it counts the request there, and
+// the choice is Full or Unreachable or leaves a run where it is, it counts the request there, and
 // the caller must call EndPlacement when the request ends. It returns false if no
 // server is left.
 //
@@ -67,12 +67,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
 	r.Random = n.random.Float64()
-	c, ok := n.placer.Pick(time.Now(), n.candidates(service), r)
+	c, ok := n.placer.Pick(now, n.candidates(service), r)
 	if !ok {
 		return c, false
 	}
-	if !c.Full && !r.Stays(c.Server.ID) {
+	if !c.Full {
+		c.RetryAfter, c.Unreachable = n.placer.DomainUnreachable(now, c.Server.Domain)
+	}
+	if !c.Full && !c.Unreachable && !r.Stays(c.Server.ID) {
 		n.placer.Begin(c.Server.ID, r)
 	}
 	if r.ID != 0 {
@@ -93,7 +97,10 @@
 	if r.Copy != nil {
 		fields["copyFrom"], fields["copyDelayMs"] = r.Copy.Source, c.CopyDelay.Milliseconds()
 	}
-	if c.Full {
+	if c.Unreachable {
+		fields["unreachable"] = true
+	}
+	if c.RetryAfter > 0 {
 		fields["retryAfterMs"] = c.RetryAfter.Milliseconds()
 	}
 	n.Log.WithFields(fields).Info("server chosen")
@@ -141,12 +148,16 @@
 }
 
 // applyPlacement counts a request at the server that the placement VM chose. It
-// returns false if the server is unknown, leaving or backed off at this VM. The
+// returns false if the server is unknown, leaving, backed off or unreachable at this VM. The
 // caller holds the lock.
 func (n *Node) applyPlacement(service string, res PlacementResponse, r place.Request) (place.Choice, bool) {
 	list := n.candidates(service)
 	i := slices.IndexFunc(list, func(b member.Backend) bool { return b.ID == res.Backend })
-	if i < 0 || list[i].Leaving || n.placer.BackedOff(time.Now(), res.Backend) {
+	now := time.Now()
+	if i < 0 || list[i].Leaving || n.placer.BackedOff(now, res.Backend) {
+		return place.Choice{}, false
+	}
+	if _, unreachable := n.placer.DomainUnreachable(now, list[i].Domain); unreachable {
 		return place.Choice{}, false
 	}
 	if !res.Full && !r.Stays(res.Backend) {
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -241,7 +241,7 @@
 	req := s.copyRequest(from)
 	for range maxTargets {
 		choice, ok := x.Node.Place(ctx, s.q.service.Name, req)
-		if !ok {
+		if !ok || choice.Unreachable {
 			break
 		}
 		sleep(ctx, choice.CopyDelay)
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -69,6 +69,12 @@
 		if !ok || choice.Full {
 			break
 		}
+		if choice.Unreachable {
+			if q.sent == 0 {
+				return nil, unreachableFault(choice)
+			}
+			break
+		}
 		tried = append(tried, choice.Server.ID)
 		a := q.send(ctx, choice.Server)
 		if !a.Sent {
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -371,6 +371,13 @@
 	q.relay.Node.Log.WithFields(fields).Info("request ended")
 }
 
+// unreachableFault returns the error for a request whose only servers left are in
+// a failure domain that this VM can't reach.
+func unreachableFault(c place.Choice) *fault.Fault {
+	message := "the backend servers left are in failure domain " + c.Server.Domain + ", which can't be reached"
+	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, message).WithRetryAfter(c.RetryAfter)
+}
+
 // timeoutFault returns the error for a request that has timed out.
 func (q *request) timeoutFault() *fault.Fault {
 	if q.sent == 0 {
--- a/foldd/relay/relay_test.go
+++ b/foldd/relay/relay_test.go
@@ -1,12 +1,15 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldfake/origin"
 )
 
@@ -302,3 +305,35 @@
 		}
 	}
 }
+
+// TestUnreachableDomainIsRejectedAtOnce checks that requests which only an
+// unreachable failure domain could serve are rejected without another try, once two
+// in a row have failed to connect: each try would cost the caller the time to open
+// a connection.
+func TestUnreachableDomainIsRejectedAtOnce(t *testing.T) {
+	for _, path := range []string{"/read/x", "/write/x", "/draft/x"} {
+		r := startVM(t)
+		for _, service := range []string{"app", "models"} {
+			gone, err := origin.New("gone", respondWith(origin.Behaviour{}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			gone.Close()
+			r.node.ReceiveAnnouncement(member.Backend{ID: service, Addr: gone.Addr(), Kind: spec.KindPlain, Service: service, Domain: "b", Epoch: 1, Seq: 1})
+		}
+		for i, tried := range []bool{true, true, false, false} {
+			before := r.failedAttempts()
+			res, err := r.send(http.MethodPost, path, fmt.Sprint(i), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			res.Body.Close()
+			if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+				t.Errorf("%s: request %d: status %d, Retry-After %q, want 503 with a time", path, i, res.StatusCode, res.Header.Get("Retry-After"))
+			}
+			if got := r.failedAttempts() > before; got != tried {
+				t.Errorf("%s: request %d: tried a server %t, want %t", path, i, got, tried)
+			}
+		}
+	}
+}
--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,8 +30,28 @@
 	node  *node.Node
 	relay *relay.Relay
 	addr  string
+	// failed counts the log lines about attempts that failed.
+	failed *atomic.Int64
 }
 
+// countHook counts the log lines with a message.
+type countHook struct {
+	message string
+	count   *atomic.Int64
+}
+
+func (h countHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h countHook) Fire(e *logrus.Entry) error {
+	if e.Message == h.message {
+		h.count.Add(1)
+	}
+	return nil
+}
+
+// failedAttempts returns the number of attempts at a backend server that failed.
+func (r *testVM) failedAttempts() int64 { return r.failed.Load() }
+
 const configDocument = `{
 	"services": [
 		{"name": "app", "kind": "plain"},
@@ -59,8 +80,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var failed atomic.Int64
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	log.AddHook(countHook{message: "attempt at a backend server failed", count: &failed})
 	n := node.New(s, log)
 	t.Cleanup(n.Clock.Stop)
 	d, err := spec.Parse(fmt.Appendf(nil, configDocument, spec.HashKey("key")))
@@ -75,7 +98,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { server.Close() })
-	return &testVM{t: t, node: n, relay: x, addr: server.Addr().String()}
+	return &testVM{t: t, node: n, relay: x, addr: server.Addr().String(), failed: &failed}
 }
 
 // backend starts a fake backend server of a service and announces it to the VM.
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -138,6 +138,9 @@
 		if choice.Full {
 			return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "every engine is full or would begin too late").WithRetryAfter(choice.RetryAfter)
 		}
+		if choice.Unreachable {
+			return nil, unreachableFault(choice)
+		}
 		b := choice.Server
 		tried = append(tried, b.ID)
 		q.backend, q.placedBy = b.ID, choice.ChosenBy
