Place: the time to read prompts is observed, not a constant

Cause: 6.5 tokens of a prompt a millisecond was the rate of one kind of engine. It decides which requests would begin too late and are rejected, so that engines of another speed get too many or too few.

Change: the placer learns the mean time per prompt token of a service's engines from the first tokens of its own runs and from the load reports of other VMs, and assumes a fifth more.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -10,9 +10,6 @@
 // Costs of placing a request at a server, in milliseconds of delay or an
 // equivalent penalty.
 const (
-	// prefillTokensPerMS is the rate of prefill, at which an engine reads
-	// prompts while it generates for other requests.
-	prefillTokensPerMS = 6.5
 	// costRunning is the delay that each request in an engine's batch adds for
 	// the others once its prompt has been read.
 	costRunning = 12
@@ -72,9 +69,8 @@
 	return demand{memory: p.runForecast(req), tokens: p.MeanRemaining(r)}
 }
 
-// cost returns the cost of placing req at s. tokenTime is the time per token at
-// s.
-func (p *Placer) cost(now time.Time, s *member.Backend, req Request, need demand, tokenTime time.Duration) cost {
+// cost returns the cost of placing req at s. pace is the pace of s.
+func (p *Placer) cost(now time.Time, s *member.Backend, req Request, need demand, pace enginePace) cost {
 	requests, prefill := p.counts(now, s.ID)
 	var c cost
 	switch {
@@ -90,15 +86,15 @@
 	}
 	if s.MemoryTokens > 0 {
 		used := p.forecast(now, s.ID).Peak(need.memory, float64(s.MemoryTokens), marginStdDevs)
-		c.delay += engineCost(requests, prefill, used) + milliseconds(firstTokenTime(req.PromptTokens))*float64(requests)
-		c.full = used > maxMemoryShare || (req.FirstTokenBudget > 0 && firstTokenTime(prefill+req.PromptTokens) > req.FirstTokenBudget)
+		c.delay += milliseconds(pace.firstToken(prefill)) + loadCost(requests, used) + milliseconds(pace.firstToken(req.PromptTokens))*float64(requests)
+		c.full = used > maxMemoryShare || (req.FirstTokenBudget > 0 && pace.firstToken(prefill+req.PromptTokens) > req.FirstTokenBudget)
 		if c.full || used > targetMemoryShare {
 			c.delay += costFull * used
 		}
 	} else {
 		c.delay += costCall * float64(requests)
 	}
-	c.delay += p.durationCost(s, req, need.tokens*milliseconds(tokenTime))
+	c.delay += p.durationCost(s, req, need.tokens*milliseconds(pace.token))
 	if p.BackedOff(now, s.ID) {
 		c.delay += costBackedOff
 		c.full = false
@@ -144,15 +140,8 @@
 // milliseconds returns d in milliseconds.
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// firstTokenTime returns how long an engine takes to read prompts of the given
-// size in tokens while it generates for other requests.
-func firstTokenTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMS * float64(time.Millisecond))
-}
-
-// engineCost returns the cost of an engine's load. requests is the size of its
-// batch, prefill the prompt tokens not yet read, and used the forecast share of
-// its memory.
-func engineCost(requests, prefill int, used float64) float64 {
-	return milliseconds(firstTokenTime(prefill)) + costRunning*float64(requests) + costMemory*used*used
+// loadCost returns the cost of an engine's load besides the prompts to be read.
+// requests is the size of its batch, and used the forecast share of its memory.
+func loadCost(requests int, used float64) float64 {
+	return costRunning*float64(requests) + costMemory*used*used
 }
--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -81,6 +81,8 @@
 	reportedAt   time.Time
 	loads        map[string]Load
 	reservations []reservation
+	// prefills holds the prompts of the VM's runs that have no token yet.
+	prefills prefills
 }
 
 // reservation is a recent placement made for another VM.
@@ -167,6 +169,7 @@
 	peer := p.peerLoadOf(vm)
 	for id, l := range loads {
 		p.observeGrowth(now, id, peer.loads[id], l, now.Sub(peer.reportedAt))
+		p.observeFirstTokens(now, id, peer, l)
 	}
 	peer.lastSeen, peer.reportedAt = now, now
 	peer.loads = loads
@@ -177,6 +180,9 @@
 // includes it.
 func (p *Placer) Reserve(now time.Time, vm, server string, req Request) {
 	peer := p.peerLoadOf(vm)
+	if req.ID != 0 && req.PromptTokens > 0 {
+		peer.prefills.begin(req.ID, p.newPrefill(now, server, req))
+	}
 	peer.lastSeen = now
 	peer.reservations = append(peer.reservations, reservation{at: now, server: server, run: req.currentRun(), promptTokens: req.PromptTokens})
 	p.addToForecast(server, req)
@@ -222,7 +228,10 @@
 
 // Begin counts a request that is sent to a server. The caller must call End for
 // it.
-func (p *Placer) Begin(id string, req Request) {
+func (p *Placer) Begin(now time.Time, id string, req Request) {
+	if req.ID != 0 && req.PromptTokens > 0 {
+		p.localPrefills.begin(req.ID, p.newPrefill(now, id, req))
+	}
 	b := p.backend(id)
 	b.requests++
 	b.prefill += req.PromptTokens
@@ -234,7 +243,10 @@
 
 // Prefilled records that the first token of a request has arrived, so that its
 // prompt no longer counts as prefill.
-func (p *Placer) Prefilled(id string, req Request) { p.backend(id).prefill -= req.PromptTokens }
+func (p *Placer) Prefilled(now time.Time, id string, req Request) {
+	p.backend(id).prefill -= req.PromptTokens
+	p.observePrefill(now, p.localPrefills.end(req.ID))
+}
 
 // End removes a request that Begin counted and records how it ended. req must
 // be the request given to Begin, with PromptTokens set to zero if Prefilled was
@@ -244,6 +256,7 @@
 	b.requests--
 	b.prefill -= req.PromptTokens
 	if req.ID != 0 {
+		p.localPrefills.end(req.ID)
 		delete(b.runs, req.ID)
 		delete(p.forecasts, id)
 	}
@@ -262,6 +275,7 @@
 func (p *Placer) Forget(id string) {
 	delete(p.forecasts, id)
 	delete(p.paces, id)
+	delete(p.prefillPaces, id)
 	delete(p.localReports, id)
 	if b := p.backends[id]; b != nil && b.requests == 0 {
 		delete(p.backends, id)
--- a/fold/place/pace.go
+++ b/fold/place/pace.go
@@ -14,6 +14,15 @@
 	// defaultTokenTime is the time per token that is assumed before any was
 	// observed.
 	defaultTokenTime = 10 * time.Millisecond
+	// defaultPromptTokenTime is the time per token of a prompt that is assumed
+	// before any was observed, for an engine that generates meanwhile.
+	defaultPromptTokenTime = 130 * time.Microsecond
+	// prefillPriorTokens is the weight of defaultPromptTokenTime, in tokens.
+	prefillPriorTokens = 2000
+	// promptMargin is the factor by which prompts are assumed to take longer than
+	// observed: a first token that is late costs the caller more than one that
+	// could have come sooner elsewhere.
+	promptMargin = 1.2
 	// pacePriorTokens is the weight, in tokens, of the mean pace of all engines
 	// in the estimate for one engine.
 	pacePriorTokens = 100
@@ -40,6 +49,9 @@
 
 // decay reduces the weight of the observations to what it is at now.
 func (a *pace) decay(now time.Time) {
+	if !now.After(a.at) {
+		return
+	}
 	if !a.at.IsZero() {
 		f := math.Exp(-now.Sub(a.at).Seconds() / paceMemory.Seconds())
 		a.tokens *= f
@@ -80,46 +92,136 @@
 	}
 	for _, r := range after.Runs {
 		if from := generated[r.ID]; from > 0 && r.Generated >= from {
-			p.paceOf(id).observe(now, r.Generated-from, d)
+			paceOf(&p.paces, id).observe(now, r.Generated-from, d)
 		}
 	}
 }
 
-// paceOf returns the pace of an engine, creating it if there is none.
-func (p *Placer) paceOf(id string) *pace {
-	a := p.paces[id]
+// paceOf returns the pace of an engine in paces, creating it if there is none.
+func paceOf(paces *map[string]*pace, id string) *pace {
+	a := (*paces)[id]
 	if a == nil {
-		if p.paces == nil {
-			p.paces = map[string]*pace{}
+		if *paces == nil {
+			*paces = map[string]*pace{}
 		}
 		a = &pace{}
-		p.paces[id] = a
+		(*paces)[id] = a
 	}
 	return a
 }
 
-// tokenTimes returns the estimated time per token at each of the servers. An
-// engine with few observations counts about as fast as the mean of all.
-func (p *Placer) tokenTimes(now time.Time, servers []member.Backend) []time.Duration {
-	paces := make([]pace, len(servers))
-	var all pace
-	for i := range servers {
-		a := p.paces[servers[i].ID]
-		if a == nil {
+// prefill is a prompt that an engine was sent and has not read yet.
+type prefill struct {
+	server string
+	at     time.Time
+	// tokens is the size of the prompt and of those that the engine had to read
+	// before it.
+	tokens int
+}
+
+// prefills holds prompts by the ID of their run. The zero value is empty.
+type prefills struct {
+	byRun map[uint64]prefill
+}
+
+// maxPrefills bounds the prompts of one VM that are remembered.
+const maxPrefills = 1024
+
+func (f *prefills) begin(run uint64, x prefill) {
+	if f.byRun == nil || len(f.byRun) >= maxPrefills {
+		f.byRun = map[uint64]prefill{}
+	}
+	f.byRun[run] = x
+}
+
+// end removes a prompt and returns it, or the zero value if there is none.
+func (f *prefills) end(run uint64) prefill {
+	x := f.byRun[run]
+	delete(f.byRun, run)
+	return x
+}
+
+// newPrefill describes the prompt of a request that is sent to a server.
+func (p *Placer) newPrefill(now time.Time, server string, req Request) prefill {
+	_, before := p.counts(now, server)
+	return prefill{server: server, at: now, tokens: before + req.PromptTokens}
+}
+
+// observePrefill records that the prompt was read at the given time.
+func (p *Placer) observePrefill(at time.Time, x prefill) {
+	if x.tokens == 0 || !at.After(x.at) {
+		return
+	}
+	paceOf(&p.prefillPaces, x.server).observe(at, x.tokens, at.Sub(x.at))
+}
+
+// observeFirstTokens records the prompts that were read according to the load
+// report of another VM. The report is later than the first token by the time that
+// the run took to generate what it has.
+func (p *Placer) observeFirstTokens(now time.Time, id string, peer *peerLoad, l Load) {
+	for _, r := range l.Runs {
+		if r.Generated == 0 {
 			continue
 		}
-		a.decay(now)
-		paces[i] = *a
-		all.tokens += a.tokens
-		all.busy += a.busy
-	}
-	mean := float64(defaultTokenTime)
-	if all.tokens >= 1 {
-		mean = float64(all.busy) / all.tokens
+		x := peer.prefills.end(r.ID)
+		if x.server != id {
+			continue
+		}
+		var own pace
+		if a := p.paces[id]; a != nil {
+			own = *a
+		}
+		since := time.Duration(r.Generated) * own.estimate(defaultTokenTime, 0)
+		p.observePrefill(now.Add(-since), x)
 	}
-	out := make([]time.Duration, len(servers))
-	for i, a := range paces {
-		out[i] = time.Duration((float64(a.busy) + pacePriorTokens*mean) / (a.tokens + pacePriorTokens))
+}
+
+// enginePace is the estimated pace of an engine.
+type enginePace struct {
+	// token is the time per generated token, prompt the time per token of a
+	// prompt.
+	token, prompt time.Duration
+}
+
+// firstToken returns how long the engine takes to read prompts of the given size
+// in tokens while it generates for other requests.
+func (e enginePace) firstToken(tokens int) time.Duration { return time.Duration(tokens) * e.prompt }
+
+// enginePaces returns the estimated pace of each of the servers of a service.
+func (p *Placer) enginePaces(now time.Time, servers []member.Backend) []enginePace {
+	out := make([]enginePace, len(servers))
+	all := sum(now, servers, p.paces)
+	mean := all.estimate(defaultTokenTime, 0)
+	prompt := sum(now, servers, p.prefillPaces)
+	for i := range servers {
+		var own pace
+		if a := p.paces[servers[i].ID]; a != nil {
+			own = *a
+		}
+		out[i].token = own.estimate(mean, pacePriorTokens)
+		out[i].prompt = time.Duration(promptMargin * float64(prompt.estimate(defaultPromptTokenTime, prefillPriorTokens)))
 	}
 	return out
 }
+
+// sum returns the observations of all servers, decayed to now.
+func sum(now time.Time, servers []member.Backend, known map[string]*pace) pace {
+	var all pace
+	for i := range servers {
+		if a := known[servers[i].ID]; a != nil {
+			a.decay(now)
+			all.tokens += a.tokens
+			all.busy += a.busy
+		}
+	}
+	return all
+}
+
+// estimate returns the time per token, where prior has a weight of the given
+// number of tokens. It returns prior if there is nothing else.
+func (a pace) estimate(prior time.Duration, weight float64) time.Duration {
+	if a.tokens+weight < 1 {
+		return prior
+	}
+	return time.Duration((float64(a.busy) + weight*float64(prior)) / (a.tokens + weight))
+}
--- a/fold/place/pace_test.go
+++ b/fold/place/pace_test.go
@@ -8,6 +8,15 @@
 	"fuchsiafold.example/fold/member"
 )
 
+// tokenTimes returns the estimated time per generated token at each server.
+func tokenTimes(p *Placer, at time.Time, servers []member.Backend) []time.Duration {
+	var out []time.Duration
+	for _, e := range p.enginePaces(at, servers) {
+		out = append(out, e.token)
+	}
+	return out
+}
+
 // growAt reports n runs of VM v at an engine, which grow by one token in each
 // tokenTime for the given time.
 func growAt(p *Placer, v, id string, n int, tokenTime, d time.Duration) {
@@ -37,7 +46,7 @@
 	var p Placer
 	growAt(&p, "v", "1", 2, 8*time.Millisecond, 8*time.Second)
 	growAt(&p, "w", "2", 2, 30*time.Millisecond, 8*time.Second)
-	got := p.tokenTimes(now, threeEngines())
+	got := tokenTimes(&p, now, threeEngines())
 	for i, want := range []time.Duration{8 * time.Millisecond, 30 * time.Millisecond} {
 		if got[i] < want*8/10 || got[i] > want*12/10 {
 			t.Errorf("engine %d: %v a token, want about %v", i+1, got[i], want)
@@ -46,17 +55,65 @@
 	if got[2] <= got[0] || got[2] >= got[1] {
 		t.Errorf("engine without observations: %v a token, want between %v and %v", got[2], got[0], got[1])
 	}
-	for i, d := range p.tokenTimes(now.Add(time.Minute), threeEngines()) {
+	for i, d := range tokenTimes(&p, now.Add(time.Minute), threeEngines()) {
 		if i < 2 && (d < got[2]/2 || d > got[2]*2) {
 			t.Errorf("engine %d a minute later: %v a token, want about the mean %v", i+1, d, got[2])
 		}
 	}
 }
 
+// TestPromptTimeFollowsObservations checks that the time to read prompts is learned
+// for fast and for slow engines, from the runs of another VM and from this VM's
+// own, and that it decides which requests would begin too late.
+func TestPromptTimeFollowsObservations(t *testing.T) {
+	const (
+		prompt = 2000
+		due    = 500 * time.Millisecond
+	)
+	for _, tt := range []struct {
+		name      string
+		readTime  time.Duration
+		wantsFull bool
+	}{{"fast", 100 * time.Millisecond, false}, {"slow", time.Second, true}} {
+		for _, local := range []bool{false, true} {
+			p := Placer{}
+			for i := range 40 {
+				req := Request{Run: Run{ID: uint64(i + 1), BaseTokens: prompt}, PromptTokens: prompt}
+				at := now.Add(time.Duration(i-40) * 500 * time.Millisecond)
+				readPrompt(&p, at, tt.readTime, req, local)
+			}
+			if got := p.enginePaces(now, threeEngines())[0].firstToken(prompt); got < tt.readTime || got > 2*tt.readTime {
+				t.Errorf("%s, local %t: first token after %v, want %v with a margin", tt.name, local, got, tt.readTime)
+			}
+			req := Request{Run: Run{ID: 99, BaseTokens: prompt}, PromptTokens: prompt, FirstTokenBudget: due}
+			if c, _ := p.Pick(now, threeEngines(), req); c.Full != tt.wantsFull {
+				t.Errorf("%s, local %t: full %t for a first token due in %v, want %t", tt.name, local, c.Full, due, tt.wantsFull)
+			}
+		}
+	}
+}
+
+// readPrompt plays a request at engine 1 from its placement to its end: of this VM,
+// or of another one, which reports the first token.
+func readPrompt(p *Placer, at time.Time, readTime time.Duration, req Request, local bool) {
+	if !local {
+		p.Reserve(at, "v", "1", req)
+		run := req.Run
+		run.Generated = 1
+		p.UpdatePeerLoad(at.Add(readTime+defaultTokenTime), "v", map[string]Load{"1": {Requests: 1, Runs: []Run{run}}})
+		p.UpdatePeerLoad(at.Add(readTime+2*defaultTokenTime), "v", nil)
+		return
+	}
+	p.Begin(at, "1", req)
+	p.Prefilled(at.Add(readTime), "1", req)
+	req.PromptTokens = 0
+	p.End(at.Add(readTime), "1", req, Answered)
+}
+
 // TestTokenTimesWithoutObservations checks the assumed time per token.
 func TestTokenTimesWithoutObservations(t *testing.T) {
 	var p Placer
-	for _, d := range p.tokenTimes(now, threeEngines()) {
+	for _, d := range tokenTimes(&p, now, threeEngines()) {
 		if d != defaultTokenTime {
 			t.Errorf("got %v a token, want %v", d, defaultTokenTime)
 		}
@@ -106,7 +163,7 @@
 			growAt(p, "v", "1", 1, 200*time.Millisecond, 8*time.Second)
 			growAt(p, "w", "2", 1, 10*time.Millisecond, 8*time.Second)
 		}, "2"},
-		{"own engine is full", func(p *Placer) { p.Begin("1", fixedSizeRequest(7, 33_500)) }, "2"},
+		{"own engine is full", func(p *Placer) { p.Begin(now, "1", fixedSizeRequest(7, 33_500)) }, "2"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -135,7 +192,7 @@
 		want   string
 	}{
 		{"own engine has room", "a", nil, "1"},
-		{"own engine is full", "a", func(p *Placer) { p.Begin("1", fixedSizeRequest(7, 33_500)) }, "2"},
+		{"own engine is full", "a", func(p *Placer) { p.Begin(now, "1", fixedSizeRequest(7, 33_500)) }, "2"},
 		{"own engine receives another copy", "a", func(p *Placer) {
 			p.linksBusyUntil = map[string]time.Time{"1": now.Add(100 * time.Millisecond)}
 		}, "2"},
@@ -165,12 +222,12 @@
 func TestLocalRunsAreObserved(t *testing.T) {
 	var p Placer
 	generated := 1
-	p.Begin("1", Request{Run: Run{ID: 1, BaseTokens: 1000}, Progress: func() int { return generated }})
+	p.Begin(now, "1", Request{Run: Run{ID: 1, BaseTokens: 1000}, Progress: func() int { return generated }})
 	for i := range 40 {
 		generated = 1 + 10*i
 		p.ObserveLocal(now.Add(time.Duration(i)*200*time.Millisecond), p.LocalLoad(threeEngines()))
 	}
-	if d := p.tokenTimes(now.Add(8*time.Second), threeEngines())[0]; d < 18*time.Millisecond || d > 22*time.Millisecond {
+	if d := tokenTimes(&p, now.Add(8*time.Second), threeEngines())[0]; d < 18*time.Millisecond || d > 22*time.Millisecond {
 		t.Errorf("got %v a token, want about 20ms", d)
 	}
 }
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -154,6 +154,10 @@
 	linksBusyUntil map[string]time.Time
 	// paces holds the observed pace of each engine.
 	paces map[string]*pace
+	// prefillPaces holds the observed pace at which each engine reads prompts.
+	prefillPaces map[string]*pace
+	// localPrefills holds the prompts of this VM's runs that have no token yet.
+	localPrefills prefills
 	// localReports holds the load of this VM at each engine at the last call of
 	// ObserveLocal.
 	localReports map[string]localReport
@@ -184,7 +188,7 @@
 	best := -1
 	var lowest cost
 	need := p.demand(req)
-	tokenTimes := p.tokenTimes(now, servers)
+	paces := p.enginePaces(now, servers)
 	start := int(req.Random * float64(len(servers)))
 	for i := range servers {
 		i = (i + start) % len(servers)
@@ -192,7 +196,7 @@
 		if s.Leaving || slices.Contains(req.Exclude, s.ID) {
 			continue
 		}
-		if c := p.cost(now, s, req, need, tokenTimes[i]); best < 0 || c.delay < lowest.delay {
+		if c := p.cost(now, s, req, need, paces[i]); best < 0 || c.delay < lowest.delay {
 			best, lowest = i, c
 		}
 	}
--- a/fold/place/place_test.go
+++ b/fold/place/place_test.go
@@ -36,7 +36,7 @@
 // beginN counts n equal requests at a server.
 func beginN(p *Placer, id string, n int, req Request) {
 	for range n {
-		p.Begin(id, req)
+		p.Begin(now, id, req)
 	}
 }
 
@@ -52,13 +52,16 @@
 		{"other failure domain if own server is loaded", plainServers(), func(p *Placer) { beginN(p, "near", 2, Request{}) }, Request{}, "far"},
 		{"skips a leaving server", []member.Backend{{ID: "near", Domain: "a", Leaving: true}, plainServers()[1]}, nil, Request{}, "far"},
 		{"skips an excluded server", plainServers(), nil, Request{Exclude: []string{"near"}}, "far"},
-		{"skips a server that just failed", plainServers(), func(p *Placer) { p.Begin("near", Request{}); p.End(now, "near", Request{}, Failed) }, Request{}, "far"},
-		{"back-off ends", plainServers(), func(p *Placer) { p.Begin("near", Request{}); p.End(now.Add(-time.Minute), "near", Request{}, Failed) }, Request{}, "near"},
-		{"skips an engine without capacity", engineServers(), func(p *Placer) { p.Begin("near", fixedSizeRequest(1, 800)) }, fixedSizeRequest(2, 300), "far"},
-		{"skips an engine that is reading a prompt", engineServers(), func(p *Placer) { p.Begin("near", Request{PromptTokens: 2000}) }, fixedSizeRequest(9, 10), "far"},
+		{"skips a server that just failed", plainServers(), func(p *Placer) { p.Begin(now, "near", Request{}); p.End(now, "near", Request{}, Failed) }, Request{}, "far"},
+		{"back-off ends", plainServers(), func(p *Placer) {
+			p.Begin(now, "near", Request{})
+			p.End(now.Add(-time.Minute), "near", Request{}, Failed)
+		}, Request{}, "near"},
+		{"skips an engine without capacity", engineServers(), func(p *Placer) { p.Begin(now, "near", fixedSizeRequest(1, 800)) }, fixedSizeRequest(2, 300), "far"},
+		{"skips an engine that is reading a prompt", engineServers(), func(p *Placer) { p.Begin(now, "near", Request{PromptTokens: 2000}) }, fixedSizeRequest(9, 10), "far"},
 		{"prompt has been read", engineServers(), func(p *Placer) {
-			p.Begin("near", Request{PromptTokens: 2000})
-			p.Prefilled("near", Request{PromptTokens: 2000})
+			p.Begin(now, "near", Request{PromptTokens: 2000})
+			p.Prefilled(now, "near", Request{PromptTokens: 2000})
 		}, fixedSizeRequest(9, 10), "near"},
 		{"copy stays in its failure domain", engineServers(), func(p *Placer) { beginN(p, "far", 3, Request{}) }, Request{Run: Run{ID: 9, BaseTokens: 10}, Domain: "b", Copy: &Copy{Source: "x", Domain: "b", Duration: 200 * time.Millisecond}}, "far"},
 		{"counts the reported load of other VMs", plainServers(), func(p *Placer) { p.UpdatePeerLoad(now, "v", map[string]Load{"near": {Requests: 2}}) }, Request{}, "far"},
@@ -67,14 +70,14 @@
 			p.UpdatePeerLoad(now.Add(-time.Minute), "v", map[string]Load{"near": {Requests: 2}})
 		}, Request{}, "near"},
 		{"skips an unreachable failure domain", []member.Backend{{ID: "near", Domain: "b"}, {ID: "far", Domain: "c"}}, func(p *Placer) {
-			p.Begin("other", Request{})
+			p.Begin(now, "other", Request{})
 			p.End(now, "other", Request{}, Unreachable)
 			p.RecordDomainResult(now, "b", Unreachable)
 		}, Request{}, "far"},
 		{"failure domain is reachable again", []member.Backend{{ID: "near", Domain: "b"}, {ID: "far", Domain: "c"}}, func(p *Placer) {
 			p.RecordDomainResult(now, "b", Unreachable)
 			p.RecordDomainResult(now, "b", Answered)
-			p.Begin("far", Request{})
+			p.Begin(now, "far", Request{})
 		}, Request{}, "near"},
 		{"all servers excluded", plainServers(), nil, Request{Exclude: []string{"near", "far"}}, ""},
 	}
@@ -145,7 +148,7 @@
 		req := fixedSizeRequest(uint64(i+1), 1000)
 		req.Random = float64(i%7) / 7
 		c, _ := p.Pick(now, threeEngines(), req)
-		p.Begin(c.Server.ID, req)
+		p.Begin(now, c.Server.ID, req)
 		count[c.Server.ID]++
 	}
 	for id, n := range count {
@@ -198,7 +201,7 @@
 		if c.Full {
 			continue
 		}
-		p.Begin(c.Server.ID, req)
+		p.Begin(now, c.Server.ID, req)
 		placed[c.Server.ID] = append(placed[c.Server.ID], req)
 	}
 	for _, s := range threeEngines() {
@@ -214,7 +217,7 @@
 	}
 	// A run that is moved is never reported as full, because it has nowhere else
 	// to run.
-	p.Begin("1", req)
+	p.Begin(now, "1", req)
 	req = fixedSizeRequest(101, tokens)
 	req.Copy = &Copy{Source: "x"}
 	if c, ok := p.Pick(now, threeEngines(), req); !ok || c.Full {
@@ -237,7 +240,7 @@
 			p.Learn(LengthSample{Group: long, To: 2000, Ended: true})
 		}
 		for i := range 6 {
-			p.Begin("1", Request{Run: Run{ID: uint64(i + 1), Group: tt.group, BaseTokens: 4000, MaxTokens: 4000}})
+			p.Begin(now, "1", Request{Run: Run{ID: uint64(i + 1), Group: tt.group, BaseTokens: 4000, MaxTokens: 4000}})
 		}
 		c, ok := p.Pick(now, threeEngines()[:1], Request{Run: Run{ID: 7, Group: tt.group, BaseTokens: 4000, MaxTokens: 4000}})
 		if !ok || c.Full != tt.full {
@@ -305,10 +308,10 @@
 		if c.Full {
 			continue
 		}
-		p.Begin(c.Server.ID, req)
+		p.Begin(now, c.Server.ID, req)
 		begun++
 	}
-	if first := firstTokenTime(begun * 2000); first > target || begun == 0 {
+	if first := time.Duration(begun*2000) * defaultPromptTokenTime; first > target || begun == 0 {
 		t.Errorf("%d requests begun, the last prompt is read after %v; want some requests and at most %v", begun, first, target)
 	}
 	req := fixedSizeRequest(100, 100)
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -77,7 +77,7 @@
 		c.RetryAfter, c.Unreachable = n.placer.DomainUnreachable(now, c.Server.Domain)
 	}
 	if !c.Full && !c.Unreachable && !r.Stays(c.Server.ID) {
-		n.placer.Begin(c.Server.ID, r)
+		n.placer.Begin(now, c.Server.ID, r)
 	}
 	if r.ID != 0 {
 		n.logPlacement(n.Settings.ID, service, r, c)
@@ -161,7 +161,7 @@
 		return place.Choice{}, false
 	}
 	if !res.Full && !r.Stays(res.Backend) {
-		n.placer.Begin(res.Backend, r)
+		n.placer.Begin(now, res.Backend, r)
 	}
 	return place.Choice{Server: list[i], CopyDelay: res.CopyDelay, Full: res.Full, RetryAfter: res.RetryAfter}, true
 }
@@ -384,7 +384,7 @@
 func (n *Node) Prefilled(id string, r place.Request) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.placer.Prefilled(id, r)
+	n.placer.Prefilled(time.Now(), id, r)
 }
 
 // EndPlacement ends a request counted by Place at the server id and records its
