Node, place: split by subject; the log names the placement VM

foldd/node/place.go held placement, load reports, back-offs and the retry budget of forwards; fold/place/pace.go the pace of generating and of reading. Each has a file now. The log key steward, for a VM that the code calls placement VM, is placementVM. No change of behaviour.

--- a/fold/place/pace.go
+++ b/fold/place/pace.go
@@ -14,15 +14,6 @@
 	// defaultTokenTime is the time per token that is assumed before any was
 	// observed.
 	defaultTokenTime = 10 * time.Millisecond
-	// defaultPromptTokenTime is the time per token of a prompt that is assumed
-	// before any was observed, for an engine that generates meanwhile.
-	defaultPromptTokenTime = 130 * time.Microsecond
-	// prefillPriorTokens is the weight of defaultPromptTokenTime, in tokens.
-	prefillPriorTokens = 2000
-	// promptMargin is the factor by which prompts are assumed to take longer than
-	// observed: a first token that is late costs the caller more than one that
-	// could have come sooner elsewhere.
-	promptMargin = 1.2
 	// pacePriorTokens is the weight, in tokens, of the mean pace of all engines
 	// in the estimate for one engine.
 	pacePriorTokens = 100
@@ -110,72 +101,6 @@
 	return a
 }
 
-// prefill is a prompt that an engine was sent and has not read yet.
-type prefill struct {
-	server string
-	at     time.Time
-	// tokens is the size of the prompt and of those that the engine had to read
-	// before it.
-	tokens int
-}
-
-// prefills holds prompts by the ID of their run. The zero value is empty.
-type prefills struct {
-	byRun map[uint64]prefill
-}
-
-// maxPrefills bounds the prompts of one VM that are remembered.
-const maxPrefills = 1024
-
-func (f *prefills) begin(run uint64, x prefill) {
-	if f.byRun == nil || len(f.byRun) >= maxPrefills {
-		f.byRun = map[uint64]prefill{}
-	}
-	f.byRun[run] = x
-}
-
-// end removes a prompt and returns it, or the zero value if there is none.
-func (f *prefills) end(run uint64) prefill {
-	x := f.byRun[run]
-	delete(f.byRun, run)
-	return x
-}
-
-// newPrefill describes the prompt of a request that is sent to a server.
-func (p *Placer) newPrefill(now time.Time, server string, req Request) prefill {
-	_, before := p.counts(now, server)
-	return prefill{server: server, at: now, tokens: before + req.PromptTokens}
-}
-
-// observePrefill records that the prompt was read at the given time.
-func (p *Placer) observePrefill(at time.Time, x prefill) {
-	if x.tokens == 0 || !at.After(x.at) {
-		return
-	}
-	paceOf(&p.prefillPaces, x.server).observe(at, x.tokens, at.Sub(x.at))
-}
-
-// observeFirstTokens records the prompts that were read according to the load
-// report of another VM. The report is later than the first token by the time that
-// the run took to generate what it has.
-func (p *Placer) observeFirstTokens(now time.Time, id string, peer *peerLoad, l Load) {
-	for _, r := range l.Runs {
-		if r.Generated == 0 {
-			continue
-		}
-		x := peer.prefills.end(r.ID)
-		if x.server != id {
-			continue
-		}
-		var own pace
-		if a := p.paces[id]; a != nil {
-			own = *a
-		}
-		since := time.Duration(r.Generated) * own.estimate(defaultTokenTime, 0)
-		p.observePrefill(now.Add(-since), x)
-	}
-}
-
 // enginePace is the estimated pace of an engine.
 type enginePace struct {
 	// token is the time per generated token, prompt the time per token of a
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
-	"fuchsiafold.example/fold/retry"
 )
 
 // PlacementRequest is a load report to the placement VM of a service, with a
@@ -39,24 +37,13 @@
 	RetryAfter time.Duration
 }
 
-const (
-	// placementTimeout bounds a placement request or a load report to another VM.
-	placementTimeout = 100 * time.Millisecond
-	// baseBackoff is the back-off from a VM after a failed placement request. It
-	// doubles with each further failure in a row, up to four times the base. The
-	// next VM in hash order places requests meanwhile.
-	baseBackoff = 3 * time.Second
-	// reportInterval is the time between load reports while the load changes.
-	reportInterval = 250 * time.Millisecond
-	// maxReportInterval is the time after which an unchanged load is reported
-	// again, well before the last report expires at the placement VM.
-	maxReportInterval = time.Second
-)
+// placementTimeout bounds a placement request or a load report to another VM.
+const placementTimeout = 100 * time.Millisecond
 
-// Place chooses a backend server of a service for a forwarded request. Unless
-// the choice is Full or Unreachable or leaves a run where it is, it counts the request there, and
-// the caller must call EndPlacement when the request ends. It returns false if no
-// server is left.
+// Place chooses a backend server of a service for a forwarded request. Unless the
+// choice is Full or Unreachable, or leaves a run where it is, it counts the request
+// there, and the caller must call EndPlacement when the request ends. It returns
+// false if no server is left.
 //
 // Requests for engines are placed by the placement VM of the service. Other
 // requests, and those for which the placement VM fails to name a usable server,
@@ -137,7 +124,7 @@
 			n.backedOffDomains.recordFailure(time.Now(), to.Domain)
 		}
 		n.Count("place.stewardsLost", 1)
-		n.Log.WithError(err).WithField("steward", to.ID).Warn("placement request failed; placing locally")
+		n.Log.WithError(err).WithField("placementVM", to.ID).Warn("placement request failed; placing locally")
 		return place.Choice{}, false
 	}
 	delete(n.backedOffVMs, to.ID)
@@ -166,29 +153,6 @@
 	return place.Choice{Server: list[i], CopyDelay: res.CopyDelay, Full: res.Full, RetryAfter: res.RetryAfter}, true
 }
 
-// backoffs holds the back-off from each VM, or failure domain, whose last
-// placement request failed.
-type backoffs map[string]backoff
-
-// backoff is the state of one back-off: the number of failures in a row, and
-// when the back-off ends.
-type backoff struct {
-	failures int
-	until    time.Time
-}
-
-// recordFailure begins a back-off, twice as long as the one before it, up to four
-// times baseBackoff.
-func (b backoffs) recordFailure(now time.Time, key string) {
-	e := b[key]
-	e.until = now.Add(baseBackoff << min(e.failures, 2))
-	e.failures++
-	b[key] = e
-}
-
-// active reports whether a back-off is in force at now.
-func (b backoffs) active(now time.Time, key string) bool { return now.Before(b[key].until) }
-
 // placementVM returns the placement VM of a service. It returns false if this VM
 // places the service's requests itself. The caller holds the lock.
 func (n *Node) placementVM(now time.Time, service string) (member.Peer, bool) {
@@ -234,41 +198,6 @@
 	return PlacementResponse{Backend: c.Server.ID, CopyDelay: c.CopyDelay, Full: c.Full, RetryAfter: c.RetryAfter}
 }
 
-// sentReport is the last load report sent for a service and when it was sent.
-type sentReport struct {
-	loads map[string]place.Load
-	at    time.Time
-}
-
-// newLoadReport returns a load report on a service. It removes the pending length
-// samples, which are sent once and lost if the message is lost. The caller holds
-// the lock.
-func (n *Node) newLoadReport(service string) PlacementRequest {
-	req := PlacementRequest{From: n.Settings.ID, Service: service, Loads: n.placer.LocalLoad(n.table.OfService(service)), LengthSamples: n.lengthSamples[service]}
-	delete(n.lengthSamples, service)
-	return req
-}
-
-// maxLengthSamples bounds the length samples of a service that are pending for
-// the placement VM.
-const maxLengthSamples = 512
-
-// RecordLength records a length sample of a run of a service and queues it for
-// the placement VM, if that is another VM.
-func (n *Node) RecordLength(service string, sample place.LengthSample) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.placer.Learn(sample)
-	if _, ok := n.placementVM(time.Now(), service); !ok {
-		return
-	}
-	if len(n.lengthSamples[service]) >= maxLengthSamples {
-		n.Count("place.growthDropped", 1)
-		return
-	}
-	n.lengthSamples[service] = append(n.lengthSamples[service], sample)
-}
-
 // RemainingTokens returns an upper bound on the number of tokens that a run has
 // yet to generate, which holds with probability chance.
 func (n *Node) RemainingTokens(r place.Run, chance float64) int {
@@ -288,60 +217,6 @@
 // NextRunID returns an ID for a run, unique among the runs of this process.
 func (n *Node) NextRunID() uint64 { return n.lastRunID.Add(1) }
 
-// reportLoads sends load reports to the placement VMs of all services whose load
-// has changed or is due to be reported again. It reschedules itself while this VM
-// has requests in progress or its last report showed some.
-func (n *Node) reportLoads(now time.Time) {
-	n.mu.Lock()
-	n.reportScheduled = false
-	var sends []func()
-	busy := false
-	for service := range n.forwardBudgets {
-		loads := n.placer.LocalLoad(n.table.OfService(service))
-		n.placer.ObserveLocal(now, loads)
-		to, ok := n.placementVM(now, service)
-		last := n.sentReports[service]
-		if len(loads) == 0 && len(last.loads) == 0 {
-			continue
-		}
-		busy = true
-		if !ok || (maps.EqualFunc(loads, last.loads, place.Load.SameRequests) && now.Sub(last.at) < maxReportInterval) {
-			continue
-		}
-		n.sentReports[service] = sentReport{loads: loads, at: now}
-		req := n.newLoadReport(service)
-		sends = append(sends, func() { n.sendLoadReport(to, req) })
-	}
-	if busy {
-		n.scheduleReport(now)
-	}
-	n.mu.Unlock()
-	for _, f := range sends {
-		go f()
-	}
-}
-
-// sendLoadReport sends a load report to a placement VM. It is called without the
-// lock.
-func (n *Node) sendLoadReport(to member.Peer, req PlacementRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), placementTimeout)
-	defer cancel()
-	if _, err := n.RequestPlacement(ctx, to, req); err != nil {
-		// No retry: the next report or placement request carries the load.
-		n.Count("place.tellsFailed", 1)
-	}
-}
-
-// scheduleReport schedules the next call of reportLoads, if none is pending. The
-// caller holds the lock.
-func (n *Node) scheduleReport(now time.Time) {
-	if n.reportScheduled {
-		return
-	}
-	n.reportScheduled = true
-	n.Clock.At(now.Add(reportInterval), n.reportLoads)
-}
-
 // startupPeriod is how long after its start a VM may lack updates that other VMs
 // have.
 const startupPeriod = 5 * time.Second
@@ -406,65 +281,3 @@
 	defer n.mu.Unlock()
 	n.placer.BackOff(time.Now(), id)
 }
-
-// CountForward counts the first attempt of a forwarded request for the retry
-// budget of its service.
-func (n *Node) CountForward(service string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	n.forwardWindow(service).Deposit(now)
-	n.scheduleReport(now)
-}
-
-// TakeForwardRetry takes a retry from this VM's part of the service's retry
-// budget, which all VMs share. It returns false if the part is used up.
-func (n *Node) TakeForwardRetry(service string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	return n.forwardBudget(now, service).Withdraw(now)
-}
-
-// forwardBudget returns the retry budget of a service, with the reserve set to
-// this VM's part: half of an equal share, so that the VMs together keep to the
-// reserve in every window without exchanging messages. The caller holds the lock.
-func (n *Node) forwardBudget(now time.Time, service string) *retry.WindowBudget {
-	w := n.forwardWindow(service)
-	w.Reserve = n.Settings.Retry.Reserve / float64(2*n.sharers(now))
-	return w
-}
-
-// forwardWindow returns the retry budget of a service, which it creates if needed.
-// The caller holds the lock.
-func (n *Node) forwardWindow(service string) *retry.WindowBudget {
-	w := n.forwardBudgets[service]
-	if w == nil {
-		w = &retry.WindowBudget{Share: n.Settings.Retry.Share, Length: time.Duration(n.Settings.Retry.Window)}
-		n.forwardBudgets[service] = w
-	}
-	return w
-}
-
-// minSharers is the lowest number of VMs that the reserve is divided among: a VM
-// that has just started does not know the others yet.
-const minSharers = 8
-
-// sharers returns the number of VMs that share the reserve: this one and the live
-// ones that serve callers, but at least minSharers. The caller holds the lock.
-func (n *Node) sharers(now time.Time) int {
-	count := 1
-	for _, p := range n.group.Live(now) {
-		if p.ServesCallers {
-			count++
-		}
-	}
-	return max(count, minSharers)
-}
-
-// Loads returns this VM's load at each backend server of a service.
-func (n *Node) Loads(service string) map[string]place.Load {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.placer.LocalLoad(n.table.OfService(service))
-}
