Place: one type of back-off, shorter cost function

No change of behaviour: the back-off from a domain is the one from a server with another limit, the terms of an engine's cost have names, and prompts that are not read yet are a plain map.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -86,8 +86,9 @@
 	}
 	if s.MemoryTokens > 0 {
 		used := p.forecast(now, s.ID).Peak(need.memory, float64(s.MemoryTokens), marginStdDevs)
-		c.delay += milliseconds(pace.firstToken(prefill)) + loadCost(requests, used) + milliseconds(pace.firstToken(req.PromptTokens))*float64(requests)
-		c.full = used > maxMemoryShare || (req.FirstTokenBudget > 0 && pace.firstToken(prefill+req.PromptTokens) > req.FirstTokenBudget)
+		late := req.FirstTokenBudget > 0 && pace.firstToken(prefill+req.PromptTokens) > req.FirstTokenBudget
+		c.full = used > maxMemoryShare || late
+		c.delay += promptCost(requests, prefill, req.PromptTokens, pace) + loadCost(requests, used)
 		if c.full || used > targetMemoryShare {
 			c.delay += costFull * used
 		}
@@ -140,6 +141,13 @@
 // milliseconds returns d in milliseconds.
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
+// promptCost returns the cost of reading a prompt at an engine: the request waits
+// for the prompts before it, prefill tokens in all, and its own delays the requests
+// in the engine's batch.
+func promptCost(requests, prefill, prompt int, pace enginePace) float64 {
+	return milliseconds(pace.firstToken(prefill)) + float64(requests)*milliseconds(pace.firstToken(prompt))
+}
+
 // loadCost returns the cost of an engine's load besides the prompts to be read.
 // requests is the size of its batch, and used the forecast share of its memory.
 func loadCost(requests int, used float64) float64 {
--- a/fold/place/domain.go
+++ b/fold/place/domain.go
@@ -14,16 +14,6 @@
 	domainProbeTime = 400 * time.Millisecond
 )
 
-// domainBackoff is the back-off from a failure domain after connections to its
-// servers failed in a row.
-type domainBackoff struct {
-	failures int
-	until    time.Time
-}
-
-// active reports whether the back-off lasts at now. It is false for a nil b.
-func (b *domainBackoff) active(now time.Time) bool { return b != nil && now.Before(b.until) }
-
 // RecordDomainResult updates the back-off from another failure domain by how a
 // request at one of its servers ended.
 func (p *Placer) RecordDomainResult(now time.Time, domain string, result Result) {
@@ -33,15 +23,12 @@
 		delete(p.domains, domain)
 	case result == Unreachable:
 		if p.domains == nil {
-			p.domains = map[string]*domainBackoff{}
+			p.domains = map[string]*backoff{}
 		}
-		b := p.domains[domain]
-		if b == nil {
-			b = &domainBackoff{}
-			p.domains[domain] = b
+		if p.domains[domain] == nil {
+			p.domains[domain] = &backoff{}
 		}
-		b.failures++
-		b.until = now.Add(min(minBackoff<<min(b.failures-1, 8), maxDomainBackoff))
+		p.domains[domain].recordFailure(now, maxDomainBackoff)
 	}
 }
 
--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -264,7 +264,7 @@
 	case Answered:
 		b.backoff = backoff{}
 	case Failed, Unreachable:
-		b.recordFailure(now)
+		b.recordFailure(now, maxBackoff)
 	case Rejected:
 		b.until = now.Add(rejectionBackoff)
 	}
--- a/fold/place/pace.go
+++ b/fold/place/pace.go
@@ -101,6 +101,14 @@
 	return a
 }
 
+// ownPace returns the observed pace of an engine, zero if there is none.
+func (p *Placer) ownPace(id string) pace {
+	if a := p.paces[id]; a != nil {
+		return *a
+	}
+	return pace{}
+}
+
 // enginePace is the estimated pace of an engine.
 type enginePace struct {
 	// token is the time per generated token, prompt the time per token of a
@@ -119,11 +127,7 @@
 	mean := all.estimate(defaultTokenTime, 0)
 	prompt := sum(now, servers, p.prefillPaces)
 	for i := range servers {
-		var own pace
-		if a := p.paces[servers[i].ID]; a != nil {
-			own = *a
-		}
-		out[i].token = own.estimate(mean, pacePriorTokens)
+		out[i].token = p.ownPace(servers[i].ID).estimate(mean, pacePriorTokens)
 		out[i].prompt = time.Duration(promptMargin * float64(prompt.estimate(defaultPromptTokenTime, prefillPriorTokens)))
 	}
 	return out
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -114,8 +114,9 @@
 )
 
 const (
-	// minBackoff is the back-off from a server after a failure. Each further
-	// failure in a row doubles it, up to maxBackoff.
+	// minBackoff is the back-off from a server or a failure domain after a failure.
+	// Each further failure in a row doubles it, up to maxBackoff for a server and
+	// maxDomainBackoff for a domain.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
 	// rejectionBackoff is the back-off from a server that rejected a request
@@ -145,7 +146,7 @@
 	// forecasts caches the memory forecast of each engine.
 	forecasts map[string]*cachedForecast
 	// domains holds the back-off from other failure domains.
-	domains map[string]*domainBackoff
+	domains map[string]*backoff
 	// rejections counts the requests for engines that were placed and those for
 	// which Pick returned a Full choice.
 	rejections rejectionRate
@@ -170,10 +171,11 @@
 	until time.Time
 }
 
-// recordFailure starts the back-off for one more failure in a row.
-func (b *backoff) recordFailure(now time.Time) {
+// recordFailure starts the back-off for one more failure in a row. It lasts for at
+// most limit.
+func (b *backoff) recordFailure(now time.Time, limit time.Duration) {
 	b.failures++
-	b.until = now.Add(min(minBackoff<<min(b.failures-1, 8), maxBackoff))
+	b.until = now.Add(min(minBackoff<<min(b.failures-1, 8), limit))
 }
 
 // active reports whether the back-off lasts at now. It is false for a nil b.
--- a/fold/place/prefill.go
+++ b/fold/place/prefill.go
@@ -23,25 +23,25 @@
 	tokens int
 }
 
-// prefills holds prompts by the ID of their run. The zero value is empty.
-type prefills struct {
-	byRun map[uint64]prefill
-}
+// prefills holds the prompts of one VM by the ID of their run. Those of runs that
+// end between two load reports stay in it until it is full.
+type prefills map[uint64]prefill
 
 // maxPrefills bounds the prompts of one VM that are remembered.
 const maxPrefills = 1024
 
+// begin adds a prompt. If there are too many, it drops the others.
 func (f *prefills) begin(run uint64, x prefill) {
-	if f.byRun == nil || len(f.byRun) >= maxPrefills {
-		f.byRun = map[uint64]prefill{}
+	if *f == nil || len(*f) >= maxPrefills {
+		*f = prefills{}
 	}
-	f.byRun[run] = x
+	(*f)[run] = x
 }
 
 // end removes a prompt and returns it, or the zero value if there is none.
-func (f *prefills) end(run uint64) prefill {
-	x := f.byRun[run]
-	delete(f.byRun, run)
+func (f prefills) end(run uint64) prefill {
+	x := f[run]
+	delete(f, run)
 	return x
 }
 
@@ -71,11 +71,7 @@
 		if x.server != id {
 			continue
 		}
-		var own pace
-		if a := p.paces[id]; a != nil {
-			own = *a
-		}
-		since := time.Duration(r.Generated) * own.estimate(defaultTokenTime, 0)
+		since := time.Duration(r.Generated) * p.ownPace(id).estimate(defaultTokenTime, 0)
 		p.observePrefill(now.Add(-since), x)
 	}
 }
