Place: a first token that may be late costs, by the engine's own pace

Change: the share of its budget that the first token will take costs, from 0.4 on, with the square. It and the rejection go by what the engine itself was observed to take, the delay of other runs by the mean of the service.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -13,6 +13,10 @@
 	// costRunning is the delay that each request in an engine's batch adds for
 	// the others once its prompt has been read.
 	costRunning = 12
+	// costLate is the cost of a first token that takes its whole budget. The cost
+	// grows with the square of what it takes beyond safeBudgetShare.
+	costLate        = 10_000
+	safeBudgetShare = 0.4
 	// costMemory is the cost of an engine whose memory is full. The cost grows
 	// with the square of the share in use.
 	costMemory = 300
@@ -86,9 +90,9 @@
 	}
 	if s.MemoryTokens > 0 {
 		used := p.forecast(now, s.ID).Peak(need.memory, float64(s.MemoryTokens), marginStdDevs)
-		late := req.FirstTokenBudget > 0 && pace.firstToken(prefill+req.PromptTokens) > req.FirstTokenBudget
-		c.full = used > maxMemoryShare || late
-		c.delay += promptCost(requests, prefill, req.PromptTokens, pace) + loadCost(requests, used)
+		due := budgetShare(pace.firstToken(prefill+req.PromptTokens), req.FirstTokenBudget)
+		c.full = used > maxMemoryShare || due > 1
+		c.delay += promptCost(requests, prefill, req.PromptTokens, pace) + lateCost(due) + loadCost(requests, used)
 		if c.full || used > targetMemoryShare {
 			c.delay += costFull * used
 		}
@@ -145,7 +149,23 @@
 // for the prompts before it, prefill tokens in all, and its own delays the requests
 // in the engine's batch.
 func promptCost(requests, prefill, prompt int, pace enginePace) float64 {
-	return milliseconds(pace.firstToken(prefill)) + float64(requests)*milliseconds(pace.firstToken(prompt))
+	return milliseconds(pace.readTime(prefill)) + float64(requests)*milliseconds(pace.readTime(prompt))
+}
+
+// budgetShare returns the share of the budget that the time to the first token
+// takes, zero if there is no budget.
+func budgetShare(firstToken, budget time.Duration) float64 {
+	if budget <= 0 {
+		return 0
+	}
+	return float64(firstToken) / float64(budget)
+}
+
+// lateCost returns the cost of the risk that the first token is late. share is the
+// share of its budget that it will probably take.
+func lateCost(share float64) float64 {
+	excess := max(share-safeBudgetShare, 0) / (1 - safeBudgetShare)
+	return costLate * excess * excess
 }
 
 // loadCost returns the cost of an engine's load besides the prompts to be read.
--- a/fold/place/pace.go
+++ b/fold/place/pace.go
@@ -101,9 +101,9 @@
 	return a
 }
 
-// ownPace returns the observed pace of an engine, zero if there is none.
-func (p *Placer) ownPace(id string) pace {
-	if a := p.paces[id]; a != nil {
+// paceAt returns the pace of an engine in paces, zero if there is none.
+func paceAt(paces map[string]*pace, id string) pace {
+	if a := paces[id]; a != nil {
 		return *a
 	}
 	return pace{}
@@ -111,24 +111,35 @@
 
 // enginePace is the estimated pace of an engine.
 type enginePace struct {
-	// token is the time per generated token, prompt the time per token of a
-	// prompt.
-	token, prompt time.Duration
+	// token is the time per generated token.
+	token time.Duration
+	// prompt is the time per token of a prompt at the service's engines, and
+	// ownPrompt that at this engine. By the first, prompts don't keep away from a
+	// slow engine, where they delay the fewest runs; by the second, a prompt that
+	// would be read too late there does.
+	prompt, ownPrompt time.Duration
 }
 
-// firstToken returns how long the engine takes to read prompts of the given size
-// in tokens while it generates for other requests.
-func (e enginePace) firstToken(tokens int) time.Duration { return time.Duration(tokens) * e.prompt }
+// readTime returns how long the service's engines take to read prompts of the given
+// size in tokens while they generate for other requests.
+func (e enginePace) readTime(tokens int) time.Duration { return time.Duration(tokens) * e.prompt }
+
+// firstToken returns how long this engine takes to read prompts of the given size in
+// tokens while it generates for other requests.
+func (e enginePace) firstToken(tokens int) time.Duration { return time.Duration(tokens) * e.ownPrompt }
 
 // enginePaces returns the estimated pace of each of the servers of a service.
 func (p *Placer) enginePaces(now time.Time, servers []member.Backend) []enginePace {
 	out := make([]enginePace, len(servers))
-	all := sum(now, servers, p.paces)
-	mean := all.estimate(defaultTokenTime, 0)
-	prompt := sum(now, servers, p.prefillPaces)
-	for i := range servers {
-		out[i].token = p.ownPace(servers[i].ID).estimate(mean, pacePriorTokens)
-		out[i].prompt = time.Duration(promptMargin * float64(prompt.estimate(defaultPromptTokenTime, prefillPriorTokens)))
+	token := sum(now, servers, p.paces).estimate(defaultTokenTime, 0)
+	prompt := sum(now, servers, p.prefillPaces).estimate(defaultPromptTokenTime, prefillPriorTokens)
+	for i, s := range servers {
+		own := paceAt(p.prefillPaces, s.ID).estimate(prompt, ownPrefillPriorTokens)
+		out[i] = enginePace{
+			token:     paceAt(p.paces, s.ID).estimate(token, pacePriorTokens),
+			prompt:    withPromptMargin(prompt),
+			ownPrompt: withPromptMargin(own),
+		}
 	}
 	return out
 }
--- a/fold/place/prefill.go
+++ b/fold/place/prefill.go
@@ -8,12 +8,20 @@
 	defaultPromptTokenTime = 130 * time.Microsecond
 	// prefillPriorTokens is the weight of defaultPromptTokenTime, in tokens.
 	prefillPriorTokens = 2000
+	// ownPrefillPriorTokens is the weight, in tokens, of the mean of all engines in
+	// the estimate for one engine.
+	ownPrefillPriorTokens = 8000
 	// promptMargin is the factor by which prompts are assumed to take longer than
 	// observed: a first token that is late costs the caller more than one that
 	// could have come sooner elsewhere.
 	promptMargin = 1.2
 )
 
+// withPromptMargin returns d times promptMargin.
+func withPromptMargin(d time.Duration) time.Duration {
+	return time.Duration(promptMargin * float64(d))
+}
+
 // prefill is a prompt that an engine was sent and has not read yet.
 type prefill struct {
 	server string
@@ -71,7 +79,7 @@
 		if x.server != id {
 			continue
 		}
-		since := time.Duration(r.Generated) * p.ownPace(id).estimate(defaultTokenTime, 0)
+		since := time.Duration(r.Generated) * paceAt(p.paces, id).estimate(defaultTokenTime, 0)
 		p.observePrefill(now.Add(-since), x)
 	}
 }
--- a/fold/place/prefill_test.go
+++ b/fold/place/prefill_test.go
@@ -23,9 +23,9 @@
 			for i := range 40 {
 				req := Request{Run: Run{ID: uint64(i + 1), BaseTokens: prompt}, PromptTokens: prompt}
 				at := now.Add(time.Duration(i-40) * 500 * time.Millisecond)
-				readPrompt(&p, at, tt.readTime, req, local)
+				readPrompt(&p, "1", at, tt.readTime, req, local)
 			}
-			if got := p.enginePaces(now, threeEngines())[0].firstToken(prompt); got < tt.readTime || got > 2*tt.readTime {
+			if got := p.enginePaces(now, threeEngines())[0].readTime(prompt); got < tt.readTime || got > 2*tt.readTime {
 				t.Errorf("%s, local %t: first token after %v, want %v with a margin", tt.name, local, got, tt.readTime)
 			}
 			req := Request{Run: Run{ID: 99, BaseTokens: prompt}, PromptTokens: prompt, FirstTokenBudget: due}
@@ -36,19 +36,43 @@
 	}
 }
 
-// readPrompt plays a request at engine 1 from its placement to its end: of this VM,
+// readPrompt plays a request at a server from its placement to its end: of this VM,
 // or of another one, which reports the first token.
-func readPrompt(p *Placer, at time.Time, readTime time.Duration, req Request, local bool) {
+func readPrompt(p *Placer, server string, at time.Time, readTime time.Duration, req Request, local bool) {
 	if !local {
-		p.Reserve(at, "v", "1", req)
+		p.Reserve(at, "v", server, req)
 		run := req.Run
 		run.Generated = 1
-		p.UpdatePeerLoad(at.Add(readTime+defaultTokenTime), "v", map[string]Load{"1": {Requests: 1, Runs: []Run{run}}})
+		p.UpdatePeerLoad(at.Add(readTime+defaultTokenTime), "v", map[string]Load{server: {Requests: 1, Runs: []Run{run}}})
 		p.UpdatePeerLoad(at.Add(readTime+2*defaultTokenTime), "v", nil)
 		return
 	}
-	p.Begin(at, "1", req)
-	p.Prefilled(at.Add(readTime), "1", req)
+	p.Begin(at, server, req)
+	p.Prefilled(at.Add(readTime), server, req)
 	req.PromptTokens = 0
-	p.End(at.Add(readTime), "1", req, Answered)
+	p.End(at.Add(readTime), server, req, Answered)
+}
+
+// TestSlowPromptsGoElsewhere checks that a request whose first token would take most
+// of its budget goes to an engine where it comes sooner, although its prompt delays
+// more runs there, and that one with a longer budget doesn't.
+func TestSlowPromptsGoElsewhere(t *testing.T) {
+	const prompt = 2000
+	for _, tt := range []struct {
+		budget time.Duration
+		want   string
+	}{{1200 * time.Millisecond, "2"}, {20 * time.Second, "1"}} {
+		var p Placer
+		for i := range 40 {
+			req := Request{Run: Run{ID: uint64(i + 1), BaseTokens: prompt}, PromptTokens: prompt}
+			at := now.Add(time.Duration(i-40) * time.Second)
+			readPrompt(&p, "1", at, 900*time.Millisecond, req, false)
+			readPrompt(&p, "2", at, 200*time.Millisecond, req, true)
+		}
+		beginN(&p, "2", 3, Request{})
+		req := Request{Run: Run{ID: 99, BaseTokens: prompt}, PromptTokens: prompt, FirstTokenBudget: tt.budget}
+		if c, _ := p.Pick(now, threeEngines()[:2], req); c.Server.ID != tt.want {
+			t.Errorf("first token due in %v: placed at engine %s, want %s", tt.budget, c.Server.ID, tt.want)
+		}
+	}
 }
