Relay: a run that has ended takes no turn for a copy

A run whose caller went before its first event was asked for every 100 ms until the move timed out, 28 times in the test.

Change: a stream records its end; its move checks that before it places and before each copy, counts moves.ended and frees the target.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -140,6 +140,20 @@
 	return true
 }
 
+// end records that no further events of the stream will come.
+func (s *stream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
+
+// hasEnded reports whether no further events of the stream will come.
+func (s *stream) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
 // endsWithin reports whether the run will probably end by itself within d.
 func (s *stream) endsWithin(d time.Duration) bool {
 	s.mu.Lock()
@@ -240,6 +254,9 @@
 	sleep(ctx, time.Duration(s.memoryTokens())*orderDelayPerToken)
 	req := s.copyRequest(from)
 	for range maxTargets {
+		if s.hasEnded() {
+			break
+		}
 		choice, ok := x.Node.Place(ctx, s.q.service.Name, req)
 		if !ok || choice.Unreachable {
 			break
@@ -249,6 +266,11 @@
 		if err == nil {
 			return choice.Server, handle, true
 		}
+		if s.hasEnded() {
+			x.Node.Count("moves.ended", 1)
+			x.Node.EndPlacement(choice.Server.ID, req, place.Cancelled)
+			break
+		}
 		x.logMove(s, from, choice.Server, "copy", err)
 		if !errors.Is(err, ErrNoRoom) {
 			x.Node.EndPlacement(choice.Server.ID, req, place.Cancelled)
@@ -262,8 +284,12 @@
 
 // firstCopy makes the first copy of a run. A run can't be copied before its
 // first event, as its prompt is still being read; until then, firstCopy retries.
+// It returns ErrRunNotFound if the run's stream has ended.
 func (x *Relay) firstCopy(ctx context.Context, s *stream, from, target backend) (handle string, err error) {
 	for {
+		if s.hasEnded() {
+			return "", ErrRunNotFound
+		}
 		handle, err = x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, false)
 		if !errors.Is(err, ErrRunNotFound) || s.eventCount() > 0 || ctx.Err() != nil {
 			return handle, err
--- a/foldd/relay/move_test.go
+++ b/foldd/relay/move_test.go
@@ -270,3 +270,31 @@
 		t.Errorf("%d streams were admitted, want %d", admitted, capacity)
 	}
 }
+
+// TestEndedRunIsNotCopied checks that no engine is asked again and again for the
+// copy of a run whose caller has gone before its first event.
+func TestEndedRunIsNotCopied(t *testing.T) {
+	r := startVM(t)
+	release := make(chan struct{})
+	defer close(release)
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: 5, Hold: release, HoldAt: 0}))
+	var copies atomic.Int32
+	r.relay.Mover = &relay.Mover{
+		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, error) {
+			copies.Add(1)
+			return "", relay.ErrRunNotFound
+		},
+	}
+	conn, _ := r.sendRaw("POST /draft/x HTTP/1.1\r\nHost: h.example\r\nFold-Request-Id: 1\r\nAuthorization: Bearer key\r\nFold-Prompt-Tokens: 10\r\nContent-Length: 0\r\n\r\n")
+	waitFor(t, "the engine to run the request", func() bool { return a.Running("1") })
+	r.backend("b", "models", respondWith(origin.Behaviour{}))
+	r.announce(a, "models", true)
+	waitFor(t, "the first copy", func() bool { return copies.Load() > 0 })
+	conn.Close()
+	waitFor(t, "the stream to end", func() bool { return r.node.Streams() == 0 })
+	atEnd := copies.Load()
+	waitFor(t, "the copy to be given up", func() bool { return len(r.node.Loads("models")) == 0 })
+	if more := copies.Load() - atEnd; more > 1 {
+		t.Errorf("%d copies were ordered after the run had ended", more)
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -58,6 +58,8 @@
 	// move is set from the start of the final copy until awaitMove; move.done is
 	// closed when that copy has ended.
 	move *move
+	// ended is set once no further events will come.
+	ended bool
 }
 
 // serveStream forwards a request whose response is a stream of events.
@@ -66,6 +68,7 @@
 	s.initialRun.ID = x.Node.NextRunID()
 	s.placement = place.Request{Run: s.initialRun, PromptTokens: q.params.Prompt.Tokens, Progress: s.generated}
 	f := s.sendAndRelay(ctx)
+	s.end()
 	q.events, q.firstEvent, q.maxEventGap = s.events, s.firstAt, s.maxEventGap
 	disconnected := q.caller.Disconnected() || errors.Is(context.Cause(ctx), serve.ErrCallerDisconnected)
 	switch {
