--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -117,6 +117,9 @@
 	// version counts the changes of the table. The version of every record is at
 	// most this.
 	version uint64
+	// leases is nil if the table has changed, other than by a refresh, since it
+	// was computed.
+	leases *leaseIndex
 }
 
 // Change is the effect of an update on the table.
@@ -179,6 +182,7 @@
 	t.version++
 	if change == Changed {
 		t.removeAtAddress(u.Backend)
+		t.leases = nil
 	}
 	identityVersion := t.version
 	if change == Refreshed {
@@ -230,6 +234,7 @@
 		return Backend{}, false
 	}
 	t.version++
+	t.leases = nil
 	r.Leaving = true
 	r.version, r.identityVersion = t.version, t.version
 	r.from = ""
@@ -252,6 +257,7 @@
 		age := now.Sub(r.lastReport)
 		if !r.removed && age >= t.lease() {
 			r.removed = true
+			t.leases = nil
 			out = append(out, id)
 		}
 		if r.removed && age >= tombstoneLeases*t.lease() {
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -58,6 +58,9 @@
 	acked uint64
 	// have is the version of the VM's table that was applied locally.
 	have uint64
+	// equal holds the buckets of which the VM knew the same backend servers, by
+	// its last digest.
+	equal EqualBuckets
 }
 
 // Group holds the other VMs that one VM knows. Self must be set before use; the
@@ -291,6 +294,22 @@
 	}
 }
 
+// EqualBuckets returns the buckets of which a VM knew the same backend servers, by
+// its last digest; none if it has sent no digest.
+func (g *Group) EqualBuckets(id string) EqualBuckets {
+	if r := g.peers[id]; r != nil {
+		return r.equal
+	}
+	return EqualBuckets{}
+}
+
+// SetEqualBuckets records the buckets of which a VM knows the same backend servers.
+func (g *Group) SetEqualBuckets(id string, equal EqualBuckets) {
+	if r := g.peers[id]; r != nil {
+		r.equal = equal
+	}
+}
+
 // RequestFullExchange makes the next exchange with a VM request its whole table.
 func (g *Group) RequestFullExchange(id string) {
 	if r := g.peers[id]; r != nil {
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -15,6 +15,8 @@
 	Updates []member.BackendUpdate
 	// Known holds relayed reports about some of the other VMs.
 	Known []member.PeerUpdate
+	// Leases is the digest of the local table.
+	Leases member.Leases
 	// Version is the version of the local table of backend servers that the peer
 	// has once it has applied Updates.
 	Version uint64
@@ -97,7 +99,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	id, acked, have, epoch := n.group.ExchangeState(addr)
-	x := n.exchange(id, acked)
+	x := n.exchange(id, acked, n.group.EqualBuckets(id))
 	x.PeerVersion, x.PeerEpoch = have, epoch
 	return x
 }
@@ -111,21 +113,23 @@
 	if epoch != n.group.Self.Epoch {
 		have = 0
 	}
-	return n.exchange(from.ID, have)
+	return n.exchange(from.ID, have, n.group.EqualBuckets(from.ID))
 }
 
 // exchange returns what to send to the VM id, with the updates after version
-// since. The caller holds the lock.
-func (n *Node) exchange(id string, since uint64) Exchange {
+// since. Refreshes in the equal buckets are left to the digest. The caller holds
+// the lock.
+func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random)}
+	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now)}
 	x.Updates, x.Version = n.table.Since(now, since, id)
+	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
 	switch {
 	case ok && p.Region != n.group.Self.Region:
 		// Requests do not spill over to other regions, so backend updates are
 		// not sent there.
-		x.Updates = nil
+		x.Updates, x.Leases = nil, member.Leases{}
 	case ok && p.Domain != n.group.Self.Domain:
 		x.Updates = member.Summary(x.Updates, n.group.Self.Domain)
 	}
@@ -141,6 +145,13 @@
 	n.group.RecordExchange(id, acked, have)
 }
 
+// ReceiveLeases applies the digest of the leases that a VM knows.
+func (n *Node) ReceiveLeases(from string, l *member.Leases) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.SetEqualBuckets(from, n.table.RenewLeases(time.Now(), l))
+}
+
 // ReceivePeer applies a direct report that a VM sent about itself.
 func (n *Node) ReceivePeer(p member.Peer) {
 	n.mu.Lock()
--- a/foldd/peer/bench_test.go
+++ b/foldd/peer/bench_test.go
@@ -10,6 +10,7 @@
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/sched"
+	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/wire"
 )
@@ -96,3 +97,41 @@
 		})
 	}
 }
+
+// BenchmarkLeases measures the digest of the leases of a number of backend servers:
+// encoding, decoding and renewing. It reports the size of the digest.
+func BenchmarkLeases(b *testing.B) {
+	for _, servers := range []int{10, 130, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) { benchLeases(b, servers) })
+	}
+}
+
+func benchLeases(b *testing.B, servers int) {
+	now := time.Now()
+	var from, to member.Table
+	for i := range servers {
+		u, ok := FromBackend(benchBackend(i, false))
+		if !ok {
+			b.Fatal("invalid server")
+		}
+		u.Kind = spec.KindPlain
+		from.Merge(now, u, "")
+		to.Merge(now, u, "")
+	}
+	var size int
+	for b.Loop() {
+		l := from.Leases(now)
+		data, err := proto.Marshal(toLeases(&l))
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+		var received wire.Leases
+		if err := proto.Unmarshal(data, &received); err != nil {
+			b.Fatal(err)
+		}
+		l = fromLeases(&received)
+		to.RenewLeases(now, &l)
+	}
+	b.ReportMetric(float64(size), "B/digest")
+}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -141,7 +141,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	out := s.node.OutgoingExchange(addr)
-	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch}
+	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Leases: toLeases(&out.Leases)}
 	for _, u := range out.Updates {
 		req.Backends = append(req.Backends, ToBackend(u))
 	}
@@ -155,14 +155,14 @@
 	}
 	s.node.Count("peers.exchanges", 1)
 	from := FromPeer(res.Msg.GetFrom())
-	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown())
+	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
 	s.node.RecordExchange(from.ID, out.Version, res.Msg.GetVersion())
 	return s.fetchNewerConfig(ctx, from)
 }
 
-// applyUpdates applies the direct report of a VM, and the VMs and backend servers
-// that it relays.
-func (s *Service) applyUpdates(from member.Peer, backends []*wire.Backend, known []*wire.Peer) {
+// applyUpdates applies the direct report of a VM, the VMs and backend servers that
+// it relays, and its digest of leases.
+func (s *Service) applyUpdates(from member.Peer, backends []*wire.Backend, known []*wire.Peer, leases *wire.Leases) {
 	s.node.ReceivePeer(from)
 	for _, p := range known {
 		s.node.ReceiveRelayedPeer(member.PeerUpdate{
@@ -175,6 +175,8 @@
 			s.node.ReceiveRelayedBackend(u, from.ID)
 		}
 	}
+	l := fromLeases(leases)
+	s.node.ReceiveLeases(from.ID, &l)
 }
 
 // fetchNewerConfig fetches and applies the configuration of a VM if its revision
@@ -199,9 +201,9 @@
 	if from.ID == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
-	s.applyUpdates(from, m.GetBackends(), m.GetKnown())
+	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
 	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch())
-	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version}
+	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version, Leases: toLeases(&out.Leases)}
 	for _, u := range out.Updates {
 		res.Backends = append(res.Backends, ToBackend(u))
 	}
--- a/foldfake/load/event.go
+++ b/foldfake/load/event.go
@@ -3,8 +3,6 @@
 import (
 	"container/heap"
 	"time"
-
-	"fuchsiafold.example/fold/learn"
 )
 
 // event is something that happens at a virtual time.
@@ -45,7 +43,3 @@
 	p.sequence++
 	heap.Push(&p.events, &event{at: t, sequence: p.sequence, run: f})
 }
-
-// groupOf returns the group whose lengths are learned together with the
-// request's.
-func groupOf(o *Outcome) learn.Group { return learn.Group{Class: o.Class} }
--- a/foldfake/load/load.go
+++ b/foldfake/load/load.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/foldfake/model"
@@ -58,9 +59,9 @@
 	// there was none.
 	FirstTokenAt time.Duration
 	EndedAt      time.Duration
-	// Domain is the failure domain of the engine that ran the request, empty if
-	// none did.
-	Domain string
+	// EngineDomain is the failure domain of the engine that ran the request, empty
+	// if none did.
+	EngineDomain string
 }
 
 // OnTime reports whether the first token came within its target and the generation
@@ -175,7 +176,7 @@
 		Run:              place.Run{ID: id, Group: groupOf(o), BaseTokens: o.PromptTokens, MaxTokens: o.MaxTokens},
 		PromptTokens:     o.PromptTokens,
 		Progress:         func() int { return r.generated },
-		Domain:           o.Request.Domain,
+		Domain:           o.Domain,
 		FirstTokenBudget: o.FirstToken,
 	}
 	choice, ok := p.policy.Pick(p.time(), p.servers, r.placement)
@@ -204,7 +205,7 @@
 func (p *player) start(r *run, id string) {
 	e := p.engine(id)
 	o := &p.outcomes[r.index]
-	o.Domain = e.Domain
+	o.EngineDomain = e.Domain
 	runID := strconv.Itoa(r.index)
 	if e.sim.Submit(model.Request{ID: runID, PromptTokens: o.PromptTokens, Length: o.Length}) != nil {
 		p.policy.End(p.time(), e.id, r.placement, place.Rejected)
@@ -253,6 +254,10 @@
 	p.policy.End(p.time(), e.id, r.placement, place.Answered)
 }
 
+// groupOf returns the group whose lengths are learned together with the
+// request's.
+func groupOf(o *Outcome) learn.Group { return learn.Group{Class: o.Class} }
+
 // engine returns the engine with an ID.
 func (p *player) engine(id string) *engine {
 	for _, e := range p.engines {
--- a/foldfake/load/load_test.go
+++ b/foldfake/load/load_test.go
@@ -97,7 +97,7 @@
 			s.onTime++
 		}
 		s.inProgress += o.Duration()
-		if o.Domain != o.Request.Domain {
+		if o.EngineDomain != o.Domain {
 			s.inOther += o.Duration()
 		}
 	}
