--- a/foldd/app/scheduler_test.go
+++ b/foldd/app/scheduler_test.go
@@ -39,7 +39,7 @@
 	for i, r := range got {
 		checkCompleteAnswer(t, r.text, r.summary, 20+i)
 	}
-	if n := counter(other, "stewards.lost"); n != 0 {
+	if n := counter(other, "schedulers.lost"); n != 0 {
 		t.Errorf("scheduler VM was lost %d times, want 0", n)
 	}
 	waitFor(t, "the scheduler VM to drop the tickets", func() bool { return scheduler.Node.Tickets() == 0 })
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -123,7 +123,7 @@
 			// After a timeout, the whole failure domain may be unreachable.
 			n.backedOffDomains.recordFailure(time.Now(), to.Domain)
 		}
-		n.Count("place.stewardsLost", 1)
+		n.Count("place.placementVMsLost", 1)
 		n.Log.WithError(err).WithField("placementVM", to.ID).Warn("placement request failed; placing locally")
 		return place.Choice{}, false
 	}
--- a/foldd/node/report.go
+++ b/foldd/node/report.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if len(n.lengthSamples[service]) >= maxLengthSamples {
-		n.Count("place.growthDropped", 1)
+		n.Count("place.lengthSamplesDropped", 1)
 		return
 	}
 	n.lengthSamples[service] = append(n.lengthSamples[service], sample)
@@ -92,7 +92,7 @@
 	defer cancel()
 	if _, err := n.RequestPlacement(ctx, to, req); err != nil {
 		// No retry: the next report or placement request carries the load.
-		n.Count("place.tellsFailed", 1)
+		n.Count("place.reportsFailed", 1)
 	}
 }
 
--- a/foldd/node/scheduler.go
+++ b/foldd/node/scheduler.go
@@ -146,7 +146,7 @@
 func (n *Node) SchedulerLost(id ticket.SchedulerID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.Count("stewards.lost", 1)
+	n.Count("schedulers.lost", 1)
 	now := time.Now()
 	n.ticketClient.SchedulerLost(now, id)
 	n.poll(now)
--- a/foldd/peer/ticket.go
+++ b/foldd/peer/ticket.go
@@ -106,7 +106,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), ticketTimeout)
 		defer cancel()
 		if _, err := c.Decisions(ctx, connect.NewRequest(req)); err != nil {
-			s.node.Count("stewards.decisionsLost", 1)
+			s.node.Count("schedulers.decisionsLost", 1)
 			s.node.DropPeerTickets(to.ID)
 		}
 	})
--- a/foldfake/replay.go
+++ b/foldfake/replay.go
@@ -30,7 +30,7 @@
 			&cli.DurationFlag{Name: "length", Value: 5 * time.Minute, Usage: "duration of a generated trace"},
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.StringFlag{Name: "policies", Value: strings.Join(spec.Policies(), ","), Usage: "comma-separated policies; the trace is replayed once with each"},
-			&cli.StringFlag{Name: "mode", Value: string(replay.ModeSingleScheduler), Usage: "how entry VMs share the engines: steward, choices, best or split"},
+			&cli.StringFlag{Name: "mode", Value: string(replay.ModeSingleScheduler), Usage: "how entry VMs share the engines: scheduler, choices, best or split"},
 			&cli.DurationFlag{Name: "lag", Usage: "age of the load reports"},
 		},
 		Action: runReplay,
--- a/foldfake/replay/replay.go
+++ b/foldfake/replay/replay.go
@@ -21,7 +21,7 @@
 const (
 	// ModeSingleScheduler schedules all requests at one VM. The other entry VMs
 	// send their requests to it.
-	ModeSingleScheduler Mode = "steward"
+	ModeSingleScheduler Mode = "scheduler"
 	// ModeTwoChoices schedules at each entry VM, by the load reports, which arrive
 	// late, and the VM's local requests. For each request it considers two random
 	// engines.
