--- a/fold/member/lease.go
+++ b/fold/member/lease.go
@@ -16,8 +16,8 @@
 const LeaseBuckets = 16
 
 // Leases is a digest of the leases that one VM knows: those of all live backend
-// servers but engines, whose updates carry loads as well. It takes two bytes a
-// server on the wire, where an update takes about fifty.
+// servers except the ones of kind spec.KindEngine, whose updates carry loads as
+// well. It takes two bytes a server on the wire, where an update takes about fifty.
 type Leases [LeaseBuckets]LeaseBucket
 
 // LeaseBucket holds the leases of one bucket.
@@ -46,8 +46,8 @@
 type EqualBuckets [LeaseBuckets]bool
 
 // Covers reports whether an update says no more than the digests of two VMs with
-// these equal buckets: that a server other than an engine has announced itself
-// again.
+// these equal buckets: that a server, not of kind spec.KindEngine, has announced
+// itself again.
 func (e *EqualBuckets) Covers(u *BackendUpdate) bool {
 	return u.Brief && u.Kind != spec.KindEngine && e[leaseBucket(u.ID)]
 }
