--- a/fold/place/domain.go
+++ b/fold/place/domain.go
@@ -33,10 +33,10 @@
 }
 
 // DomainUnreachable reports whether a failure domain is known to be unreachable,
-// and the time until it is tried again. A request for it would only wait for a
-// connection in vain. Once the back-off has ended, DomainUnreachable returns false
-// once, for the request that tries the domain again, and true for those that come
-// before domainProbeTime.
+// and the time until the end of the back-off from it. A request for it would only
+// wait for a connection in vain. Once the back-off has ended, DomainUnreachable
+// returns false once, for the request that probes the domain, and true for those
+// that come before domainProbeTime.
 func (p *Placer) DomainUnreachable(now time.Time, domain string) (time.Duration, bool) {
 	b := p.domains[domain]
 	if b == nil || b.failures < unreachableFailures {
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -72,8 +72,8 @@
 	RetryAfter time.Duration
 	// Unreachable reports that Server, and every other one left, is in a failure
 	// domain that this VM can't reach. The request must not be sent or counted
-	// there. RetryAfter is then the time until the domain is tried again. Pick
-	// leaves it unset: see DomainUnreachable.
+	// there. RetryAfter is then the time until the end of the back-off from the
+	// domain. Pick leaves it unset: see DomainUnreachable.
 	Unreachable bool
 	// ChosenBy is the ID of the VM that made the choice, empty for this VM.
 	ChosenBy string
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -18,8 +18,8 @@
 
 func sinceArrival(q *request) time.Duration { return time.Since(q.arrived) }
 
-// logSend logs that a stream's request is sent to the backend server chosen for
-// it. Its run number joins the line with the one of the VM that chose.
+// logSend logs that a stream's request is sent to the backend server of its
+// placement. The run number joins the line with that of the VM that placed it.
 func (s *stream) logSend(req place.Request) {
 	q := s.q
 	q.relay.Node.Log.WithFields(logrus.Fields{
--- a/foldfake/load/load.go
+++ b/foldfake/load/load.go
@@ -79,8 +79,8 @@
 	return o.EndedAt - o.FirstTokenAt
 }
 
-// Policy chooses the engines. Pick has the meaning of place.Placer.Pick; the other
-// functions report what became of the chosen requests.
+// Policy places the requests. Pick has the meaning of place.Placer.Pick; the other
+// functions report the progress and the end of the requests that were placed.
 type Policy interface {
 	Pick(now time.Time, servers []member.Backend, req place.Request) (place.Choice, bool)
 	Begin(now time.Time, id string, req place.Request)
