Relay: log how a response's end is marked, and what stood after the last event

Cause: the logs could not tell the three hypotheses of the stream that was broken off apart: request ended did not say whether the engine's answer had a length, chunks or only the end of its connection, nor what stood after the last event. Change: pool.Response has its Framing; request ended logs framing and partialBytes; forward.closeDelimited counts answers that end with their connection. Measured: tests of relay and pool pass; no decision changes.

--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -141,6 +141,7 @@
 	}
 	defer res.Body.Close()
 	a.Sent = true
+	q.recordFraming(res)
 	reply := q.relay.Codec.ParseReply(res.Status, res.Header)
 	if reply.NotRun || reply.WrongInstance {
 		a.Refused = true
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -106,6 +106,10 @@
 	maxEventGap time.Duration
 	// moves counts how often the run was resumed.
 	moves int
+	// framing is that of the last response. partialBytes is the number of bytes
+	// after the last whole event of a stream at the end of its last response.
+	framing      pool.Framing
+	partialBytes int
 }
 
 // ServeHTTP implements http.Handler.
@@ -373,12 +377,27 @@
 	if q.moves > 0 {
 		fields["moves"] = q.moves
 	}
+	if q.framing != pool.ByLength {
+		fields["framing"] = q.framing.String()
+	}
+	if q.partialBytes > 0 {
+		fields["partialBytes"] = q.partialBytes
+	}
 	if reason != "" {
 		fields["reason"] = reason
 	}
 	q.relay.Node.Log.WithFields(fields).Info("request ended")
 }
 
+// recordFraming notes how the end of a response is marked, for the log, and counts
+// responses that end with their connection.
+func (q *request) recordFraming(res *pool.Response) {
+	q.framing = res.Framing
+	if res.Framing == pool.CloseDelimited {
+		q.relay.Node.Count("forward.closeDelimited", 1)
+	}
+}
+
 // unreachableFault returns the error for a request whose only servers left are in
 // a failure domain that this VM can't reach.
 func unreachableFault(c place.Choice) *fault.Fault {
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -214,6 +214,7 @@
 // if the response is complete.
 func (s *stream) relayResponse(res *pool.Response) error {
 	defer res.Body.Close()
+	s.q.recordFraming(res)
 	if !supportedStatus(res.Status) {
 		return errUnsupportedStatus
 	}
@@ -230,6 +231,9 @@
 		if events {
 			s.relayEvents()
 		}
+		if err != nil {
+			s.q.partialBytes = len(s.splitter.Rest())
+		}
 		if err == io.EOF {
 			return s.finish(events)
 		}
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -39,7 +39,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Framing says what marks the end of Body.
+	Framing Framing
+	Body    io.ReadCloser
 }
 
 // errNoMatchingResponse reports a connection that delivered only responses to
@@ -151,7 +153,7 @@
 		x.body = res.Body
 		x.reuse = !res.Close
 		x.conn.keepAlive = keepAliveTimeout(res.Header)
-		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: (*body)(x)}, nil
+		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Framing: framingOf(res), Body: (*body)(x)}, nil
 	}
 	return nil, errNoMatchingResponse
 }
