Relay: failing tests of streams that are broken off

Change: the stand-in backend server ends streams by the end of the connection or with a clean final chunk; tests of every framing, of a resumed run, of a stream without events and of a run stopped by a move that fails.

--- /dev/null
+++ b/foldd/relay/truncated_test.go
@@ -0,0 +1,133 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"fuchsiafold.example/foldd/relay"
+	"fuchsiafold.example/foldfake/origin"
+)
+
+const streamEvents = 20
+
+// allEvents returns the body of a complete stream of streamEvents events.
+func allEvents() string {
+	var b strings.Builder
+	for i := range streamEvents {
+		b.WriteString(origin.Event(i + 1))
+	}
+	return b.String()
+}
+
+// checkTruncated checks that a caller can tell that its stream broke off, and that
+// it got whole events only.
+func checkTruncated(t *testing.T, body string, err error) {
+	t.Helper()
+	if err == nil {
+		t.Error("broken stream ended as a complete one")
+	}
+	if !strings.HasPrefix(allEvents(), body) || body != "" && !strings.HasSuffix(body, "\n\n") {
+		t.Errorf("caller got %q, want whole events only", body)
+	}
+}
+
+// TestBrokenStreamIsNotComplete lets engines break streams off in every framing.
+func TestBrokenStreamIsNotComplete(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour origin.Behaviour
+	}{
+		{"chunked, within an event", origin.Behaviour{TruncateAt: 8}},
+		{"chunked with a final chunk, within an event", origin.Behaviour{TruncateAt: 8, CleanEnd: true}},
+		{"close-delimited, within an event", origin.Behaviour{TruncateAt: 8, CloseDelimited: true}},
+		{"close-delimited, within the first event", origin.Behaviour{TruncateAt: 1, CloseDelimited: true}},
+		{"close-delimited, within the last event", origin.Behaviour{TruncateAt: streamEvents, CloseDelimited: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := startVM(t)
+			tt.behaviour.Events = streamEvents
+			e := r.backend("e", "models", respondWith(tt.behaviour))
+			_, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt")
+			checkTruncated(t, body, err)
+			if e.RunCount("1") != 1 {
+				t.Errorf("stream ran %d times, want 1", e.RunCount("1"))
+			}
+		})
+	}
+}
+
+// TestEmptyStreamIsNotComplete lets an engine close its connection after the
+// header of a close-delimited stream.
+func TestEmptyStreamIsNotComplete(t *testing.T) {
+	r := startVM(t)
+	r.backend("e", "models", respondWith(origin.Behaviour{CloseDelimited: true}))
+	_, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt")
+	checkTruncated(t, body, err)
+}
+
+// TestCloseDelimitedStreamIsComplete checks that a stream without framing that ends
+// after a whole event is passed on as complete.
+func TestCloseDelimitedStreamIsComplete(t *testing.T) {
+	r := startVM(t)
+	r.backend("e", "models", respondWith(origin.Behaviour{Events: streamEvents, CloseDelimited: true}))
+	if _, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt"); err != nil || body != allEvents() {
+		t.Errorf("error %v, body %q", err, body)
+	}
+}
+
+// startHeldStream starts a stream that is held after its fifth event at the engine
+// a, and a second engine b that handles requests by atTarget. Once a leaves, the
+// stream's caller sends its body and error on the returned channel.
+func startHeldStream(t *testing.T, atTarget origin.Behaviour) (r *testVM, a, b *origin.Server, result <-chan streamResult) {
+	t.Helper()
+	r = startVM(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	a = r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5, CloseDelimited: true}))
+	results := make(chan streamResult, 1)
+	go func() {
+		_, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt")
+		results <- streamResult{body, err}
+	}()
+	waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+	return r, a, r.backend("b", "models", respondWith(atTarget)), results
+}
+
+type streamResult struct {
+	body string
+	err  error
+}
+
+// TestBrokenResumedStreamIsNotComplete breaks a stream off after it was moved.
+func TestBrokenResumedStreamIsNotComplete(t *testing.T) {
+	r, a, b, result := startHeldStream(t, origin.Behaviour{Events: streamEvents, TruncateAt: 12, CloseDelimited: true})
+	r.relay.Mover = newMover(a, b)
+	r.announce(a, "models", true)
+	res := <-result
+	checkTruncated(t, res.body, res.err)
+}
+
+// TestStreamStoppedByFailedMoveIsNotComplete stops a run whose final copy then
+// fails, so that its stream ends without an error.
+func TestStreamStoppedByFailedMoveIsNotComplete(t *testing.T) {
+	r, a, b, result := startHeldStream(t, origin.Behaviour{})
+	inner := newMover(a, b)
+	r.relay.Mover = &relay.Mover{
+		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, error) {
+			handle, err := inner.Copy(ctx, source, id, target, stop)
+			if stop {
+				return "", errors.New("injected loss of the response")
+			}
+			return handle, err
+		},
+		Free: inner.Free,
+	}
+	r.announce(a, "models", true)
+	res := <-result
+	checkTruncated(t, res.body, res.err)
+}
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -36,14 +36,16 @@
 	// NotRun answers with status 503 and the header that says the request did not
 	// run.
 	NotRun bool
-	// CloseDelimited sends the body without a Content-Length and closes the
-	// connection after it.
+	// CloseDelimited sends the body without a Content-Length or chunks and closes
+	// the connection after it.
 	CloseDelimited bool
 	// TruncateAt, if positive, closes the connection after that many bytes of the
 	// body, or in the middle of the event with that number. Reset makes the close a
-	// TCP reset, except after a stream of events.
+	// TCP reset, except after a stream of events. CleanEnd ends a chunked stream with
+	// its final chunk there.
 	TruncateAt int
 	Reset      bool
+	CleanEnd   bool
 	// ExtraResponse sends a response with a wrong request ID before the correct one.
 	ExtraResponse bool
 	// RespondEarly sends the response before the request body has been read.
@@ -315,7 +317,8 @@
 		s.mu.Unlock()
 		close(current.done)
 	}()
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerRequestID, id); err != nil {
+	out := streamWriter{w: c, chunked: !b.CloseDelimited}
+	if err := out.writeHead(id); err != nil {
 		return false
 	}
 	for current.sent < current.total {
@@ -325,25 +328,60 @@
 		}
 		if s.isStopped(current) {
 			if s.CleanStop {
-				_, _ = io.WriteString(c, "0\r\n\r\n")
+				_ = out.writeEnd()
 			}
 			return false
 		}
 		e := Event(current.sent + 1)
 		if b.TruncateAt > 0 && current.sent+1 == b.TruncateAt {
 			// Send half of the event, and let the connection close.
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e)/2, e[:len(e)/2])
+			_ = out.write(e[:len(e)/2])
+			if b.CleanEnd {
+				_ = out.writeEnd()
+			}
 			return false
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+		if err := out.write(e); err != nil {
 			return false
 		}
 		s.mu.Lock()
 		current.sent++
 		s.mu.Unlock()
 	}
-	_, err := io.WriteString(c, "0\r\n\r\n")
-	return err == nil
+	return out.writeEnd() == nil && !b.CloseDelimited
+}
+
+// streamWriter writes a stream of events in chunks, or delimited by the end of the
+// connection.
+type streamWriter struct {
+	w       io.Writer
+	chunked bool
+}
+
+func (s streamWriter) writeHead(id string) error {
+	transferEncoding := ""
+	if s.chunked {
+		transferEncoding = "Transfer-Encoding: chunked\r\n"
+	}
+	_, err := fmt.Fprintf(s.w, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", headerRequestID, id, transferEncoding)
+	return err
+}
+
+func (s streamWriter) write(text string) error {
+	if s.chunked {
+		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	_, err := io.WriteString(s.w, text)
+	return err
+}
+
+// writeEnd writes the final chunk.
+func (s streamWriter) writeEnd() error {
+	if !s.chunked {
+		return nil
+	}
+	_, err := io.WriteString(s.w, "0\r\n\r\n")
+	return err
 }
 
 // holdPollInterval is the time between two checks whether a held run has been
