Relay: a stream that ends within an event is broken off, whatever marks its end

Seen: on dmhc two callers got an answer whose engine had crashed as a complete one, with a part of the body missing. Cause: the relay took every end of a response without an error for the end of the stream, and sent the bytes after the last whole event on before it ended the caller's response as complete. A response without a length or chunks ends with its connection, also when its engine crashes: there the end of the connection proves nothing. The class: completeness concluded from the transport alone, where the content says otherwise. Change: a stream is complete only after a whole event; one without framing also needs an event in each response, so that a connection closed after the header, or after a resumed run's header, is no complete stream. Otherwise the caller's connection is closed before the end of the response, after whole events only. It holds for resumed runs, as they are read by the same code.

--- a/fold/event/event.go
+++ b/fold/event/event.go
@@ -30,6 +30,10 @@
 // Rest returns the buffered bytes after the last event returned by Next.
 func (s *Splitter) Rest() []byte { return s.buf }
 
+// Partial reports whether the bytes after the last event returned by Next are the
+// beginning of another one. Line ends alone are not.
+func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
+
 // Reset discards the buffered bytes.
 func (s *Splitter) Reset() { s.buf = nil }
 
--- a/fold/event/event_test.go
+++ b/fold/event/event_test.go
@@ -64,3 +64,17 @@
 		}
 	})
 }
+
+// TestPartial checks which bytes after the last event are the beginning of another
+// one.
+func TestPartial(t *testing.T) {
+	for rest, want := range map[string]bool{"": false, "\n": false, "\r\n": false, "i": true, "data: x": true, "data: x\n": true} {
+		var s Splitter
+		s.Write([]byte("data: a\n\n" + rest))
+		for s.Next() != nil {
+		}
+		if got := s.Partial(); got != want {
+			t.Errorf("rest %q: partial %t, want %t", rest, got, want)
+		}
+	}
+}
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -14,6 +14,8 @@
 	errResponseTooLarge  = eris.New("the answer exceeds the size limit")
 	errUnsupportedStatus = eris.New("the backend server answered with a status that can't be passed on")
 	errStreamInterrupted = eris.New("the stream broke off")
+	errPartialEvent      = eris.New("the stream ended within an event")
+	errNoEvents          = eris.New("the connection ended before the first event")
 )
 
 func sinceArrival(q *request) time.Duration { return time.Since(q.arrived) }
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -111,6 +111,8 @@
 			s.q.relay.logAttempt(s.q, s.server, err)
 			return s.interruptedFault(err)
 		default:
+			// The HTTP server detects a caller that has disconnected.
+			_, _ = s.w.Write(s.splitter.Rest())
 			s.recordLength(true)
 			s.detach(place.Answered)
 			return nil
@@ -224,6 +226,7 @@
 		s.w.WriteHeader(res.Status)
 	}
 	events := res.Status == http.StatusOK
+	before := s.eventCount()
 	buf := make([]byte, readChunk)
 	for {
 		n, err := res.Body.Read(buf)
@@ -235,10 +238,9 @@
 			s.q.partialBytes = len(s.splitter.Rest())
 		}
 		if err == io.EOF {
-			return s.finish(events)
+			return s.checkEnd(res, before)
 		}
 		if err != nil {
-			s.splitter.Reset()
 			return err
 		}
 		if s.q.caller.Disconnected() {
@@ -302,13 +304,17 @@
 	s.reportedTokens = generated
 }
 
-// finish sends the bytes after the last complete event to the caller at the end
-// of a response, unless the run is being moved to another engine.
-func (s *stream) finish(events bool) error {
-	if m := s.currentMove(); m != nil && events {
-		return nil
+// checkEnd returns an error if a response that has ended is not complete. before is
+// the number of events before the response. A stream of events is complete only
+// after a whole event. Other bodies are opaque.
+func (s *stream) checkEnd(res *pool.Response, before int) error {
+	if res.Status == http.StatusOK {
+		switch {
+		case s.splitter.Partial():
+			return errPartialEvent
+		case res.Framing == pool.CloseDelimited && s.eventCount() == before:
+			return errNoEvents
+		}
 	}
-	_, _ = s.w.Write(s.splitter.Rest())
-	s.splitter.Reset()
 	return nil
 }
