Relay: a stream whose run may have been stopped by a failed move is not complete

Seen: nothing at the users'; found where the same cause was looked for. Cause: a move stops the run before its final copy. If the copy then fails without a handle and the stream of the stopped run ends without an error, the relay took that end for the run's own. The same class as the stream that was broken off: completeness concluded from an end that means something else. Change: a move that failed other than by "no such run" marks its run as possibly stopped, unless events came after it; the end of such a stream is reported as interrupted.

--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -15,6 +15,7 @@
 	errUnsupportedStatus = eris.New("the backend server answered with a status that can't be passed on")
 	errStreamInterrupted = eris.New("the stream broke off")
 	errPartialEvent      = eris.New("the stream ended within an event")
+	errStoppedByMove     = eris.New("the run may have been stopped for a move that failed")
 	errNoEvents          = eris.New("the connection ended before the first event")
 )
 
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -44,14 +44,18 @@
 // its memory is copied.
 type move struct {
 	target backend
-	// done is closed when the move has ended. Only then may handle and
-	// atSource be read. If handle is not empty, the run can be resumed by it, at
-	// target or, if atSource is set, at the source.
+	// done is closed when the move has ended. Only then may the fields below be
+	// read. If handle is not empty, the run can be resumed by it, at target or, if
+	// atSource is set, at the source.
 	done   chan struct{}
 	handle string
 	// atSource is set if the target rejected the run and the source keeps its
 	// memory.
 	atSource bool
+	// stopUnknown is set if the move failed and the run may have been stopped all
+	// the same. eventsAtEnd is the number of the stream's events at that time.
+	stopUnknown bool
+	eventsAtEnd int
 }
 
 const (
@@ -184,6 +188,13 @@
 	return m
 }
 
+// mayHaveStopped reports whether a stream that has ended without an error may have
+// been stopped before its end by the move m, which has ended and may be nil. Events
+// after the end of the move show that the run went on.
+func (s *stream) mayHaveStopped(m *move) bool {
+	return m != nil && m.stopUnknown && s.events == m.eventsAtEnd
+}
+
 // moveRun copies a run's memory to another engine while the run continues, then
 // stops the run and copies the rest. The stream's goroutine then resumes the run
 // at the other engine or, if that one has no room, at its own. If the first copy
@@ -213,6 +224,7 @@
 		m.handle, m.atSource = finalHandle, true
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Rejected)
 	default:
+		m.stopUnknown, m.eventsAtEnd = !errors.Is(err, ErrRunNotFound), s.eventCount()
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
 		x.free(from.Addr, handle)
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -110,6 +110,9 @@
 			s.detach(place.Failed)
 			s.q.relay.logAttempt(s.q, s.server, err)
 			return s.interruptedFault(err)
+		case s.mayHaveStopped(m):
+			s.detach(place.Cancelled)
+			return s.interruptedFault(errStoppedByMove)
 		default:
 			// The HTTP server detects a caller that has disconnected.
 			_, _ = s.w.Write(s.splitter.Rest())
