Peer: a reply without framing is an error

Seen: nothing at the users'; found where the cause of the broken stream was looked for in calls between processes. Cause: a reply without a length or chunks ends with its connection; cut at the right byte, a Protocol Buffers message decodes as a shorter one. Empty, it is a placement with no server. The VMs frame all replies, so such a one is truncated or foreign. Change: the client for calls between VMs rejects replies without framing.

--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -47,7 +47,7 @@
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}
-	s := &Service{node: n, http: &http.Client{Transport: t}, inFlight: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
+	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
 	n.SetTransport(s.exchangeAll, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	return s
