Relay: streams need HTTP/1.1

Seen: nothing at the users', whose callers speak HTTP/1.1; found where the cause of the broken stream was looked for. Cause: a response to HTTP/1.0 has no chunks. The server states the first event as its whole length, so a caller takes any stream as complete after one event, a broken one too. Change: a forwarded stream over HTTP/1.0 is rejected as not run with status 505. Evidence: TestStreamNeedsChunks got status 200 before, 505 and no run now; tests of relay pass.

--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -172,6 +172,9 @@
 	if q.forward, ok = index.Forward(r.Host, r.URL.Path); !ok {
 		return q, fault.NotRun(http.StatusNotFound, fault.UnknownRoute, "no forward for "+strconv.Quote(r.Host+r.URL.Path))
 	}
+	if q.forward.Kind == spec.ForwardStream && !r.ProtoAtLeast(1, 1) {
+		return q, fault.NotRun(http.StatusHTTPVersionNotSupported, fault.BadRequest, "a stream needs HTTP/1.1: without chunks its end can't be told from a lost connection")
+	}
 	if !q.authorize(index) {
 		return q, fault.NotRun(http.StatusUnauthorized, fault.Unauthorized, "the workspace key is missing or unknown")
 	}
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// TestStreamNeedsChunks checks that a caller whose protocol has no chunks, and who
+// so can't tell a broken stream, gets none.
+func TestStreamNeedsChunks(t *testing.T) {
+	r := startVM(t)
+	e := r.backend("e", "models", respondWith(origin.Behaviour{Events: streamEvents, TruncateAt: 8}))
+	_, reader := r.sendRaw("POST /draft/x HTTP/1.0\r\nHost: h.example\r\nFold-Request-Id: 1\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n")
+	res, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if res.StatusCode != http.StatusHTTPVersionNotSupported || e.RunCount("1") != 0 {
+		t.Errorf("status %d, %d runs; want 505, none", res.StatusCode, e.RunCount("1"))
+	}
+}
+
 // startHeldStream starts a stream that is held after its fifth event at the engine
 // a, and a second engine b that handles requests by atTarget. Once a leaves, the
 // stream's caller sends its body and error on the returned channel.
