Relay: log the parts of a prompt, and how far a lost run was

Cause: the logs could not tell the hypotheses of the prompts that crash engines apart: no line named the parts of a prompt, nor whether the answer of a lost run had begun. Change: the codec parses the parts of a prompt; request sent lists them, and the line of a lost run has its parts, events and whether its answer had begun. Measured: tests of relay and platform pass; no decision changes.

--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -27,8 +27,14 @@
 	// to generate.
 	Tokens    int
 	MaxTokens int
+	// Parts holds the IDs of the prompt's parts in their order. Requests share
+	// parts; the last one belongs to the request or its session alone.
+	Parts []string
 }
 
+// SharedParts returns the IDs of the parts that other requests may have too.
+func (p *Prompt) SharedParts() []string { return p.Parts[:max(len(p.Parts)-1, 0)] }
+
 // ForwardParams holds the parameters that are sent to a backend server with a
 // forwarded request.
 type ForwardParams struct {
@@ -86,6 +92,7 @@
 	headerModel     = "Fold-Model"
 	headerTokens    = "Fold-Prompt-Tokens"
 	headerMaxTokens = "Fold-Max-Tokens"
+	headerParts     = "Fold-Prompt-Parts"
 	headerBackend   = "Fold-Backend"
 	headerWorkspace = "Fold-Workspace"
 	headerPriority  = "Fold-Priority"
@@ -109,6 +116,7 @@
 			Model:     h.Get(headerModel),
 			Tokens:    ParseCount(h.Get(headerTokens)),
 			MaxTokens: ParseCount(h.Get(headerMaxTokens)),
+			Parts:     ParseParts(h.Get(headerParts)),
 		},
 	}
 }
@@ -123,6 +131,31 @@
 	return n
 }
 
+const (
+	// maxParts bounds the parts of a prompt that are told apart, and maxPartID the
+	// length of an ID in bytes.
+	maxParts  = 32
+	maxPartID = 64
+)
+
+// ParseParts parses the IDs of a prompt's parts from a header: comma-separated
+// entries of a hexadecimal ID, a colon and the number of tokens. It returns nil if
+// the list is malformed or too long.
+func ParseParts(text string) []string {
+	if text == "" {
+		return nil
+	}
+	var ids []string
+	for entry := range strings.SplitSeq(text, ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(entry), ":")
+		if _, err := strconv.ParseUint(tokens, 10, 32); err != nil || !ok || id == "" || len(id) > maxPartID || len(ids) == maxParts {
+			return nil
+		}
+		ids = append(ids, strings.ToLower(id))
+	}
+	return ids
+}
+
 func writeForward(h http.Header, p ForwardParams) {
 	for _, name := range []string{"Authorization", headerResume, headerLastEvent, headerPriority} {
 		h.Del(name)
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -28,12 +28,25 @@
 	q.relay.Node.Log.WithFields(logrus.Fields{
 		"request": q.params.ID, "run": req.ID, "backend": q.backend, "placedBy": q.placedBy, "forward": q.forward.Name,
 		"promptTokens": req.PromptTokens, "budgetMs": req.FirstTokenBudget.Milliseconds(), "ms": sinceArrival(q).Milliseconds(),
+		"parts": q.params.Prompt.Parts,
 	}).Info("request sent")
 }
 
 // logAttempt logs a failed attempt to send the request to a backend server.
 func (x *Relay) logAttempt(q *request, b backend, err error) {
-	x.Node.Log.WithFields(logrus.Fields{
-		"request": q.params.ID, "backend": b.ID, "addr": b.Addr, "epoch": b.Epoch, "ms": sinceArrival(q).Milliseconds(),
+	x.attemptLog(q, b).WithError(err).Warn("attempt at a backend server failed")
+}
+
+// logLoss logs that the connection of a run was lost. It states how far the run
+// was, and the parts of its prompt.
+func (s *stream) logLoss(b backend, begun bool, err error) {
+	s.q.relay.attemptLog(s.q, b).WithFields(logrus.Fields{
+		"begun": begun, "events": s.events, "parts": s.q.params.Prompt.Parts,
 	}).WithError(err).Warn("attempt at a backend server failed")
 }
+
+func (x *Relay) attemptLog(q *request, b backend) *logrus.Entry {
+	return x.Node.Log.WithFields(logrus.Fields{
+		"request": q.params.ID, "backend": b.ID, "addr": b.Addr, "epoch": b.Epoch, "ms": sinceArrival(q).Milliseconds(),
+	})
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -108,7 +108,7 @@
 			}
 		case err != nil:
 			s.detach(place.Failed)
-			s.q.relay.logAttempt(s.q, s.server, err)
+			s.logLoss(s.server, true, err)
 			return s.interruptedFault(err)
 		case s.mayHaveStopped(m):
 			s.detach(place.Cancelled)
@@ -177,14 +177,16 @@
 			}
 			return nil, q.timeoutFault()
 		}
-		q.relay.logAttempt(q, b, err)
-		if sent {
-			q.relay.Node.EndPlacement(b.ID, s.placement, place.Failed)
-			q.sent++
-			return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
+		if !sent {
+			q.relay.logAttempt(q, b, err)
+			q.relay.Node.EndPlacement(b.ID, s.placement, place.Unreachable)
+			unsent++
+			continue
 		}
-		q.relay.Node.EndPlacement(b.ID, s.placement, place.Unreachable)
-		unsent++
+		s.logLoss(b, false, err)
+		q.relay.Node.EndPlacement(b.ID, s.placement, place.Failed)
+		q.sent++
+		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
 	}
 	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").WithRetryAfter(notReadyRetryAfter)
 }
