--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -55,6 +55,9 @@
 	// response.
 	Hang bool
 	Drop bool
+	// Crash sends the header and half of the first event of a stream, and then
+	// closes the server and all its connections.
+	Crash bool
 	// Events, if positive, answers with a stream of that many events, with a pause
 	// of Gap before each.
 	Events int
@@ -243,6 +246,13 @@
 	case b.Drop:
 		s.countRun(id)
 		return false
+	case b.Crash:
+		s.countRun(id)
+		out := streamWriter{w: c, chunked: !b.CloseDelimited}
+		_ = out.writeHead(id)
+		_ = out.write(Event(1)[:5])
+		s.Close()
+		return false
 	case b.Hang:
 		s.countRun(id)
 		_, _ = io.Copy(io.Discard, c)
