Poison: prompts that crash engines are kept from engines

Cause: nothing connected the end of an engine with the prompts of the runs that it had just begun. Each VM forwarded each request with the part to the engine that suited it, for as long as such requests came. The class: a fault that travels with the request is handled as a fault of the server that it hits. Change: package poison. A run that was lost when its engine closed the connection, before its fourth event, is evidence against the shared parts of its prompt; a later run with a part that gets further clears it. Three crashes half a second apart without a survival (four if the part was sound before) put a part in quarantine; it explains the losses of all runs that had it, so that the parts beside it are not held responsible. VMs send each other losses and survivals with their exchanges, at once when they are new. A request with a part in quarantine is rejected as not run, with the time of the next trial; the placement VM makes one after 5, 10, 20, 40, 80 minutes. Ends of engines that were leaving, timeouts and cancelled requests are no evidence.

--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -35,6 +35,7 @@
 	UnknownOutcome         = "unknownOutcome"
 	BackendFailed          = "backendFailed"
 	AnswerTooLarge         = "answerTooLarge"
+	Quarantined            = "quarantined"
 )
 
 // Fault is an error that is returned to a caller.
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/poison"
 )
 
 // Exchange is what one VM sends to another in an exchange, a call and its response
@@ -17,6 +18,8 @@
 	Known []member.PeerUpdate
 	// Leases is the digest of the local table.
 	Leases member.Leases
+	// Prompts holds what this VM knows of prompts that crash engines.
+	Prompts poison.Update
 	// Version is the version of the local table of backend servers that the peer
 	// has once it has applied Updates.
 	Version uint64
@@ -121,7 +124,7 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now)}
+	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now), Prompts: n.poison.Share(now)}
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -28,6 +28,7 @@
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/fold/poison"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
@@ -133,6 +134,10 @@
 	reportScheduled bool
 	// forwardBudgets holds the retry budget of each service.
 	forwardBudgets map[string]*retry.WindowBudget
+	// poison holds what is known of prompts that crash engines, and quarantined the
+	// parts that were in quarantine when that was last logged.
+	poison      poison.Table
+	quarantined map[string]poison.Quarantine
 }
 
 // New returns a node without a configuration.
--- /dev/null
+++ b/foldd/node/poison.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/poison"
+)
+
+// PromptLost records that an engine crashed under a run that had not survived. parts
+// are the shared parts of its prompt; begun is set if the engine had begun its
+// answer. An engine that is leaving ends its runs without a crash.
+func (n *Node) PromptLost(parts []string, b member.Backend, begun bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if current, ok := n.table.Get(b.ID); ok && current.Leaving {
+		return
+	}
+	crash := poison.Crash{Backend: b.ID, Epoch: b.Epoch}
+	if !n.poison.Lost(time.Now(), parts, crash, begun) {
+		return
+	}
+	n.Count("poison.losses", 1)
+	n.logLoss(poison.Loss{Parts: parts, Crash: crash, Begun: begun}, "")
+	n.logQuarantines()
+	n.gossipPromptUpdate("")
+}
+
+// PromptSurvived records that a run with the given shared parts got further than lost
+// ones do.
+func (n *Node) PromptSurvived(parts []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.poison.Survived(time.Now(), parts) {
+		return
+	}
+	n.Count("poison.cleared", 1)
+	if n.logQuarantines() {
+		n.gossipPromptUpdate("")
+	}
+}
+
+// Quarantine returns why a request of a service must not be sent to an engine, if a
+// part of its prompt is in quarantine. The placement VM of the service lets a rare
+// request pass as a trial.
+func (n *Node) Quarantine(service string, parts []string) (poison.Quarantine, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	q, ok := n.poison.Check(now, parts)
+	if !ok {
+		return q, false
+	}
+	if _, remote := n.placementVM(now, service); !remote && n.poison.BeginTrial(now, q) {
+		n.Count("poison.trials", 1)
+		n.Log.WithFields(quarantineFields(q)).Warn("prompt part in quarantine is tried again")
+		return q, false
+	}
+	n.Count("poison.refused", 1)
+	return q, true
+}
+
+// ReceivePromptUpdate applies the update of another VM on parts of prompts.
+func (n *Node) ReceivePromptUpdate(u poison.Update, from string) {
+	if len(u.Losses) == 0 && len(u.Survivals) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	added := n.poison.Merge(time.Now(), u)
+	for _, l := range added {
+		n.logLoss(l, from)
+	}
+	n.logQuarantines()
+	if len(added) > 0 {
+		n.gossipPromptUpdate(from)
+	}
+}
+
+// gossipPromptUpdate sends what has changed to other VMs at once. from is the VM that
+// the change came from, empty for this one. The caller holds the lock.
+func (n *Node) gossipPromptUpdate(from string) {
+	to := n.group.UrgentTargets(time.Now(), from, n.random)
+	go n.Gossip(to)
+}
+
+// logLoss logs evidence against the parts of a prompt.
+func (n *Node) logLoss(l poison.Loss, from string) {
+	n.Log.WithFields(logrus.Fields{
+		"parts": l.Parts, "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun, "ageMs": l.Age.Milliseconds(), "from": from,
+	}).Info("engine crashed under a prompt")
+}
+
+// logQuarantines logs the parts that entered or left quarantine since it was last
+// called, and reports whether there are any. The caller holds the lock.
+func (n *Node) logQuarantines() bool {
+	list := n.poison.Quarantines()
+	if len(list) == 0 && len(n.quarantined) == 0 {
+		return false
+	}
+	before := n.quarantined
+	n.quarantined = map[string]poison.Quarantine{}
+	changed := false
+	for _, q := range list {
+		n.quarantined[q.Part] = q
+		if _, known := before[q.Part]; !known {
+			changed = true
+			n.Log.WithFields(quarantineFields(q)).Warn("prompt part crashes engines; put in quarantine")
+		}
+	}
+	for part, q := range before {
+		if _, still := n.quarantined[part]; !still {
+			changed = true
+			n.Log.WithFields(quarantineFields(q)).Warn("prompt part left quarantine")
+		}
+	}
+	return changed
+}
+
+func quarantineFields(q poison.Quarantine) logrus.Fields {
+	return logrus.Fields{"part": q.Part, "crashes": q.Crashes, "lastLossAgeMs": time.Since(q.LastLoss).Milliseconds()}
+}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -141,7 +141,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	out := s.node.OutgoingExchange(addr)
-	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Leases: toLeases(&out.Leases)}
+	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts)}
 	for _, u := range out.Updates {
 		req.Backends = append(req.Backends, ToBackend(u))
 	}
@@ -156,6 +156,7 @@
 	s.node.Count("peers.exchanges", 1)
 	from := FromPeer(res.Msg.GetFrom())
 	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
+	s.node.ReceivePromptUpdate(fromPromptUpdate(res.Msg.GetPrompts()), from.ID)
 	s.node.RecordExchange(from.ID, out.Version, res.Msg.GetVersion())
 	return s.fetchNewerConfig(ctx, from)
 }
@@ -202,8 +203,9 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
 	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
+	s.node.ReceivePromptUpdate(fromPromptUpdate(m.GetPrompts()), from.ID)
 	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch())
-	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version, Leases: toLeases(&out.Leases)}
+	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts)}
 	for _, u := range out.Updates {
 		res.Backends = append(res.Backends, ToBackend(u))
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -60,6 +60,9 @@
 	move *move
 	// ended is set once no further events will come.
 	ended bool
+	// survived is set once the run's prompt is known not to crash its engine. Only
+	// the stream's own goroutine uses it.
+	survived bool
 }
 
 // serveStream forwards a request whose response is a stream of events.
@@ -108,7 +111,7 @@
 			}
 		case err != nil:
 			s.detach(place.Failed)
-			s.logLoss(s.server, true, err)
+			s.recordLoss(s.server, true, err)
 			return s.interruptedFault(err)
 		case s.mayHaveStopped(m):
 			s.detach(place.Cancelled)
@@ -117,6 +120,7 @@
 			// The HTTP server detects a caller that has disconnected.
 			_, _ = s.w.Write(s.splitter.Rest())
 			s.recordLength(true)
+			s.recordSurvival()
 			s.detach(place.Answered)
 			return nil
 		}
@@ -137,6 +141,9 @@
 	var tried []string
 	maxAttempts := max(q.forward.Attempts, 1)
 	for unsent := 0; unsent < maxUnsent; {
+		if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.params.Prompt.SharedParts()); ok {
+			return nil, quarantineFault(quarantine)
+		}
 		req := s.placement
 		req.Exclude, req.FirstTokenBudget = tried, s.firstTokenBudget()
 		choice, ok := q.relay.Node.Place(ctx, q.service.Name, req)
@@ -183,7 +190,7 @@
 			unsent++
 			continue
 		}
-		s.logLoss(b, false, err)
+		s.recordLoss(b, false, err)
 		q.relay.Node.EndPlacement(b.ID, s.placement, place.Failed)
 		q.sent++
 		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
@@ -280,6 +287,9 @@
 		}
 	}
 	s.recordLength(false)
+	if s.events >= survivingEvents {
+		s.recordSurvival()
+	}
 	s.q.relay.returnRun(s)
 	if f, ok := s.w.(http.Flusher); wrote && ok {
 		f.Flush()
