App: failing test of generations that crash engines

Cause: found where the cause of the prompts that crash engines was looked for: a generation of the own interface is started again at another engine when its engine is lost before its first token, up to four times, and so is each further one with such a prompt.

--- a/foldd/app/crash_test.go
+++ b/foldd/app/crash_test.go
@@ -12,8 +12,10 @@
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
 	"fuchsiafold.example/foldd/app"
 	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldfake/host"
 	"fuchsiafold.example/foldfake/origin"
 )
 
@@ -146,3 +148,55 @@
 		t.Errorf("%d of %d sound requests with the same key and first part were served, want all", sound, requests)
 	}
 }
+
+// TestGenerationThatCrashesEnginesIsQuarantined sends prompts to two VMs in turn that
+// begin with the same text. Each engine crashes at its first token.
+func TestGenerationThatCrashesEnginesIsQuarantined(t *testing.T) {
+	t.Parallel()
+	// An engine that has crashed is forgotten soon.
+	const lease = 500 * time.Millisecond
+	first := startEntry(t, "vm0", func(s *conf.Settings) { s.Limits.BackendLease = strict.Duration(lease) })
+	second := startEntry(t, "vm1", func(s *conf.Settings) {
+		s.Limits.BackendLease = strict.Duration(lease)
+		s.Peers = append(s.Peers, first.Addrs().Peers)
+	})
+	vms := []*app.App{first, second}
+	for _, a := range vms {
+		waitFor(t, "the VMs to know each other", func() bool { return len(a.Node.Peers()) == 1 })
+	}
+	var engines []*host.Engine
+	crashes := 0
+	// replaceCrashed counts the engines that have crashed and starts others.
+	replaceCrashed := func() {
+		engines = slices.DeleteFunc(engines, (*host.Engine).Closed)
+		for len(engines) < 5 {
+			crashes++
+			engines = append(engines, startEngineWith(t, host.Config{ID: fmt.Sprint("e", crashes), CrashPrompt: "bad"}, vms...))
+		}
+	}
+	replaceCrashed()
+	crashes = 0
+	generate := func(vm int, start string) bool {
+		prompt := fmt.Sprintf("%-300s %d [len=5]", start, time.Now().UnixNano())
+		r := readAnswer(callerRequest{class: "summary", body: fmt.Sprintf(`{"model":"advice-7b","prompt":%q,"stream":true}`, prompt)}.send(t, vms[vm]), nil)
+		before := crashes
+		if replaceCrashed(); crashes > before {
+			time.Sleep(3 * lease)
+		}
+		return r.summary != nil && r.summary.Outcome == "done"
+	}
+	for i := 0; crashes < crashesBefore; i++ {
+		generate(i%2, "bad")
+	}
+	time.Sleep(newsBound)
+	before := crashes
+	for i := range 4 {
+		generate(i%2, "bad")
+		if !generate(i%2, "good") {
+			t.Error("a sound generation was not served")
+		}
+	}
+	if n := crashes - before; n > sendsAfter {
+		t.Errorf("%d engines crashed later than %v after %d crashes, want at most %d", n, newsBound, crashesBefore, sendsAfter)
+	}
+}
--- a/foldd/app/rig_test.go
+++ b/foldd/app/rig_test.go
@@ -117,10 +117,15 @@
 // and waits until they know it.
 func startEngine(t testing.TB, id string, entries ...*app.App) *host.Engine {
 	t.Helper()
-	c := host.Config{
-		ID: id, Addr: loopback, Service: "advice-models", Model: "advice-7b", Domain: "a",
-		Params: fastParams(), Interval: 50 * time.Millisecond, Log: quietLog(),
-	}
+	return startEngineWith(t, host.Config{ID: id}, entries...)
+}
+
+// startEngineWith is startEngine with fields of the configuration that are not the
+// same for all engines of these tests.
+func startEngineWith(t testing.TB, c host.Config, entries ...*app.App) *host.Engine {
+	t.Helper()
+	c.Addr, c.Service, c.Model, c.Domain = loopback, "advice-models", "advice-7b", "a"
+	c.Params, c.Interval, c.Log = fastParams(), 50*time.Millisecond, quietLog()
 	for _, e := range entries {
 		c.Entries = append(c.Entries, e.Addrs().Backends)
 	}
@@ -130,7 +135,7 @@
 	}
 	t.Cleanup(func() { e.Close() })
 	for _, a := range entries {
-		waitFor(t, "engine "+id+" to be known", func() bool { _, ok := a.Node.Backend(id); return ok })
+		waitFor(t, "engine "+c.ID+" to be known", func() bool { _, ok := a.Node.Backend(c.ID); return ok })
 	}
 	return e
 }
--- a/foldfake/host/api.go
+++ b/foldfake/host/api.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -115,6 +116,7 @@
 	}
 	g := newGeneration(c.RequestID, c.Model, time.Duration(c.ResumeWindowMS)*time.Millisecond)
 	g.readers = 1
+	g.crashes = e.conf.CrashPrompt != "" && strings.Contains(c.Prompt, e.conf.CrashPrompt)
 	e.generations[c.RequestID] = g
 	e.wakeStepLoop()
 	return g, nil
--- a/foldfake/host/gen.go
+++ b/foldfake/host/gen.go
@@ -30,6 +30,8 @@
 	resumeWindow time.Duration
 	// changed is closed and replaced at each change, to wake the readers.
 	changed chan struct{}
+	// crashes is set if the engine crashes when the first token is due.
+	crashes bool
 }
 
 func newGeneration(id, model string, window time.Duration) *generation {
--- a/foldfake/host/host.go
+++ b/foldfake/host/host.go
@@ -39,6 +39,9 @@
 	Interval time.Duration
 	Lag      time.Duration
 	Log      *logrus.Logger
+	// CrashPrompt, if not empty, makes the engine close, as if its process had died,
+	// when the first token of a prompt that contains this text is due.
+	CrashPrompt string
 }
 
 const (
@@ -144,6 +147,9 @@
 	return err
 }
 
+// Closed reports whether the engine has been closed.
+func (e *Engine) Closed() bool { return e.ctx.Err() != nil }
+
 // Load returns the engine's current load.
 func (e *Engine) Load() model.Load {
 	e.mu.Lock()
@@ -192,9 +198,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, t := range tokens {
-		if g := e.generations[t.ID]; g != nil {
-			g.addToken(t)
+		g := e.generations[t.ID]
+		if g == nil {
+			continue
+		}
+		if g.crashes {
+			// Close waits for the loop that publishes.
+			go e.Close()
+			return
 		}
+		g.addToken(t)
 	}
 }
 
