Entry: generations that crash engines are kept from engines

Seen: nothing at the users'; found where the cause of the prompts that crash engines was looked for. Cause: a generation of the own interface that is lost before its first token starts again at another engine, up to four times, and callers' further ones with such a prompt too. Nothing connected them. Change: the beginning of a prompt and the whole of it are its parts for package poison. A generation lost before its 16th token is evidence against them, one that gets there clears them; a part in quarantine ends a generation before it is scheduled, also in the middle of its restarts. Its model's scheduler makes the trials. What the relay and the entry share (errors of a connection that the server closed, the error for callers) has one place.

--- a/foldd/entry/complete.go
+++ b/foldd/entry/complete.go
@@ -78,6 +78,7 @@
 		Arrived:      time.Now(),
 		Policy:       e.Node.AssignPolicy(),
 	}
+	g.parts = promptParts(req.Prompt, g.sched.Prefix)
 	return g.run(ctx)
 }
 
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -18,6 +18,7 @@
 	"fuchsiafold.example/fold/trial"
 	"fuchsiafold.example/foldd/engine"
 	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
 )
 
@@ -58,6 +59,13 @@
 	// sample holds the request's part of the measures by which policies are
 	// compared.
 	sample trial.Sample
+	// parts holds the parts of the prompt that other requests may share. It is empty
+	// for a generation that is resumed.
+	parts []string
+	// survived is set once the prompt is known not to crash engines, and silent once
+	// an engine has sent nothing for maxEngineSilence.
+	survived bool
+	silent   bool
 }
 
 func (e *Handler) newGeneration(w http.ResponseWriter, a requester, class spec.Class, streamed bool) *generation {
@@ -71,7 +79,11 @@
 func (g *generation) run(ctx context.Context) *fault.Fault {
 	defer g.recordRequest()
 	for {
-		decision, fail := g.awaitDecision(ctx)
+		fail := g.checkQuarantine()
+		var decision node.Decision
+		if fail == nil {
+			decision, fail = g.awaitDecision(ctx)
+		}
 		if fail != nil && g.out.mayHaveRun && fail != errCallerDisconnected {
 			// An engine may have begun an earlier attempt.
 			fail.Outcome = retry.Interrupted
@@ -142,10 +154,14 @@
 	g.signHandle(backend, addr, id)
 	s, sent, err := g.handler.Engines.Start(ctx, addr, g.engineRequest(id, priority))
 	if err != nil {
+		g.recordStartLoss(backend, sent && ctx.Err() == nil, err)
 		return g.handleStartError(ctx, addr, id, sent, err)
 	}
 	g.out.mayHaveRun = true
 	step, fail := g.deliverGeneration(ctx, s, addr, id)
+	if ctx.Err() == nil {
+		g.recordEnd(backend, step)
+	}
 	switch {
 	case fail != nil:
 		n.Finish(g.sched.ID, sched.Cancelled)
@@ -227,6 +243,7 @@
 }
 
 func (g *generation) handleEvent(id string, ev engine.Event) deliv.Step {
+	g.recordProgress(ev)
 	if ev.Ended {
 		g.sample.Preemptions += ev.Preemptions
 		return g.stream.End(id, ev.Total)
@@ -244,6 +261,7 @@
 		if time.Since(lastEvent) < maxEngineSilence {
 			return deliv.Step{Action: deliv.Resume, ResumeAfter: g.stream.ReceivedOffset()}
 		}
+		g.silent = true
 		return g.stream.GenerationLost(id)
 	}
 	g.handler.Node.Count("engine.linksLost", 1)
--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"fuchsiafold.example/fold/poison"
 	"fuchsiafold.example/fold/retry"
 )
 
@@ -66,6 +68,13 @@
 	Tokens int `json:"tokens,omitempty"`
 }
 
+// FromQuarantine returns the error for a request whose prompt has a part that crashes
+// engines.
+func FromQuarantine(q poison.Quarantine) *Fault {
+	message := fmt.Sprintf("part %s of the prompt has crashed engines %d times", q.Part, q.Crashes)
+	return NotRun(http.StatusServiceUnavailable, Quarantined, message).WithRetryAfter(q.RetryAfter)
+}
+
 // Body returns the JSON form of the fault, with the number of tokens that were
 // delivered before it.
 func (f *Fault) Body(tokens int) []byte {
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -42,18 +42,35 @@
 	}
 }
 
-// Quarantine returns why a request of a service must not be sent to an engine, if a
-// part of its prompt is in quarantine. The placement VM of the service lets a rare
-// request pass as a trial.
+// Quarantine returns why a forwarded request of a service must not be sent to an
+// engine, if a part of its prompt is in quarantine. The placement VM of the service
+// lets a rare request pass as a trial.
 func (n *Node) Quarantine(service string, parts []string) (poison.Quarantine, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	_, remote := n.placementVM(now, service)
+	return n.checkQuarantine(now, parts, !remote)
+}
+
+// GenerationQuarantine is Quarantine for a generation of a model. Its scheduler makes
+// the trials.
+func (n *Node) GenerationQuarantine(model string, parts []string) (poison.Quarantine, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	scheduler, ok := n.group.Scheduler(now, model)
+	return n.checkQuarantine(now, parts, ok && scheduler.ID == n.Settings.ID)
+}
+
+// checkQuarantine returns the quarantine of a part, unless a trial may be made and is
+// due. The caller holds the lock.
+func (n *Node) checkQuarantine(now time.Time, parts []string, mayTry bool) (poison.Quarantine, bool) {
 	q, ok := n.poison.Check(now, parts)
 	if !ok {
 		return q, false
 	}
-	if _, remote := n.placementVM(now, service); !remote && n.poison.BeginTrial(now, q) {
+	if mayTry && n.poison.BeginTrial(now, q) {
 		n.Count("poison.trials", 1)
 		n.Log.WithFields(quarantineFields(q)).Warn("prompt part in quarantine is tried again")
 		return q, false
--- a/foldd/relay/crash.go
+++ b/foldd/relay/crash.go
@@ -1,15 +1,6 @@
 package relay
 
-import (
-	"errors"
-	"fmt"
-	"io"
-	"net/http"
-	"syscall"
-
-	"fuchsiafold.example/fold/poison"
-	"fuchsiafold.example/foldd/fault"
-)
+import "fuchsiafold.example/netio/pool"
 
 // survivingEvents is the number of events after which a run's prompt counts as one
 // that does not crash engines. A prompt that does, crashes them as they begin to
@@ -32,26 +23,7 @@
 // set if the engine had begun its answer.
 func (s *stream) recordLoss(b backend, begun bool, err error) {
 	s.logLoss(b, begun, err)
-	if !s.survived && closedByPeer(err) {
+	if !s.survived && pool.ClosedByPeer(err) {
 		s.q.relay.Node.PromptLost(s.q.params.Prompt.SharedParts(), b, begun)
 	}
 }
-
-// closedByPeer reports whether a response broke off because the other side closed
-// the connection, as a process does that crashes. Timeouts of the connection are
-// none of these.
-func closedByPeer(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errPartialEvent, errNoEvents} {
-		if errors.Is(err, cause) {
-			return true
-		}
-	}
-	return false
-}
-
-// quarantineFault returns the error for a request with a part of a prompt that
-// crashes engines.
-func quarantineFault(q poison.Quarantine) *fault.Fault {
-	message := fmt.Sprintf("part %s of the prompt has crashed engines %d times", q.Part, q.Crashes)
-	return fault.NotRun(http.StatusServiceUnavailable, fault.Quarantined, message).WithRetryAfter(q.RetryAfter)
-}
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,9 +15,11 @@
 	errResponseTooLarge  = eris.New("the answer exceeds the size limit")
 	errUnsupportedStatus = eris.New("the backend server answered with a status that can't be passed on")
 	errStreamInterrupted = eris.New("the stream broke off")
-	errPartialEvent      = eris.New("the stream ended within an event")
 	errStoppedByMove     = eris.New("the run may have been stopped for a move that failed")
-	errNoEvents          = eris.New("the connection ended before the first event")
+	// The server closed the connection too early, though the framing of the response
+	// allows that.
+	errPartialEvent = eris.Wrap(io.ErrUnexpectedEOF, "the stream ended within an event")
+	errNoEvents     = eris.Wrap(io.ErrUnexpectedEOF, "the connection ended before the first event")
 )
 
 func sinceArrival(q *request) time.Duration { return time.Since(q.arrived) }
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -142,7 +142,7 @@
 	maxAttempts := max(q.forward.Attempts, 1)
 	for unsent := 0; unsent < maxUnsent; {
 		if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.params.Prompt.SharedParts()); ok {
-			return nil, quarantineFault(quarantine)
+			return nil, fault.FromQuarantine(quarantine)
 		}
 		req := s.placement
 		req.Exclude, req.FirstTokenBudget = tried, s.firstTokenBudget()
