App: control VMs keep the prompts that crash engines

Cause: entry VMs have no disk, and a quarantine lived in memory only: after a kill of all VMs the same prompts crash three engines more. Change: control VMs save the losses behind a quarantine to their data folder at each change, off the path of requests, and load them at their start; the other VMs have them with their first exchange. A clock that was set back keeps the times between losses.

--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -30,7 +30,7 @@
 	}
 	var u Update
 	for _, l := range t.lossesToShare(now) {
-		u.Losses = append(u.Losses, Loss{Parts: l.parts, Crash: l.crash, Begun: l.begun, Age: max(now.Sub(l.at), 0)})
+		u.Losses = append(u.Losses, l.export(now))
 	}
 	for part, changed := range t.survivalChanged {
 		if now.Sub(changed) >= shareTime {
@@ -44,6 +44,27 @@
 	return u
 }
 
+// Held returns the newest losses of the parts in quarantine, which a VM needs to put
+// them in quarantine again.
+func (t *Table) Held(now time.Time) Update {
+	var u Update
+	for _, l := range t.lossesToShare(now) {
+		if slices.ContainsFunc(l.parts, t.inQuarantine) {
+			u.Losses = append(u.Losses, l.export(now))
+		}
+	}
+	return u
+}
+
+func (t *Table) inQuarantine(part string) bool {
+	_, ok := t.quarantines[part]
+	return ok
+}
+
+func (l *loss) export(now time.Time) Loss {
+	return Loss{Parts: l.parts, Crash: l.crash, Begun: l.begun, Age: max(now.Sub(l.at), 0)}
+}
+
 // lossesToShare returns the losses for other VMs, the newest first.
 func (t *Table) lossesToShare(now time.Time) []*loss {
 	var all []*loss
@@ -61,7 +82,7 @@
 		}
 		keep := changedLately[l]
 		for _, part := range l.parts {
-			if _, ok := t.quarantines[part]; ok && count[part] < lossesPerQuarantine {
+			if t.inQuarantine(part) && count[part] < lossesPerQuarantine {
 				count[part]++
 				keep = true
 			}
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -45,6 +45,9 @@
 	addrs             Addrs
 	flushTraces       func(context.Context) error
 	stopRecordingOnce sync.Once
+	// closed is closed by the first call of Close.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // Addrs holds the addresses that a process listens on. An address is invalid if
@@ -87,7 +90,7 @@
 	if adapter.Decode != nil {
 		n.Decode = adapter.Decode
 	}
-	a := &App{Node: n, flushTraces: flushTraces, peers: peer.New(n)}
+	a := &App{Node: n, flushTraces: flushTraces, peers: peer.New(n), closed: make(chan struct{})}
 	if s.RecordFile != "" {
 		if err := n.StartRecording(s.RecordFile); err != nil {
 			return nil, err
@@ -272,6 +275,7 @@
 // their resume window, in which callers may resume them at another VM.
 func (a *App) Close() {
 	a.Node.Abandon()
+	a.closeOnce.Do(func() { close(a.closed) })
 	a.Node.Clock.Stop()
 	var wg sync.WaitGroup
 	for _, s := range a.servers {
--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -34,6 +34,7 @@
 		a.fetchConfig()
 		return nil
 	}
+	a.keepPrompts(s.Control.DataFolder)
 	conf := ctrl.ServerConfig{
 		VM:             s.ID,
 		Addr:           a.addrs.Peers,
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -138,6 +138,8 @@
 	// parts that were in quarantine when that was last logged.
 	poison      poison.Table
 	quarantined map[string]poison.Quarantine
+	// quarantineChanged is called when quarantined has changed; nil if nothing is.
+	quarantineChanged func()
 }
 
 // New returns a node without a configuration.
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// HeldPrompts returns the losses that hold parts of prompts in quarantine.
+func (n *Node) HeldPrompts() poison.Update {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.poison.Held(time.Now())
+}
+
+// OnQuarantineChange sets the function that is called when a part enters or leaves
+// quarantine. It is called with the lock held and must not block.
+func (n *Node) OnQuarantineChange(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quarantineChanged = f
+}
+
 // gossipPromptUpdate sends what has changed to other VMs at once. from is the VM that
 // the change came from, empty for this one. The caller holds the lock.
 func (n *Node) gossipPromptUpdate(from string) {
@@ -133,6 +148,9 @@
 			n.Log.WithFields(quarantineFields(q)).Warn("prompt part left quarantine")
 		}
 	}
+	if changed && n.quarantineChanged != nil {
+		n.quarantineChanged()
+	}
 	return changed
 }
 
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -376,10 +376,15 @@
 	return f.removeStaleFiles()
 }
 
-// replaceFile writes a file atomically: it writes and syncs a temporary file,
-// renames it to name and syncs the folder.
+// replaceFile writes a file of the folder atomically.
 func (f *Folder) replaceFile(name string, data []byte) error {
-	part := filepath.Join(f.path, name+partSuffix)
+	return replaceFile(f.path, name, name+partSuffix, data)
+}
+
+// replaceFile writes a file atomically: it writes and syncs the file temporary,
+// renames it to name and syncs the folder.
+func replaceFile(folder, name, temporary string, data []byte) error {
+	part := filepath.Join(folder, temporary)
 	file, err := os.OpenFile(part, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return err
@@ -393,14 +398,14 @@
 	if err := file.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(part, filepath.Join(f.path, name)); err != nil {
+	if err := os.Rename(part, filepath.Join(folder, name)); err != nil {
 		return err
 	}
-	return f.syncDir()
+	return syncDir(folder)
 }
 
-func (f *Folder) syncDir() error {
-	d, err := os.Open(f.path)
+func syncDir(folder string) error {
+	d, err := os.Open(folder)
 	if err != nil {
 		return err
 	}
