App: engines of the crash test announce themselves as real ones do

Cause: TestPromptThatCrashesEnginesIsQuarantined failed once beside all other tests: 16 of 24 sound requests served. Traced by its responses: 'no backend server of models takes the request'. The stand-ins announced themselves once, and their leases of 5 s ran out before the last requests when the machine was busy. Change: each stand-in announces itself every 200 ms until it has crashed; bounds and checks are the same.

--- a/foldd/app/crash_test.go
+++ b/foldd/app/crash_test.go
@@ -69,12 +69,25 @@
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(e.Close)
-	r.vms[0].Node.ReceiveAnnouncement(member.Backend{ID: id, Addr: e.Addr(), Kind: spec.KindPlain, Service: "models", Domain: "a", Epoch: 1, Seq: 1})
+	go r.announce(e)
 	for _, a := range r.vms {
 		waitFor(r.t, "engine "+id+" to be known", func() bool { _, ok := a.Node.Backend(id); return ok })
 	}
 }
 
+// announceInterval is a small part of the lease of a backend server.
+const announceInterval = 200 * time.Millisecond
+
+// announce announces an engine to the first VM until it has crashed or the test ends.
+func (r *crashRig) announce(e *origin.Server) {
+	b := member.Backend{ID: e.ID, Addr: e.Addr(), Kind: spec.KindPlain, Service: "models", Domain: "a", Epoch: 1}
+	for !e.Closed() && r.t.Context().Err() == nil {
+		b.Seq++
+		r.vms[0].Node.ReceiveAnnouncement(b)
+		time.Sleep(announceInterval)
+	}
+}
+
 // send sends a request whose prompt has the given shared parts to a VM, and
 // returns its status, or 0 if the response broke off. It replaces an engine that
 // has crashed.
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -88,6 +88,8 @@
 	conns map[net.Conn]bool
 	// accepted counts the connections accepted so far.
 	accepted int
+	// closed is set by Close.
+	closed bool
 }
 
 // Request is a request as the server received it.
@@ -131,11 +133,19 @@
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for c := range s.conns {
 		c.Close()
 	}
 }
 
+// Closed reports whether the server has been closed or has crashed.
+func (s *Server) Closed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // RunCount returns how often the request with the ID ran. A request with
 // Fold-Resume doesn't count unless Drop, Hang or RespondEarly is set.
 func (s *Server) RunCount(id string) int {
