Poison: engines that crash together count against a part nobody knows as sound

Cause: crashes within half a second count once, as the engines of a failure domain may be lost together. Change: each further crash of an incident adds a weight of 1 against a part with which no run has survived at any VM known. Three engines lost together are still no reason for a quarantine, four are.

--- a/fold/poison/evaluate.go
+++ b/fold/poison/evaluate.go
@@ -79,9 +79,10 @@
 	}
 	out := make([]suspect, 0, len(byPart))
 	for part, list := range byPart {
-		s := weigh(list)
+		_, sound := t.survived.get(part)
+		s := weigh(list, sound)
 		s.part, s.position, s.limit = part, position[part], newPartLimit
-		if _, sound := t.survived.get(part); sound {
+		if sound {
 			s.limit = soundPartLimit
 		}
 		out = append(out, s)
@@ -91,7 +92,9 @@
 
 // weigh sums up the evidence of losses, which are in the order of their times.
 // Each crash counts once, by its first loss, and an incident by its heaviest one.
-func weigh(losses []*loss) suspect {
+// Further crashes of an incident count a little against a part that is not known as
+// sound: it is rare, and so are several of its runs among those lost together.
+func weigh(losses []*loss, sound bool) suspect {
 	var s suspect
 	var incidentStart time.Time
 	incidentWeight := 0
@@ -106,6 +109,9 @@
 		case sameIncidentAsBefore:
 			s.weight += max(weight-incidentWeight, 0)
 			incidentWeight = max(weight, incidentWeight)
+			if !sound && !crashes[l.crash] {
+				s.weight += furtherWeight
+			}
 		case crashes[l.crash]:
 			// A loss that was noticed late.
 			continue
--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -24,6 +24,8 @@
 	// the parts of a run that had begun its answer, and of one that had not.
 	begunWeight   = 2
 	waitingWeight = 1
+	// furtherWeight is the weight of a further crash of the same incident.
+	furtherWeight = 1
 	// newPartLimit is the weight at which a part is put in quarantine. It is three
 	// crashes under runs that had begun. A part with which runs survived before
 	// needs soundPartLimit.
--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -87,6 +87,7 @@
 		{"two crashes", []lost{{0, 1, true}, {1, 2, true}}, false},
 		{"three crashes", []lost{{0, 1, true}, {1, 2, true}, {2, 3, true}}, true},
 		{"three engines lost together", []lost{{0, 1, true}, {0.1, 2, true}, {0.2, 3, true}}, false},
+		{"four engines lost together", []lost{{0, 1, true}, {0.1, 2, true}, {0.2, 3, true}, {0.3, 4, true}}, true},
 		{"three losses in one crash", []lost{{0, 1, true}, {1, 1, true}, {2, 1, true}}, false},
 		{"four crashes, prompt not read", []lost{{0, 1, false}, {1, 2, false}, {2, 3, false}, {3, 4, false}}, false},
 		{"five crashes, prompt not read", []lost{{0, 1, false}, {1, 2, false}, {2, 3, false}, {3, 4, false}, {4, 5, false}}, true},
