Poison: evidence is cleared loss by loss, also by answers of the engine

Cause: VMs sent each other when a part last survived, as an age. Each hop adds its delay, so the same survival came back as a later one and cleared losses after it. And an answer that breaks off was taken for a crash, though its engine goes on. Change: a loss carries a bit for each of its parts that is cleared, set by a survival that the VM saw after it knew the loss; the bits only grow, so that no order of updates matters. An engine that answers 0.3 to 1.5 s after a run was lost there has not crashed; that clears the loss. VMs name parts that were sound, without a time. The saved file has both.

--- a/fold/poison/evaluate.go
+++ b/fold/poison/evaluate.go
@@ -70,7 +70,7 @@
 	position := map[string]int{}
 	for _, l := range losses {
 		for i, part := range l.parts {
-			if at, ok := t.survived.get(part); ok && !l.at.After(at) {
+			if !l.counts(i) {
 				continue
 			}
 			byPart[part] = append(byPart[part], l)
@@ -79,7 +79,7 @@
 	}
 	out := make([]suspect, 0, len(byPart))
 	for part, list := range byPart {
-		_, sound := t.survived.get(part)
+		sound := t.sound(part)
 		s := weigh(list, sound)
 		s.part, s.position, s.limit = part, position[part], newPartLimit
 		if sound {
--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -35,6 +35,11 @@
 	// tried again. It doubles with each trial, up to maxTrialDoublings times.
 	firstTrial        = 5 * time.Minute
 	maxTrialDoublings = 4
+	// minAliveAfter and maxAliveAfter bound the time after a loss in which an answer of
+	// its engine shows that it has not crashed. What it sent before a crash may still
+	// arrive within the first; it is not back within the second.
+	minAliveAfter = 300 * time.Millisecond
+	maxAliveAfter = 1500 * time.Millisecond
 	// retention is how long a loss counts. It is longer than the time between two
 	// trials.
 	retention = 3 * time.Hour
@@ -42,10 +47,10 @@
 
 // Limits on the memory and on what is shared.
 const (
-	maxLosses     = 512
-	maxRecent     = 4096
-	maxName       = 64
-	maxPartsShown = 32
+	maxLosses = 512
+	maxRecent = 4096
+	maxName   = 64
+	maxParts  = 32
 )
 
 // Crash identifies the end of one process of a backend server.
@@ -61,17 +66,13 @@
 	Crash Crash
 	// Begun is set if the engine had begun its answer.
 	Begun bool
+	// Cleared has bit i set if a run with part i survived after the loss, or if the
+	// engine had not crashed.
+	Cleared uint32
 	// Age is the time since the loss.
 	Age time.Duration
 }
 
-// Survival is the last run with a part that survived.
-type Survival struct {
-	Part string
-	// Age is the time since then.
-	Age time.Duration
-}
-
 // Quarantine says why requests with a part are rejected.
 type Quarantine struct {
 	Part string
@@ -89,28 +90,36 @@
 type Table struct {
 	// losses holds the losses of the retention time, by lossKey.
 	losses map[string]*loss
-	// named holds the time of the last loss of each part in losses.
-	named map[string]time.Time
-	// survived holds when a run with a part last survived.
+	// survived holds when a run with a part last survived at this VM, or the zero
+	// time if only other VMs have seen that.
 	survived recent
 	// quarantines holds the parts in quarantine, as of the last evaluate.
 	quarantines map[string]Quarantine
 	// trials holds the trials of parts in quarantine.
 	trials map[string]trial
-	// lossChanged and survivalChanged hold when a loss or the survival of a part last
-	// changed here. Recent changes are sent to other VMs.
-	lossChanged     map[string]time.Time
-	survivalChanged map[string]time.Time
+	// soundChanged holds the parts to name to other VMs as sound, with the time since
+	// when.
+	soundChanged map[string]time.Time
 }
 
 // loss is a Loss with its time in place of its age.
 type loss struct {
-	parts []string
-	crash Crash
-	begun bool
-	at    time.Time
+	parts   []string
+	crash   Crash
+	begun   bool
+	cleared uint32
+	at      time.Time
+	// changed is when the loss last changed here. Recent changes are sent to other
+	// VMs.
+	changed time.Time
 }
 
+// counts reports whether the loss counts against part i.
+func (l *loss) counts(i int) bool { return l.cleared&(1<<i) == 0 }
+
+// settled reports whether the loss counts against no part.
+func (l *loss) settled() bool { return l.cleared == 1<<len(l.parts)-1 }
+
 type trial struct {
 	count int
 	last  time.Time
@@ -123,97 +132,124 @@
 // Lost records a run that was lost in a crash. It reports whether that is new
 // evidence.
 func (t *Table) Lost(now time.Time, parts []string, c Crash, begun bool) bool {
-	if len(parts) == 0 {
-		return false
-	}
 	isNew := t.add(now, Loss{Parts: parts, Crash: c, Begun: begun})
 	if isNew {
-		t.shareSurvivals(now, parts)
 		t.evaluate(now)
 	}
 	return isNew
 }
 
-// add adds a loss, or notes that a known one had begun. It reports whether
-// anything changed.
+// add adds a loss, or what is new of a known one. It reports whether anything
+// changed.
 func (t *Table) add(now time.Time, l Loss) bool {
-	t.init()
-	key := lossKey(l.Crash, l.Parts)
-	if known := t.losses[key]; known != nil {
-		if known.begun || !l.Begun {
-			return false
-		}
-		known.begun = true
-		t.lossChanged[key] = now
-		return true
-	}
 	at := now.Add(-l.Age)
-	if now.Sub(at) >= retention {
+	if len(l.Parts) == 0 || len(l.Parts) > maxParts || now.Sub(at) >= retention {
 		return false
 	}
-	t.prune(now)
-	t.losses[key] = &loss{parts: slices.Clone(l.Parts), crash: l.Crash, begun: l.Begun, at: at}
-	t.lossChanged[key] = now
-	for _, part := range l.Parts {
-		if at.After(t.named[part]) {
-			t.named[part] = at
-		}
+	t.init()
+	key := lossKey(l.Crash, l.Parts)
+	known := t.losses[key]
+	if known == nil {
+		t.prune(now)
+		known = &loss{parts: slices.Clone(l.Parts), crash: l.Crash, begun: l.Begun, cleared: t.survivedSince(l.Parts, at), at: at, changed: now}
+		t.losses[key] = known
+		t.shareSound(now, l.Parts)
 	}
-	return true
+	before := *known
+	known.begun = known.begun || l.Begun
+	known.cleared |= l.Cleared & (1<<len(l.Parts) - 1)
+	if known.begun != before.begun || known.cleared != before.cleared || known.cleared&^l.Cleared != 0 && now.Sub(known.changed) >= shareTime {
+		// The last is a VM that has missed what cleared the loss.
+		known.changed = now
+	}
+	return known.changed.Equal(now)
 }
 
 func (t *Table) init() {
 	if t.losses == nil {
 		t.losses = map[string]*loss{}
-		t.named = map[string]time.Time{}
 		t.quarantines = map[string]Quarantine{}
 		t.trials = map[string]trial{}
-		t.lossChanged = map[string]time.Time{}
-		t.survivalChanged = map[string]time.Time{}
+		t.soundChanged = map[string]time.Time{}
 	}
 }
 
+// survivedSince returns the bits of the parts of which runs survived at this VM
+// after a time.
+func (t *Table) survivedSince(parts []string, at time.Time) uint32 {
+	var cleared uint32
+	for i, part := range parts {
+		if survived, ok := t.survived.get(part); ok && survived.After(at) {
+			cleared |= 1 << i
+		}
+	}
+	return cleared
+}
+
 // Survived records that a run with the given parts survived. It reports whether
 // that clears a part of evidence.
 func (t *Table) Survived(now time.Time, parts []string) bool {
-	cleared := false
 	for _, part := range parts {
-		if t.survive(now, part, now) {
-			cleared = true
-		}
+		t.survived.set(part, now)
 	}
-	if cleared {
-		t.evaluate(now)
-	}
-	return cleared
+	return t.clear(now, func(l *loss) uint32 {
+		var cleared uint32
+		for i, part := range l.parts {
+			if slices.Contains(parts, part) {
+				cleared |= 1 << i
+			}
+		}
+		return cleared
+	})
 }
 
-// survive records that a run with a part survived at the given time. It reports
-// whether a loss of the part no longer counts.
-func (t *Table) survive(now time.Time, part string, at time.Time) bool {
-	last, _ := t.survived.get(part)
-	if !at.After(last) {
-		return false
+// Answered records that an engine has sent something to a run. It reports whether
+// that clears parts of evidence: an engine that answers shortly after a run was lost
+// there has not crashed. Later on, it may have started again.
+func (t *Table) Answered(now time.Time, c Crash) bool {
+	return t.clear(now, func(l *loss) uint32 {
+		if since := now.Sub(l.at); l.crash != c || since < minAliveAfter || since > maxAliveAfter {
+			return 0
+		}
+		return 1<<len(l.parts) - 1
+	})
+}
+
+// clear sets the given bits of each loss, and reports whether any was not set.
+func (t *Table) clear(now time.Time, bits func(l *loss) uint32) bool {
+	changed := false
+	for _, l := range t.losses {
+		if l.settled() {
+			continue
+		}
+		if cleared := bits(l) &^ l.cleared; cleared != 0 {
+			l.cleared |= cleared
+			l.changed = now
+			changed = true
+		}
 	}
-	t.survived.set(part, at)
-	lost, named := t.named[part]
-	if !named || lost.After(at) || last.After(lost) {
-		return false
+	if changed {
+		t.evaluate(now)
 	}
-	t.survivalChanged[part] = now
-	return true
+	return changed
 }
 
-// shareSurvivals marks the known survivals of parts as changed, so that VMs that
-// have none of their own learn that the parts were sound.
-func (t *Table) shareSurvivals(now time.Time, parts []string) {
+// shareSound marks the parts with which runs survived as to be named to other VMs,
+// which may know of none.
+func (t *Table) shareSound(now time.Time, parts []string) {
 	for _, part := range parts {
-		if _, ok := t.survived.get(part); ok {
-			t.survivalChanged[part] = now
+		if t.sound(part) {
+			t.soundChanged[part] = now
 		}
 	}
 }
 
+// sound reports whether a run with a part survived before, at any VM.
+func (t *Table) sound(part string) bool {
+	_, ok := t.survived.get(part)
+	return ok
+}
+
 // Check returns the quarantine of the first of the given parts that is in
 // quarantine, and whether there is one.
 func (t *Table) Check(now time.Time, parts []string) (Quarantine, bool) {
@@ -265,8 +301,8 @@
 func (t *Table) prune(now time.Time) {
 	oldest := ""
 	for key, l := range t.losses {
-		if now.Sub(l.at) >= retention || t.settled(now, key, l) {
-			t.drop(key)
+		if now.Sub(l.at) >= retention || l.settled() && now.Sub(l.changed) >= shareTime {
+			delete(t.losses, key)
 			continue
 		}
 		if oldest == "" || l.at.Before(t.losses[oldest].at) {
@@ -274,41 +310,20 @@
 		}
 	}
 	if len(t.losses) >= maxLosses {
-		t.drop(oldest)
-	}
-	t.pruneNames()
-}
-
-// settled reports whether a loss counts against no part and need not be sent any
-// more.
-func (t *Table) settled(now time.Time, key string, l *loss) bool {
-	if now.Sub(t.lossChanged[key]) < shareTime {
-		return false
+		delete(t.losses, oldest)
 	}
-	return !slices.ContainsFunc(l.parts, func(part string) bool {
-		at, ok := t.survived.get(part)
-		return !ok || l.at.After(at)
-	})
-}
-
-func (t *Table) drop(key string) {
-	delete(t.losses, key)
-	delete(t.lossChanged, key)
+	t.pruneTrials()
 }
 
-// pruneNames drops what is kept of parts that no loss names any more.
-func (t *Table) pruneNames() {
-	names := map[string]bool{}
-	for _, l := range t.losses {
-		for _, part := range l.parts {
-			names[part] = true
+// pruneTrials drops the trials of parts that no loss names any more.
+func (t *Table) pruneTrials() {
+	for part := range t.trials {
+		named := false
+		for _, l := range t.losses {
+			named = named || slices.Contains(l.parts, part)
 		}
-	}
-	for part := range t.named {
-		if !names[part] {
-			delete(t.named, part)
+		if !named {
 			delete(t.trials, part)
-			delete(t.survivalChanged, part)
 		}
 	}
 }
--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// TestAnswerOfEngineClears checks which answers of an engine show that it has not
+// crashed.
+func TestAnswerOfEngineClears(t *testing.T) {
+	tests := []struct {
+		name    string
+		crash   Crash
+		after   float64
+		cleared bool
+	}{
+		{"sent before the crash", crash(1), 0.1, false},
+		{"still answers", crash(1), 0.5, true},
+		{"may have started again", crash(1), 3, false},
+		{"another engine", crash(2), 0.5, false},
+		{"another start of the engine", Crash{Backend: "e1", Epoch: 9}, 0.5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var table Table
+			table.Lost(at(0), []string{"a", "b"}, crash(1), true)
+			if got := table.Answered(at(tt.after), tt.crash); got != tt.cleared {
+				t.Errorf("cleared: %t, want %t", got, tt.cleared)
+			}
+		})
+	}
+}
+
 // TestTrials checks when a part in quarantine is tried again.
 func TestTrials(t *testing.T) {
 	var table Table
@@ -166,7 +192,7 @@
 		if !vms[i].quarantined("bad") || vms[i].quarantined("front") {
 			t.Errorf("VM %d: quarantines %+v, want only \"bad\"", i, vms[i].Quarantines())
 		}
-		if _, sound := vms[i].survived.get("front"); !sound {
+		if !vms[i].sound("front") {
 			t.Errorf("VM %d does not know that the front part was sound", i)
 		}
 	}
@@ -192,11 +218,11 @@
 	var table Table
 	table.Lost(at(0), []string{"p"}, crash(1), true)
 	table.Survived(at(1), []string{"p"})
-	if n := table.Share(at(2)); len(n.Losses) != 1 || len(n.Survivals) != 1 {
-		t.Errorf("update %+v, want a loss and a survival", n)
+	if u := table.Share(at(2)); len(u.Losses) != 1 || u.Losses[0].Cleared != 1 {
+		t.Errorf("update %+v, want a loss that is cleared", u)
 	}
-	if n := table.Share(at(20)); len(n.Losses) != 0 || len(n.Survivals) != 0 {
-		t.Errorf("update %+v after 20 s, want none", n)
+	if u := table.Share(at(20)); !u.Empty() {
+		t.Errorf("update %+v after 20 s, want an empty one", u)
 	}
 	table.Lost(at(30), []string{"q"}, crash(2), true)
 	if len(table.losses) != 1 {
@@ -213,9 +239,9 @@
 			{Parts: nil, Crash: crash(1)}, {Parts: []string{""}, Crash: crash(1)}, {Parts: []string{long}, Crash: crash(1)},
 			{Parts: []string{"p"}}, {Parts: []string{"p"}, Crash: crash(1), Age: -1}, {Parts: []string{"p"}, Crash: crash(1), Age: retention},
 		},
-		Survivals: []Survival{{Part: ""}, {Part: long}, {Part: "p", Age: -1}},
+		Sound: []string{"", long},
 	})
-	if len(added) != 0 || len(table.losses) != 0 {
+	if len(added) != 0 || len(table.losses) != 0 || table.sound("") || table.sound(long) {
 		t.Errorf("added %+v", added)
 	}
 }
@@ -227,8 +253,8 @@
 		now := at(float64(i))
 		table.Lost(now, []string{fmt.Sprint("p", i)}, crash(i), true)
 	}
-	if len(table.losses) > maxLosses || len(table.named) > maxLosses || len(table.lossChanged) > maxLosses {
-		t.Errorf("%d losses, %d names; want at most %d", len(table.losses), len(table.named), maxLosses)
+	if len(table.losses) > maxLosses {
+		t.Errorf("%d losses, want at most %d", len(table.losses), maxLosses)
 	}
 	for i := range 3 * maxRecent {
 		table.Survived(at(float64(i)), []string{fmt.Sprint("s", i)})
--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -12,16 +12,20 @@
 	// lossesPerQuarantine is the number of losses of a part in quarantine that are
 	// always sent, so that a VM that has just started learns of it.
 	lossesPerQuarantine = 8
-	// maxShared bounds the losses and the survivals that are sent at once.
+	// maxShared bounds the losses and the sound parts that are sent at once.
 	maxShared = 128
 )
 
 // Update holds what one VM knows of parts of prompts, for the others.
 type Update struct {
-	Losses    []Loss
-	Survivals []Survival
+	Losses []Loss
+	// Sound holds parts of losses with which runs survived before.
+	Sound []string
 }
 
+// Empty reports whether the update holds nothing.
+func (u *Update) Empty() bool { return len(u.Losses) == 0 && len(u.Sound) == 0 }
+
 // Share returns the update for other VMs: recent changes, and the newest losses of
 // the parts in quarantine.
 func (t *Table) Share(now time.Time) Update {
@@ -32,15 +36,16 @@
 	for _, l := range t.lossesToShare(now) {
 		u.Losses = append(u.Losses, l.export(now))
 	}
-	for part, changed := range t.survivalChanged {
+	for part, changed := range t.soundChanged {
 		if now.Sub(changed) >= shareTime {
-			delete(t.survivalChanged, part)
+			delete(t.soundChanged, part)
 			continue
 		}
-		if at, ok := t.survived.get(part); ok && len(u.Survivals) < maxShared {
-			u.Survivals = append(u.Survivals, Survival{Part: part, Age: max(now.Sub(at), 0)})
+		if len(u.Sound) < maxShared {
+			u.Sound = append(u.Sound, part)
 		}
 	}
+	slices.Sort(u.Sound)
 	return u
 }
 
@@ -49,8 +54,14 @@
 func (t *Table) Held(now time.Time) Update {
 	var u Update
 	for _, l := range t.lossesToShare(now) {
-		if slices.ContainsFunc(l.parts, t.inQuarantine) {
-			u.Losses = append(u.Losses, l.export(now))
+		if !slices.ContainsFunc(l.parts, t.inQuarantine) {
+			continue
+		}
+		u.Losses = append(u.Losses, l.export(now))
+		for _, part := range l.parts {
+			if t.sound(part) && !slices.Contains(u.Sound, part) {
+				u.Sound = append(u.Sound, part)
+			}
 		}
 	}
 	return u
@@ -62,16 +73,14 @@
 }
 
 func (l *loss) export(now time.Time) Loss {
-	return Loss{Parts: l.parts, Crash: l.crash, Begun: l.begun, Age: max(now.Sub(l.at), 0)}
+	return Loss{Parts: l.parts, Crash: l.crash, Begun: l.begun, Cleared: l.cleared, Age: max(now.Sub(l.at), 0)}
 }
 
 // lossesToShare returns the losses for other VMs, the newest first.
 func (t *Table) lossesToShare(now time.Time) []*loss {
 	var all []*loss
-	changedLately := map[*loss]bool{}
-	for key, l := range t.losses {
+	for _, l := range t.losses {
 		all = append(all, l)
-		changedLately[l] = now.Sub(t.lossChanged[key]) < shareTime
 	}
 	slices.SortFunc(all, func(a, b *loss) int { return b.at.Compare(a.at) })
 	count := map[string]int{}
@@ -80,7 +89,7 @@
 		if len(out) == maxShared {
 			break
 		}
-		keep := changedLately[l]
+		keep := now.Sub(l.changed) < shareTime
 		for _, part := range l.parts {
 			if t.inQuarantine(part) && count[part] < lossesPerQuarantine {
 				count[part]++
@@ -94,55 +103,28 @@
 	return out
 }
 
-// Merge applies the update of another VM. It returns the losses that are new here.
-// Entries that can't be valid are left out.
+// Merge applies the update of another VM. It returns the losses that are new or have
+// changed here. Entries that can't be valid are left out.
 func (t *Table) Merge(now time.Time, u Update) []Loss {
-	var added []Loss
-	changed := false
-	for _, s := range u.Survivals {
-		if validName(s.Part) && s.Age >= 0 && t.mergeSurvival(now, s) {
-			changed = true
+	var changed []Loss
+	for _, part := range u.Sound {
+		if validName(part) && !t.sound(part) {
+			t.survived.set(part, time.Time{})
 		}
 	}
 	for _, l := range u.Losses {
-		if !l.valid() {
-			continue
-		}
-		if t.add(now, l) {
-			added = append(added, l)
-			t.shareSurvivals(now, l.Parts)
-			continue
+		if l.valid() && t.add(now, l) {
+			changed = append(changed, l)
 		}
-		t.correct(now, l)
 	}
-	if changed || len(added) > 0 {
+	if len(u.Sound) > 0 || len(changed) > 0 {
 		t.evaluate(now)
 	}
-	return added
-}
-
-// mergeSurvival applies a survival at another VM.
-func (t *Table) mergeSurvival(now time.Time, s Survival) bool {
-	_, known := t.survived.get(s.Part)
-	cleared := t.survive(now, s.Part, now.Add(-s.Age))
-	return cleared || !known
-}
-
-// correct marks the survival of parts as changed if another VM still sends a loss
-// that no longer counts against them.
-func (t *Table) correct(now time.Time, l Loss) {
-	at := now.Add(-l.Age)
-	for _, part := range l.Parts {
-		if survived, ok := t.survived.get(part); ok && survived.After(at) {
-			if _, changedLately := t.survivalChanged[part]; !changedLately {
-				t.survivalChanged[part] = now
-			}
-		}
-	}
+	return changed
 }
 
 func (l *Loss) valid() bool {
-	return len(l.Parts) > 0 && len(l.Parts) <= maxPartsShown && !slices.ContainsFunc(l.Parts, func(p string) bool { return !validName(p) }) &&
+	return len(l.Parts) > 0 && len(l.Parts) <= maxParts && !slices.ContainsFunc(l.Parts, func(p string) bool { return !validName(p) }) &&
 		validName(l.Crash.Backend) && l.Age >= 0
 }
 
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -33,7 +33,21 @@
 func (n *Node) PromptSurvived(parts []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.poison.Survived(time.Now(), parts) {
+	n.clearLosses(n.poison.Survived(time.Now(), parts))
+}
+
+// EngineAnswered records that an engine has sent something to a run, so that it has
+// not crashed just before.
+func (n *Node) EngineAnswered(b member.Backend) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.clearLosses(n.poison.Answered(time.Now(), poison.Crash{Backend: b.ID, Epoch: b.Epoch}))
+}
+
+// clearLosses counts, logs and gossips that parts of prompts were cleared of
+// evidence. The caller holds the lock.
+func (n *Node) clearLosses(cleared bool) {
+	if !cleared {
 		return
 	}
 	n.Count("poison.cleared", 1)
@@ -81,17 +95,17 @@
 
 // ReceivePromptUpdate applies the update of another VM on parts of prompts.
 func (n *Node) ReceivePromptUpdate(u poison.Update, from string) {
-	if len(u.Losses) == 0 && len(u.Survivals) == 0 {
+	if u.Empty() {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	added := n.poison.Merge(time.Now(), u)
-	for _, l := range added {
+	changed := n.poison.Merge(time.Now(), u)
+	for _, l := range changed {
 		n.logLoss(l, from)
 	}
 	n.logQuarantines()
-	if len(added) > 0 {
+	if len(changed) > 0 {
 		n.gossipPromptUpdate(from)
 	}
 }
@@ -121,7 +135,7 @@
 // logLoss logs evidence against the parts of a prompt.
 func (n *Node) logLoss(l poison.Loss, from string) {
 	n.Log.WithFields(logrus.Fields{
-		"parts": l.Parts, "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun, "ageMs": l.Age.Milliseconds(), "from": from,
+		"parts": l.Parts, "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun, "cleared": l.Cleared, "ageMs": l.Age.Milliseconds(), "from": from,
 	}).Info("engine crashed under a prompt")
 }
 
--- a/foldd/peer/prompts.go
+++ b/foldd/peer/prompts.go
@@ -9,33 +9,29 @@
 
 // toPromptUpdate returns the wire form of an update on parts of prompts, or nil if it
 // is empty.
-func toPromptUpdate(n poison.Update) *wire.PromptUpdate {
-	if len(n.Losses) == 0 && len(n.Survivals) == 0 {
+func toPromptUpdate(u poison.Update) *wire.PromptUpdate {
+	if u.Empty() {
 		return nil
 	}
-	m := &wire.PromptUpdate{}
-	for _, l := range n.Losses {
+	m := &wire.PromptUpdate{Sound: u.Sound}
+	for _, l := range u.Losses {
 		m.Losses = append(m.Losses, &wire.PromptLoss{
-			Parts: l.Parts, Backend: l.Crash.Backend, Epoch: l.Crash.Epoch, Begun: l.Begun, AgeMillis: uint64(l.Age.Milliseconds()),
+			Parts: l.Parts, Backend: l.Crash.Backend, Epoch: l.Crash.Epoch, Begun: l.Begun, Cleared: l.Cleared,
+			AgeMillis: uint64(l.Age.Milliseconds()),
 		})
 	}
-	for _, s := range n.Survivals {
-		m.Survivals = append(m.Survivals, &wire.PromptSurvival{Part: s.Part, AgeMillis: uint64(s.Age.Milliseconds())})
-	}
 	return m
 }
 
 func fromPromptUpdate(m *wire.PromptUpdate) poison.Update {
-	var n poison.Update
+	u := poison.Update{Sound: m.GetSound()}
 	for _, l := range m.GetLosses() {
-		n.Losses = append(n.Losses, poison.Loss{
-			Parts: l.GetParts(), Crash: poison.Crash{Backend: l.GetBackend(), Epoch: l.GetEpoch()}, Begun: l.GetBegun(), Age: millis(l.GetAgeMillis()),
+		u.Losses = append(u.Losses, poison.Loss{
+			Parts: l.GetParts(), Crash: poison.Crash{Backend: l.GetBackend(), Epoch: l.GetEpoch()}, Begun: l.GetBegun(), Cleared: l.GetCleared(),
+			Age: millis(l.GetAgeMillis()),
 		})
 	}
-	for _, s := range m.GetSurvivals() {
-		n.Survivals = append(n.Survivals, poison.Survival{Part: s.GetPart(), Age: millis(s.GetAgeMillis())})
-	}
-	return n
+	return u
 }
 
 // millis converts a number of milliseconds. One that is too large for a duration
--- a/foldd/relay/crash.go
+++ b/foldd/relay/crash.go
@@ -13,6 +13,7 @@
 		return
 	}
 	s.survived = true
+	s.q.relay.Node.EngineAnswered(s.server)
 	if parts := s.q.params.Prompt.SharedParts(); len(parts) > 0 {
 		s.q.relay.Node.PromptSurvived(parts)
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -214,6 +214,7 @@
 	s.mu.Lock()
 	s.server = b
 	s.mu.Unlock()
+	s.q.relay.Node.EngineAnswered(b)
 	s.q.relay.addRun(s, b)
 }
 
--- a/foldd/store/prompts.go
+++ b/foldd/store/prompts.go
@@ -24,22 +24,29 @@
 // replica. The file is complete or absent after any crash.
 type PromptFile struct{ Folder string }
 
+// storedPrompts is a poison.Update in the file.
+type storedPrompts struct {
+	Losses []storedLoss `json:"losses"`
+	Sound  []string     `json:"sound,omitempty"`
+}
+
 // storedLoss is a poison.Loss in the file, with its time in place of its age.
 type storedLoss struct {
 	Parts   []string  `json:"parts"`
 	Backend string    `json:"backend"`
 	Epoch   uint64    `json:"epoch"`
 	Begun   bool      `json:"begun"`
+	Cleared uint32    `json:"cleared,omitempty"`
 	At      time.Time `json:"at"`
 }
 
 // Save replaces what the file holds and syncs it to the disk.
 func (f PromptFile) Save(now time.Time, u poison.Update) error {
-	list := make([]storedLoss, 0, len(u.Losses))
+	p := storedPrompts{Sound: u.Sound}
 	for _, l := range u.Losses {
-		list = append(list, storedLoss{Parts: l.Parts, Backend: l.Crash.Backend, Epoch: l.Crash.Epoch, Begun: l.Begun, At: now.Add(-l.Age)})
+		p.Losses = append(p.Losses, storedLoss{Parts: l.Parts, Backend: l.Crash.Backend, Epoch: l.Crash.Epoch, Begun: l.Begun, Cleared: l.Cleared, At: now.Add(-l.Age)})
 	}
-	b, err := json.Marshal(list)
+	b, err := json.Marshal(p)
 	if err != nil {
 		return fmt.Errorf("encode prompts in quarantine: %w", err)
 	}
@@ -63,18 +70,19 @@
 	if err != nil {
 		return u, fmt.Errorf("read prompts in quarantine: %w", err)
 	}
-	var list []storedLoss
-	if err := json.Unmarshal(b, &list); err != nil {
+	var p storedPrompts
+	if err := json.Unmarshal(b, &p); err != nil {
 		return u, fmt.Errorf("decode prompts in quarantine: %w", err)
 	}
-	for _, l := range list {
+	for _, l := range p.Losses {
 		if l.At.After(now) {
 			now = l.At
 		}
 	}
-	for _, l := range list {
+	u.Sound = p.Sound
+	for _, l := range p.Losses {
 		u.Losses = append(u.Losses, poison.Loss{
-			Parts: l.Parts, Crash: poison.Crash{Backend: l.Backend, Epoch: l.Epoch}, Begun: l.Begun, Age: now.Sub(l.At),
+			Parts: l.Parts, Crash: poison.Crash{Backend: l.Backend, Epoch: l.Epoch}, Begun: l.Begun, Cleared: l.Cleared, Age: now.Sub(l.At),
 		})
 	}
 	return u, nil
--- a/foldd/store/prompts_test.go
+++ b/foldd/store/prompts_test.go
@@ -13,12 +13,12 @@
 
 func TestPromptFile(t *testing.T) {
 	now := time.Unix(1000, 0).UTC()
-	saved := poison.Update{Losses: []poison.Loss{
-		{Parts: []string{"a", "b"}, Crash: poison.Crash{Backend: "e", Epoch: 7}, Begun: true, Age: time.Second},
+	saved := poison.Update{Sound: []string{"a"}, Losses: []poison.Loss{
+		{Parts: []string{"a", "b"}, Crash: poison.Crash{Backend: "e", Epoch: 7}, Begun: true, Cleared: 1, Age: time.Second},
 		{Parts: []string{"b"}, Crash: poison.Crash{Backend: "f"}, Age: 3 * time.Second},
 	}}
 	aged := func(by time.Duration) poison.Update {
-		u := poison.Update{Losses: append([]poison.Loss(nil), saved.Losses...)}
+		u := poison.Update{Sound: saved.Sound, Losses: append([]poison.Loss(nil), saved.Losses...)}
 		for i := range u.Losses {
 			u.Losses[i].Age += by
 		}
@@ -51,7 +51,7 @@
 	if u, err := f.Load(time.Now()); err != nil || len(u.Losses) != 0 {
 		t.Errorf("absent: got %+v, error %v; want nothing", u, err)
 	}
-	if err := os.WriteFile(filepath.Join(f.Folder, "prompts.json"), []byte(`[{"parts":`), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(f.Folder, "prompts.json"), []byte(`{"losses":`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if u, err := f.Load(time.Now()); err == nil || len(u.Losses) != 0 {
