Soak: real processes under random faults, with what callers, operators and servers see

Change: foldfake soak starts three control VMs and two entry VMs with loopback proxies and ten stand-ins, drives callers over open connections, operators who race, and a plan of overlapping faults by seed: kills, restarts, rolling stops, suspensions, wiped disks, torn logs, disturbed connections, servers that crash, leave and break answers off.

--- a/foldfake/host/announce.go
+++ b/foldfake/host/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"fuchsiafold.example/foldfake/model"
@@ -107,6 +108,15 @@
 	}
 }
 
+// AdvertisedAddr returns the address for an announcement: advertise if it is set, or
+// else the server's own.
+func AdvertisedAddr(advertise, own netip.AddrPort) string {
+	if advertise.IsValid() {
+		return advertise.String()
+	}
+	return own.String()
+}
+
 // newAnnouncement returns an announcement with the next sequence number.
 func (e *Engine) newAnnouncement() Announcement {
 	e.mu.Lock()
@@ -115,7 +125,7 @@
 	l := e.laggedLoad(time.Now())
 	return Announcement{
 		ID:                 e.conf.ID,
-		Addr:               e.server.Addr().String(),
+		Addr:               AdvertisedAddr(e.conf.Advertise, e.server.Addr()),
 		Kind:               "engine",
 		Service:            e.conf.Service,
 		Model:              e.conf.Model,
--- a/foldfake/host/host.go
+++ b/foldfake/host/host.go
@@ -25,6 +25,9 @@
 	Model   string
 	Domain  string
 	Version string
+	// Advertise is the address in announcements; the zero value means that of the
+	// engine itself.
+	Advertise netip.AddrPort
 	// Entries are the addresses of the entry VMs that receive announcements.
 	Entries            []netip.AddrPort
 	BackendToken       string
--- a/foldfake/main.go
+++ b/foldfake/main.go
@@ -20,6 +20,7 @@
 			engineCommand(),
 			serviceCommand(),
 			replayCommand(),
+			soakCommand(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- a/foldfake/plain/plain.go
+++ b/foldfake/plain/plain.go
@@ -20,10 +20,13 @@
 
 // Config configures a stand-in service.
 type Config struct {
-	ID           string
-	Addr         netip.AddrPort
-	Service      string
-	Domain       string
+	ID      string
+	Addr    netip.AddrPort
+	Service string
+	Domain  string
+	// Advertise is the address in announcements; the zero value means that of the
+	// service itself.
+	Advertise    netip.AddrPort
 	Entries      []netip.AddrPort
 	BackendToken string
 	// Delay is the duration of a call.
@@ -206,7 +209,7 @@
 	s.seq++
 	a := host.Announcement{
 		ID:      s.conf.ID,
-		Addr:    s.server.Addr().String(),
+		Addr:    host.AdvertisedAddr(s.conf.Advertise, s.server.Addr()),
 		Kind:    "plain",
 		Service: s.conf.Service,
 		Domain:  s.conf.Domain,
--- /dev/null
+++ b/foldfake/soak/plan.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	// KillVM kills a process, which starts again after the fault. WipeVM also removes
+	// its data folder, and TearVM leaves a torn record at the end of its log.
+	KillVM Kind = "killVM"
+	WipeVM Kind = "wipeVM"
+	TearVM Kind = "tearVM"
+	// PauseVM suspends a process.
+	PauseVM Kind = "pauseVM"
+	// StopVM lets a process shut down, and starts it again.
+	StopVM Kind = "stopVM"
+	// RollVMs does the same with all processes in turn.
+	RollVMs Kind = "rollVMs"
+	// KillAll kills all processes at once.
+	KillAll Kind = "killAll"
+	// DelayCallers, ResetCallers, SilenceCallers and HalfOpenCallers disturb the
+	// connections of callers to a VM. Half open means that nothing reaches the caller.
+	DelayCallers    Kind = "delayCallers"
+	ResetCallers    Kind = "resetCallers"
+	SilenceCallers  Kind = "silenceCallers"
+	HalfOpenCallers Kind = "halfOpenCallers"
+	// DelayServer, ResetServer and SilenceServer disturb the connections of all VMs to
+	// a backend server.
+	DelayServer   Kind = "delayServer"
+	ResetServer   Kind = "resetServer"
+	SilenceServer Kind = "silenceServer"
+	// CrashServer closes a backend server, and starts another in its place. LeaveServer
+	// lets it announce that it is leaving first.
+	CrashServer Kind = "crashServer"
+	LeaveServer Kind = "leaveServer"
+	// BreakAnswers lets a backend server break off its answers in every framing.
+	BreakAnswers Kind = "breakAnswers"
+)
+
+// Fault is a fault of a plan.
+type Fault struct {
+	// At is the start, since the start of the load, and For the duration.
+	At  time.Duration `json:"at"`
+	For time.Duration `json:"for"`
+	// Kind says what happens, and Target to which VM or backend server, by its index.
+	Kind   Kind `json:"kind"`
+	Target int  `json:"target"`
+}
+
+// end returns when the fault is over.
+func (f Fault) end() time.Duration { return f.At + f.For }
+
+// vmKinds and otherKinds are the kinds that a plan draws from. Those that occur twice
+// are drawn twice as often.
+var (
+	vmKinds    = []Kind{KillVM, KillVM, WipeVM, TearVM, PauseVM, PauseVM, StopVM, StopVM}
+	otherKinds = []Kind{
+		DelayCallers, ResetCallers, SilenceCallers, HalfOpenCallers, DelayServer, ResetServer, SilenceServer,
+		CrashServer, CrashServer, LeaveServer, LeaveServer, BreakAnswers, BreakAnswers,
+	}
+)
+
+const (
+	// vmFaultGap is the longest time between two series of faults of VMs, and
+	// otherGap that between two other faults.
+	vmFaultGap = 2500 * time.Millisecond
+	otherGap   = 900 * time.Millisecond
+	// maxDown is the longest time that a VM is down or suspended, and maxDisturbed that
+	// of other faults.
+	maxDown      = 2 * time.Second
+	maxDisturbed = 2500 * time.Millisecond
+	// rollGap is the time between two stops of a rolling restart.
+	rollGap = 700 * time.Millisecond
+	// seriesChance is the chance that a fault of a VM is followed by another one, at
+	// the same time or soon after.
+	seriesChance = 0.4
+)
+
+// NewPlan returns the faults of a seed, in the order of their starts. A disk is lost
+// only while all others are well, since the group tolerates the loss of one.
+func NewPlan(seed uint64, length time.Duration, vms, controls, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0))
+	p := planner{r: r, vms: vms, controls: controls, length: length}
+	for at := p.upTo(vmFaultGap); at < length; at += p.upTo(vmFaultGap) {
+		at = p.addSeries(at)
+	}
+	for at := p.upTo(otherGap); at < length; at += p.upTo(otherGap) {
+		kind := otherKinds[r.IntN(len(otherKinds))]
+		target := r.IntN(vms)
+		if kind.ofServer() {
+			target = r.IntN(servers)
+		}
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: kind, Target: target})
+	}
+	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return p.faults
+}
+
+// ofServer reports whether a fault's target is a backend server.
+func (k Kind) ofServer() bool {
+	return slices.Contains([]Kind{DelayServer, ResetServer, SilenceServer, CrashServer, LeaveServer, BreakAnswers}, k)
+}
+
+// planner draws the faults of VMs.
+type planner struct {
+	r             *rand.Rand
+	vms, controls int
+	length        time.Duration
+	faults        []Fault
+	// wipeSafe is when the loss of the last disk has been made good.
+	wipeSafe time.Duration
+}
+
+func (p *planner) upTo(d time.Duration) time.Duration {
+	return time.Duration(p.r.Float64() * float64(d)).Round(time.Millisecond)
+}
+
+// addSeries adds faults of VMs from at on, some of which overlap. It returns the time
+// of the last one.
+func (p *planner) addSeries(at time.Duration) time.Duration {
+	for {
+		at = p.addVMFault(at)
+		if p.r.Float64() >= seriesChance {
+			return at
+		}
+		at += p.upTo(vmFaultGap / 4)
+	}
+}
+
+// wipeRecovery is the time in which a VM with a new disk becomes a voter.
+const wipeRecovery = 6 * time.Second
+
+func (p *planner) addVMFault(at time.Duration) time.Duration {
+	kind := vmKinds[p.r.IntN(len(vmKinds))]
+	target := p.r.IntN(p.vms)
+	switch x := p.r.Float64(); {
+	case x < 0.05:
+		kind = KillAll
+	case x < 0.1:
+		p.faults = append(p.faults, Fault{At: at, For: time.Duration(p.vms) * rollGap, Kind: RollVMs})
+		return at
+	}
+	if (kind == WipeVM || kind == TearVM) && target >= p.controls {
+		kind = KillVM
+	}
+	if kind == WipeVM {
+		if at < p.wipeSafe || at+wipeRecovery > p.length {
+			kind = KillVM
+		} else {
+			p.wipeSafe = at + maxDown + wipeRecovery
+		}
+	}
+	p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDown), Kind: kind, Target: target})
+	return at
+}
--- /dev/null
+++ b/foldfake/soak/soak.go
@@ -0,0 +1,252 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Options configures a run.
+type Options struct {
+	// Binary is the path of the foldd program.
+	Binary string
+	// Folder is where the files of a run go. They are removed if nothing is found.
+	Folder string
+	// Length is how long faults begin, DefaultLength if zero.
+	Length time.Duration
+}
+
+// DefaultLength is the default length of a run.
+const DefaultLength = 12 * time.Second
+
+const (
+	// returnBound is the time after the last fault in which service must be back.
+	returnBound = 15 * time.Second
+	// levelBound is the time after the last request in which memory and descriptors
+	// must be back at their level, and the slacks are what they may be above it.
+	levelBound      = 10 * time.Second
+	descriptorSlack = 60
+	memorySlack     = 100 << 20
+	operatorCount   = 2
+)
+
+// Report is the result of one seed.
+type Report struct {
+	Seed   uint64        `json:"seed"`
+	Length time.Duration `json:"length"`
+	Faults []Fault       `json:"faults"`
+	// Counts holds how many requests ended how, by what was asked for.
+	Counts     map[string]int `json:"counts"`
+	Changes    int            `json:"changes"`
+	Violations []Violation    `json:"violations"`
+	// Logs is the folder with the logs, kept if there are violations.
+	Logs string `json:"logs,omitempty"`
+}
+
+// Run plays one seed. The error is of the soak itself, such as a program that can't be
+// started.
+func Run(ctx context.Context, o Options, seed uint64) (Report, error) {
+	if o.Length == 0 {
+		o.Length = DefaultLength
+	}
+	folder := filepath.Join(o.Folder, fmt.Sprintf("seed-%d", seed))
+	rep := Report{Seed: seed, Length: o.Length, Faults: NewPlan(seed, o.Length, vmCount, controlCount, len(layout))}
+	f := &findings{start: time.Now()}
+	w, err := newWorld(o.Binary, folder, seed, f)
+	defer w.close()
+	if err != nil {
+		return rep, fmt.Errorf("start of seed %d: %w", seed, err)
+	}
+	p := &soakRun{world: w, findings: f, callers: &callers{world: w, findings: f}, operators: &operators{world: w, findings: f, accepted: map[uint64]time.Time{}}}
+	if err := p.begin(ctx); err != nil {
+		return rep, fmt.Errorf("start of seed %d: %w", seed, err)
+	}
+	f.start = time.Now()
+	p.load(ctx, rep)
+	rep.Counts, rep.Changes, rep.Violations = p.callers.counts, len(p.operators.history), f.all()
+	if len(rep.Violations) > 0 {
+		rep.Logs = folder
+		return rep, nil
+	}
+	w.close()
+	if err := os.RemoveAll(folder); err != nil {
+		return rep, fmt.Errorf("remove files of seed %d: %w", seed, err)
+	}
+	return rep, nil
+}
+
+// soakRun is a run in progress.
+type soakRun struct {
+	world     *world
+	findings  *findings
+	callers   *callers
+	operators *operators
+	// first is the revision at the start of the load, and levels what each VM held.
+	first  uint64
+	levels []usage
+}
+
+// begin waits until all VMs serve with the first configuration.
+func (p *soakRun) begin(ctx context.Context) error {
+	deadline := time.Now().Add(startTimeout)
+	for p.first == 0 && time.Now().Before(deadline) {
+		res, err := p.operators.applyAt(ctx, p.world.vms[0], 0, "first")
+		if err == nil {
+			p.first = res.GetRevision()
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+	if p.first == 0 {
+		return fmt.Errorf("no configuration was accepted within %v", startTimeout)
+	}
+	ready := func(_ int, v *vm) bool {
+		s, err := v.status(ctx)
+		return err == nil && s.GetSelf().GetConfigRevision() == p.first && len(s.GetBackends()) == len(layout) && len(s.GetPeers()) == vmCount-1
+	}
+	if id := p.world.awaitAll(startTimeout, ready); id != "" {
+		return fmt.Errorf("%s is not ready within %v", id, startTimeout)
+	}
+	for _, v := range p.world.vms {
+		u, err := v.usage()
+		if err != nil {
+			return err
+		}
+		p.levels = append(p.levels, u)
+	}
+	return nil
+}
+
+// load drives callers and operators through the plan, and checks what remains.
+func (p *soakRun) load(ctx context.Context, rep Report) {
+	var wg sync.WaitGroup
+	callersCtx, stopCallers := context.WithCancel(ctx)
+	operatorsCtx, stopOperators := context.WithCancel(ctx)
+	defer stopCallers()
+	defer stopOperators()
+	wg.Go(func() { p.callers.run(callersCtx, rep.Seed) })
+	for _, v := range p.world.vms {
+		wg.Go(func() { p.operators.watch(callersCtx, v) })
+		wg.Go(func() { p.watchProcess(callersCtx, v) })
+	}
+	var changes sync.WaitGroup
+	for i := range operatorCount {
+		changes.Go(func() { p.operators.change(operatorsCtx, i, rep.Seed) })
+	}
+	p.applyPlan(ctx, rep.Faults)
+	p.checkReturn(time.Now())
+	stopOperators()
+	changes.Wait()
+	p.checkInForce(ctx)
+	stopCallers()
+	wg.Wait()
+	p.callers.checkResults(p.world.servers)
+	p.operators.checkHistory(p.first)
+	p.checkLevels()
+}
+
+// applyPlan applies the faults at their times, and waits until all have ended.
+func (p *soakRun) applyPlan(ctx context.Context, plan []Fault) {
+	var wg sync.WaitGroup
+	start := time.Now()
+	locks := make([]sync.Mutex, vmCount+1+len(layout))
+	for _, f := range plan {
+		sleep(ctx, time.Until(start.Add(f.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Go(func() {
+			// Two faults that start and stop the same process take turns; those of
+			// different ones overlap.
+			for _, i := range lockOrder(f) {
+				locks[i].Lock()
+				defer locks[i].Unlock()
+			}
+			p.world.apply(ctx, f)
+		})
+	}
+	wg.Wait()
+}
+
+// lockOrder returns the locks that a fault takes, in ascending order.
+func lockOrder(f Fault) []int {
+	if f.Kind == KillAll || f.Kind == RollVMs {
+		all := make([]int, vmCount)
+		for i := range all {
+			all[i] = i
+		}
+		return all
+	}
+	if f.Kind.ofServer() {
+		return []int{vmCount + 1 + f.Target}
+	}
+	if _, ok := callerModes[f.Kind]; ok {
+		return nil
+	}
+	return []int{f.Target}
+}
+
+// watchProcess reports a process that ends by itself, and starts it again.
+func (p *soakRun) watchProcess(ctx context.Context, v *vm) {
+	for ctx.Err() == nil {
+		if v.crashed() {
+			p.findings.add(StaysUp, "", "%s ended by itself", v.id)
+			v.stop(0)
+			p.world.check(v.start())
+		}
+		sleep(ctx, watchInterval)
+	}
+}
+
+// checkReturn checks that each VM serves each kind of request again after the last
+// fault.
+func (p *soakRun) checkReturn(since time.Time) {
+	missing := ""
+	back := func(i int, _ *vm) bool {
+		for _, ask := range asks {
+			if !p.callers.servedSince(i, ask, since) {
+				missing = ask
+				return false
+			}
+		}
+		return true
+	}
+	if id := p.world.awaitAll(returnBound, back); id != "" {
+		p.findings.add(Returns, "", "%s has not served %s within %v after the last fault", id, missing, returnBound)
+	}
+}
+
+// checkInForce checks that the newest configuration is in force everywhere in the end.
+func (p *soakRun) checkInForce(ctx context.Context) {
+	want := p.operators.newest(time.Now())
+	have := map[string]uint64{}
+	inForce := func(_ int, v *vm) bool {
+		s, err := v.status(ctx)
+		if err != nil {
+			return false
+		}
+		have[v.id] = s.GetSelf().GetConfigRevision()
+		return have[v.id] >= want
+	}
+	if id := p.world.awaitAll(inForceBound, inForce); id != "" {
+		p.findings.add(ConfigForward, "", "%s has revision %d in force in the end, %d was accepted", id, have[id], want)
+	}
+}
+
+// checkLevels checks that the VMs give back memory and descriptors.
+func (p *soakRun) checkLevels() {
+	var last usage
+	level := func(i int, v *vm) bool {
+		u, err := v.usage()
+		if err != nil {
+			return false
+		}
+		last = u
+		return u.descriptors <= p.levels[i].descriptors+descriptorSlack && u.memory <= p.levels[i].memory+memorySlack
+	}
+	if id := p.world.awaitAll(levelBound, level); id != "" {
+		p.findings.add(Level, "", "%s holds %d descriptors and %d MiB after the load; levels before %+v", id, last.descriptors, last.memory>>20, p.levels)
+	}
+}
--- /dev/null
+++ b/foldfake/soak/world.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// vmCount is the number of VMs, of which the first controlCount have a control
+	// replica.
+	vmCount      = 5
+	controlCount = 3
+	// startTimeout bounds the start of everything.
+	startTimeout = 30 * time.Second
+)
+
+// world is the system under test with its backend servers.
+type world struct {
+	vms     []*vm
+	servers *servers
+	// peers and controls are the addresses of all VMs and of the control VMs.
+	peers, controls []netip.AddrPort
+	findings        *findings
+}
+
+// newWorld starts the VMs and the backend servers.
+func newWorld(binary, folder string, seed uint64, f *findings) (*world, error) {
+	w := &world{findings: f}
+	r := rand.New(rand.NewPCG(seed, uint64(os.Getpid())))
+	for i := range vmCount {
+		v, err := newVM(fmt.Sprintf("vm%d", i+1), binary, filepath.Join(folder, fmt.Sprintf("vm%d", i+1)), i < controlCount, r)
+		if err != nil {
+			return w, err
+		}
+		w.vms = append(w.vms, v)
+		w.peers = append(w.peers, v.peers)
+		if i < controlCount {
+			w.controls = append(w.controls, v.peers)
+		}
+	}
+	for _, v := range w.vms {
+		if err := v.writeSettings(w.peers, w.controls, true); err != nil {
+			return w, err
+		}
+		if err := v.start(); err != nil {
+			return w, err
+		}
+	}
+	w.servers = &servers{findings: f, calm: func(i int, since time.Time) bool {
+		return i >= 0 && i < len(w.vms) && w.vms[i].calmSince(since)
+	}}
+	for _, v := range w.vms {
+		w.servers.entries = append(w.servers.entries, v.backends)
+	}
+	return w, w.servers.startAll()
+}
+
+func newVM(id, binary, folder string, control bool, r *rand.Rand) (*vm, error) {
+	v := &vm{id: id, binary: binary, folder: folder}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return v, fmt.Errorf("make folder: %w", err)
+	}
+	if control {
+		v.data = filepath.Join(folder, "data")
+	}
+	for _, addr := range []*netip.AddrPort{&v.callers, &v.backends, &v.peers, &v.operators} {
+		var err error
+		if *addr, err = freePort(r); err != nil {
+			return v, err
+		}
+	}
+	v.newClient()
+	var err error
+	v.proxy, err = NewProxy(v.callers)
+	return v, err
+}
+
+// close ends everything that the world started.
+func (w *world) close() {
+	var wg sync.WaitGroup
+	for _, v := range w.vms {
+		wg.Go(func() {
+			v.stop(syscall.SIGKILL)
+			if v.proxy != nil {
+				v.proxy.Close()
+			}
+		})
+	}
+	wg.Wait()
+	if w.servers != nil {
+		w.servers.closeAll()
+	}
+}
+
+// apply applies a fault and ends it after its time, or earlier if ctx ends.
+func (w *world) apply(ctx context.Context, f Fault) {
+	if f.Kind.ofServer() {
+		w.disturbServer(ctx, f)
+		return
+	}
+	if f.Kind == RollVMs {
+		w.roll(ctx)
+		return
+	}
+	if f.Kind == KillAll {
+		w.killAll(ctx, f.For)
+		return
+	}
+	v := w.vms[f.Target]
+	if mode, ok := callerModes[f.Kind]; ok {
+		v.disturb()
+		v.proxy.SetMode(mode)
+		sleep(ctx, f.For)
+		v.proxy.SetMode(Pass)
+		v.disturb()
+		return
+	}
+	if f.Kind == PauseVM {
+		v.signal(syscall.SIGSTOP)
+		sleep(ctx, f.For)
+		v.signal(syscall.SIGCONT)
+		return
+	}
+	w.restart(ctx, v, f)
+}
+
+var callerModes = map[Kind]Mode{DelayCallers: Delay, ResetCallers: Reset, SilenceCallers: Silence, HalfOpenCallers: HalfOpen}
+
+var serverModes = map[Kind]Mode{DelayServer: Delay, ResetServer: Reset, SilenceServer: Silence}
+
+// restart ends a VM, does what the fault says to its disk, and starts it again.
+func (w *world) restart(ctx context.Context, v *vm, f Fault) {
+	s := syscall.SIGKILL
+	if f.Kind == StopVM {
+		s = syscall.SIGTERM
+	}
+	v.stop(s)
+	switch f.Kind {
+	case WipeVM:
+		w.check(v.wipe())
+		w.check(v.writeSettings(w.peers, w.controls, false))
+	case TearVM:
+		w.check(v.tear())
+	}
+	sleep(ctx, f.For)
+	w.check(v.start())
+}
+
+// check records an error of the soak itself.
+func (w *world) check(err error) {
+	if err != nil {
+		w.findings.add(StaysUp, "", "the soak failed: %v", err)
+	}
+}
+
+// roll stops all VMs in turn, and starts each again before the next.
+func (w *world) roll(ctx context.Context) {
+	for _, v := range w.vms {
+		w.restart(ctx, v, Fault{Kind: StopVM, For: rollGap / 4})
+		sleep(ctx, rollGap)
+	}
+}
+
+func (w *world) killAll(ctx context.Context, down time.Duration) {
+	var wg sync.WaitGroup
+	for _, v := range w.vms {
+		wg.Go(func() { v.stop(syscall.SIGKILL) })
+	}
+	wg.Wait()
+	sleep(ctx, down)
+	for _, v := range w.vms {
+		w.check(v.start())
+	}
+}
+
+func (w *world) disturbServer(ctx context.Context, f Fault) {
+	x := w.servers.at(f.Target)
+	if mode, ok := serverModes[f.Kind]; ok {
+		x.proxy.SetMode(mode)
+		sleep(ctx, f.For)
+		x.proxy.SetMode(Pass)
+		return
+	}
+	switch f.Kind {
+	case BreakAnswers:
+		x.setBreaking(true)
+		sleep(ctx, f.For)
+		x.setBreaking(false)
+		return
+	case LeaveServer:
+		x.leave()
+		w.check(w.servers.replace(f.Target))
+		sleep(ctx, leaveTime)
+		x.close()
+	case CrashServer:
+		x.close()
+		sleep(ctx, f.For)
+		w.check(w.servers.replace(f.Target))
+	}
+}
+
+// awaitAll waits until a condition holds for all VMs, and returns the ID of one for
+// which it does not, or an empty string.
+func (w *world) awaitAll(timeout time.Duration, ok func(i int, v *vm) bool) string {
+	deadline := time.Now().Add(timeout)
+	for {
+		missing := ""
+		for i, v := range w.vms {
+			if !ok(i, v) {
+				missing = v.id
+			}
+		}
+		if missing == "" || time.Now().After(deadline) {
+			return missing
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
