Entry: a rejected resend proves nothing of earlier sends

Cause: a VM that shuts down, is overloaded or has no configuration rejects a call before it looks its idempotency key up, and reported it as not run. An earlier send with the key, through another VM, may have run. Change: each rejection before the claim has the outcome unknown if the call has a key and does not state that this is its first send, as the one without a quorum has already.

--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -51,14 +51,14 @@
 func (e *Handler) serveCall(ctx context.Context, w http.ResponseWriter, r *http.Request, a requester) *fault.Fault {
 	route, ok := a.index.Route(r.URL.Path)
 	if !ok {
-		return fault.NotRun(http.StatusNotFound, fault.UnknownRoute, "no route for "+strconv.Quote(r.URL.Path))
+		return withoutClaim(r, fault.NotRun(http.StatusNotFound, fault.UnknownRoute, "no route for "+strconv.Quote(r.URL.Path)))
 	}
 	if !slices.Contains(route.Methods, r.Method) {
-		return fault.NotRun(http.StatusMethodNotAllowed, fault.UnknownRoute, "the route takes no "+r.Method)
+		return withoutClaim(r, fault.NotRun(http.StatusMethodNotAllowed, fault.UnknownRoute, "the route takes no "+r.Method))
 	}
 	body, fail := e.readBody(r)
 	if fail != nil {
-		return fail
+		return withoutClaim(r, fail)
 	}
 	e.Node.Count("calls."+route.Service, 1)
 	c := &call{handler: e, requester: a, route: route, r: r, body: body}
@@ -129,11 +129,19 @@
 // call with the key did not run, so the outcome is unknown unless the caller
 // states that this is the first send.
 func (c *call) claimFault(err error) *fault.Fault {
-	f := noQuorumFault(err.Error())
-	if c.r.Header.Get(headerFirstSend) != "true" {
-		f.Outcome = retry.Unknown
+	return withoutClaim(c.r, noQuorumFault(err.Error()))
+}
+
+// withoutClaim returns the fault for a request that was rejected before its
+// idempotency key was looked up. Unless the caller states that this is the first
+// send, an earlier one may have run, so the outcome is unknown.
+func withoutClaim(r *http.Request, f *fault.Fault) *fault.Fault {
+	if r.Header.Get(headerIdempotency) == "" || r.Header.Get(headerFirstSend) == "true" {
+		return f
 	}
-	return f
+	unproved := *f
+	unproved.Outcome = retry.Unknown
+	return &unproved
 }
 
 func noQuorumFault(message string) *fault.Fault {
--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -80,10 +80,10 @@
 func (e *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) *fault.Fault {
 	a, fail := e.admit(r)
 	if fail != nil {
-		return fail
+		return withoutClaim(r, fail)
 	}
 	if !e.Node.AcquireStream() {
-		return fault.NotRun(http.StatusTooManyRequests, fault.Overload, "too many requests in progress on this VM").WithRetryAfter(time.Second)
+		return withoutClaim(r, fault.NotRun(http.StatusTooManyRequests, fault.Overload, "too many requests in progress on this VM").WithRetryAfter(time.Second))
 	}
 	defer e.Node.ReleaseStream()
 	switch {
