Entry: failing test of a call that is held past its timeout

The timeout begins anew once the claim is granted, and the answer waits until the claim is settled, for up to 5 s.

--- a/foldd/entry/call_test.go
+++ b/foldd/entry/call_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-const routeTimeout = 500 * time.Millisecond
+const routeTimeout = 3 * time.Second
 
 // newHandler returns a handler with a route whose calls run at most once, and a
 // service that answers after serviceTime.
@@ -103,3 +103,34 @@
 		t.Errorf("without a key: outcome %q, want notRun", outcome)
 	}
 }
+
+// TestCallIsNotHeldPastItsTimeout gives a call a claim that takes most of its timeout,
+// a service that takes longer than the rest, and a claim that can't be settled.
+func TestCallIsNotHeldPastItsTimeout(t *testing.T) {
+	// heldBound is below the timeout and the claim's time together.
+	const (
+		claimTime = 2800 * time.Millisecond
+		heldBound = 4800 * time.Millisecond
+	)
+	tests := []struct {
+		name        string
+		serviceTime time.Duration
+		status      int
+		outcome     string
+	}{
+		{"slow service", 2 * routeTimeout, http.StatusGatewayTimeout, "unknown"},
+		{"settling stalls", 0, http.StatusOK, "done"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			status, outcome, held := call(newHandler(t, claims{claimTime: claimTime}, tt.serviceTime))
+			if status != tt.status || outcome != tt.outcome {
+				t.Errorf("status %d, outcome %q; want %d, %q", status, outcome, tt.status, tt.outcome)
+			}
+			if held > heldBound {
+				t.Errorf("held for %v, want about %v", held, routeTimeout)
+			}
+		})
+	}
+}
