Entry: a call is not held past its timeout by its claim

Cause: the call got its whole timeout anew after the claim was granted, and its answer waited for the claim to be settled, up to 5 s where the control group is slow. Change: claim and call share the route's timeout; settling goes on in the background once it has passed, and the caller gets what is known. A claim that is not settled is logged.

--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -155,7 +155,8 @@
 // runClaimed sends a call whose claim was granted, and settles the claim.
 func (c *call) runClaimed(ctx context.Context, w http.ResponseWriter, claim Claim) *fault.Fault {
 	// A call that may run only once continues after its caller disconnects.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.route.Timeout))
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	answer, attempt, fail := c.attempt(ctx)
 	settlement := SettleUnknown
@@ -165,10 +166,10 @@
 	case attempt.Outcome() == retry.NotRun:
 		settlement = SettleReleased
 	}
-	settleCtx, cancelSettle := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancelSettle()
-	if err := c.handler.Claims.Settle(settleCtx, claim, settlement, answer); err != nil {
-		c.handler.Node.Count("claims.unsettled", 1)
+	select {
+	case <-c.settle(ctx, claim, settlement, answer):
+	case <-ctx.Done():
+		// Settling goes on; the caller gets what is known.
 	}
 	if fail != nil {
 		return fail
@@ -177,6 +178,22 @@
 	return nil
 }
 
+// settle settles a claim in the background, for at most settleTimeout. The returned
+// channel is closed when it has ended.
+func (c *call) settle(ctx context.Context, claim Claim, s Settlement, answer RecordedAnswer) <-chan struct{} {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	ended := make(chan struct{})
+	go func() {
+		defer cancel()
+		defer close(ended)
+		if err := c.handler.Claims.Settle(ctx, claim, s, answer); err != nil {
+			c.handler.Node.Count("claims.unsettled", 1)
+			c.handler.Node.Log.WithError(err).WithField("key", claim.Key).Warn("claim not settled; resends of the key get an unknown outcome")
+		}
+	}()
+	return ended
+}
+
 // digest returns a hash of the method, URI and body. It identifies the request
 // that an idempotency key was used for.
 func (c *call) digest() []byte {
