Store: the folder of a replica that has received nothing is not damaged

Evidence: TestReplicaWithoutStateIsReopened failed with "data folder is damaged" before and passes now; tests of store pass.

--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -175,6 +175,10 @@
 	if err != nil {
 		return raft.Snapshot{}, fmt.Errorf("read snapshot: %w", err)
 	}
+	if bytes.Equal(b, frameRecord(nil)) {
+		// The snapshot of a replica that has received nothing yet.
+		return raft.Snapshot{}, nil
+	}
 	payload, rest, ok := splitRecord(b)
 	if !ok || len(rest) > 0 {
 		return raft.Snapshot{}, fmt.Errorf("snapshot %d: %w", f.generation, ErrCorrupt)
--- a/foldd/store/store_test.go
+++ b/foldd/store/store_test.go
@@ -195,3 +195,24 @@
 		t.Errorf("empty folder: got error %v, want ErrEmpty", err)
 	}
 }
+
+// TestReplicaWithoutStateIsReopened opens the folder of a replica that has joined and
+// received nothing yet.
+func TestReplicaWithoutStateIsReopened(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	f, err := store.Create(path, store.Identity{Group: "g", ID: "r"}, raft.PersistentState{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	f, state, err := store.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if f.Identity().ID != "r" || len(state.Entries) != 0 || state.Snapshot.Index != 0 {
+		t.Errorf("identity %+v, state %+v; want an empty state", f.Identity(), state)
+	}
+}
