Relay: a stream without framing is complete only if its engine is still there

Change: after the end of such a stream the relay opens a connection to the engine, which the pool keeps. If the engine takes none, the stream is interrupted. Streams with chunks or a length are as before. The soak closes a crashed server's proxy first, so that it takes no connections either. Evidence: TestStreamOfCrashedEngineIsNotComplete failed before and passes now; tests of relay and pool pass.

--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -98,7 +99,7 @@
 		return f
 	}
 	for {
-		err := s.relayResponse(res)
+		err := s.relayResponse(ctx, res)
 		m := s.awaitMove()
 		switch {
 		case err != nil && ctx.Err() != nil:
@@ -227,7 +228,7 @@
 
 // relayResponse relays a response until it ends, and closes it. It returns nil
 // if the response is complete.
-func (s *stream) relayResponse(res *pool.Response) error {
+func (s *stream) relayResponse(ctx context.Context, res *pool.Response) error {
 	defer res.Body.Close()
 	s.q.recordFraming(res)
 	if !supportedStatus(res.Status) {
@@ -251,7 +252,7 @@
 			s.q.partialBytes = len(s.splitter.Rest())
 		}
 		if err == io.EOF {
-			return s.checkEnd(res, before)
+			return s.checkEnd(ctx, res, before)
 		}
 		if err != nil {
 			return err
@@ -322,15 +323,22 @@
 
 // checkEnd returns an error if a response that has ended is not complete. before is
 // the number of events before the response. A stream of events is complete only
-// after a whole event. Other bodies are opaque.
-func (s *stream) checkEnd(res *pool.Response, before int) error {
-	if res.Status == http.StatusOK {
-		switch {
-		case s.splitter.Partial():
-			return errPartialEvent
-		case res.Framing == pool.CloseDelimited && s.eventCount() == before:
-			return errNoEvents
-		}
+// after a whole event, and without framing only if there is one and its engine is
+// still there: one that has crashed closes its connections too. Other bodies are
+// opaque.
+func (s *stream) checkEnd(ctx context.Context, res *pool.Response, before int) error {
+	switch {
+	case res.Status != http.StatusOK:
+		return nil
+	case s.splitter.Partial():
+		return errPartialEvent
+	case res.Framing != pool.CloseDelimited || s.currentMove() != nil:
+		return nil
+	case s.eventCount() == before:
+		return errNoEvents
+	}
+	if err := s.q.relay.Pool.Probe(ctx, s.server.Addr); err != nil {
+		return fmt.Errorf("%w: %w", errEngineGone, err)
 	}
 	return nil
 }
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// TestStreamOfCrashedEngineIsNotComplete lets an engine crash between two events of a
+// stream without framing.
+func TestStreamOfCrashedEngineIsNotComplete(t *testing.T) {
+	r := startVM(t)
+	r.backend("e", "models", respondWith(origin.Behaviour{Events: streamEvents, CrashAfter: 8, CloseDelimited: true}))
+	_, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt")
+	checkTruncated(t, body, err)
+}
+
 // TestStreamNeedsChunks checks that a caller whose protocol has no chunks, and who
 // so can't tell a broken stream, gets none.
 func TestStreamNeedsChunks(t *testing.T) {
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -55,6 +55,9 @@
 	// response.
 	Hang bool
 	Drop bool
+	// CrashAfter, if positive, closes the server and all its connections after that
+	// many events of a stream.
+	CrashAfter int
 	// Crash sends the header and half of the first event of a stream, and then
 	// closes the server and all its connections.
 	Crash bool
@@ -346,6 +349,10 @@
 		if b.Hold != nil && current.sent == b.HoldAt {
 			s.waitForRelease(current, b.Hold)
 		}
+		if b.CrashAfter > 0 && current.sent == b.CrashAfter {
+			s.Close()
+			return false
+		}
 		if s.isStopped(current) {
 			if s.CleanStop {
 				_ = out.writeEnd()
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -246,6 +246,8 @@
 
 func (x *instance) close() {
 	x.cancel()
+	// Nobody reaches a server that has crashed.
+	x.proxy.listener.Close()
 	if x.engine != nil {
 		_ = x.engine.Close()
 	}
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -157,6 +157,17 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// Probe opens a connection to a server, which then waits for a request. The error, if
+// any, is an *Error.
+func (p *Pool) Probe(ctx context.Context, addr netip.AddrPort) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return &Error{Err: err}
+	}
+	p.put(c)
+	return nil
+}
+
 // CloseIdle closes the idle connections to a server.
 func (p *Pool) CloseIdle(addr netip.AddrPort) {
 	p.mu.Lock()
