--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -32,7 +32,7 @@
 	newPartLimit   = 5
 	soundPartLimit = 8
 	// firstTrial is the time after the last crash at which a part in quarantine is
-	// tried again. It doubles with each trial, up to maxTrialDoublings times.
+	// admitted as a trial. The time doubles with each trial, up to maxTrialDoublings times.
 	firstTrial        = 5 * time.Minute
 	maxTrialDoublings = 4
 	// minAliveAfter and maxAliveAfter bound the time after a loss in which an answer of
@@ -81,7 +81,7 @@
 	Crashes int
 	// LastLoss is when the last of them was.
 	LastLoss time.Time
-	// RetryAfter is the time until the part is tried again, set by Check.
+	// RetryAfter is the time until the next trial of the part, set by Check.
 	RetryAfter time.Duration
 }
 
@@ -265,7 +265,7 @@
 	return Quarantine{}, false
 }
 
-// nextTrial returns when a part in quarantine may be tried again.
+// nextTrial returns when the next trial of a part in quarantine may begin.
 func (t *Table) nextTrial(q Quarantine) time.Time {
 	tried := t.trials[q.Part]
 	last := q.LastLoss
--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// TestTrials checks when a part in quarantine is tried again.
+// TestTrials checks when the trials of a part in quarantine begin.
 func TestTrials(t *testing.T) {
 	var table Table
 	for i := range 3 {
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -55,7 +55,7 @@
 	folder := filepath.Join(o.Folder, fmt.Sprintf("seed-%d", seed))
 	rep := Report{Seed: seed, Length: o.Length, Faults: NewPlan(seed, o.Length, vmCount, controlCount, len(layout))}
 	f := &findings{start: time.Now()}
-	w, err := newWorld(o.Binary, folder, seed, f)
+	w, err := newWorld(o.Binary, folder, f)
 	defer w.close()
 	if err != nil {
 		return rep, fmt.Errorf("start of seed %d: %w", seed, err)
@@ -237,16 +237,16 @@
 
 // checkLevels checks that the VMs give back memory and descriptors.
 func (p *soakRun) checkLevels() {
-	var last usage
+	held := map[string]usage{}
 	level := func(i int, v *vm) bool {
 		u, err := v.usage()
 		if err != nil {
 			return false
 		}
-		last = u
+		held[v.id] = u
 		return u.descriptors <= p.levels[i].descriptors+descriptorSlack && u.memory <= p.levels[i].memory+memorySlack
 	}
 	if id := p.world.awaitAll(levelBound, level); id != "" {
-		p.findings.add(Level, "", "%s holds %d descriptors and %d MiB after the load; levels before %+v", id, last.descriptors, last.memory>>20, p.levels)
+		p.findings.add(Level, "", "%s is above its level after the load; VMs hold %+v, before %+v", id, held, p.levels)
 	}
 }
--- a/foldfake/soak/vm.go
+++ b/foldfake/soak/vm.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,18 +50,29 @@
 // statusTimeout bounds the call of an operator to a VM.
 const statusTimeout = time.Second
 
-// freePort returns a loopback address that nothing listens on. It lies below the
-// range from which the kernel takes the ports of outgoing connections.
-func freePort(r *rand.Rand) (netip.AddrPort, error) {
-	const first, count, tries = 12_000, 18_000, 1000
+// Ports of VMs lie below the range from which the kernel takes the ports of outgoing
+// connections.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// lastPort counts the ports that were tried, so that no two VMs of a process get the
+// same one.
+var lastPort atomic.Uint32
+
+// freePort returns a loopback address that nothing listens on.
+func freePort() (netip.AddrPort, error) {
+	const tries = 1000
 	for range tries {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(first+r.IntN(count)))
+		n := (uint32(os.Getpid())*997 + lastPort.Add(1)) % portCount
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+n))
 		if l, err := net.Listen("tcp", addr.String()); err == nil {
 			l.Close()
 			return addr, nil
 		}
 	}
-	return netip.AddrPort{}, fmt.Errorf("no free port from %d on", first)
+	return netip.AddrPort{}, fmt.Errorf("no free port from %d on", firstPort)
 }
 
 // settings is the settings file of a VM.
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -31,11 +30,10 @@
 }
 
 // newWorld starts the VMs and the backend servers.
-func newWorld(binary, folder string, seed uint64, f *findings) (*world, error) {
+func newWorld(binary, folder string, f *findings) (*world, error) {
 	w := &world{findings: f}
-	r := rand.New(rand.NewPCG(seed, uint64(os.Getpid())))
 	for i := range vmCount {
-		v, err := newVM(fmt.Sprintf("vm%d", i+1), binary, filepath.Join(folder, fmt.Sprintf("vm%d", i+1)), i < controlCount, r)
+		v, err := newVM(fmt.Sprintf("vm%d", i+1), binary, filepath.Join(folder, fmt.Sprintf("vm%d", i+1)), i < controlCount)
 		if err != nil {
 			return w, err
 		}
@@ -62,7 +60,7 @@
 	return w, w.servers.startAll()
 }
 
-func newVM(id, binary, folder string, control bool, r *rand.Rand) (*vm, error) {
+func newVM(id, binary, folder string, control bool) (*vm, error) {
 	v := &vm{id: id, binary: binary, folder: folder}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return v, fmt.Errorf("make folder: %w", err)
@@ -72,7 +70,7 @@
 	}
 	for _, addr := range []*netip.AddrPort{&v.callers, &v.backends, &v.peers, &v.operators} {
 		var err error
-		if *addr, err = freePort(r); err != nil {
+		if *addr, err = freePort(); err != nil {
 			return v, err
 		}
 	}
