Node: who makes trials is looked up only for a part in quarantine

Cause: each stream's request asked for the placement VM, which goes through all live VMs, before it was known whether any part is in quarantine. Change: the look-up is a function that is called for a part in quarantine only. Measured: tests of node and app pass; same decisions.

--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -62,9 +62,10 @@
 func (n *Node) Quarantine(service string, parts []string) (poison.Quarantine, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	_, remote := n.placementVM(now, service)
-	return n.checkQuarantine(now, parts, !remote)
+	return n.checkQuarantine(parts, func(now time.Time) bool {
+		_, remote := n.placementVM(now, service)
+		return !remote
+	})
 }
 
 // GenerationQuarantine is Quarantine for a generation of a model. Its scheduler makes
@@ -72,19 +73,21 @@
 func (n *Node) GenerationQuarantine(model string, parts []string) (poison.Quarantine, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	scheduler, ok := n.group.Scheduler(now, model)
-	return n.checkQuarantine(now, parts, ok && scheduler.ID == n.Settings.ID)
+	return n.checkQuarantine(parts, func(now time.Time) bool {
+		scheduler, ok := n.group.Scheduler(now, model)
+		return ok && scheduler.ID == n.Settings.ID
+	})
 }
 
-// checkQuarantine returns the quarantine of a part, unless a trial may be made and is
-// due. The caller holds the lock.
-func (n *Node) checkQuarantine(now time.Time, parts []string, mayTry bool) (poison.Quarantine, bool) {
+// checkQuarantine returns the quarantine of a part, unless a trial is due and this VM
+// makes the trials. The caller holds the lock.
+func (n *Node) checkQuarantine(parts []string, makesTrials func(now time.Time) bool) (poison.Quarantine, bool) {
+	now := time.Now()
 	q, ok := n.poison.Check(now, parts)
 	if !ok {
 		return q, false
 	}
-	if mayTry && n.poison.BeginTrial(now, q) {
+	if makesTrials(now) && n.poison.BeginTrial(now, q) {
 		n.Count("poison.trials", 1)
 		n.Log.WithFields(quarantineFields(q)).Warn("prompt part in quarantine is tried again")
 		return q, false
