--- a/netio/pool/pool_test.go
+++ b/netio/pool/pool_test.go
@@ -138,3 +138,62 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestFraming checks how the end of each kind of response is marked.
+func TestFraming(t *testing.T) {
+	tests := []struct {
+		behaviour origin.Behaviour
+		want      pool.Framing
+	}{
+		{origin.Behaviour{Body: "hello"}, pool.ByLength},
+		{origin.Behaviour{}, pool.ByLength},
+		{origin.Behaviour{Events: 2}, pool.Chunked},
+		{origin.Behaviour{Body: "hello", CloseDelimited: true}, pool.CloseDelimited},
+		{origin.Behaviour{Events: 2, CloseDelimited: true}, pool.CloseDelimited},
+	}
+	for _, tt := range tests {
+		s := startServer(t, func(*http.Request) origin.Behaviour { return tt.behaviour })
+		res, err := (&pool.Pool{}).Do(context.Background(), newRequest(s, http.MethodPost, "1", nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.Framing != tt.want {
+			t.Errorf("%+v: framing %v, want %v", tt.behaviour, res.Framing, tt.want)
+		}
+	}
+}
+
+// TestProbe checks that a probe's connection serves the next request, and that a
+// server that is gone can't be probed.
+func TestProbe(t *testing.T) {
+	s := startServer(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "hello"} })
+	p := &pool.Pool{}
+	if err := p.Probe(context.Background(), s.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := do(t, p, newRequest(s, http.MethodPost, "1", nil)); err != nil || s.Accepted() != 1 {
+		t.Errorf("error %v, %d connections; want one that the probe has opened", err, s.Accepted())
+	}
+	s.Close()
+	p.CloseIdle(s.Addr())
+	if err := p.Probe(context.Background(), s.Addr()); err == nil || pool.ClosedByPeer(err) {
+		t.Errorf("probe of a server that is gone: error %v, want a refused connection", err)
+	}
+}
+
+func TestClosedByPeer(t *testing.T) {
+	for _, b := range []origin.Behaviour{{Drop: true}, {Body: "hello", TruncateAt: 2}, {Body: "hello", TruncateAt: 2, Reset: true}, {Crash: true}} {
+		s := startServer(t, func(*http.Request) origin.Behaviour { return b })
+		_, _, err := do(t, &pool.Pool{}, newRequest(s, http.MethodPost, "1", nil))
+		if err == nil || !pool.ClosedByPeer(err) {
+			t.Errorf("%+v: error %v, want one of a connection that the server closed", b, err)
+		}
+	}
+	s := startServer(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Hang: true} })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := (&pool.Pool{}).Do(ctx, newRequest(s, http.MethodPost, "1", nil)); err == nil || pool.ClosedByPeer(err) {
+		t.Errorf("timeout: error %v, want one that is none of the server's", err)
+	}
+}
