--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -47,8 +47,8 @@
 	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").WithRetryAfter(notReadyRetryAfter)
 }
 
-// choose returns the server that the request is sent to next, other than those that
-// were tried. ok is false if there is none left.
+// choose returns the server that the request is sent to next, other than those in
+// tried. ok is false if there is none left.
 func (s *stream) choose(ctx context.Context, tried []string) (b backend, ok bool, f *fault.Fault) {
 	q := s.q
 	if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.params.Prompt.SharedParts()); ok {
@@ -71,7 +71,7 @@
 }
 
 // accept handles the header of a response. It returns false if the server rejected the
-// request as not run, and a fault if no further server may be tried then.
+// request as not run, and a fault if no further server may be asked then.
 func (s *stream) accept(b backend, res *pool.Response) (bool, *fault.Fault) {
 	q := s.q
 	q.sent++
--- a/foldfake/soak/soak_test.go
+++ b/foldfake/soak/soak_test.go
@@ -29,6 +29,7 @@
 	for _, s := range seedsInCI {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
 			t.Parallel()
+			t.Logf("failed once: %s", s.cause)
 			rep, err := Run(context.Background(), Options{Binary: binary, Folder: t.TempDir()}, s.seed)
 			if err != nil {
 				t.Fatal(err)
--- a/foldfake/soak/vm.go
+++ b/foldfake/soak/vm.go
@@ -59,7 +59,7 @@
 	portCount = 18_000
 )
 
-// lastPort counts the ports that were tried, so that no two VMs of a process get the
+// lastPort counts the ports that were considered, so that no two VMs of a process get the
 // same one.
 var lastPort atomic.Uint32
 
