--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -47,15 +47,15 @@
 	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").WithRetryAfter(notReadyRetryAfter)
 }
 
-// choose returns the server that the request is sent to next, other than those in
-// tried. ok is false if there is none left.
-func (s *stream) choose(ctx context.Context, tried []string) (b backend, ok bool, f *fault.Fault) {
+// choose returns the server that the request is sent to next, other than the excluded
+// ones. ok is false if no server is left.
+func (s *stream) choose(ctx context.Context, exclude []string) (b backend, ok bool, f *fault.Fault) {
 	q := s.q
 	if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.params.Prompt.SharedParts()); ok {
 		return b, false, fault.FromQuarantine(quarantine)
 	}
 	req := s.placement
-	req.Exclude, req.FirstTokenBudget = tried, s.firstTokenBudget()
+	req.Exclude, req.FirstTokenBudget = exclude, s.firstTokenBudget()
 	choice, ok := q.relay.Node.Place(ctx, q.service.Name, req)
 	switch {
 	case !ok:
