Node, relay: what servers say of their rate limit is logged and counted, and what is sent to them

Cause: no line and no metric of ours named a limit or said how many requests went to such a server and why, so the hypotheses of the incident could not be told apart by logs. Change: the codecs decode the header; log lines when a limit is named and ends, every 4 s what was sent there by purpose; counters limits.*. No decision changes.

--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -126,6 +126,7 @@
 func (n *Node) expire(now time.Time) {
 	n.mu.Lock()
 	n.watchControl(now)
+	n.expireLimits(now)
 	if n.controlUnreachable(now) {
 		n.mu.Unlock()
 		return
@@ -133,6 +134,7 @@
 	expired := n.table.Expire(now)
 	for _, id := range expired {
 		n.placer.Forget(id)
+		n.limits.Forget(id)
 		n.eachScheduler(func(s *sched.Scheduler) { s.RemoveBackend(now, id) })
 	}
 	n.poll(now)
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/poison"
@@ -140,6 +141,10 @@
 	quarantined map[string]poison.Quarantine
 	// quarantineChanged is called when quarantined has changed; nil if nothing is.
 	quarantineChanged func()
+	// limits holds the rate limits that backend servers have named, and limitedSends,
+	// by server ID, what was sent to those servers.
+	limits       limit.Table
+	limitedSends map[string]*limitedSends
 }
 
 // New returns a node without a configuration.
@@ -163,6 +168,7 @@
 		backedOffDomains: backoffs{},
 		sentReports:      map[string]sentReport{},
 		lengthSamples:    map[string][]place.LengthSample{},
+		limitedSends:     map[string]*limitedSends{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"fuchsiafold.example/fold/limit"
 )
 
 // RequestParams holds the parameters of a request, taken from its headers.
@@ -73,6 +75,8 @@
 	// WrongInstance is set if the request reached another server than the one it
 	// was addressed to.
 	WrongInstance bool
+	// Limit is what the response says of the server's rate limit.
+	Limit limit.Statement
 }
 
 // Codec reads and writes the headers of forwarded requests.
@@ -98,6 +102,7 @@
 	headerPriority  = "Fold-Priority"
 	headerResume    = "Fold-Resume"
 	headerNotRun    = "Fold-Not-Run"
+	headerRateLimit = "Fold-Rate-Limit"
 	headerLastEvent = "Last-Event-Id"
 )
 
@@ -177,5 +182,6 @@
 		ID:            h.Get(headerID),
 		NotRun:        h.Get(headerNotRun) != "",
 		WrongInstance: status == http.StatusMisdirectedRequest,
+		Limit:         limit.ParseStatement(h[headerRateLimit]),
 	}
 }
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -14,6 +14,7 @@
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/pool"
 )
 
@@ -62,8 +63,6 @@
 	// copyTimeout bounds the whole move of a run: the wait for its turn, the copy
 	// while it runs and the copy after it was stopped.
 	copyTimeout = 3 * time.Second
-	// freeTimeout bounds the call that frees a copy.
-	freeTimeout = time.Second
 	// maxTargets is the largest number of engines that are tried for a run.
 	maxTargets = 3
 	// firstEventPoll is the interval at which the copy of a run that has no event
@@ -216,7 +215,7 @@
 	s.mu.Lock()
 	s.move = m
 	s.mu.Unlock()
-	finalHandle, err := x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, true)
+	finalHandle, err := x.copyMemory(ctx, s, from, target, true)
 	switch {
 	case err == nil:
 		m.handle = finalHandle
@@ -226,7 +225,7 @@
 	default:
 		m.stopUnknown, m.eventsAtEnd = !errors.Is(err, ErrRunNotFound), s.eventCount()
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
-		x.free(from.Addr, handle)
+		x.free(from, handle)
 	}
 	close(m.done)
 	x.logMove(s, from, target, "stop", err)
@@ -289,7 +288,7 @@
 		if s.hasEnded() {
 			return "", ErrRunNotFound
 		}
-		handle, err = x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, false)
+		handle, err = x.copyMemory(ctx, s, from, target, false)
 		if !errors.Is(err, ErrRunNotFound) || s.eventCount() > 0 || ctx.Err() != nil {
 			return handle, err
 		}
@@ -305,15 +304,6 @@
 	}
 }
 
-// free frees a copy of a run and logs a failure.
-func (x *Relay) free(source netip.AddrPort, handle string) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	if err := x.Mover.Free(ctx, source, handle); err != nil {
-		x.Node.Log.WithError(err).WithField("handle", handle).Warn("freeing the copy of a run failed")
-	}
-}
-
 // logMove logs and counts the result of one step of a move.
 func (x *Relay) logMove(s *stream, from, to backend, step string, err error) {
 	x.Node.Count("moves."+step, 1)
@@ -335,7 +325,7 @@
 		return
 	}
 	s.q.relay.Node.EndPlacement(m.target.ID, s.copyRequest(s.server), place.Cancelled)
-	go s.q.relay.free(s.server.Addr, m.handle)
+	go s.q.relay.free(s.server, m.handle)
 }
 
 // resume sends the request to the engine that holds the run's memory and
@@ -353,7 +343,7 @@
 	s.mu.Lock()
 	r := &Resume{Source: source.Addr, Handle: m.handle, LastEventID: s.lastEventID}
 	s.mu.Unlock()
-	res, err := s.q.relay.Pool.Do(ctx, s.q.backendRequest(to, r))
+	res, err := s.q.exchange(ctx, to, node.Resume, r)
 	if err == nil && res.Status != http.StatusOK {
 		res.Body.Close()
 		err = eris.Errorf("status %d", res.Status)
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -28,7 +28,7 @@
 			break
 		}
 		tried = append(tried, b.ID)
-		res, err := q.relay.Pool.Do(ctx, q.backendRequest(b, nil))
+		res, err := q.exchange(ctx, b, q.sendPurpose(), nil)
 		switch {
 		case err == nil:
 			if accepted, f := s.accept(b, res); accepted || f != nil {
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -135,7 +135,7 @@
 func (q *request) send(ctx context.Context, b backend) attempt {
 	q.backend = b.ID
 	var a attempt
-	res, err := q.relay.Pool.Do(ctx, q.backendRequest(b, nil))
+	res, err := q.exchange(ctx, b, q.sendPurpose(), nil)
 	if err != nil {
 		return q.recordFailure(ctx, b, a, err)
 	}
--- a/foldd/relay/return.go
+++ b/foldd/relay/return.go
@@ -47,7 +47,7 @@
 		return
 	}
 	sleep(ctx, choice.CopyDelay)
-	handle, err := x.Mover.Copy(ctx, from.Addr, s.q.params.ID, choice.Server.Addr, false)
+	handle, err := x.copyMemory(ctx, s, from, choice.Server, false)
 	if err != nil {
 		x.logMove(s, from, choice.Server, "return", err)
 		x.Node.EndPlacement(choice.Server.ID, req, place.Cancelled)
