--- a/foldfake/host/host.go
+++ b/foldfake/host/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/foldfake/meter"
 	"fuchsiafold.example/foldfake/mix"
 	"fuchsiafold.example/foldfake/model"
 	"fuchsiafold.example/netio/serve"
@@ -45,6 +46,8 @@
 	// CrashPrompt, if not empty, makes the engine close, as if its process had died,
 	// when the first token of a prompt that contains this text is due.
 	CrashPrompt string
+	// Meter, if not nil, counts the requests and names a rate limit in the responses.
+	Meter *meter.Meter
 }
 
 const (
@@ -108,7 +111,7 @@
 	}
 	s, err := serve.New(serve.Config{
 		Addr:         c.Addr,
-		Handler:      e.handler(),
+		Handler:      c.Meter.Wrap(e.handler()),
 		MaxBody:      maxBody,
 		WriteTimeout: writeTimeout,
 		Log:          c.Log,
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"fuchsiafold.example/foldfake/meter"
 )
 
 // Headers of the forwarding protocol between foldd and backend servers that the
@@ -55,6 +57,8 @@
 	// response.
 	Hang bool
 	Drop bool
+	// rateLimit is the rate limit that the response names, empty for none.
+	rateLimit string
 	// CrashAfter, if positive, closes the server and all its connections after that
 	// many events of a stream.
 	CrashAfter int
@@ -78,8 +82,10 @@
 	// stops the run, as some engines do. Then only the missing events show that the run
 	// continues at another server.
 	CleanStop bool
-	behave    func(r *http.Request) Behaviour
-	listener  net.Listener
+	// Meter, if not nil, counts the requests and names a rate limit in the responses.
+	Meter    *meter.Meter
+	behave   func(r *http.Request) Behaviour
+	listener net.Listener
 
 	mu sync.Mutex
 	// runCounts counts how often each request ran, by request ID.
@@ -241,6 +247,7 @@
 // handle answers one request and reports whether the connection stays open.
 func (s *Server) handle(c net.Conn, r *http.Request) bool {
 	b := s.behave(r)
+	b.rateLimit = s.Meter.Arrive()
 	id := r.Header.Get(headerRequestID)
 	if b.RespondEarly {
 		s.countRun(id)
@@ -271,7 +278,7 @@
 		_, _ = io.Copy(io.Discard, c)
 		return false
 	case r.Header.Get(headerBackend) != "" && r.Header.Get(headerBackend) != s.ID:
-		b = Behaviour{Status: http.StatusMisdirectedRequest}
+		b = Behaviour{Status: http.StatusMisdirectedRequest, rateLimit: b.rateLimit}
 	case b.NotRun:
 		b.Status = http.StatusServiceUnavailable
 	case r.Header.Get(headerResume) == "":
@@ -307,7 +314,7 @@
 		b.Status = http.StatusOK
 	}
 	var head strings.Builder
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n%s: %s\r\n", b.Status, http.StatusText(b.Status), headerRequestID, id)
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s", b.Status, http.StatusText(b.Status), headerRequestID, id, limitLine(b.rateLimit))
 	if b.NotRun {
 		fmt.Fprintf(&head, "%s: 1\r\n", headerNotRun)
 	}
@@ -340,7 +347,7 @@
 		s.mu.Unlock()
 		close(current.done)
 	}()
-	out := streamWriter{w: c, chunked: !b.CloseDelimited}
+	out := streamWriter{w: c, chunked: !b.CloseDelimited, rateLimit: b.rateLimit}
 	if err := out.writeHead(id); err != nil {
 		return false
 	}
@@ -383,6 +390,17 @@
 type streamWriter struct {
 	w       io.Writer
 	chunked bool
+	// rateLimit is the rate limit that the head names, empty for none.
+	rateLimit string
+}
+
+// limitLine returns the header line that names a rate limit, or an empty string if there
+// is none.
+func limitLine(limit string) string {
+	if limit == "" {
+		return ""
+	}
+	return meter.HeaderLimit + ": " + limit + "\r\n"
 }
 
 func (s streamWriter) writeHead(id string) error {
@@ -390,7 +408,7 @@
 	if s.chunked {
 		transferEncoding = "Transfer-Encoding: chunked\r\n"
 	}
-	_, err := fmt.Fprintf(s.w, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", headerRequestID, id, transferEncoding)
+	_, err := fmt.Fprintf(s.w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n%s\r\n", headerRequestID, id, limitLine(s.rateLimit), transferEncoding)
 	return err
 }
 
--- a/foldfake/plain/plain.go
+++ b/foldfake/plain/plain.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/foldfake/host"
+	"fuchsiafold.example/foldfake/meter"
 	"fuchsiafold.example/netio/serve"
 )
 
@@ -34,6 +35,8 @@
 	// Interval is the time between announcements, host.DefaultInterval if zero.
 	Interval time.Duration
 	Log      *logrus.Logger
+	// Meter, if not nil, counts the requests and names a rate limit in the responses.
+	Meter *meter.Meter
 }
 
 // Service is a running stand-in service, started by New. It is safe for
@@ -79,7 +82,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{conf: c, cancel: cancel, ctx: ctx, runCounts: map[string]int{}, epoch: uint64(time.Now().UnixNano())}
-	server, err := serve.New(serve.Config{Addr: c.Addr, Handler: http.HandlerFunc(s.handle), MaxBody: maxBody, Log: c.Log})
+	server, err := serve.New(serve.Config{Addr: c.Addr, Handler: c.Meter.Wrap(http.HandlerFunc(s.handle)), MaxBody: maxBody, Log: c.Log})
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("stand-in service %s: %w", c.ID, err)
