--- a/fold/limit/table.go
+++ b/fold/limit/table.go
@@ -1,13 +1,27 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// endDelay is the time from the first response that names no limit to the end of the
-	// limit. Responses overtake each other, and a faulty one may lack the limit.
+	// endDelay is the time between two responses in a row without a limit that show that
+	// it has ended. Responses overtake each other, and a faulty one may lack the limit.
 	endDelay = 500 * time.Millisecond
-	// maxServers bounds the servers of which a limit is remembered.
+	// shareTime is how long a change is sent to other VMs. It is several times the time in
+	// which an exchange reaches all of them.
+	shareTime = 10 * time.Second
+	// endedRetention is how long the end of a limit is remembered, so that a VM that has
+	// missed it can't bring the limit back.
+	endedRetention = 10 * time.Minute
+	// maxServers bounds the servers of which a limit is remembered, and maxShared those
+	// that are sent to another VM at once.
 	maxServers = 4096
+	maxShared  = 256
+	// maxName bounds the length of a server's ID in bytes, and maxVersion a version.
+	maxName    = 256
+	maxVersion = 1 << 48
 )
 
 // Server identifies one start of a backend server.
@@ -16,7 +30,7 @@
 	Epoch uint64
 }
 
-// Change is what a response or an update changed in a Table.
+// Change is what a response or an entry of another VM changed in a Table.
 type Change int
 
 // The changes.
@@ -30,102 +44,208 @@
 	Ended
 )
 
+// String returns the change's name in logs and metrics.
+func (c Change) String() string {
+	return [...]string{"unchanged", "named", "altered", "ended"}[c]
+}
+
+// Entry is what a VM knows of the limit of a server.
+type Entry struct {
+	Server
+	// Version increases with each change of the limit. Of two entries of a server, the
+	// one with the higher version holds.
+	Version uint64
+	// Rate is the limit. Doubted is set if the last response named none. Ended is set if
+	// the server names no limit any more; Rate doesn't count then.
+	Rate    Rate
+	Doubted bool
+	Ended   bool
+}
+
+// record is an entry with what this VM has seen itself.
+type record struct {
+	Entry
+	// namedAt is when a response to this VM last named a limit, zero if none has.
+	namedAt time.Time
+	// changedAt is when the entry last changed here.
+	changedAt time.Time
+}
+
 // Table holds the limits that servers have named. The zero value is an empty table. It
 // is not safe for concurrent use.
 type Table struct {
-	entries map[string]*entry
-}
-
-// entry is what is known of the limit of one server.
-type entry struct {
-	epoch uint64
-	rate  Rate
-	// ended is set if the server names no limit any more.
-	ended bool
-	// namedAt is when a response to this VM last named a limit, and unnamedAt when
-	// the first one after that named none. They are zero if there was none.
-	namedAt, unnamedAt time.Time
+	records map[string]*record
 }
 
 // Observe records what a response of a server says.
 func (t *Table) Observe(now time.Time, s Server, st Statement) Change {
-	e := t.entries[s.ID]
-	if e != nil && e.epoch > s.Epoch || st.Invalid {
+	r := t.records[s.ID]
+	if st.Invalid || r != nil && r.Epoch > s.Epoch {
 		return Unchanged
 	}
-	if e != nil && e.epoch < s.Epoch {
-		delete(t.entries, s.ID)
-		e = nil
-	}
 	if !st.Named {
-		if e != nil && !e.ended && e.unnamedAt.IsZero() {
-			e.unnamedAt = now
-		}
-		return Unchanged
-	}
-	if e == nil {
-		e = t.add(s)
+		return r.observeNone(now, s)
 	}
-	e.namedAt, e.unnamedAt = now, time.Time{}
-	return e.set(st.Rate, false)
+	r = t.recordOf(now, s)
+	r.namedAt = now
+	return r.update(now, Entry{Server: s, Rate: st.Rate})
 }
 
-// add adds an entry without a limit for a server. It makes room by dropping any other
-// entry if there are too many.
-func (t *Table) add(s Server) *entry {
-	if t.entries == nil {
-		t.entries = map[string]*entry{}
+// observeNone records a response of a server that names no limit. r may be nil.
+func (r *record) observeNone(now time.Time, s Server) Change {
+	switch {
+	case r == nil || r.Epoch != s.Epoch || r.Ended:
+		return Unchanged
+	case !r.Doubted:
+		return r.update(now, Entry{Server: s, Rate: r.Rate, Doubted: true})
+	case now.Sub(r.changedAt) < endDelay:
+		return Unchanged
 	}
-	if len(t.entries) >= maxServers {
-		for id := range t.entries {
-			delete(t.entries, id)
-			break
-		}
+	return r.update(now, Entry{Server: s, Ended: true})
+}
+
+// update sets the entry to e, with the next version, if it differs.
+func (r *record) update(now time.Time, e Entry) Change {
+	e.Version = r.Version
+	change := r.changeTo(e)
+	if r.Entry != e {
+		e.Version++
+		r.Entry, r.changedAt = e, now
 	}
-	e := &entry{epoch: s.Epoch, ended: true}
-	t.entries[s.ID] = e
-	return e
+	return change
 }
 
-// set sets the limit of an entry.
-func (e *entry) set(rate Rate, ended bool) Change {
-	before := *e
-	e.rate, e.ended = rate, ended
+// changeTo returns the change of the limit from that of the record to that of e.
+func (r *record) changeTo(e Entry) Change {
 	switch {
-	case ended && !before.ended:
+	case e.Ended && !r.Ended:
 		return Ended
-	case ended:
+	case e.Ended:
 		return Unchanged
-	case before.ended:
+	case r.Ended:
 		return Named
-	case before.rate != rate:
+	case r.Rate != e.Rate:
 		return Altered
 	}
 	return Unchanged
 }
 
-// Expire ends the limits that no response has named for endDelay, although there were
-// responses. It returns the servers.
-func (t *Table) Expire(now time.Time) []Server {
-	var ended []Server
-	for id, e := range t.entries {
-		if e.ended || e.unnamedAt.IsZero() || now.Sub(e.unnamedAt) < endDelay {
-			continue
+// recordOf returns the record of a server, which it creates if there is none of this
+// start.
+func (t *Table) recordOf(now time.Time, s Server) *record {
+	if r := t.records[s.ID]; r != nil && r.Epoch == s.Epoch {
+		return r
+	}
+	if t.records == nil {
+		t.records = map[string]*record{}
+	}
+	delete(t.records, s.ID)
+	if len(t.records) >= maxServers {
+		t.dropOldest()
+	}
+	r := &record{Entry: Entry{Server: s, Ended: true}, changedAt: now}
+	t.records[s.ID] = r
+	return r
+}
+
+// dropOldest drops the record that has been unchanged for the longest time.
+func (t *Table) dropOldest() {
+	var oldest *record
+	for _, r := range t.records {
+		if oldest == nil || r.changedAt.Before(oldest.changedAt) {
+			oldest = r
+		}
+	}
+	if oldest != nil {
+		delete(t.records, oldest.ID)
+	}
+}
+
+// Expire forgets limits that ended long ago.
+func (t *Table) Expire(now time.Time) {
+	for id, r := range t.records {
+		if r.Ended && now.Sub(r.changedAt) >= endedRetention {
+			delete(t.records, id)
 		}
-		e.set(0, true)
-		ended = append(ended, Server{ID: id, Epoch: e.epoch})
 	}
-	return ended
 }
 
 // Rate returns the limit of a server, and whether it has one.
 func (t *Table) Rate(s Server) (Rate, bool) {
-	e := t.entries[s.ID]
-	if e == nil || e.ended || e.epoch != s.Epoch {
+	r := t.records[s.ID]
+	if r == nil || r.Ended || r.Epoch != s.Epoch {
 		return 0, false
 	}
-	return e.rate, true
+	return r.Rate, true
+}
+
+// Entry returns what is known of the limit of a server, with version zero if nothing is.
+func (t *Table) Entry(s Server) Entry {
+	if r := t.records[s.ID]; r != nil && r.Epoch == s.Epoch {
+		return r.Entry
+	}
+	return Entry{Server: s, Ended: true}
 }
 
 // Forget drops what is known of a server.
-func (t *Table) Forget(id string) { delete(t.entries, id) }
+func (t *Table) Forget(id string) { delete(t.records, id) }
+
+// Empty reports whether no server has a limit and none had one lately.
+func (t *Table) Empty() bool { return len(t.records) == 0 }
+
+// Share returns the entries for another VM: the limits in force and recent changes.
+func (t *Table) Share(now time.Time) []Entry {
+	var out []Entry
+	for _, r := range t.records {
+		if len(out) == maxShared {
+			break
+		}
+		if !r.Ended || now.Sub(r.changedAt) < shareTime {
+			out = append(out, r.Entry)
+		}
+	}
+	return out
+}
+
+// Merge applies an entry of another VM. It ignores one that can't be valid.
+func (t *Table) Merge(now time.Time, e Entry) Change {
+	if !e.valid() {
+		return Unchanged
+	}
+	r := t.records[e.ID]
+	if r != nil && (r.Epoch > e.Epoch || r.Epoch == e.Epoch && !e.holdsAgainst(r.Entry)) {
+		return Unchanged
+	}
+	r = t.recordOf(now, e.Server)
+	if (e.Doubted || e.Ended) && !r.Doubted && !r.Ended && now.Sub(r.namedAt) < endDelay {
+		// The server has named the limit to this VM just now. With a higher version,
+		// the others learn of that.
+		r.Version, r.changedAt = e.Version+1, now
+		return Unchanged
+	}
+	change := r.changeTo(e)
+	if r.Entry != e {
+		r.Entry, r.changedAt = e, now
+	}
+	return change
+}
+
+// holdsAgainst reports whether e replaces another entry for the same start of a server.
+// Of two changes that VMs have seen at the same time, the lower limit holds.
+func (e Entry) holdsAgainst(o Entry) bool {
+	if e.Version != o.Version {
+		return e.Version > o.Version
+	}
+	if e.Ended != o.Ended {
+		return o.Ended
+	}
+	if e.Doubted != o.Doubted {
+		return o.Doubted
+	}
+	return e.Rate < o.Rate
+}
+
+func (e Entry) valid() bool {
+	rate := float64(e.Rate)
+	return e.ID != "" && len(e.ID) <= maxName && e.Version > 0 && e.Version <= maxVersion && rate >= 0 && !math.IsInf(rate, 0)
+}
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -409,6 +409,25 @@
 	return slices.MaxFunc(eligible, func(a, b Peer) int { return cmp.Compare(placementHash(service, a), placementHash(service, b)) })
 }
 
+// CallerVMs returns the number of live VMs of the region that serve callers, this one
+// included, and the number of those that are not live any more, but were within the given
+// time. VMs that were draining are not among the latter.
+func (g *Group) CallerVMs(now time.Time, within time.Duration) (live, lost int) {
+	live = 1
+	for _, r := range g.peers {
+		if r.Region != g.Self.Region || !r.ServesCallers {
+			continue
+		}
+		switch silence := now.Sub(r.lastReport); {
+		case silence < PeerLease:
+			live++
+		case silence < within && !r.Draining:
+			lost++
+		}
+	}
+	return live, lost
+}
+
 // placementHash returns the rank of a VM among those that may place a service's
 // requests.
 func placementHash(service string, p Peer) uint64 {
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -68,13 +68,17 @@
 	// server in back-off.
 	Full bool
 	// RetryAfter is the time until there will probably be capacity. It is set if
-	// Full or Unreachable is.
+	// Full, Unreachable or Limited is.
 	RetryAfter time.Duration
 	// Unreachable reports that Server, and every other one left, is in a failure
 	// domain that this VM can't reach. The request must not be sent or counted
 	// there. RetryAfter is then the time until the end of the back-off from the
 	// domain. Pick leaves it unset: see DomainUnreachable.
 	Unreachable bool
+	// Limited reports that the servers left have a rate limit and take no further request
+	// for now. There is no Server then, and RetryAfter is the time until one of them
+	// probably does. Pick leaves it unset.
+	Limited bool
 	// ChosenBy is the ID of the VM that made the choice, empty for this VM.
 	ChosenBy string
 	// Load is the load of Server that the choice was based on, without the
@@ -82,6 +86,9 @@
 	Load ServerLoad
 }
 
+// Rejects reports whether no server takes the request for now.
+func (c *Choice) Rejects() bool { return c.Full || c.Unreachable || c.Limited }
+
 // ServerLoad is the load of a server as the placer knows it.
 type ServerLoad struct {
 	// Requests is the number of requests that all VMs have under way there.
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -17,6 +17,7 @@
 	"fuchsiafold.example/foldd/ctrl"
 	"fuchsiafold.example/foldd/engine"
 	"fuchsiafold.example/foldd/entry"
+	"fuchsiafold.example/foldd/gate"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/oper"
 	"fuchsiafold.example/foldd/peer"
@@ -97,11 +98,12 @@
 		}
 	}
 	connect := time.Duration(s.Limits.ConnectTimeout)
+	limited := func(t http.RoundTripper) http.RoundTripper { return &gate.Transport{Node: n, Base: t} }
 	a.entry = &entry.Handler{
 		Node:                n,
-		Engines:             engine.New(connect, time.Duration(s.Limits.StallTimeout)),
-		IdempotentTransport: entry.NewIdempotentTransport(connect),
-		AtMostOnceTransport: entry.NewAtMostOnceTransport(connect),
+		Engines:             engine.New(connect, time.Duration(s.Limits.StallTimeout), limited),
+		IdempotentTransport: limited(entry.NewIdempotentTransport(connect)),
+		AtMostOnceTransport: limited(entry.NewAtMostOnceTransport(connect)),
 	}
 	if err := a.listen(adapter); err != nil {
 		a.Close()
--- a/foldd/engine/engine.go
+++ b/foldd/engine/engine.go
@@ -25,6 +25,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"fuchsiafold.example/fold/deliv"
+	"fuchsiafold.example/fold/limit"
 )
 
 // ErrNotFound is returned when the engine does not have the generation, or no
@@ -107,9 +108,10 @@
 const maxIdlePerEngine = 16
 
 // New returns a client that waits at most headerTimeout for a connection and for
-// a response header, and at most stallTimeout for each event of a stream.
-func New(headerTimeout, stallTimeout time.Duration) *Client {
-	t := &http.Transport{
+// a response header, and at most stallTimeout for each event of a stream. It sends its
+// requests by the transport that wrap returns; a nil wrap changes nothing.
+func New(headerTimeout, stallTimeout time.Duration, wrap func(http.RoundTripper) http.RoundTripper) *Client {
+	var t http.RoundTripper = &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: headerTimeout}).DialContext,
 		ResponseHeaderTimeout: headerTimeout,
 		MaxIdleConnsPerHost:   maxIdlePerEngine,
@@ -118,6 +120,9 @@
 		ReadBufferSize:        4 << 10,
 		WriteBufferSize:       4 << 10,
 	}
+	if wrap != nil {
+		t = wrap(t)
+	}
 	return &Client{http: &http.Client{Transport: t}, headerTimeout: headerTimeout, stallTimeout: stallTimeout}
 }
 
@@ -132,7 +137,9 @@
 }
 
 // Start starts a generation. With a RefusedError, or if sent is false, the
-// generation did not begin; with any other error, it may have begun.
+// generation did not begin; with any other error, it may have begun. A
+// *limit.DeniedError in any error of the client says that nothing was sent because the
+// engine has a rate limit.
 func (c *Client) Start(ctx context.Context, addr netip.AddrPort, r Request) (s *Stream, sent bool, err error) {
 	r.Stream = true
 	body, err := json.Marshal(r)
@@ -141,7 +148,8 @@
 	}
 	s, err = c.open(ctx, http.MethodPost, addr, "/v1/completions", body, nil)
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var denied *limit.DeniedError
+	if errors.As(err, &op) && op.Op == "dial" || errors.As(err, &denied) {
 		return nil, false, err
 	}
 	return s, true, err
--- a/foldd/engine/engine_test.go
+++ b/foldd/engine/engine_test.go
@@ -50,7 +50,7 @@
 		"before the first event": "", "after an event": first, "within a line": first + last[:20], "before the blank line": first + last,
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := engine.New(time.Second, time.Second)
+			c := engine.New(time.Second, time.Second, nil)
 			s, _, err := c.Start(context.Background(), serveOnce(t, head+body), engine.Request{RequestID: "1"})
 			if err != nil {
 				t.Fatal(err)
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -17,9 +17,13 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
+	"fuchsiafold.example/fold/limit"
+	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/foldd/gate"
+	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
 )
 
@@ -82,7 +86,7 @@
 			answer.write(w)
 			return nil
 		}
-		if ctx.Err() != nil || !attempt.Retryable(true) {
+		if ctx.Err() != nil || !attempt.Retryable(true) || fail.Code == fault.RateLimited {
 			return fail
 		}
 		wait, ok := n.TakeRetry(attempts)
@@ -203,22 +207,45 @@
 	return h.Sum(nil)
 }
 
-// attempt sends the call to one backend server and adds the server to
-// triedBackends.
+// attempt sends the call to one backend server and adds the server to triedBackends.
+// Servers that take no request for now because of their rate limit are passed over.
 func (c *call) attempt(ctx context.Context) (RecordedAnswer, retry.Attempt, *fault.Fault) {
-	var a retry.Attempt
 	n := c.handler.Node
-	b, ok := n.AcquireBackend(c.route.Service, c.triedBackends)
-	if !ok {
-		return RecordedAnswer{}, a, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+c.route.Service+" is present").WithRetryAfter(time.Second)
+	for {
+		b, ok := n.AcquireBackend(c.route.Service, c.triedBackends)
+		if !ok {
+			return RecordedAnswer{}, retry.Attempt{}, c.noBackendFault()
+		}
+		answer, a, fail, err := c.sendTo(ctx, b)
+		n.ReleaseBackend(b.ID)
+		var denied *limit.DeniedError
+		if !errors.As(err, &denied) {
+			c.triedBackends = append(c.triedBackends, b.ID)
+			return answer, a, fail
+		}
 	}
-	defer n.ReleaseBackend(b.ID)
-	c.triedBackends = append(c.triedBackends, b.ID)
+}
+
+// noBackendFault returns the fault for a call that no backend server takes.
+func (c *call) noBackendFault() *fault.Fault {
+	if retryAfter, limited := c.handler.Node.RejectLimited(c.route.Service, c.triedBackends); limited {
+		return fault.FromRateLimit(retryAfter)
+	}
+	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+c.route.Service+" is present").WithRetryAfter(time.Second)
+}
+
+// sendTo sends the call to a backend server. err is the reason of the fault if there was
+// no response.
+func (c *call) sendTo(ctx context.Context, b member.Backend) (answer RecordedAnswer, a retry.Attempt, fail *fault.Fault, err error) {
 	ctx, span := trace.Start(ctx, "call", attribute.String("backend", b.ID))
 	defer span.End()
-	req, err := c.newBackendRequest(ctx, "http://"+b.Addr.String())
+	purpose := node.FirstSend
+	if len(c.triedBackends) > 0 {
+		purpose = node.Retry
+	}
+	req, err := c.newBackendRequest(gate.WithBackend(ctx, b, purpose), "http://"+b.Addr.String())
 	if err != nil {
-		return RecordedAnswer{}, a, fault.NotRun(http.StatusBadRequest, fault.BadRequest, err.Error())
+		return answer, a, fault.NotRun(http.StatusBadRequest, fault.BadRequest, err.Error()), err
 	}
 	a.Sent = true
 	res, err := c.transport().RoundTrip(req)
@@ -226,14 +253,15 @@
 		// If the dial failed, nothing was sent.
 		var op *net.OpError
 		a.Sent = !(errors.As(err, &op) && op.Op == "dial")
-		return RecordedAnswer{}, a, callFault(a, err)
+		return answer, a, callFault(a, err), err
 	}
 	defer res.Body.Close()
 	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(headerNotRun) != "" {
 		a.Refused = true
-		return RecordedAnswer{}, a, callFault(a, errors.New("the backend server refused the call"))
+		return answer, a, callFault(a, errors.New("the backend server refused the call")), nil
 	}
-	return c.readAnswer(res, a)
+	answer, a, fail = c.readAnswer(res, a)
+	return answer, a, fail, nil
 }
 
 func (c *call) transport() http.RoundTripper {
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -11,6 +11,8 @@
 
 	"fuchsiafold.example/fold/deliv"
 	"fuchsiafold.example/fold/handle"
+	"fuchsiafold.example/fold/limit"
+	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/record"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/sched"
@@ -18,6 +20,7 @@
 	"fuchsiafold.example/fold/trial"
 	"fuchsiafold.example/foldd/engine"
 	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/foldd/gate"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
 )
@@ -49,7 +52,9 @@
 	// signedHandle is the signed handle of the generation in progress.
 	signedHandle string
 	// attempts counts the attempts that failed and led to a restart.
-	attempts  int
+	attempts int
+	// denials counts the attempts that got no permit for their engine.
+	denials   int
 	startedAt time.Time
 	// lastDelivery is when tokens were last delivered, or zero before the first.
 	lastDelivery time.Time
@@ -91,10 +96,16 @@
 		if fail != nil {
 			return fail
 		}
-		step, fail := g.attempt(ctx, decision.Backend, decision.Addr, decision.Priority)
+		denials := g.denials
+		step, fail := g.attempt(ctx, g.backend(decision.Backend, decision.Addr), decision.Priority)
 		if fail != nil {
 			return fail
 		}
+		if g.denials > denials {
+			// Nothing was sent, so this costs no retry.
+			g.avoid(decision.Backend)
+			continue
+		}
 		if step.Action == deliv.Finish {
 			return g.finish(step.Outcome)
 		}
@@ -114,8 +125,7 @@
 		return attemptsExhaustedFault(g)
 	}
 	g.handler.Node.Count("restarts", 1)
-	g.sched.Avoid = append(g.sched.Avoid, failedBackend)
-	g.sched.Admitted = true
+	g.avoid(failedBackend)
 	select {
 	case <-time.After(wait):
 		return nil
@@ -124,6 +134,12 @@
 	}
 }
 
+// avoid excludes an engine from the next attempt.
+func (g *generation) avoid(backend string) {
+	g.sched.Avoid = append(g.sched.Avoid, backend)
+	g.sched.Admitted = true
+}
+
 // attemptsExhaustedFault returns the fault for an answer whose retries are used
 // up before a token was delivered. The request provably did not run only if no
 // engine may have begun any attempt.
@@ -145,22 +161,22 @@
 // attempt runs one generation at one engine and reports its result to the
 // scheduler. Unless it returns a fault, the action of the step is Restart or
 // Finish.
-func (g *generation) attempt(ctx context.Context, backend string, addr netip.AddrPort, priority int) (deliv.Step, *fault.Fault) {
-	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", backend))
+func (g *generation) attempt(ctx context.Context, b member.Backend, priority int) (deliv.Step, *fault.Fault) {
+	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", b.ID))
 	defer span.End()
 	n := g.handler.Node
 	id := newRandomID()
 	g.stream.Begin(id)
-	g.signHandle(backend, addr, id)
-	s, sent, err := g.handler.Engines.Start(ctx, addr, g.engineRequest(id, priority))
+	g.signHandle(b, id)
+	s, sent, err := g.handler.Engines.Start(gate.WithBackend(ctx, b, g.startPurpose()), b.Addr, g.engineRequest(id, priority))
 	if err != nil {
-		g.recordStartLoss(backend, sent && ctx.Err() == nil, err)
-		return g.handleStartError(ctx, addr, id, sent, err)
+		g.recordStartLoss(b.ID, sent && ctx.Err() == nil, err)
+		return g.handleStartError(ctx, b, id, sent, err)
 	}
 	g.out.mayHaveRun = true
-	step, fail := g.deliverGeneration(ctx, s, addr, id)
+	step, fail := g.deliverGeneration(ctx, s, b, id)
 	if ctx.Err() == nil {
-		g.recordEnd(backend, step)
+		g.recordEnd(b.ID, step)
 	}
 	switch {
 	case fail != nil:
@@ -173,10 +189,10 @@
 	return step, fail
 }
 
-func (g *generation) signHandle(backend string, addr netip.AddrPort, id string) {
+func (g *generation) signHandle(b member.Backend, id string) {
 	g.signedHandle = g.handler.key().Sign(handle.Handle{
-		Backend:    backend,
-		Addr:       addr,
+		Backend:    b.ID,
+		Addr:       b.Addr,
 		Generation: id,
 		Workspace:  g.requester.workspace,
 		Class:      g.class.Name,
@@ -187,15 +203,21 @@
 // handleStartError handles a generation that could not be started. sent reports
 // whether the engine may have received the request. If it may, and did not
 // reject it, the generation is cancelled there.
-func (g *generation) handleStartError(ctx context.Context, addr netip.AddrPort, id string, sent bool, err error) (deliv.Step, *fault.Fault) {
+func (g *generation) handleStartError(ctx context.Context, b member.Backend, id string, sent bool, err error) (deliv.Step, *fault.Fault) {
 	n := g.handler.Node
 	if ctx.Err() != nil {
 		n.Finish(g.sched.ID, sched.Cancelled)
 		if sent {
-			g.cancel(addr, id)
+			g.cancel(b, id)
 		}
 		return deliv.Step{}, errCallerDisconnected
 	}
+	var denied *limit.DeniedError
+	if errors.As(err, &denied) {
+		n.Finish(g.sched.ID, sched.Cancelled)
+		g.denials++
+		return g.stream.GenerationLost(id), g.deniedFault(b, denied)
+	}
 	var refused *engine.RefusedError
 	if errors.As(err, &refused) {
 		n.Finish(g.sched.ID, sched.Rejected)
@@ -209,14 +231,46 @@
 	n.Count("engine.failedStarts", 1)
 	if sent {
 		g.out.mayHaveRun = true
-		g.cancel(addr, id)
+		g.cancel(b, id)
 	}
 	return g.stream.GenerationLost(id), nil
 }
 
+// maxDenials bounds the engines for which a generation gets no permit.
+const maxDenials = 8
+
+// deniedFault returns the fault for a generation that got no permit for an engine with a
+// rate limit, or nil if another engine may take it.
+func (g *generation) deniedFault(b member.Backend, denied *limit.DeniedError) *fault.Fault {
+	if retryAfter, limited := g.handler.Node.RejectLimited(b.Service, g.sched.Avoid); limited {
+		return fault.FromRateLimit(retryAfter)
+	}
+	if g.denials >= maxDenials {
+		return fault.FromRateLimit(denied.RetryAfter)
+	}
+	return nil
+}
+
+// backend returns the engine with the given ID. It is incomplete if this VM does not know
+// the engine any more.
+func (g *generation) backend(id string, addr netip.AddrPort) member.Backend {
+	if b, ok := g.handler.Node.Backend(id); ok && b.Addr == addr {
+		return b
+	}
+	return member.Backend{ID: id, Addr: addr}
+}
+
+// startPurpose returns the purpose of the next start of a generation.
+func (g *generation) startPurpose() node.Purpose {
+	if g.attempts > 0 {
+		return node.Retry
+	}
+	return node.FirstSend
+}
+
 // deliverGeneration delivers a generation until it ends. When a connection is
 // lost, it resumes the generation over a new one as often as the stream allows.
-func (g *generation) deliverGeneration(ctx context.Context, s *engine.Stream, addr netip.AddrPort, id string) (deliv.Step, *fault.Fault) {
+func (g *generation) deliverGeneration(ctx context.Context, s *engine.Stream, b member.Backend, id string) (deliv.Step, *fault.Fault) {
 	lastEvent := time.Now()
 	for {
 		var step deliv.Step
@@ -230,13 +284,13 @@
 			return step, nil
 		}
 		if ctx.Err() != nil || g.requester.caller.Disconnected() {
-			g.handleDisconnect(addr, id)
+			g.handleDisconnect(b, id)
 			return deliv.Step{}, errCallerDisconnected
 		}
 		if step.Action == deliv.Continue {
 			step = g.handleReadError(id, err, lastEvent)
 		}
-		if s, step = g.reattach(ctx, addr, id, step); s == nil {
+		if s, step = g.reattach(ctx, b, id, step); s == nil {
 			return step, nil
 		}
 	}
@@ -271,9 +325,9 @@
 // reattach attaches to the generation again, with a back-off between attempts,
 // while the action of step is Resume. It returns the new stream, or nil with the
 // step that ends the attempt.
-func (g *generation) reattach(ctx context.Context, addr netip.AddrPort, id string, step deliv.Step) (*engine.Stream, deliv.Step) {
+func (g *generation) reattach(ctx context.Context, b member.Backend, id string, step deliv.Step) (*engine.Stream, deliv.Step) {
 	for attempts := 1; step.Action == deliv.Resume; attempts++ {
-		s, err := g.handler.Engines.Attach(ctx, addr, id, step.ResumeAfter)
+		s, err := g.attach(ctx, b, id, step.ResumeAfter)
 		if err == nil {
 			g.handler.Node.Count("engine.resumes", 1)
 			return s, step
@@ -291,11 +345,25 @@
 		}
 	}
 	if step.Action == deliv.Restart {
-		g.cancel(addr, id)
+		g.cancel(b, id)
 	}
 	return nil, step
 }
 
+// attach attaches to a generation. It waits for the permit if the engine has a rate limit,
+// for at most minResumeWindow.
+func (g *generation) attach(ctx context.Context, b member.Backend, id string, after int) (*engine.Stream, error) {
+	deadline := time.Now().Add(minResumeWindow)
+	for {
+		s, err := g.handler.Engines.Attach(gate.WithBackend(ctx, b, node.Attach), b.Addr, id, after)
+		var denied *limit.DeniedError
+		if !errors.As(err, &denied) || ctx.Err() != nil || time.Now().After(deadline) {
+			return s, err
+		}
+		sleep(ctx, denied.RetryAfter)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -307,13 +375,13 @@
 // frees its memory at once. It keeps the generation if its class has a resume
 // window, within which the caller can reconnect. It also keeps it if this VM
 // ends without finishing its requests, since callers can resume at another VM.
-func (g *generation) handleDisconnect(addr netip.AddrPort, id string) {
+func (g *generation) handleDisconnect(b member.Backend, id string) {
 	if g.handler.Node.Abandoned() {
 		return
 	}
 	g.handler.Node.Count("callersLeft", 1)
 	if g.class.ResumeWindow == 0 {
-		g.cancel(addr, id)
+		g.cancel(b, id)
 	}
 }
 
@@ -322,15 +390,20 @@
 const maxCancelAttempts = 3
 
 // cancel cancels a generation at its engine in the background.
-func (g *generation) cancel(addr netip.AddrPort, id string) {
+func (g *generation) cancel(b member.Backend, id string) {
 	e := g.handler
 	go func() {
 		for attempt := range maxCancelAttempts {
-			if err := e.Engines.Cancel(context.Background(), addr, id); err == nil {
+			err := e.Engines.Cancel(gate.WithBackend(context.Background(), b, node.CancelRun), b.Addr, id)
+			if err == nil {
 				e.Node.Count("engine.cancels", 1)
 				return
 			}
-			time.Sleep(retry.Backoff(attempt+1, 0.5))
+			wait := retry.Backoff(attempt+1, 0.5)
+			if denied := (*limit.DeniedError)(nil); errors.As(err, &denied) {
+				wait = max(wait, denied.RetryAfter)
+			}
+			time.Sleep(wait)
 		}
 		e.Node.Count("engine.cancelsFailed", 1)
 	}()
--- a/foldd/entry/resume.go
+++ b/foldd/entry/resume.go
@@ -60,11 +60,12 @@
 	ctx, span := trace.Start(ctx, "engine", attribute.String("backend", h.Backend))
 	defer span.End()
 	firstStep := deliv.Step{Action: deliv.Resume, ResumeAfter: g.stream.ReceivedOffset()}
-	s, step := g.reattach(ctx, h.Addr, h.Generation, firstStep)
+	b := g.backend(h.Backend, h.Addr)
+	s, step := g.reattach(ctx, b, h.Generation, firstStep)
 	if s == nil {
 		return generationGoneFault()
 	}
-	step, fail := g.deliverGeneration(ctx, s, h.Addr, h.Generation)
+	step, fail := g.deliverGeneration(ctx, s, b, h.Generation)
 	if fail != nil {
 		return fail
 	}
--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -38,6 +38,7 @@
 	BackendFailed          = "backendFailed"
 	AnswerTooLarge         = "answerTooLarge"
 	Quarantined            = "quarantined"
+	RateLimited            = "rateLimited"
 )
 
 // Fault is an error that is returned to a caller.
@@ -75,6 +76,12 @@
 	return NotRun(http.StatusServiceUnavailable, Quarantined, message).WithRetryAfter(q.RetryAfter)
 }
 
+// FromRateLimit returns the error for a request whose only servers left have a rate limit
+// and take no further request for now.
+func FromRateLimit(retryAfter time.Duration) *Fault {
+	return NotRun(http.StatusServiceUnavailable, RateLimited, "the backend servers left have a rate limit and take no further request now").WithRetryAfter(retryAfter)
+}
+
 // Body returns the JSON form of the fault, with the number of tokens that were
 // delivered before it.
 func (f *Fault) Body(tokens int) []byte {
--- /dev/null
+++ b/foldd/gate/gate_test.go
@@ -0,0 +1,73 @@
+package gate_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/limit"
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/gate"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldfake/meter"
+)
+
+func newNode(t *testing.T) *node.Node {
+	t.Helper()
+	s, err := conf.Parse([]byte(`{"id": "vm", "domain": "a", "handleKey": "0123456789abcdef", "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := node.New(s, log)
+	t.Cleanup(n.Clock.Stop)
+	return n
+}
+
+// TestNothingIsSentWithoutPermit sends requests to a server that names a limit until one
+// is denied.
+func TestNothingIsSentWithoutPermit(t *testing.T) {
+	var m meter.Meter
+	m.Name("0.1")
+	s := httptest.NewServer(m.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+	t.Cleanup(s.Close)
+	addr := strings.TrimPrefix(s.URL, "http://")
+	b := member.Backend{ID: "s", Addr: netip.MustParseAddrPort(addr), Service: "app"}
+	transport := &gate.Transport{Node: newNode(t), Base: http.DefaultTransport}
+	for i := range 3 {
+		before := m.Count()
+		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, node.FirstSend), http.MethodGet, s.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := transport.RoundTrip(req)
+		var denied *limit.DeniedError
+		switch {
+		case err == nil:
+			res.Body.Close()
+		case !errors.As(err, &denied):
+			t.Fatal(err)
+		case denied.RetryAfter <= 0 || m.Count() != before:
+			t.Errorf("request %d: %+v, %d requests sent; want a time to come back, and none", i, denied, m.Count()-before)
+		default:
+			return
+		}
+	}
+	t.Error("no request was denied")
+}
+
+func TestRequestWithoutBackendIsNotSent(t *testing.T) {
+	transport := &gate.Transport{Node: newNode(t), Base: http.DefaultTransport}
+	req := httptest.NewRequest(http.MethodGet, "http://127.0.0.1:1/", nil)
+	if _, err := transport.RoundTrip(req); err == nil || strings.Contains(err.Error(), "refused") {
+		t.Errorf("error %v, want one of a request that names no backend server", err)
+	}
+}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -126,7 +126,6 @@
 func (n *Node) expire(now time.Time) {
 	n.mu.Lock()
 	n.watchControl(now)
-	n.expireLimits(now)
 	if n.controlUnreachable(now) {
 		n.mu.Unlock()
 		return
@@ -134,7 +133,7 @@
 	expired := n.table.Expire(now)
 	for _, id := range expired {
 		n.placer.Forget(id)
-		n.limits.Forget(id)
+		n.forgetLimit(id)
 		n.eachScheduler(func(s *sched.Scheduler) { s.RemoveBackend(now, id) })
 	}
 	n.poll(now)
@@ -161,13 +160,16 @@
 }
 
 // AcquireBackend chooses a backend server of a plain service, passing over those
-// in exclude, and counts a call in flight to it; the caller must call
+// in exclude and those that take no further request for now because of their rate
+// limit, and counts a call in flight to it; the caller must call
 // ReleaseBackend when the call ends. It prefers servers in the local failure
 // domain, then those with the fewest calls in flight. It returns false if no
 // server is left.
 func (n *Node) AcquireBackend(service string, exclude []string) (member.Backend, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	limited, _ := n.withoutPermits(time.Now(), service, "")
+	exclude = slices.Concat(exclude, limited)
 	var best member.Backend
 	found := false
 	for _, b := range n.table.Live() {
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/poison"
 )
@@ -20,6 +21,8 @@
 	Leases member.Leases
 	// Prompts holds what this VM knows of prompts that crash engines.
 	Prompts poison.Update
+	// Limits holds the rate limits of backend servers that this VM knows.
+	Limits []limit.Entry
 	// Version is the version of the local table of backend servers that the peer
 	// has once it has applied Updates.
 	Version uint64
@@ -124,7 +127,7 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now), Prompts: n.poison.Share(now)}
+	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limiter.Share(now)}
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"context"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/place"
 )
 
 // Purpose says why a request is sent to a backend server.
@@ -22,35 +26,201 @@
 	Resume   Purpose = "resume"
 	CopyRun  Purpose = "copy"
 	FreeCopy Purpose = "free"
+	// Attach reads on from a generation in progress, and CancelRun cancels one.
+	Attach    Purpose = "attach"
+	CancelRun Purpose = "cancel"
 )
 
-// limitLogInterval is the time between two log lines about the requests sent to a server
-// with a rate limit.
-const limitLogInterval = 4 * time.Second
+const (
+	// permitTimeout bounds a request for a permit to another VM.
+	permitTimeout = 100 * time.Millisecond
+	// lostVMPeriod is how long a VM that has become silent may be cut off rather than
+	// gone, and still send requests to backend servers.
+	lostVMPeriod = time.Minute
+	// limitLogInterval is the time between two log lines about the requests sent to a
+	// server with a rate limit.
+	limitLogInterval = 4 * time.Second
+)
+
+// errNoIssuer reports that this VM can't reach the issuer of a service's permits.
+var errNoIssuer = eris.New("the issuer of permits is not known")
 
-// limitedSends counts the requests that this VM has sent to a server with a rate limit
-// since its last log line about them.
+// limitedSends counts what this VM has sent to a server with a rate limit, and the
+// requests that got no permit, since its last log line about them.
 type limitedSends struct {
 	server limit.Server
 	since  time.Time
 	counts map[Purpose]int
+	denied int
 }
 
-// CountSend counts a request that is sent to a server, if the server has a rate limit.
-func (n *Node) CountSend(b member.Backend, p Purpose) {
+func serverOf(b member.Backend) limit.Server { return limit.Server{ID: b.ID, Epoch: b.Epoch} }
+
+// AcquirePermit decides whether a request may be sent to a backend server now. If the
+// server has a rate limit, it asks the issuer of its service. The error is a
+// *limit.DeniedError if there is no permit.
+func (n *Node) AcquirePermit(ctx context.Context, b member.Backend, p Purpose) (limit.Decision, error) {
+	d := n.checkPermit(b)
+	for redirected := false; d.Verdict == limit.Ask; redirected = true {
+		d = n.askPermit(ctx, b, d.Issuer, redirected)
+	}
+	if err := context.Cause(ctx); err != nil {
+		return d, err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := limit.Server{ID: b.ID, Epoch: b.Epoch}
-	if _, limited := n.limits.Rate(s); !limited {
-		return
+	switch d.Verdict {
+	case limit.Granted:
+		n.Count("limits.sent."+string(p), 1)
+		n.limitedSendsTo(b).counts[p]++
+	case limit.Denied:
+		n.Count("limits.denied", 1)
+		n.limitedSendsTo(b).denied++
+		return d, &limit.DeniedError{Server: serverOf(b), Rate: d.Rate, RetryAfter: d.RetryAfter}
 	}
-	n.Count("limits.sent."+string(p), 1)
-	sends := n.limitedSends[b.ID]
-	if sends == nil {
-		sends = &limitedSends{server: s, since: time.Now(), counts: map[Purpose]int{}}
-		n.limitedSends[b.ID] = sends
+	if d.OwnShare {
+		n.Count("limits.ownShare", 1)
+	}
+	return d, nil
+}
+
+// AwaitPermit is AcquirePermit, and waits for a permit until ctx is done.
+func (n *Node) AwaitPermit(ctx context.Context, b member.Backend, p Purpose) error {
+	for {
+		d, err := n.AcquirePermit(ctx, b, p)
+		if d.Verdict != limit.Denied {
+			return err
+		}
+		select {
+		case <-time.After(d.RetryAfter):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (n *Node) checkPermit(b member.Backend) limit.Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := serverOf(b)
+	if _, limited := n.limiter.Rate(s); !limited {
+		return limit.Decision{}
+	}
+	now := time.Now()
+	return n.limiter.Check(now, s, n.limitView(now, b.Service))
+}
+
+// askPermit asks another VM for a permit. redirected is set if that VM was named by
+// another one that was asked before.
+func (n *Node) askPermit(ctx context.Context, b member.Backend, issuer string, redirected bool) limit.Decision {
+	n.mu.Lock()
+	s, askedAt := serverOf(b), time.Now()
+	q := n.limiter.Request(s, n.limitView(askedAt, b.Service))
+	to, known := n.group.Peer(issuer)
+	n.mu.Unlock()
+	var reply limit.Reply
+	err := errNoIssuer
+	if known && n.RequestPermit != nil {
+		callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
+		defer cancel()
+		reply, err = n.RequestPermit(callCtx, to, b.Service, q)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	v := n.limitView(now, b.Service)
+	switch {
+	case ctx.Err() != nil:
+		// The caller has gone, which says nothing about the issuer.
+		return limit.Decision{Verdict: limit.Denied}
+	case err != nil:
+		n.Count("limits.issuersLost", 1)
+		d := n.limiter.Fail(now, issuer, s, v)
+		n.limitLog(s).WithError(err).WithFields(logrus.Fields{
+			"issuer": issuer, "rate": d.Rate, "permit": d.Verdict == limit.Granted, "vms": v.Live, "lostVMs": v.Lost,
+		}).Warn("request for a permit failed; using the own share of the rate limit")
+		return d
 	}
-	sends.counts[p]++
+	d, change := n.limiter.Resolve(now, askedAt, issuer, q, reply, redirected, v)
+	n.logLimitChange(s, change, issuer)
+	return d
+}
+
+// HandlePermit answers the request of another VM for a permit to send a request to a
+// server of a service.
+func (n *Node) HandlePermit(service string, q limit.Request) limit.Reply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	r, change := n.limiter.Handle(now, q, n.limitView(now, service))
+	n.logLimitChange(q.Entry.Server, change, q.From)
+	n.Count("limits.asked", 1)
+	return r
+}
+
+// limitView returns this VM's view of the VMs that share the limits of a service. The
+// caller holds the lock.
+func (n *Node) limitView(now time.Time, service string) limit.View {
+	everyVM := func(member.Peer) bool { return false }
+	live, lost := n.group.CallerVMs(now, lostVMPeriod)
+	return limit.View{
+		Self: n.Settings.ID, Issuer: n.group.PlacementVM(now, service, n.Draining(), everyVM).ID,
+		Live: live, Lost: lost, Starting: n.Starting(),
+	}
+}
+
+// withoutPermits returns the servers of a service that get no further request for now,
+// other than stay, and the time until the first of them does. The caller holds the lock.
+func (n *Node) withoutPermits(now time.Time, service, stay string) (ids []string, wait time.Duration) {
+	if n.limiter.Empty() {
+		return nil, 0
+	}
+	v := n.limitView(now, service)
+	for _, b := range n.table.OfService(service) {
+		w, exhausted := n.limiter.Exhausted(now, serverOf(b), v)
+		if !exhausted || b.ID == stay {
+			continue
+		}
+		if len(ids) == 0 || w < wait {
+			wait = w
+		}
+		ids = append(ids, b.ID)
+	}
+	return ids, wait
+}
+
+// limitedChoice returns the choice for a request for which only servers without permits
+// are left, wait being the time until the first has one, and counts it as rejected. The
+// caller holds the lock.
+func (n *Node) limitedChoice(now time.Time, service string, wait time.Duration) place.Choice {
+	b := n.limitBacklogs[service]
+	if b == nil {
+		b = &limit.Backlog{}
+		n.limitBacklogs[service] = b
+	}
+	return place.Choice{Limited: true, RetryAfter: b.Reject(now, wait)}
+}
+
+// RejectLimited reports whether all servers of a service, other than those excluded, have
+// a rate limit and take no further request for now. It then counts a request as rejected,
+// and returns the time after which it may come back.
+func (n *Node) RejectLimited(service string, exclude []string) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	ids, wait := n.withoutPermits(now, service, "")
+	if !n.hasOtherServer(service, exclude) || n.hasOtherServer(service, slices.Concat(exclude, ids)) {
+		return 0, false
+	}
+	return n.limitedChoice(now, service, wait).RetryAfter, true
+}
+
+// hasOtherServer reports whether a service has a server besides the given ones. The caller
+// holds the lock.
+func (n *Node) hasOtherServer(service string, ids []string) bool {
+	return slices.ContainsFunc(n.table.OfService(service), func(b member.Backend) bool {
+		return !b.Leaving && !slices.Contains(ids, b.ID)
+	})
 }
 
 // ObserveLimit records what a response of a server says of its rate limit.
@@ -61,35 +231,80 @@
 		n.Count("limits.invalid", 1)
 		return
 	}
-	s := limit.Server{ID: b.ID, Epoch: b.Epoch}
-	switch change := n.limits.Observe(time.Now(), s, st); change {
-	case limit.Named:
-		n.Count("limits.named", 1)
-		n.limitLog(s).WithField("rate", st.Rate).Warn("backend server named a rate limit")
-	case limit.Altered:
-		n.Count("limits.altered", 1)
+	s := serverOf(b)
+	change := n.limiter.Observe(time.Now(), s, st)
+	n.logLimitChange(s, change, "")
+	if change == limit.Named || change == limit.Ended {
+		to := n.group.UrgentTargets(time.Now(), "", n.random)
+		go n.Gossip(to)
 	}
 }
 
+// ReceiveLimit applies what another VM knows of a limit.
+func (n *Node) ReceiveLimit(e limit.Entry, from string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change := n.limiter.Merge(time.Now(), e)
+	n.logLimitChange(e.Server, change, from)
+	if change == limit.Named || change == limit.Ended {
+		to := n.group.UrgentTargets(time.Now(), from, n.random)
+		go n.Gossip(to)
+	}
+}
+
+// logLimitChange logs and counts a change of a limit. from is the VM that it was learned
+// from, empty if a response of the server to this VM says so. The caller holds the lock.
+func (n *Node) logLimitChange(s limit.Server, change limit.Change, from string) {
+	if change == limit.Unchanged {
+		return
+	}
+	e := n.limiter.Entry(s)
+	n.Count("limits."+change.String(), 1)
+	if change == limit.Altered && time.Since(n.limitLogged[s.ID]) < limitLogInterval {
+		return
+	}
+	n.limitLogged[s.ID] = time.Now()
+	n.limitLog(s).WithFields(logrus.Fields{
+		"rate": e.Rate, "version": e.Version, "change": change.String(), "from": from,
+	}).Warn("rate limit of a backend server changed")
+}
+
 func (n *Node) limitLog(s limit.Server) *logrus.Entry {
 	return n.Log.WithFields(logrus.Fields{"backend": s.ID, "epoch": s.Epoch})
 }
 
-// expireLimits ends the limits that their servers name no more, and logs the requests
-// sent to servers with a limit. The caller holds the lock.
-func (n *Node) expireLimits(now time.Time) {
-	for _, s := range n.limits.Expire(now) {
-		n.Count("limits.ended", 1)
-		n.limitLog(s).Warn("backend server names no rate limit any more")
+// limitedSendsTo returns the counts of what is sent to a server with a limit. The caller
+// holds the lock.
+func (n *Node) limitedSendsTo(b member.Backend) *limitedSends {
+	sends := n.limitedSends[b.ID]
+	if sends == nil {
+		sends = &limitedSends{server: serverOf(b), since: time.Now(), counts: map[Purpose]int{}}
+		n.limitedSends[b.ID] = sends
 	}
+	return sends
+}
+
+// tickLimits runs the periodic work for limits, and logs what was sent to servers with a
+// limit.
+func (n *Node) tickLimits(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limiter.Tick(now)
 	for id, sends := range n.limitedSends {
 		if now.Sub(sends.since) < limitLogInterval {
 			continue
 		}
-		rate, _ := n.limits.Rate(sends.server)
+		rate, _ := n.limiter.Rate(sends.server)
 		n.limitLog(sends.server).WithFields(logrus.Fields{
-			"rate": rate, "sent": sends.counts, "ms": now.Sub(sends.since).Milliseconds(),
+			"rate": rate, "sent": sends.counts, "denied": sends.denied, "ms": now.Sub(sends.since).Milliseconds(),
 		}).Info("requests sent to a server with a rate limit")
 		delete(n.limitedSends, id)
 	}
 }
+
+// forgetLimit drops what is known of the limit of a server that is gone. The caller holds
+// the lock.
+func (n *Node) forgetLimit(id string) {
+	n.limiter.Forget(id)
+	delete(n.limitLogged, id)
+}
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -63,6 +63,10 @@
 	// to the placement VM of a service. If it is nil, all requests are placed
 	// locally. It is called without the lock.
 	RequestPlacement func(ctx context.Context, to member.Peer, req PlacementRequest) (PlacementResponse, error)
+	// RequestPermit asks another VM for a permit to send a request to a server of a
+	// service. If it is nil, this VM uses its own share of each rate limit. It is called
+	// without the lock.
+	RequestPermit func(ctx context.Context, to member.Peer, service string, q limit.Request) (limit.Reply, error)
 	// BackendChanged is called, without the lock, when a backend server is new,
 	// has restarted or is leaving.
 	BackendChanged func(b member.Backend)
@@ -141,10 +145,14 @@
 	quarantined map[string]poison.Quarantine
 	// quarantineChanged is called when quarantined has changed; nil if nothing is.
 	quarantineChanged func()
-	// limits holds the rate limits that backend servers have named, and limitedSends,
-	// by server ID, what was sent to those servers.
-	limits       limit.Table
-	limitedSends map[string]*limitedSends
+	// limiter keeps requests to backend servers within their rate limits. limitedSends
+	// holds, by server ID, what was sent to servers with a limit, limitLogged when a
+	// change of their limit was last logged, and limitBacklogs, by service, the requests
+	// that were rejected for lack of a permit.
+	limiter       limit.Limiter
+	limitedSends  map[string]*limitedSends
+	limitLogged   map[string]time.Time
+	limitBacklogs map[string]*limit.Backlog
 }
 
 // New returns a node without a configuration.
@@ -169,6 +177,8 @@
 		sentReports:      map[string]sentReport{},
 		lengthSamples:    map[string][]place.LengthSample{},
 		limitedSends:     map[string]*limitedSends{},
+		limitLogged:      map[string]time.Time{},
+		limitBacklogs:    map[string]*limit.Backlog{},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
@@ -189,7 +199,9 @@
 	// VMs from all picking the same one.
 	local := sched.New(sched.Options{Domain: s.Domain, SampleSize: 2, Random: n.random})
 	n.ticketClient = ticket.NewClient(s.ID, n.group.Self.Epoch, local, n.schedulerFor)
+	n.limiter.Random = n.random.Float64
 	n.Clock.Every(expireInterval, n.expire)
+	n.Clock.Every(limit.TickInterval, n.tickLimits)
 	return n
 }
 
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -49,6 +49,8 @@
 // requests, and those for which the placement VM fails to name a usable server,
 // are placed locally.
 func (n *Node) Place(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
+	excluded := r.Exclude
+	wait := n.excludeLimited(service, &r)
 	if c, ok := n.placeRemotely(ctx, service, r); ok {
 		return c, true
 	}
@@ -57,6 +59,9 @@
 	now := time.Now()
 	r.Random = n.random.Float64()
 	c, ok := n.placer.Pick(now, n.candidates(service), r)
+	if !ok && n.hasOtherServer(service, excluded) {
+		return n.limitedChoice(now, service, wait), true
+	}
 	if !ok {
 		return c, false
 	}
@@ -72,6 +77,20 @@
 	return c, true
 }
 
+// excludeLimited excludes the servers that get no request for now because of their rate
+// limit, and returns the time until the first of them does.
+func (n *Node) excludeLimited(service string, r *place.Request) time.Duration {
+	stay := ""
+	if r.Copy != nil && r.Copy.MayStay {
+		stay = r.Copy.Source
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ids, wait := n.withoutPermits(time.Now(), service, stay)
+	r.Exclude = slices.Concat(r.Exclude, ids)
+	return wait
+}
+
 // logPlacement logs the choice of a server for a run of the VM from, with the
 // load that it was based on. Plain calls are not logged here: their server is in
 // the line at their end.
@@ -175,6 +194,9 @@
 // HandlePlacement applies the load report of another VM and, if it requests a
 // placement, chooses a server and reserves room there.
 func (n *Node) HandlePlacement(req PlacementRequest) PlacementResponse {
+	if req.Request != nil {
+		n.excludeLimited(req.Service, req.Request)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -50,6 +50,7 @@
 	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
 	n.SetTransport(s.exchangeAll, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
+	n.RequestPermit = s.requestPermit
 	return s
 }
 
@@ -141,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	out := s.node.OutgoingExchange(addr)
-	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts)}
+	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits)}
 	for _, u := range out.Updates {
 		req.Backends = append(req.Backends, ToBackend(u))
 	}
@@ -157,6 +158,7 @@
 	from := FromPeer(res.Msg.GetFrom())
 	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
 	s.node.ReceivePromptUpdate(fromPromptUpdate(res.Msg.GetPrompts()), from.ID)
+	s.receiveRateLimits(from.ID, res.Msg.GetLimits())
 	s.node.RecordExchange(from.ID, out.Version, res.Msg.GetVersion())
 	return s.fetchNewerConfig(ctx, from)
 }
@@ -204,8 +206,9 @@
 	}
 	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
 	s.node.ReceivePromptUpdate(fromPromptUpdate(m.GetPrompts()), from.ID)
+	s.receiveRateLimits(from.ID, m.GetLimits())
 	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch())
-	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts)}
+	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits)}
 	for _, u := range out.Updates {
 		res.Backends = append(res.Backends, ToBackend(u))
 	}
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -79,6 +79,16 @@
 	Limit limit.Statement
 }
 
+// SaysLimit reports whether a response with the given status says something of its
+// server's rate limit. One that names no limit does so only if the server itself has
+// handled the request.
+func (r *Reply) SaysLimit(status int) bool {
+	if r.WrongInstance {
+		return false
+	}
+	return r.Limit.Named || r.Limit.Invalid || !r.NotRun && status < http.StatusInternalServerError
+}
+
 // Codec reads and writes the headers of forwarded requests.
 type Codec struct {
 	ParseRequest func(h http.Header) RequestParams
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -256,7 +256,7 @@
 			break
 		}
 		choice, ok := x.Node.Place(ctx, s.q.service.Name, req)
-		if !ok || choice.Unreachable {
+		if !ok || choice.Rejects() {
 			break
 		}
 		sleep(ctx, choice.CopyDelay)
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -19,7 +19,7 @@
 func (s *stream) open(ctx context.Context) (*pool.Response, *fault.Fault) {
 	q := s.q
 	var tried []string
-	for unsent := 0; unsent < maxUnsent; {
+	for unsent := 0; unsent < maxUnsent && q.denials < maxDenials; {
 		b, ok, f := s.choose(ctx, tried)
 		if f != nil {
 			return nil, f
@@ -27,8 +27,12 @@
 		if !ok {
 			break
 		}
-		tried = append(tried, b.ID)
 		res, err := q.exchange(ctx, b, q.sendPurpose(), nil)
+		if q.denied(err) {
+			q.relay.Node.EndPlacement(b.ID, s.placement, place.Cancelled)
+			continue
+		}
+		tried = append(tried, b.ID)
 		switch {
 		case err == nil:
 			if accepted, f := s.accept(b, res); accepted || f != nil {
@@ -44,6 +48,9 @@
 			unsent++
 		}
 	}
+	if q.denials >= maxDenials {
+		return nil, fault.FromRateLimit(rejectedRetryAfter)
+	}
 	return nil, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+q.service.Name+" takes the request").WithRetryAfter(notReadyRetryAfter)
 }
 
@@ -62,8 +69,8 @@
 		return b, false, nil
 	case choice.Full:
 		return b, false, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "every engine is full or would begin too late").WithRetryAfter(choice.RetryAfter)
-	case choice.Unreachable:
-		return b, false, unreachableFault(choice)
+	case choice.Rejects():
+		return b, false, rejectionFault(choice)
 	}
 	q.backend, q.placedBy = choice.Server.ID, choice.ChosenBy
 	s.logSend(req)
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
@@ -55,28 +56,35 @@
 	}
 }
 
-// maxUnsent bounds the number of servers that are tried for a request and can't
-// be reached.
-const maxUnsent = 4
+const (
+	// maxUnsent bounds the number of servers that are tried for a request and can't
+	// be reached.
+	maxUnsent = 4
+	// maxDenials bounds the number of servers for which a request gets no permit.
+	maxDenials = 8
+)
 
 // sendWithRetries sends the request to backend servers until one attempt is not
 // retried, and returns the response or the error for the caller.
 func (q *request) sendWithRetries(ctx context.Context) (*response, *fault.Fault) {
 	var tried []string
 	var last attempt
-	for unsent := 0; unsent < maxUnsent; {
+	for unsent := 0; unsent < maxUnsent && q.denials < maxDenials; {
 		choice, ok := q.relay.Node.Place(ctx, q.service.Name, place.Request{Exclude: tried})
 		if !ok || choice.Full {
 			break
 		}
-		if choice.Unreachable {
+		if choice.Rejects() {
 			if q.sent == 0 {
-				return nil, unreachableFault(choice)
+				return nil, rejectionFault(choice)
 			}
 			break
 		}
-		tried = append(tried, choice.Server.ID)
 		a := q.send(ctx, choice.Server)
+		if q.denied(a.err) {
+			continue
+		}
+		tried = append(tried, choice.Server.ID)
 		if !a.Sent {
 			unsent++
 			if ctx.Err() != nil {
@@ -98,6 +106,9 @@
 		}
 		q.relay.Node.Count("forward.repeats", 1)
 	}
+	if q.sent == 0 && q.denials >= maxDenials {
+		return nil, fault.FromRateLimit(rejectedRetryAfter)
+	}
 	return q.finalResult(last)
 }
 
@@ -174,7 +185,11 @@
 	}
 	a.err = err
 	result := place.Failed
+	var denied *limit.DeniedError
 	switch {
+	case errors.As(err, &denied):
+		q.relay.Node.EndPlacement(b.ID, place.Request{}, place.Cancelled)
+		return a
 	case ctx.Err() != nil:
 		result = place.Cancelled
 	case !a.Sent:
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -99,6 +99,10 @@
 	// placedBy is the ID of the VM that chose it; empty if it was this VM.
 	backend  string
 	placedBy string
+	// permitFrom is the ID of the VM that permitted the last send, empty if it needed no
+	// permit. denials counts the sends that got none.
+	permitFrom string
+	denials    int
 	// events counts the events that were sent to the caller. firstEvent is when
 	// the first one was sent, and maxEventGap is the longest time between two.
 	events      int
@@ -377,6 +381,12 @@
 	if q.placedBy != "" {
 		fields["placedBy"] = q.placedBy
 	}
+	if q.permitFrom != "" {
+		fields["permitFrom"] = q.permitFrom
+	}
+	if q.denials > 0 {
+		fields["denials"] = q.denials
+	}
 	if q.moves > 0 {
 		fields["moves"] = q.moves
 	}
@@ -401,6 +411,15 @@
 	}
 }
 
+// rejectionFault returns the error for a request that no server takes: those left are in
+// a failure domain that can't be reached, or have a rate limit.
+func rejectionFault(c place.Choice) *fault.Fault {
+	if c.Limited {
+		return fault.FromRateLimit(c.RetryAfter)
+	}
+	return unreachableFault(c)
+}
+
 // unreachableFault returns the error for a request whose only servers left are in
 // a failure domain that this VM can't reach.
 func unreachableFault(c place.Choice) *fault.Fault {
--- a/foldd/relay/return.go
+++ b/foldd/relay/return.go
@@ -42,7 +42,7 @@
 	req := s.copyRequest(from)
 	req.Exclude, req.Domain, req.Copy.MayStay = nil, x.Node.Settings.Domain, true
 	choice, ok := x.Node.Place(ctx, s.q.service.Name, req)
-	if !ok || choice.Unreachable || choice.Server.ID == from.ID {
+	if !ok || choice.Rejects() || choice.Server.ID == from.ID {
 		x.cancelReturn(s, from)
 		return
 	}
--- a/foldd/relay/send.go
+++ b/foldd/relay/send.go
@@ -1,36 +1,68 @@
 package relay
 
 import (
+	"cmp"
 	"context"
-	"net/http"
+	"errors"
+	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/pool"
 )
 
-// exchange sends the request to a backend server, and records what the response says of
-// the server's rate limit. resume is nil unless the request continues a run.
+// exchange sends the request to a backend server once there is a permit for it, and
+// records what the response says of the server's rate limit. resume is nil unless the
+// request continues a run.
 func (q *request) exchange(ctx context.Context, b backend, p node.Purpose, resume *Resume) (*pool.Response, error) {
-	q.relay.Node.CountSend(b, p)
-	res, err := q.relay.Pool.Do(ctx, q.backendRequest(b, resume))
+	r := q.backendRequest(b, resume)
+	r.Admit = func(ctx context.Context) error { return q.acquirePermit(ctx, b, p) }
+	res, err := q.relay.Pool.Do(ctx, r)
 	if err != nil {
 		return nil, err
 	}
 	reply := q.relay.Codec.ParseReply(res.Status, res.Header)
-	if saysLimit(res.Status, &reply) {
+	if reply.SaysLimit(res.Status) {
 		q.relay.Node.ObserveLimit(b, reply.Limit)
 	}
 	return res, nil
 }
 
-// saysLimit reports whether a response says something of its server's rate limit. One
-// that names none says so only if the server itself has handled the request.
-func saysLimit(status int, r *Reply) bool {
-	if r.WrongInstance {
+// resumePermitTimeout bounds the wait for the permit to resume a run, whose stream stands
+// still meanwhile.
+const resumePermitTimeout = 2 * time.Second
+
+// acquirePermit acquires the permit for a request to a backend server, if the server has
+// a rate limit. A run that was stopped waits for it.
+func (q *request) acquirePermit(ctx context.Context, b backend, p node.Purpose) error {
+	n := q.relay.Node
+	if p == node.Resume {
+		ctx, cancel := context.WithTimeout(ctx, resumePermitTimeout)
+		defer cancel()
+		return n.AwaitPermit(ctx, b, p)
+	}
+	d, err := n.AcquirePermit(ctx, b, p)
+	if err == nil && d.Verdict == limit.Granted {
+		q.permitFrom = cmp.Or(d.Issuer, n.Settings.ID)
+	}
+	return err
+}
+
+// denied reports whether a request was not sent because there was no permit for it, and
+// logs that.
+func (q *request) denied(err error) bool {
+	var d *limit.DeniedError
+	if !errors.As(err, &d) {
 		return false
 	}
-	return r.Limit.Named || r.Limit.Invalid || !r.NotRun && status < http.StatusInternalServerError
+	q.denials++
+	q.relay.Node.Log.WithFields(logrus.Fields{
+		"request": q.params.ID, "backend": d.Server.ID, "rate": d.Rate, "waitMs": d.RetryAfter.Milliseconds(), "ms": sinceArrival(q).Milliseconds(),
+	}).Info("no permit for a backend server with a rate limit")
+	return true
 }
 
 // sendPurpose returns the purpose of the next send of the request to a server.
@@ -44,7 +76,9 @@
 // copyMemory copies the part of a run's memory that was not copied before to another
 // engine. If stop is set, the run is stopped first.
 func (x *Relay) copyMemory(ctx context.Context, s *stream, from, target backend, stop bool) (handle string, err error) {
-	x.Node.CountSend(from, node.CopyRun)
+	if err := x.Node.AwaitPermit(ctx, from, node.CopyRun); err != nil {
+		return "", fmt.Errorf("copy run: %w", err)
+	}
 	return x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, stop)
 }
 
@@ -55,8 +89,11 @@
 func (x *Relay) free(source backend, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	x.Node.CountSend(source, node.FreeCopy)
-	if err := x.Mover.Free(ctx, source.Addr, handle); err != nil {
+	err := x.Node.AwaitPermit(ctx, source, node.FreeCopy)
+	if err == nil {
+		err = x.Mover.Free(ctx, source.Addr, handle)
+	}
+	if err != nil {
 		x.Node.Log.WithError(err).WithField("handle", handle).Warn("freeing the copy of a run failed")
 	}
 }
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -29,6 +29,9 @@
 	// request; nil accepts every response. It is needed because a server may
 	// repeat the response to an earlier request.
 	Matches func(http.Header) bool
+	// Admit, if not nil, is called once there is a connection, before the first byte is
+	// sent. If it returns an error, nothing is sent.
+	Admit func(context.Context) error
 }
 
 // Response is a response whose body has not been read yet. The caller must close
@@ -64,10 +67,16 @@
 // sends the request at most once. If ctx ends before the body has been read, the
 // connection is closed. The error, if any, is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, _, err := p.get(ctx, r.Addr)
+	c, err := p.get(ctx, r.Addr)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.Admit != nil {
+		if err := r.Admit(ctx); err != nil {
+			p.put(c)
+			return nil, &Error{Err: err}
+		}
+	}
 	x := &exchange{pool: p, conn: c, request: r}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	res, err := x.run()
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -94,20 +94,19 @@
 	return v
 }
 
-// get returns an idle connection or opens a new one; reused reports which.
-func (p *Pool) get(ctx context.Context, addr netip.AddrPort) (c *conn, reused bool, err error) {
+// get returns an idle connection or opens a new one.
+func (p *Pool) get(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	for {
 		c := p.takeIdle(addr)
 		if c == nil {
 			break
 		}
 		if c.checkIdle() == nil {
-			return c, true, nil
+			return c, nil
 		}
 		c.Close()
 	}
-	c, err = p.dial(ctx, addr)
-	return c, false, err
+	return p.dial(ctx, addr)
 }
 
 // takeIdle removes the last used idle connection to a server from the pool and
--- a/netio/pool/pool_test.go
+++ b/netio/pool/pool_test.go
@@ -197,3 +197,21 @@
 		t.Errorf("timeout: error %v, want one that is none of the server's", err)
 	}
 }
+
+// TestRequestThatIsNotAdmitted checks that nothing is sent of such a request, and that its
+// connection serves the next one.
+func TestRequestThatIsNotAdmitted(t *testing.T) {
+	s := startServer(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "hello"} })
+	p := &pool.Pool{}
+	reason := errors.New("not now")
+	r := newRequest(s, http.MethodPost, "1", nil)
+	r.Admit = func(context.Context) error { return reason }
+	_, err := p.Do(context.Background(), r)
+	var pe *pool.Error
+	if !errors.As(err, &pe) || pe.Sent || !errors.Is(err, reason) {
+		t.Errorf("error %v, want the reason in a *pool.Error with Sent unset", err)
+	}
+	if _, _, err := do(t, p, newRequest(s, http.MethodPost, "2", nil)); err != nil || s.Accepted() != 1 || s.RunCount("1") != 0 {
+		t.Errorf("error %v, %d connections, the first request ran %d times; want one connection that is used again", err, s.Accepted(), s.RunCount("1"))
+	}
+}
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -50,6 +50,8 @@
 	PeerServiceDecisionsProcedure = "/wire.v1.PeerService/Decisions"
 	// PeerServicePlaceProcedure is the fully-qualified name of the PeerService's Place RPC.
 	PeerServicePlaceProcedure = "/wire.v1.PeerService/Place"
+	// PeerServicePermitProcedure is the fully-qualified name of the PeerService's Permit RPC.
+	PeerServicePermitProcedure = "/wire.v1.PeerService/Permit"
 	// ControlServiceClaimProcedure is the fully-qualified name of the ControlService's Claim RPC.
 	ControlServiceClaimProcedure = "/wire.v1.ControlService/Claim"
 	// ControlServiceSettleProcedure is the fully-qualified name of the ControlService's Settle RPC.
@@ -95,6 +97,7 @@
 	// learns that its tickets were dropped.
 	Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error)
 	Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceResponse], error)
+	Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the wire.v1.PeerService service. By default, it uses
@@ -144,6 +147,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		permit: connect.NewClient[PermitRequest, PermitResponse](
+			httpClient,
+			baseURL+PeerServicePermitProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Permit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -155,6 +164,7 @@
 	tickets   *connect.Client[TicketsRequest, TicketsResponse]
 	decisions *connect.Client[DecisionsRequest, DecisionsResponse]
 	place     *connect.Client[PlaceRequest, PlaceResponse]
+	permit    *connect.Client[PermitRequest, PermitResponse]
 }
 
 // Exchange calls wire.v1.PeerService.Exchange.
@@ -187,6 +197,11 @@
 	return c.place.CallUnary(ctx, req)
 }
 
+// Permit calls wire.v1.PeerService.Permit.
+func (c *peerServiceClient) Permit(ctx context.Context, req *connect.Request[PermitRequest]) (*connect.Response[PermitResponse], error) {
+	return c.permit.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the wire.v1.PeerService service.
 type PeerServiceHandler interface {
 	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
@@ -204,6 +219,7 @@
 	// learns that its tickets were dropped.
 	Decisions(context.Context, *connect.Request[DecisionsRequest]) (*connect.Response[DecisionsResponse], error)
 	Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceResponse], error)
+	Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -249,6 +265,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePermitHandler := connect.NewUnaryHandler(
+		PeerServicePermitProcedure,
+		svc.Permit,
+		connect.WithSchema(peerServiceMethods.ByName("Permit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -263,6 +285,8 @@
 			peerServiceDecisionsHandler.ServeHTTP(w, r)
 		case PeerServicePlaceProcedure:
 			peerServicePlaceHandler.ServeHTTP(w, r)
+		case PeerServicePermitProcedure:
+			peerServicePermitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -296,6 +320,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Place is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.PeerService.Permit is not implemented"))
+}
+
 // ControlServiceClient is a client for the wire.v1.ControlService service.
 type ControlServiceClient interface {
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
