--- a/fold/limit/issuer.go
+++ b/fold/limit/issuer.go
@@ -86,21 +86,26 @@
 	return l
 }
 
-// share counts a request of a VM and returns the VM's part of the limit.
+// share counts a request of a VM and returns the VM's part of the limit, by the requests
+// before this one.
 func (l *ledger) share(now time.Time, vm string, sharers int) float64 {
+	all := 0.0
+	for id, d := range l.demand {
+		d.decay(now, demandMemory)
+		all += d.count
+		if d.count < minDemand {
+			delete(l.demand, id)
+		}
+	}
 	d := l.demand[vm]
 	if d == nil {
 		d = &decaying{}
 		l.demand[vm] = d
 	}
-	d.add(now, demandMemory)
-	all := 0.0
-	for id, other := range l.demand {
-		other.decay(now, demandMemory)
-		all += other.count
-		if other.count < minDemand {
-			delete(l.demand, id)
-		}
+	part := reservedPart / float64(sharers)
+	if all > 0 {
+		part += (1 - reservedPart) * d.count / all
 	}
-	return (1-reservedPart)*d.count/all + reservedPart/float64(sharers)
+	d.add(now, demandMemory)
+	return part
 }
--- a/fold/limit/limiter_test.go
+++ b/fold/limit/limiter_test.go
@@ -119,7 +119,10 @@
 // TestOwnShareIsPartOfLimit checks what a VM sends while the issuer does not answer.
 func TestOwnShareIsPartOfLimit(t *testing.T) {
 	p := newPair(10)
-	p.ask(0)
+	for range 10 {
+		p.ask(0)
+		p.advance(100 * time.Millisecond)
+	}
 	sent := 0
 	const length = 20 * time.Second
 	for range length / (100 * time.Millisecond) {
@@ -165,3 +168,19 @@
 		t.Errorf("decision %+v of the VM itself, want no limit any more", d)
 	}
 }
+
+// TestStartingVMIssuesNothing guards against a VM that has just started and issues permits
+// beside the issuer that it doesn't know yet.
+func TestStartingVMIssuesNothing(t *testing.T) {
+	p := newPair(10)
+	p.ask(0)
+	p.advance(time.Second)
+	starting := p.issuerView()
+	starting.Starting = true
+	if reply, _ := p.issuer.Handle(p.now, p.vm.Request(server, p.vmView()), starting); reply.Granted || !reply.NotIssuer {
+		t.Errorf("reply %+v of a VM that has just started, want none", reply)
+	}
+	if reply, _ := p.ask(0); !reply.Granted {
+		t.Errorf("reply %+v later, want a permit", reply)
+	}
+}
--- a/fold/limit/play_test.go
+++ b/fold/limit/play_test.go
@@ -335,22 +335,43 @@
 // excused reports whether the rule leaves out a VM at a time, because it was cut off,
 // paused or restarted lately.
 func (p *play) excused(vm int, at time.Duration) bool {
+	return p.faulty(vm, at, func(s span) span { return span{s.from, s.to + newsTime} })
+}
+
+// unknown reports whether the others can't know yet that a VM is cut off, paused or dead.
+func (p *play) unknown(vm int, at time.Duration) bool {
+	return p.faulty(vm, at, func(s span) span { return span{s.from, s.from + peerLease + 2*gossipTime} })
+}
+
+// faulty reports whether a time is in the span that of returns for a fault of a VM.
+func (p *play) faulty(vm int, at time.Duration, of func(span) span) bool {
 	for _, fault := range []map[int]span{p.c.dead, p.c.paused, p.c.cut} {
-		if s, ok := fault[vm]; ok && (span{s.from, s.to + newsTime}).has(at) {
+		if s, ok := fault[vm]; ok && of(s).has(at) {
 			return true
 		}
 	}
 	return false
 }
 
-// check checks the rule over each span that ends with an arrival, and the use of the
-// limits from newsTime after the first was named.
+// check checks the rule, also for all VMs once the others can know of faults, and the
+// use of the limits from newsTime after the first was named.
 func (p *play) check() {
+	p.t.Helper()
+	p.checkSpans("VMs that were told", func(a arrival) bool {
+		told := p.vms[a.vm].toldAt
+		return told >= 0 && a.at >= told+passTime && !p.excused(a.vm, a.at)
+	})
+	p.checkSpans("all VMs", func(a arrival) bool { return !p.unknown(a.vm, a.at) })
+	p.checkUse()
+}
+
+// checkSpans checks what the server got in each ruleSpan that ends with an arrival, from
+// newsTime after the first limit was named, of the requests that count.
+func (p *play) checkSpans(of string, counts func(arrival) bool) {
 	p.t.Helper()
 	counted := p.arrivals[:0:0]
 	for _, a := range p.arrivals {
-		told := p.vms[a.vm].toldAt
-		if p.namedAt >= 0 && a.at >= p.namedAt+newsTime && told >= 0 && a.at >= told+passTime && !p.excused(a.vm, a.at) {
+		if p.namedAt >= 0 && a.at >= p.namedAt+newsTime && counts(a) {
 			counted = append(counted, a)
 		}
 	}
@@ -363,10 +384,15 @@
 		for at := counted[first].at; at <= a.at; at += 100 * time.Millisecond {
 			highest = max(highest, p.c.allowed(at))
 		}
-		if most := 1.5*highest*ruleSpan.Seconds() + 5; highest >= 0 && float64(i+1-first) > most {
-			p.t.Fatalf("%d requests in the %v to %v, allowed are %.1f", i+1-first, ruleSpan, a.at, most)
+		if most := 1.5*highest*ruleSpan.Seconds() + 5; float64(i+1-first) > most {
+			p.t.Fatalf("%d requests of %s in the %v to %v, allowed are %.1f", i+1-first, of, ruleSpan, a.at, most)
 		}
 	}
+}
+
+// checkUse checks that the requests used the wanted part of what the limits allow.
+func (p *play) checkUse() {
+	p.t.Helper()
 	used, allowed := 0, 0.0
 	for _, a := range p.arrivals {
 		if a.at >= p.namedAt+newsTime {
@@ -442,6 +468,8 @@
 		withLimit(5.2, playCase{name: "issuer is cut off", vms: 7, rate: even, length: 60 * seconds, cut: map[int]span{0: {10 * seconds, 40 * seconds}}, wantShare: 0.7}),
 		withLimit(5.2, playCase{name: "calls between VMs are lost", vms: 7, rate: even, length: 60 * seconds, lost: 0.05, wantShare: 0.9}),
 		withLimit(5.2, playCase{name: "many calls between VMs are lost", vms: 7, rate: even, length: 60 * seconds, lost: 0.4, wantShare: 0.6}),
+		withLimit(20, playCase{name: "half of the calls between many VMs are lost", vms: 30, rate: even, length: 60 * seconds, lost: 0.5, wantShare: 0.6}),
+		withLimit(5.2, playCase{name: "half are cut off for long", vms: 8, rate: even, length: 80 * seconds, cut: together(4, span{10 * seconds, 70 * seconds}), wantShare: 0.8}),
 		withLimit(5.2, playCase{name: "responses without the limit", vms: 7, rate: even, length: 60 * seconds, bare: 0.1, wantShare: 0.9}),
 	}
 	steps := func(at time.Duration) float64 { return []float64{20, 2, 0.5, 8, 5}[at/(10*seconds)%5] }
--- a/foldctl/status.go
+++ b/foldctl/status.go
@@ -97,12 +97,13 @@
 // responses by code.
 func writeServices(w io.Writer, s *wire.StatusResponse) {
 	for _, v := range s.GetServices() {
-		fmt.Fprintf(w, "\nservice %s: %d requests and %d retries in the window, %d retries remaining%s\n",
-			v.GetService(), v.GetRequests(), v.GetRepeats(), v.GetRepeatsLeft(), flag(v.GetPlacedBy() != "", ", placed by "+v.GetPlacedBy()))
+		fmt.Fprintf(w, "\nservice %s: %d requests and %d retries in the window, %d retries remaining%s%s\n",
+			v.GetService(), v.GetRequests(), v.GetRepeats(), v.GetRepeatsLeft(),
+			flag(v.GetPlacedBy() != "", ", placed by "+v.GetPlacedBy()), flag(v.GetIssuer() != "", ", permits issued by "+v.GetIssuer()))
 		fmt.Fprintln(w, "backend server\tdomain\tlocal requests\tlocal prefill tokens\treport age ms\tstate")
 		for _, b := range v.GetBackends() {
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", b.GetBackend(), b.GetDomain(), b.GetLoad().GetRequests(),
-				b.GetLoad().GetPrefillTokens(), b.GetNewsMillis(), strings.TrimSpace(flag(b.GetLeaving(), "leaving ")+flag(b.GetAvoided(), "avoided")))
+				b.GetLoad().GetPrefillTokens(), b.GetNewsMillis(), backendState(b))
 		}
 	}
 	if len(s.GetErrors()) > 0 {
@@ -113,6 +114,12 @@
 	}
 }
 
+// backendState returns what keeps requests from a backend server, or slows them down.
+func backendState(b *wire.BackendView) string {
+	limit := fmt.Sprintf("limited to %g/s", b.GetLimit().GetPerSecond())
+	return strings.TrimSpace(flag(b.GetLeaving(), "leaving ") + flag(b.GetAvoided(), "avoided ") + flag(b.GetLimit() != nil, limit))
+}
+
 // flag returns text if set is true, and an empty string otherwise.
 func flag(set bool, text string) string {
 	if set {
--- a/foldctl/status_test.go
+++ b/foldctl/status_test.go
@@ -13,7 +13,7 @@
 	return &wire.StatusResponse{
 		Self:     &wire.Peer{Id: "entry-1", Domain: "a", ConfigRevision: 7},
 		Peers:    []*wire.Peer{{Id: "entry-2", Domain: "b", ConfigRevision: 6, Draining: true}},
-		Services: []*wire.ServiceStatus{{Service: "models", PlacedBy: "entry-2", Requests: 40, Repeats: 3, RepeatsLeft: 5, Backends: []*wire.BackendView{{Backend: "e1", Domain: "a", NewsMillis: 320, Avoided: true, Load: &wire.EngineLoad{Requests: 2, PrefillTokens: 900}}}}},
+		Services: []*wire.ServiceStatus{{Service: "models", PlacedBy: "entry-2", Requests: 40, Repeats: 3, RepeatsLeft: 5, Issuer: "entry-3", Backends: []*wire.BackendView{{Backend: "e1", Domain: "a", NewsMillis: 320, Avoided: true, Limit: &wire.RateLimit{Backend: "e1", PerSecond: 5.2}, Load: &wire.EngineLoad{Requests: 2, PrefillTokens: 900}}}}},
 		Errors:   []*wire.ErrorCount{{Code: "overload", Count: 12}},
 	}
 }
@@ -26,8 +26,8 @@
 	for _, want := range []string{
 		"VM entry-1 in a: revision 7",
 		"entry-2  b       6         draining",
-		"service models: 40 requests and 3 retries in the window, 5 retries remaining, placed by entry-2",
-		"e1              a       2               900                   320            avoided",
+		"service models: 40 requests and 3 retries in the window, 5 retries remaining, placed by entry-2, permits issued by entry-3",
+		"e1              a       2               900                   320            avoided limited to 5.2/s",
 		"overload    12",
 	} {
 		if !strings.Contains(out.String(), want) {
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -133,7 +133,7 @@
 	expired := n.table.Expire(now)
 	for _, id := range expired {
 		n.placer.Forget(id)
-		n.forgetLimit(id)
+		n.limits.Forget(id)
 		n.eachScheduler(func(s *sched.Scheduler) { s.RemoveBackend(now, id) })
 	}
 	n.poll(now)
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -127,7 +127,7 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limiter.Share(now)}
+	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -45,6 +45,18 @@
 // errNoIssuer reports that this VM can't reach the issuer of a service's permits.
 var errNoIssuer = eris.New("the issuer of permits is not known")
 
+// limits is the part of a Node that keeps requests within the rate limits of backend
+// servers.
+type limits struct {
+	limit.Limiter
+	// sends holds what was sent to servers with a limit, and logged when a change of a
+	// limit was last logged, both by server ID.
+	sends  map[string]*limitedSends
+	logged map[string]time.Time
+	// backlogs holds, by service, the requests that were rejected for lack of a permit.
+	backlogs map[string]*limit.Backlog
+}
+
 // limitedSends counts what this VM has sent to a server with a rate limit, and the
 // requests that got no permit, since its last log line about them.
 type limitedSends struct {
@@ -72,10 +84,10 @@
 	switch d.Verdict {
 	case limit.Granted:
 		n.Count("limits.sent."+string(p), 1)
-		n.limitedSendsTo(b).counts[p]++
+		n.limits.sendsTo(b).counts[p]++
 	case limit.Denied:
 		n.Count("limits.denied", 1)
-		n.limitedSendsTo(b).denied++
+		n.limits.sendsTo(b).denied++
 		return d, &limit.DeniedError{Server: serverOf(b), Rate: d.Rate, RetryAfter: d.RetryAfter}
 	}
 	if d.OwnShare {
@@ -103,11 +115,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := serverOf(b)
-	if _, limited := n.limiter.Rate(s); !limited {
+	if _, limited := n.limits.Rate(s); !limited {
 		return limit.Decision{}
 	}
 	now := time.Now()
-	return n.limiter.Check(now, s, n.limitView(now, b.Service))
+	return n.limits.Check(now, s, n.limitView(now, b.Service))
 }
 
 // askPermit asks another VM for a permit. redirected is set if that VM was named by
@@ -115,7 +127,7 @@
 func (n *Node) askPermit(ctx context.Context, b member.Backend, issuer string, redirected bool) limit.Decision {
 	n.mu.Lock()
 	s, askedAt := serverOf(b), time.Now()
-	q := n.limiter.Request(s, n.limitView(askedAt, b.Service))
+	q := n.limits.Request(s, n.limitView(askedAt, b.Service))
 	to, known := n.group.Peer(issuer)
 	n.mu.Unlock()
 	var reply limit.Reply
@@ -135,13 +147,13 @@
 		return limit.Decision{Verdict: limit.Denied}
 	case err != nil:
 		n.Count("limits.issuersLost", 1)
-		d := n.limiter.Fail(now, issuer, s, v)
+		d := n.limits.Fail(now, issuer, s, v)
 		n.limitLog(s).WithError(err).WithFields(logrus.Fields{
 			"issuer": issuer, "rate": d.Rate, "permit": d.Verdict == limit.Granted, "vms": v.Live, "lostVMs": v.Lost,
 		}).Warn("request for a permit failed; using the own share of the rate limit")
 		return d
 	}
-	d, change := n.limiter.Resolve(now, askedAt, issuer, q, reply, redirected, v)
+	d, change := n.limits.Resolve(now, askedAt, issuer, q, reply, redirected, v)
 	n.logLimitChange(s, change, issuer)
 	return d
 }
@@ -152,7 +164,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	r, change := n.limiter.Handle(now, q, n.limitView(now, service))
+	r, change := n.limits.Handle(now, q, n.limitView(now, service))
 	n.logLimitChange(q.Entry.Server, change, q.From)
 	n.Count("limits.asked", 1)
 	return r
@@ -172,12 +184,12 @@
 // withoutPermits returns the servers of a service that get no further request for now,
 // other than stay, and the time until the first of them does. The caller holds the lock.
 func (n *Node) withoutPermits(now time.Time, service, stay string) (ids []string, wait time.Duration) {
-	if n.limiter.Empty() {
+	if n.limits.Empty() {
 		return nil, 0
 	}
 	v := n.limitView(now, service)
 	for _, b := range n.table.OfService(service) {
-		w, exhausted := n.limiter.Exhausted(now, serverOf(b), v)
+		w, exhausted := n.limits.Exhausted(now, serverOf(b), v)
 		if !exhausted || b.ID == stay {
 			continue
 		}
@@ -193,10 +205,10 @@
 // are left, wait being the time until the first has one, and counts it as rejected. The
 // caller holds the lock.
 func (n *Node) limitedChoice(now time.Time, service string, wait time.Duration) place.Choice {
-	b := n.limitBacklogs[service]
+	b := n.limits.backlogs[service]
 	if b == nil {
 		b = &limit.Backlog{}
-		n.limitBacklogs[service] = b
+		n.limits.backlogs[service] = b
 	}
 	return place.Choice{Limited: true, RetryAfter: b.Reject(now, wait)}
 }
@@ -232,7 +244,7 @@
 		return
 	}
 	s := serverOf(b)
-	change := n.limiter.Observe(time.Now(), s, st)
+	change := n.limits.Observe(time.Now(), s, st)
 	n.logLimitChange(s, change, "")
 	if change == limit.Named || change == limit.Ended {
 		to := n.group.UrgentTargets(time.Now(), "", n.random)
@@ -244,7 +256,7 @@
 func (n *Node) ReceiveLimit(e limit.Entry, from string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	change := n.limiter.Merge(time.Now(), e)
+	change := n.limits.Merge(time.Now(), e)
 	n.logLimitChange(e.Server, change, from)
 	if change == limit.Named || change == limit.Ended {
 		to := n.group.UrgentTargets(time.Now(), from, n.random)
@@ -258,12 +270,12 @@
 	if change == limit.Unchanged {
 		return
 	}
-	e := n.limiter.Entry(s)
+	e := n.limits.Entry(s)
 	n.Count("limits."+change.String(), 1)
-	if change == limit.Altered && time.Since(n.limitLogged[s.ID]) < limitLogInterval {
+	if change == limit.Altered && time.Since(n.limits.logged[s.ID]) < limitLogInterval {
 		return
 	}
-	n.limitLogged[s.ID] = time.Now()
+	n.limits.logged[s.ID] = time.Now()
 	n.limitLog(s).WithFields(logrus.Fields{
 		"rate": e.Rate, "version": e.Version, "change": change.String(), "from": from,
 	}).Warn("rate limit of a backend server changed")
@@ -273,13 +285,12 @@
 	return n.Log.WithFields(logrus.Fields{"backend": s.ID, "epoch": s.Epoch})
 }
 
-// limitedSendsTo returns the counts of what is sent to a server with a limit. The caller
-// holds the lock.
-func (n *Node) limitedSendsTo(b member.Backend) *limitedSends {
-	sends := n.limitedSends[b.ID]
+// sendsTo returns the counts of what is sent to a server with a limit.
+func (l *limits) sendsTo(b member.Backend) *limitedSends {
+	sends := l.sends[b.ID]
 	if sends == nil {
 		sends = &limitedSends{server: serverOf(b), since: time.Now(), counts: map[Purpose]int{}}
-		n.limitedSends[b.ID] = sends
+		l.sends[b.ID] = sends
 	}
 	return sends
 }
@@ -289,22 +300,21 @@
 func (n *Node) tickLimits(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.limiter.Tick(now)
-	for id, sends := range n.limitedSends {
+	n.limits.Tick(now)
+	for id, sends := range n.limits.sends {
 		if now.Sub(sends.since) < limitLogInterval {
 			continue
 		}
-		rate, _ := n.limiter.Rate(sends.server)
+		rate, _ := n.limits.Rate(sends.server)
 		n.limitLog(sends.server).WithFields(logrus.Fields{
 			"rate": rate, "sent": sends.counts, "denied": sends.denied, "ms": now.Sub(sends.since).Milliseconds(),
 		}).Info("requests sent to a server with a rate limit")
-		delete(n.limitedSends, id)
+		delete(n.limits.sends, id)
 	}
 }
 
-// forgetLimit drops what is known of the limit of a server that is gone. The caller holds
-// the lock.
-func (n *Node) forgetLimit(id string) {
-	n.limiter.Forget(id)
-	delete(n.limitLogged, id)
+// Forget drops what is known of the limit of a server that is gone.
+func (l *limits) Forget(id string) {
+	l.Limiter.Forget(id)
+	delete(l.logged, id)
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -145,14 +145,8 @@
 	quarantined map[string]poison.Quarantine
 	// quarantineChanged is called when quarantined has changed; nil if nothing is.
 	quarantineChanged func()
-	// limiter keeps requests to backend servers within their rate limits. limitedSends
-	// holds, by server ID, what was sent to servers with a limit, limitLogged when a
-	// change of their limit was last logged, and limitBacklogs, by service, the requests
-	// that were rejected for lack of a permit.
-	limiter       limit.Limiter
-	limitedSends  map[string]*limitedSends
-	limitLogged   map[string]time.Time
-	limitBacklogs map[string]*limit.Backlog
+	// limits keeps requests within the rate limits of backend servers.
+	limits limits
 }
 
 // New returns a node without a configuration.
@@ -176,9 +170,7 @@
 		backedOffDomains: backoffs{},
 		sentReports:      map[string]sentReport{},
 		lengthSamples:    map[string][]place.LengthSample{},
-		limitedSends:     map[string]*limitedSends{},
-		limitLogged:      map[string]time.Time{},
-		limitBacklogs:    map[string]*limit.Backlog{},
+		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
 	}
 	n.group.Self = member.Peer{
 		ID:     s.ID,
@@ -199,7 +191,7 @@
 	// VMs from all picking the same one.
 	local := sched.New(sched.Options{Domain: s.Domain, SampleSize: 2, Random: n.random})
 	n.ticketClient = ticket.NewClient(s.ID, n.group.Self.Epoch, local, n.schedulerFor)
-	n.limiter.Random = n.random.Float64
+	n.limits.Random = n.random.Float64
 	n.Clock.Every(expireInterval, n.expire)
 	n.Clock.Every(limit.TickInterval, n.tickLimits)
 	return n
--- a/foldd/node/view.go
+++ b/foldd/node/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/place"
 )
 
@@ -21,7 +22,10 @@
 	// window of the retry budget. RetriesRemaining is how many more retries may be
 	// sent now.
 	Requests, Retries, RetriesRemaining int
-	Backends                            []BackendView
+	// Issuer is the ID of the VM that issues the permits for servers with a rate limit,
+	// empty if no server has one.
+	Issuer   string
+	Backends []BackendView
 }
 
 // BackendView is this VM's view of a backend server, and its load there.
@@ -34,7 +38,9 @@
 	// BackedOff is set while this VM is backed off from the server after a
 	// failure or rejection. It then sends requests there only if no other is left.
 	BackedOff bool
-	Load      place.Load
+	// Limit is the rate limit of the server, Ended if it has none.
+	Limit limit.Entry
+	Load  place.Load
 }
 
 // ServiceViews returns a view of each service to which requests are forwarded,
@@ -74,8 +80,12 @@
 		age, _ := n.table.Age(now, b.ID)
 		v.Backends = append(v.Backends, BackendView{
 			ID: b.ID, Domain: b.Domain, Leaving: b.Leaving, Age: age, BackedOff: n.placer.BackedOff(now, b.ID), Load: loads[b.ID],
+			Limit: n.limits.Entry(serverOf(b)),
 		})
 	}
+	if slices.ContainsFunc(v.Backends, func(b BackendView) bool { return !b.Limit.Ended }) {
+		v.Issuer = n.limitView(now, service).Issuer
+	}
 	return v
 }
 
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -96,14 +96,18 @@
 // ToServiceStatus returns the wire form of a view of a service.
 func ToServiceStatus(v node.ServiceView) *wire.ServiceStatus {
 	m := &wire.ServiceStatus{
-		Service: v.Service, PlacedBy: v.PlacedBy,
+		Service: v.Service, PlacedBy: v.PlacedBy, Issuer: v.Issuer,
 		Requests: uint64(v.Requests), Repeats: uint64(v.Retries), RepeatsLeft: uint64(v.RetriesRemaining),
 	}
 	for _, b := range v.Backends {
-		m.Backends = append(m.Backends, &wire.BackendView{
+		view := &wire.BackendView{
 			Backend: b.ID, Domain: b.Domain, Leaving: b.Leaving, Avoided: b.BackedOff,
 			NewsMillis: uint64(max(b.Age, 0).Milliseconds()), Load: toEngineLoad(b.ID, b.Load),
-		})
+		}
+		if !b.Limit.Ended {
+			view.Limit = toRateLimit(b.Limit)
+		}
+		m.Backends = append(m.Backends, view)
 	}
 	return m
 }
