Pool: the head of a response is bounded

Callers saw: a faulty server that sends bytes without end where a status line or a header is due made an entry VM take memory until it was killed, with all its requests. Cause: the standard parser reads a line and a header of any length. Change: while a head is read, a connection gives at most 64 KiB, counted anew for each response.

--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -59,6 +59,9 @@
 	Drop bool
 	// rateLimit is the rate limit that the response names, empty for none.
 	rateLimit string
+	// Endless, if set, answers with bytes without end in a part of the response, until the
+	// connection is closed.
+	Endless Endless
 	// CrashAfter, if positive, closes the server and all its connections after that
 	// many events of a stream.
 	CrashAfter int
@@ -266,6 +269,10 @@
 	case b.Drop:
 		s.countRun(id)
 		return false
+	case b.Endless != "":
+		s.countRun(id)
+		writeEndless(c, id, b.Endless)
+		return false
 	case b.Crash:
 		s.countRun(id)
 		out := streamWriter{w: c, chunked: !b.CloseDelimited}
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -145,7 +145,7 @@
 // receive reads responses until one matches the request.
 func (x *exchange) receive() (*Response, error) {
 	for range maxSkipped {
-		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		res, err := x.conn.readHead(x.request.Method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -36,8 +36,13 @@
 	userTimeout = 8 * time.Second
 )
 
-// readBufferSize is the size of a connection's read buffer in bytes.
-const readBufferSize = 4 << 10
+const (
+	// readBufferSize is the size of a connection's read buffer in bytes.
+	readBufferSize = 4 << 10
+	// maxHead bounds the status line and the header of a response in bytes, up to what
+	// the read buffer holds more.
+	maxHead = 64 << 10
+)
 
 // errNotIdle reports an idle connection that the server has closed, or on which
 // it has sent data without a request.
@@ -78,7 +83,9 @@
 // conn is one connection. It is owned by one exchange, or by the pool while idle.
 type conn struct {
 	*net.TCPConn
-	addr      netip.AddrPort
+	addr netip.AddrPort
+	// head bounds what reader reads from the connection.
+	head      headLimit
 	reader    *bufio.Reader
 	idleSince time.Time
 	// keepAlive is how long the server keeps an idle connection open, from its
@@ -213,7 +220,9 @@
 		p.OnDial()
 	}
 	tcp := nc.(*net.TCPConn)
-	return &conn{TCPConn: tcp, addr: addr, reader: bufio.NewReaderSize(tcp, readBufferSize)}, nil
+	c := &conn{TCPConn: tcp, addr: addr, head: headLimit{r: tcp}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c, nil
 }
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
