Relay, entry: the memory for answers of backend servers is bounded together

Callers saw: answers without end from a faulty server, several at once, made an entry VM take memory until it was killed. Cause: each answer was read into memory up to its own limit of 8 MiB, by a reader that doubles its buffer, whatever the others took: eight of them grew the heap to 95 to 152 MB, with VMs of 112 to 134 MB. Change: package netio/bound reads answers; beyond the first 64 KiB of each they share limits.answerMemory, by default twice limits.maxAnswer. An answer that finds none fails as one that is too large does.

--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -95,6 +95,9 @@
 	// MaxAnswer is the largest response body of a backend server in bytes. It does
 	// not apply to streams.
 	MaxAnswer int `json:"maxAnswer,omitempty"`
+	// AnswerMemory bounds the memory in bytes of all such bodies that are read at the
+	// same time. Bodies of at most 64 KiB don't count. The default is twice MaxAnswer.
+	AnswerMemory int `json:"answerMemory,omitempty"`
 	// MaxStreams is the maximum number of requests in progress.
 	MaxStreams int `json:"maxStreams,omitempty"`
 	// DrainTimeout bounds how long a shutdown waits for requests in progress.
@@ -192,6 +195,7 @@
 	l := &s.Limits
 	defaultInt(&l.MaxBody, DefaultMaxBody)
 	defaultInt(&l.MaxAnswer, DefaultMaxAnswer)
+	defaultInt(&l.AnswerMemory, 2*l.MaxAnswer)
 	defaultInt(&l.MaxStreams, DefaultMaxStreams)
 	defaultDuration(&l.DrainTimeout, DefaultDrainTimeout)
 	defaultDuration(&l.WriteTimeout, DefaultWriteTimeout)
@@ -315,6 +319,7 @@
 	l := s.Limits
 	checkIntRange("limits.maxBody", l.MaxBody, 1_024, 64<<20, errs)
 	checkIntRange("limits.maxAnswer", l.MaxAnswer, 1_024, 256<<20, errs)
+	checkIntRange("limits.answerMemory", l.AnswerMemory, l.MaxAnswer, 4<<30, errs)
 	checkIntRange("limits.maxStreams", l.MaxStreams, 1, 100_000, errs)
 	checkDurationRange("limits.drainTimeout", l.DrainTimeout, 100*time.Millisecond, 24*time.Hour, errs)
 	checkDurationRange("limits.drainLinger", l.DrainLinger, 0, time.Hour, errs)
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -25,6 +24,7 @@
 	"fuchsiafold.example/foldd/gate"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
+	"fuchsiafold.example/netio/bound"
 )
 
 // headerNotRun is the response header with which a plain service states that it
@@ -48,6 +48,8 @@
 	// triedBackends lists the IDs of the backend servers of earlier attempts,
 	// which later attempts exclude.
 	triedBackends []string
+	// reserved is the memory in bytes that the bodies of responses have reserved.
+	reserved int64
 }
 
 // serveCall serves a call of the route that matches the request's path, within
@@ -66,6 +68,7 @@
 	}
 	e.Node.Count("calls."+route.Service, 1)
 	c := &call{handler: e, requester: a, route: route, r: r, body: body}
+	defer func() { e.Node.Answers.Release(c.reserved) }()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(route.Timeout))
 	defer cancel()
 	if route.Idempotent {
@@ -311,18 +314,18 @@
 }
 
 func (c *call) readAnswer(res *http.Response, a retry.Attempt) (RecordedAnswer, retry.Attempt, *fault.Fault) {
-	limit := c.handler.Node.Settings.Limits.MaxAnswer
-	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
-	if err != nil {
-		a.ResponseStarted = true
-		return RecordedAnswer{}, a, callFault(a, err)
-	}
-	if len(body) > limit {
+	body, reserved, err := c.handler.Node.Answers.Read(res.Body, res.ContentLength, c.handler.Node.Settings.Limits.MaxAnswer)
+	c.reserved += reserved
+	switch {
+	case errors.Is(err, bound.ErrTooLarge), errors.Is(err, bound.ErrNoMemory):
 		a.ResponseStarted = true
-		f := unknownOutcomeFault("the answer exceeds the size limit")
+		f := unknownOutcomeFault(err.Error())
 		f.Code = fault.AnswerTooLarge
 		f.Status = http.StatusBadGateway
 		return RecordedAnswer{}, a, f
+	case err != nil:
+		a.ResponseStarted = true
+		return RecordedAnswer{}, a, callFault(a, err)
 	}
 	a.ResponseComplete = true
 	return RecordedAnswer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, a, nil
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -35,6 +35,7 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/clock"
 )
 
@@ -57,6 +58,8 @@
 	Log      *logrus.Logger
 	Metrics  metrics.Registry
 	Clock    *clock.Service
+	// Answers is the memory for bodies of backend servers' responses.
+	Answers bound.Memory
 	// Decode parses a configuration document. New sets it to spec.Parse.
 	Decode func(document []byte) (*spec.Document, error)
 	// RequestPlacement sends a request for a placement, or only a load report,
@@ -156,6 +159,7 @@
 		Log:              log,
 		Metrics:          metrics.NewRegistry(),
 		Clock:            clock.New(),
+		Answers:          bound.Memory{Limit: int64(s.Limits.AnswerMemory)},
 		Gossip:           func([]netip.AddrPort) {},
 		Decode:           spec.Parse,
 		BackendChanged:   func(member.Backend) {},
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -42,6 +41,7 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 		defer cancel()
 	}
+	defer func() { x.Node.Answers.Release(q.reserved) }()
 	a, f := q.sendWithRetries(ctx)
 	switch {
 	case q.caller.Disconnected() || errors.Is(context.Cause(ctx), serve.ErrCallerDisconnected):
@@ -160,15 +160,12 @@
 		a.err = errRejected
 		return a
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, int64(q.relay.Node.Settings.Limits.MaxAnswer)+1))
+	body, reserved, err := q.relay.Node.Answers.Read(res.Body, res.Length, q.relay.Node.Settings.Limits.MaxAnswer)
+	q.reserved += reserved
 	if err != nil {
 		a.ResponseStarted = true
 		return q.recordFailure(ctx, b, a, err)
 	}
-	if len(body) > q.relay.Node.Settings.Limits.MaxAnswer {
-		a.ResponseStarted = true
-		return q.recordFailure(ctx, b, a, errResponseTooLarge)
-	}
 	q.relay.Node.EndPlacement(b.ID, place.Request{}, place.Answered)
 	a.ResponseComplete = true
 	a.response = &response{status: res.Status, header: res.Header, body: body}
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -95,6 +95,8 @@
 	sent int
 	// mayHaveRun is set once a backend server may have begun the request.
 	mayHaveRun bool
+	// reserved is the memory in bytes that the bodies of responses have reserved.
+	reserved int64
 	// backend is the ID of the backend server that the request was last sent to.
 	// placedBy is the ID of the VM that chose it; empty if it was this VM.
 	backend  string
