Relay: what a stream buffers is bounded

Callers saw: an engine that sends an event without end, or an error response without end, made an entry VM take memory until it was killed, with all its streams. Cause: a stream keeps what it reads until an event is complete, and the body of a response that is no stream until its end, without a bound; each read looked for the end of the event from its start. Change: an event may have 256 KiB; a stream with a larger one is interrupted. The body of another response is sent to the caller as it comes, up to limits.maxAnswer.

--- a/fold/event/event.go
+++ b/fold/event/event.go
@@ -8,6 +8,9 @@
 	"strings"
 )
 
+// MaxSize bounds the size of an event in bytes.
+const MaxSize = 256 << 10
+
 // Splitter buffers the bytes of a stream and returns complete events. The zero
 // value is ready to use. It is not safe for concurrent use.
 type Splitter struct{ buf []byte }
@@ -34,6 +37,10 @@
 // beginning of another one. Line ends alone are not.
 func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
+// TooLarge reports whether the bytes after the last event returned by Next, of which no
+// event is complete, exceed MaxSize. A faulty server may send an event without end.
+func (s *Splitter) TooLarge() bool { return len(s.buf) > MaxSize }
+
 // Reset discards the buffered bytes.
 func (s *Splitter) Reset() { s.buf = nil }
 
--- a/foldd/relay/endless_test.go
+++ b/foldd/relay/endless_test.go
@@ -18,7 +18,7 @@
 // memory until the process is killed. Several come at once.
 func TestEndlessResponses(t *testing.T) {
 	const requests = 8
-	for _, path := range []string{"/read/x"} {
+	for _, path := range []string{"/read/x", "/draft/x"} {
 		for _, part := range origin.EndlessParts() {
 			t.Run(path+" "+string(part), func(t *testing.T) {
 				r := startVM(t)
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -12,7 +12,7 @@
 
 var (
 	errRejected          = eris.New("the backend server did not begin the request")
-	errResponseTooLarge  = eris.New("the answer exceeds the size limit")
+	errEventTooLarge     = eris.New("an event of the stream exceeds the size limit")
 	errUnsupportedStatus = eris.New("the backend server answered with a status that can't be passed on")
 	errStreamInterrupted = eris.New("the stream broke off")
 	errStoppedByMove     = eris.New("the run may have been stopped for a move that failed")
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -13,6 +13,7 @@
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/serve"
 )
@@ -162,15 +163,15 @@
 		copyHeader(s.w, res.Header)
 		s.w.WriteHeader(res.Status)
 	}
-	events := res.Status == http.StatusOK
+	if res.Status != http.StatusOK {
+		return s.relayError(res)
+	}
 	before := s.eventCount()
 	buf := make([]byte, readChunk)
 	for {
 		n, err := res.Body.Read(buf)
 		s.splitter.Write(buf[:n])
-		if events {
-			s.relayEvents()
-		}
+		s.relayEvents()
 		if err != nil {
 			s.q.partialBytes = len(s.splitter.Rest())
 		}
@@ -180,6 +181,33 @@
 		if err != nil {
 			return err
 		}
+		if s.splitter.TooLarge() {
+			return errEventTooLarge
+		}
+		if s.q.caller.Disconnected() {
+			return serve.ErrCallerDisconnected
+		}
+	}
+}
+
+// relayError relays the body of a response that is no stream of events, up to the limit
+// on answers.
+func (s *stream) relayError(res *pool.Response) error {
+	limit := s.q.relay.Node.Settings.Limits.MaxAnswer
+	buf := make([]byte, readChunk)
+	for total := 0; ; {
+		n, err := res.Body.Read(buf)
+		// The HTTP server detects a caller that has disconnected.
+		_, _ = s.w.Write(buf[:n])
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if total += n; total > limit {
+			return bound.ErrTooLarge
+		}
 		if s.q.caller.Disconnected() {
 			return serve.ErrCallerDisconnected
 		}
@@ -247,12 +275,9 @@
 // checkEnd returns an error if a response that has ended is not complete. before is
 // the number of events before the response. A stream of events is complete only
 // after a whole event, and without framing only if there is one and its engine is
-// still there: one that has crashed closes its connections too. Other bodies are
-// opaque.
+// still there: one that has crashed closes its connections too.
 func (s *stream) checkEnd(ctx context.Context, res *pool.Response, before int) error {
 	switch {
-	case res.Status != http.StatusOK:
-		return nil
 	case s.splitter.Partial():
 		return errPartialEvent
 	case res.Framing != pool.CloseDelimited || s.currentMove() != nil:
