Engine, entry: the head of a response is bounded in the own interface too

Callers saw: the same as with forwards, an entry VM whose memory a faulty server takes by a head without end. Cause: the standard transport allows heads of 10 MB, and reads them by doubling. Change: bound.MaxHead for the transports of generations and calls, as for forwards. Endless events and error bodies were bounded before.

--- a/foldd/engine/engine.go
+++ b/foldd/engine/engine.go
@@ -26,6 +26,7 @@
 
 	"fuchsiafold.example/fold/deliv"
 	"fuchsiafold.example/fold/limit"
+	"fuchsiafold.example/netio/bound"
 )
 
 // ErrNotFound is returned when the engine does not have the generation, or no
@@ -112,13 +113,14 @@
 // requests by the transport that wrap returns; a nil wrap changes nothing.
 func New(headerTimeout, stallTimeout time.Duration, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	var t http.RoundTripper = &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: headerTimeout}).DialContext,
-		ResponseHeaderTimeout: headerTimeout,
-		MaxIdleConnsPerHost:   maxIdlePerEngine,
-		IdleConnTimeout:       90 * time.Second,
-		DisableCompression:    true,
-		ReadBufferSize:        4 << 10,
-		WriteBufferSize:       4 << 10,
+		DialContext:            (&net.Dialer{Timeout: headerTimeout}).DialContext,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: bound.MaxHead,
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        90 * time.Second,
+		DisableCompression:     true,
+		ReadBufferSize:         4 << 10,
+		WriteBufferSize:        4 << 10,
 	}
 	if wrap != nil {
 		t = wrap(t)
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -278,9 +278,10 @@
 // connections. The timeout connect bounds the dial of a new one.
 func NewIdempotentTransport(connect time.Duration) http.RoundTripper {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connect}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerBackend,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: connect}).DialContext,
+		MaxResponseHeaderBytes: bound.MaxHead,
+		MaxIdleConnsPerHost:    maxIdleConnsPerBackend,
+		DisableCompression:     true,
 	}
 }
 
@@ -290,9 +291,10 @@
 // The timeout connect bounds the dial.
 func NewAtMostOnceTransport(connect time.Duration) http.RoundTripper {
 	return &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: connect}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            (&net.Dialer{Timeout: connect}).DialContext,
+		MaxResponseHeaderBytes: bound.MaxHead,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
 	}
 }
 
--- a/netio/bound/bound.go
+++ b/netio/bound/bound.go
@@ -1,5 +1,6 @@
-// Package bound reads bodies into memory that is bounded for all of them together. A
-// server may send a body without end, on many connections at once.
+// Package bound holds the bounds on what is read of responses, and reads bodies into
+// memory that is bounded for all of them together. A faulty server may send a head or a
+// body without end, on many connections at once.
 package bound
 
 import (
@@ -17,6 +18,9 @@
 	ErrNoMemory = eris.New("the bodies in memory exceed their limit together")
 )
 
+// MaxHead bounds the head of a response, which is its status line and header, in bytes.
+const MaxHead = 64 << 10
+
 const (
 	// freeSize is the size in bytes up to which a body doesn't count: usual bodies are
 	// read whatever the others take.
--- a/netio/pool/head.go
+++ b/netio/pool/head.go
@@ -5,9 +5,12 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"fuchsiafold.example/netio/bound"
 )
 
-// errHeadTooLarge reports a response whose status line and header exceed maxHead.
+// errHeadTooLarge reports a response whose status line and header exceed
+// bound.MaxHead.
 var errHeadTooLarge = eris.New("the head of the answer exceeds the size limit")
 
 // headLimit reads from a connection. While the head of a response is read, it bounds the
@@ -34,7 +37,7 @@
 
 // readHead reads the head of the next response to a request with the given method.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.inHead, c.head.left = true, maxHead
+	c.head.inHead, c.head.left = true, bound.MaxHead
 	defer func() { c.head.inHead = false }()
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -36,13 +36,8 @@
 	userTimeout = 8 * time.Second
 )
 
-const (
-	// readBufferSize is the size of a connection's read buffer in bytes.
-	readBufferSize = 4 << 10
-	// maxHead bounds the status line and the header of a response in bytes, up to what
-	// the read buffer holds more.
-	maxHead = 64 << 10
-)
+// readBufferSize is the size of a connection's read buffer in bytes.
+const readBufferSize = 4 << 10
 
 // errNotIdle reports an idle connection that the server has closed, or on which
 // it has sent data without a request.
