Peer: replies of other VMs are bounded

Cause: a reply was read without a limit, 4.3 GB in 2 s from a server that sends bytes without end, as one that has got the address of a VM may. Change: a reply may have 16 MiB, as requests between VMs may, and its head 64 KiB. Result: TestEndlessReplyIsAnError failed so; it passes.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -28,10 +28,6 @@
 	"fuchsiafold.example/wire"
 )
 
-// maxControlBody is the maximum size in bytes of a request from another VM or
-// from an operator. A configuration with 10,000 workspaces takes about 1.5 MB.
-const maxControlBody = 16 << 20
-
 // App is a running foldd process, returned by New or NewWithAdapter. Shutdown or
 // Close ends it.
 type App struct {
@@ -194,10 +190,10 @@
 		maxBody   int
 		boundAddr *netip.AddrPort
 	}{
-		{"peers", s.Listen.Peers, a.peerHandler(), maxControlBody, &a.addrs.Peers},
-		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), maxControlBody, &a.addrs.Operators},
+		{"peers", s.Listen.Peers, a.peerHandler(), peer.MaxMessage, &a.addrs.Peers},
+		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), peer.MaxMessage, &a.addrs.Operators},
 		{"backends", s.Listen.Backends, a.selectHandler(adapter.Backends, oper.BackendHandler(a.Node)), s.Limits.MaxBody, &a.addrs.Backends},
-		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), maxControlBody, &a.addrs.Metrics},
+		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), peer.MaxMessage, &a.addrs.Metrics},
 		{"health", s.Listen.Health, a.selectHandler(adapter.Health, a.entry), 0, &a.addrs.Health},
 		{"callers", s.Listen.Callers, a.callerHandler(adapter.Callers), s.Limits.MaxBody, &a.addrs.Callers},
 	}
--- a/foldd/peer/framed_test.go
+++ b/foldd/peer/framed_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -60,3 +63,29 @@
 	}()
 	return l.Addr().String()
 }
+
+// TestEndlessReplyIsAnError guards against a reply without end, as of a server that has
+// got the address of a VM, that takes memory until the process is killed.
+func TestEndlessReplyIsAnError(t *testing.T) {
+	const maxAllocated = 128 << 20
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/proto")
+		filler := make([]byte, 64<<10)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(filler)
+		}
+	}))
+	t.Cleanup(s.Close)
+	n := node.New(&conf.Settings{ID: "vm"}, logrus.New())
+	t.Cleanup(n.Clock.Stop)
+	peers := New(n)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := wire.NewPeerServiceClient(peers.Client(), s.URL, peers.Options()).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{}))
+	runtime.ReadMemStats(&after)
+	if took := after.TotalAlloc - before.TotalAlloc; err == nil || took > maxAllocated {
+		t.Errorf("error %v, took %d bytes; want an error and at most %d", err, took, maxAllocated)
+	}
+}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/wire"
 )
 
@@ -43,9 +44,10 @@
 // exchanges.
 func New(n *node.Node) *Service {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: callTimeout}).DialContext,
+		MaxResponseHeaderBytes: bound.MaxHead,
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        time.Minute,
 	}
 	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
 	n.SetTransport(s.exchangeAll, s.sendTickets, s.sendDecisions)
@@ -57,9 +59,14 @@
 // Client returns the HTTP client that is used for calls to other VMs.
 func (s *Service) Client() *http.Client { return s.http }
 
-// Options returns the options for clients of other VMs: they send the peer token.
+// MaxMessage bounds a message of another VM or of an operator in bytes. A configuration
+// with 10,000 workspaces takes about 1.5 MB.
+const MaxMessage = 16 << 20
+
+// Options returns the options for clients of other VMs: they send the peer token, and
+// read replies up to a limit.
 func (s *Service) Options() connect.ClientOption {
-	return connect.WithInterceptors(tokenInterceptor(s.node.Settings.PeerToken))
+	return connect.WithClientOptions(connect.WithInterceptors(tokenInterceptor(s.node.Settings.PeerToken)), connect.WithReadMaxBytes(MaxMessage))
 }
 
 // tokenInterceptor sets a bearer token on each outgoing call. An empty token sets
