App: a change of the settings file during the start is followed

Operators saw: settings changed within the first 10 to 20 ms of a process, or while a reload read them, were never applied, though the file is checked every 2 s. Cause: the modification time to compare with was taken after the settings were read, so a change in between counted as read. Change: it is taken before. Result: TestSettingsChangedDuringStart failed with changes 10 and 20 ms after the start; it passes.

--- a/foldd/app/run.go
+++ b/foldd/app/run.go
@@ -24,6 +24,8 @@
 // signal. The first SIGTERM or SIGINT drains the process; a second one closes it
 // at once. SIGHUP and changes of the file reload the settings.
 func Run(ctx context.Context, path string, adapter Adapter) error {
+	// A change after this, even before the settings are read, counts as one to follow.
+	modified := fileModTime(path)
 	s, err := conf.Load(path)
 	if err != nil {
 		return err
@@ -42,7 +44,7 @@
 	sink.RegisterMetrics(a.Node.Metrics)
 	stop := make(chan struct{})
 	defer close(stop)
-	go a.followSettings(path, hangups, stop)
+	go a.followSettings(path, modified, hangups, stop)
 	log.WithField("signal", (<-signals).String()).Info("shutting down")
 	return a.ShutdownWithin(signals, time.Duration(s.Limits.DrainTimeout))
 }
@@ -70,24 +72,26 @@
 }
 
 // followSettings reloads the settings after each SIGHUP and whenever the file's
-// modification time changes, until stop is closed.
-func (a *App) followSettings(path string, hangups <-chan os.Signal, stop <-chan struct{}) {
+// modification time differs from that of the settings read last, until stop is closed.
+// modified is that of the settings in force.
+func (a *App) followSettings(path string, modified time.Time, hangups <-chan os.Signal, stop <-chan struct{}) {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
-	lastModified := fileModTime(path)
 	for {
+		reason := "hangup"
 		select {
 		case <-stop:
 			return
 		case <-hangups:
-			a.reload(path, "hangup")
 		case <-t.C:
-			if current := fileModTime(path); current.Equal(lastModified) {
-				continue
-			}
-			a.reload(path, "file changed")
+			reason = "file changed"
 		}
-		lastModified = fileModTime(path)
+		current := fileModTime(path)
+		if reason != "hangup" && current.Equal(modified) {
+			continue
+		}
+		modified = current
+		a.reload(path, reason)
 	}
 }
 
--- a/foldd/proc_test.go
+++ b/foldd/proc_test.go
@@ -315,3 +315,68 @@
 		cancel()
 	}
 }
+
+// TestSettingsChangedDuringStart guards against a process that misses a change of its
+// settings file between reading it and watching it.
+func TestSettingsChangedDuringStart(t *testing.T) {
+	t.Parallel()
+	const added = "127.0.0.1:9"
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			v := startVMs(t, 1)[0]
+			v.kill()
+			v.log.Reset()
+			v.start()
+			time.Sleep(delay)
+			original := v.settings
+			v.settings += ".new"
+			v.writeSettings(fmt.Sprintf("[%q, %q]", v.peers, added), false)
+			if err := os.Rename(v.settings, original); err != nil {
+				t.Fatal(err)
+			}
+			v.settings = original
+			time.Sleep(3 * time.Second)
+			v.kill()
+			if !bytes.Contains(v.log.Bytes(), []byte(added)) {
+				t.Errorf("3 s after the change, the process has not read it; log:\n%s", v.log.String())
+			}
+		})
+	}
+}
+
+// TestHangupBeforeHandlerWhenIgnored starts a process that inherits an ignored SIGHUP, as
+// of a supervisor, and sends the signal at once and later on.
+func TestHangupBeforeHandlerWhenIgnored(t *testing.T) {
+	t.Parallel()
+	v := startVMs(t, 1)[0]
+	v.kill()
+	v.log.Reset()
+	bin, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.process = exec.Command("sh", "-c", `trap "" HUP; exec "$0" serve "$1"`, bin, v.settings)
+	v.process.Stdout, v.process.Stderr = &v.log, &v.log
+	if err := v.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(v.kill)
+	// The shell ignores the signal once it runs.
+	time.Sleep(50 * time.Millisecond)
+	for range 20 {
+		if err := v.process.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	waitFor(t, "the process to serve", func() bool { return v.status().GetSelf().GetId() != "" })
+	if err := v.process.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	v.kill()
+	if !bytes.Contains(v.log.Bytes(), []byte("settings reloaded")) {
+		t.Errorf("SIGHUP did not reload the settings; log:\n%s", v.log.String())
+	}
+}
