--- a/foldd/app/run.go
+++ b/foldd/app/run.go
@@ -12,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/foldd/conf"
+	// A SIGHUP that comes before Run must not end the process.
+	_ "fuchsiafold.example/foldd/early"
 )
 
 // errAborted is returned by a shutdown that aborted requests in progress.
--- /dev/null
+++ b/foldd/early/nocgo.go
@@ -0,0 +1,3 @@
+//go:build !cgo
+
+package early
