Member: a VM that starts with its clock set back is known again

Operators would see: a VM whose clock was ahead at one start and right at the next is live at no other VM, until its clock has passed the earlier start; it gets no updates from them and counts for nothing. Cause: the epoch of a start is the VM's own time, and a report of an earlier epoch was ignored for ever. Change: once the later epoch has been silent for a lease, the earlier one is taken for the process that runs. Result: TestVMWithClockSetBackIsKnownAgain failed and passes.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -76,19 +76,20 @@
 }
 
 // ReceiveDirect applies a direct report, which a VM sent about itself. It ignores
-// reports of an earlier epoch.
+// reports of an earlier epoch, until the later one has been silent for PeerLease: the
+// VM's clock may have been set back between two starts.
 func (g *Group) ReceiveDirect(now time.Time, p Peer) {
 	if p.ID == "" || p.ID == g.Self.ID {
 		return
 	}
 	r := g.peers[p.ID]
-	if r != nil && p.Epoch < r.Epoch {
+	if r != nil && p.Epoch < r.Epoch && now.Sub(r.lastReport) < PeerLease {
 		return
 	}
 	if g.peers == nil {
 		g.peers = map[string]*peerRecord{}
 	}
-	if r == nil || p.Epoch > r.Epoch {
+	if r == nil || p.Epoch != r.Epoch {
 		r = &peerRecord{}
 		g.peers[p.ID] = r
 	}
@@ -107,7 +108,7 @@
 // PeerLease or not newer than what is known.
 func (g *Group) ReceiveRelayed(now time.Time, u PeerUpdate) {
 	r := g.peers[u.ID]
-	if u.Age >= PeerLease || (r != nil && (u.Epoch < r.Epoch || !r.lastReport.Before(now.Add(-u.Age)))) {
+	if u.Age >= PeerLease || r != nil && !r.lastReport.Before(now.Add(-u.Age)) {
 		return
 	}
 	g.ReceiveDirect(now.Add(-u.Age), u.Peer)
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -352,3 +352,42 @@
 		t.Errorf("services by placement VM %v, want all at a", got)
 	}
 }
+
+// TestVMWithClockSetBackIsKnownAgain guards against a VM that starts again with its clock
+// set back, and whose reports are taken for those of an earlier start for ever.
+func TestVMWithClockSetBackIsKnownAgain(t *testing.T) {
+	before := Peer{ID: "a", Epoch: uint64(start.Add(time.Hour).UnixNano()), Revision: 1}
+	after := Peer{ID: "a", Epoch: uint64(start.UnixNano()), Revision: 2}
+	revision := func(g *Group, now time.Time) uint64 {
+		for _, p := range g.Live(now) {
+			return p.Revision
+		}
+		return 0
+	}
+	for _, relayed := range []bool{false, true} {
+		var g Group
+		receive := func(now time.Time, p Peer) {
+			if relayed {
+				g.ReceiveRelayed(now, PeerUpdate{Peer: p})
+				return
+			}
+			g.ReceiveDirect(now, p)
+		}
+		receive(start, before)
+		now := start.Add(time.Second)
+		receive(now, after)
+		if got := revision(&g, now); got != before.Revision {
+			t.Errorf("relayed %t: revision %d a second later, want the one of the later start: the report may be late", relayed, got)
+		}
+		for ; now.Before(start.Add(PeerLease + 2*time.Second)); now = now.Add(time.Second) {
+			receive(now, after)
+		}
+		if got := revision(&g, now); got != after.Revision {
+			t.Errorf("relayed %t: revision %d once the lease of the earlier process has ended, want the one of the process that reports", relayed, got)
+		}
+		g.ReceiveRelayed(now, PeerUpdate{Peer: before, Age: PeerLease - time.Second})
+		if got := revision(&g, now); got != after.Revision {
+			t.Errorf("relayed %t: an old report of the ended process counts again", relayed)
+		}
+	}
+}
