Soak: servers that name a rate limit, and that send bytes without end

Change: two kinds of faults, drawn by themselves so that the other faults of a seed stay; the promise limitKept, which counts requests of VMs that were told and left alone; its check is shown to catch a planted fault.

--- a/foldfake/meter/meter.go
+++ b/foldfake/meter/meter.go
@@ -30,6 +30,13 @@
 	m.limit = limit
 }
 
+// Limit returns the value of HeaderLimit, empty if none is named.
+func (m *Meter) Limit() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.limit
+}
+
 // Arrive counts a request that arrives now, and returns the value of HeaderLimit for its
 // response, empty for none. A nil Meter counts nothing.
 func (m *Meter) Arrive() string {
--- a/foldfake/soak/check.go
+++ b/foldfake/soak/check.go
@@ -29,6 +29,8 @@
 	TrueResults Promise = "trueResults"
 	// LeavingIdle: a backend server that leaves gets nothing new.
 	LeavingIdle Promise = "leavingIdle"
+	// LimitKept: a backend server that names a rate limit gets no more than that allows.
+	LimitKept Promise = "limitKept"
 	// ConfigForward: a VM never goes back to an older configuration, and what was
 	// accepted is in force everywhere within a bound and stays.
 	ConfigForward Promise = "configForward"
--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"fuchsiafold.example/foldfake/meter"
 	"fuchsiafold.example/foldfake/origin"
 )
 
@@ -203,13 +204,35 @@
 	for calm, want := range map[bool][]Promise{true: {LeavingIdle}, false: nil} {
 		got := broken(func(f *findings) {
 			s := &servers{findings: f, calm: func(int, time.Time) bool { return calm }}
-			x := &instance{service: serviceWrites, leavingSince: time.Now().Add(-2 * leaveBound)}
+			x := &instance{service: serviceWrites, limited: limited{meter: &meter.Meter{}}, leavingSince: time.Now().Add(-2 * leaveBound)}
 			s.behave(x, &http.Request{Header: http.Header{headerRequest: {"v0-write-1"}}})
 		})
 		expect(t, fmt.Sprint("calm ", calm), got, want...)
 	}
 }
 
+// TestLimitCatches sends more requests than a server's limit allows, all at once or as many
+// as it takes.
+func TestLimitCatches(t *testing.T) {
+	for _, tt := range []struct {
+		gap  time.Duration
+		calm bool
+		want []Promise
+	}{{100 * time.Millisecond, true, []Promise{LimitKept}}, {100 * time.Millisecond, false, nil}, {time.Second / limitRate, true, nil}} {
+		l := limited{meter: &meter.Meter{}}
+		l.name(true)
+		got := broken(func(f *findings) {
+			for at, now := time.Duration(0), time.Now(); at < 10*time.Second; at += tt.gap {
+				if l.arrive(now.Add(at), 0, func(int, time.Time) bool { return tt.calm }) > 0 {
+					f.add(LimitKept, "", "")
+					return
+				}
+			}
+		})
+		expect(t, fmt.Sprintf("a request each %v, calm %t", tt.gap, tt.calm), got, tt.want...)
+	}
+}
+
 func TestPlanDependsOnSeedAlone(t *testing.T) {
 	first := NewPlan(1, DefaultLength, vmCount, controlCount, len(layout))
 	if again := NewPlan(1, DefaultLength, vmCount, controlCount, len(layout)); !reflect.DeepEqual(first, again) {
@@ -225,7 +248,7 @@
 			}
 		}
 	}
-	if len(kinds) != 18 || overlapping < 50 {
+	if len(kinds) != 20 || overlapping < 50 {
 		t.Errorf("50 plans have %d kinds of faults, and %d that overlap", len(kinds), overlapping)
 	}
 }
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -44,6 +44,10 @@
 	LeaveServer Kind = "leaveServer"
 	// BreakAnswers lets a backend server break off its answers in every framing.
 	BreakAnswers Kind = "breakAnswers"
+	// LimitServer lets a backend server name a rate limit, and EndlessAnswers send bytes
+	// without end in a part of its answers.
+	LimitServer    Kind = "limitServer"
+	EndlessAnswers Kind = "endlessAnswers"
 )
 
 // Fault is a fault of a plan.
@@ -82,6 +86,13 @@
 	// number of signals of one.
 	reloadGap = 2 * time.Second
 	reloads   = 3
+	// limitGap is the longest time between two limits, and minLimited and maxLimited
+	// bound how long one is named.
+	limitGap   = 3 * time.Second
+	minLimited = 5 * time.Second
+	maxLimited = 9 * time.Second
+	// endlessGap is the longest time between two faults with endless answers.
+	endlessGap = 3 * time.Second
 	// rollGap is the time between two stops of a rolling restart.
 	rollGap = 700 * time.Millisecond
 	// seriesChance is the chance that a fault of a VM is followed by another one, at
@@ -106,6 +117,8 @@
 		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: kind, Target: target})
 	}
 	p.addReloads(seed)
+	p.addLimits(seed, servers)
+	p.addEndless(seed, servers)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
@@ -119,9 +132,30 @@
 	}
 }
 
+// addLimits adds limits of servers that forwards go to, drawn by themselves.
+func (p *planner) addLimits(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 2))
+	for at := p.upTo(limitGap); at < p.length; at += minLimited + p.upTo(limitGap) {
+		p.faults = append(p.faults, Fault{At: at, For: minLimited + p.upTo(maxLimited-minLimited), Kind: LimitServer, Target: p.forwarded(servers)})
+	}
+}
+
+// addEndless adds endless answers of servers that forwards go to, drawn by themselves.
+func (p *planner) addEndless(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 3))
+	for at := p.upTo(endlessGap); at < p.length; at += p.upTo(endlessGap) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: EndlessAnswers, Target: p.forwarded(servers)})
+	}
+}
+
+// forwarded draws one of the servers that forwards go to, which come last.
+func (p *planner) forwarded(servers int) int {
+	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
+}
+
 // ofServer reports whether a fault's target is a backend server.
 func (k Kind) ofServer() bool {
-	return slices.Contains([]Kind{DelayServer, ResetServer, SilenceServer, CrashServer, LeaveServer, BreakAnswers}, k)
+	return slices.Contains([]Kind{DelayServer, ResetServer, SilenceServer, CrashServer, LeaveServer, BreakAnswers, LimitServer, EndlessAnswers}, k)
 }
 
 // planner draws the faults of VMs.
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/foldfake/host"
+	"fuchsiafold.example/foldfake/meter"
 	"fuchsiafold.example/foldfake/model"
 	"fuchsiafold.example/foldfake/origin"
 	"fuchsiafold.example/foldfake/plain"
@@ -35,6 +36,9 @@
 	serviceDrafts, serviceDrafts, serviceDrafts, serviceWrites, serviceWrites,
 }
 
+// firstForwarded is the index in layout of the first server that forwards go to.
+const firstForwarded = 5
+
 const (
 	// announceInterval is a small part of the lease of a backend server.
 	announceInterval = 300 * time.Millisecond
@@ -60,8 +64,11 @@
 	mu sync.Mutex
 	// leavingSince is when the server announced that it leaves, zero before.
 	leavingSince time.Time
-	// breaking is set while the server breaks its answers off.
-	breaking bool
+	// breaking is set while the server breaks its answers off, and endless while a part of
+	// them has no end.
+	breaking, endless bool
+	// limited watches the limit that a server of forwards names. It doesn't change.
+	limited limited
 }
 
 // servers holds the backend servers of a soak.
@@ -118,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &instance{service: service, proxy: p, cancel: func() {}}
+	x := &instance{service: service, proxy: p, cancel: func() {}, limited: limited{meter: &meter.Meter{}}}
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	var addr netip.AddrPort
 	switch service {
@@ -136,6 +143,7 @@
 	default:
 		x.origin, err = origin.New(id, func(r *http.Request) origin.Behaviour { return s.behave(x, r) })
 		if err == nil {
+			x.origin.Meter = x.limited.meter
 			addr = x.origin.Addr()
 			var ctx context.Context
 			ctx, x.cancel = context.WithCancel(context.Background())
@@ -161,8 +169,9 @@
 func (s *servers) behave(x *instance, r *http.Request) origin.Behaviour {
 	id := r.Header.Get(headerRequest)
 	x.mu.Lock()
-	leaving, breaking := x.leavingSince, x.breaking
+	leaving, breaking, endless := x.leavingSince, x.breaking, x.endless
 	x.mu.Unlock()
+	s.checkLimit(x, r)
 	if !leaving.IsZero() && time.Since(leaving) > leaveBound && s.calm(vmOf(id), leaving) && r.Header.Get("Fold-Resume") == "" {
 		s.findings.add(LeavingIdle, id, "reached a server %v after it announced that it leaves", time.Since(leaving).Round(time.Millisecond))
 	}
@@ -173,14 +182,15 @@
 	if breaking {
 		breakAnswer(&b, id)
 	}
+	if endless {
+		b.Endless = endlessPart(id)
+	}
 	return b
 }
 
 // breakAnswer makes a behaviour break off in a way that depends on the request's ID.
 func breakAnswer(b *origin.Behaviour, id string) {
-	h := fnv.New32a()
-	_, _ = io.WriteString(h, id)
-	x := h.Sum32()
+	x := hashOf(id)
 	b.CloseDelimited = x&1 != 0
 	b.TruncateAt = 1 + int(x>>3)%5
 	if b.Events > 0 {
@@ -192,6 +202,13 @@
 	b.Drop = x&28 == 28
 }
 
+// hashOf returns a number that depends on a request's ID.
+func hashOf(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id)
+	return h.Sum32()
+}
+
 // announceLoop announces a stand-in of a forwarded service to the VMs in turn.
 func (s *servers) announceLoop(ctx context.Context, x *instance) {
 	a := host.Announcement{ID: x.origin.ID, Addr: x.proxy.Addr().String(), Kind: "plain", Service: x.service, Domain: "domain-vm1", Epoch: uint64(time.Now().UnixNano())}
@@ -244,6 +261,13 @@
 	}
 }
 
+// setEndless lets a server send bytes without end, or ends that.
+func (x *instance) setEndless(on bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.endless = on
+}
+
 func (x *instance) close() {
 	x.cancel()
 	// Nobody reaches a server that has crashed.
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -192,6 +192,9 @@
 		}
 		return all
 	}
+	if f.Kind == LimitServer || f.Kind == EndlessAnswers {
+		return nil
+	}
 	if f.Kind.ofServer() {
 		return []int{vmCount + 1 + f.Target}
 	}
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -209,6 +209,14 @@
 		sleep(ctx, f.For)
 		x.setBreaking(false)
 		return
+	case LimitServer:
+		x.limited.name(true)
+		sleep(ctx, f.For)
+		x.limited.name(false)
+	case EndlessAnswers:
+		x.setEndless(true)
+		sleep(ctx, f.For)
+		x.setEndless(false)
 	case LeaveServer:
 		x.leave()
 		w.check(w.servers.replace(f.Target))
