--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -214,10 +214,18 @@
 		a.servers = append(a.servers, server)
 		*l.boundAddr = server.Addr()
 	}
-	a.Node.SetPeerAddr(a.addrs.Peers)
+	a.Node.SetPeerAddr(a.peerAddr())
 	return nil
 }
 
+// peerAddr returns the address at which other VMs reach this one.
+func (a *App) peerAddr() netip.AddrPort {
+	if advertised := a.Node.Settings.Advertise; advertised.IsValid() {
+		return advertised
+	}
+	return a.addrs.Peers
+}
+
 // peerHandler returns the handler of requests from other VMs. It requires the peer
 // token if the settings have one.
 func (a *App) peerHandler() http.Handler {
--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -37,7 +37,7 @@
 	a.keepPrompts(s.Control.DataFolder)
 	conf := ctrl.ServerConfig{
 		VM:             s.ID,
-		Addr:           a.addrs.Peers,
+		Addr:           a.peerAddr(),
 		DataFolder:     s.Control.DataFolder,
 		Peers:          a.controlAddrs,
 		Bootstrap:      s.Control.Bootstrap,
@@ -65,7 +65,7 @@
 		}
 	}
 	if a.Node.Settings.Control != nil {
-		out = append(out, a.addrs.Peers)
+		out = append(out, a.peerAddr())
 	}
 	for _, c := range a.Node.ControlSeeds() {
 		if !slices.Contains(out, c) {
--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -29,6 +29,9 @@
 	// discovered. Only the IP addresses are used; the port is this VM's own peer
 	// port. The resulting addresses are added to Peers and ControlVMs.
 	Seeds []netip.AddrPort `json:"seeds,omitempty"`
+	// Advertise is the address at which other VMs reach Listen.Peers. The zero value
+	// means that address itself.
+	Advertise netip.AddrPort `json:"advertise,omitzero"`
 	// Peers lists the peer addresses of other VMs.
 	Peers []netip.AddrPort `json:"peers,omitempty"`
 	// ControlVMs lists the peer addresses of the control VMs.
@@ -289,6 +292,9 @@
 	if !s.Listen.Callers.IsValid() && s.Control == nil {
 		errs.Add("listen", "want an address for callers, or control settings for a VM that serves no callers")
 	}
+	if s.Advertise.IsValid() && (s.Advertise.Addr().IsUnspecified() || s.Advertise.Port() == 0) {
+		errs.Add("advertise", "want an IP address and a port that other VMs can reach, got %v", s.Advertise)
+	}
 	seen := map[netip.AddrPort]string{}
 	for _, a := range addrs {
 		if !a.addr.IsValid() && a.path != "listen.peers" {
--- a/foldfake/soak/caller.go
+++ b/foldfake/soak/caller.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/tmaxmax/go-sse"
 )
 
@@ -53,6 +54,8 @@
 
 	mu      sync.Mutex
 	results []result
+	// claims is the history of calls with idempotency keys.
+	claims []porcupine.Operation
 	// counts counts the requests by what was asked for and how it ended, and served
 	// holds the last time that each VM served each kind.
 	counts map[string]int
@@ -96,7 +99,7 @@
 	case askGeneration:
 		return c.generate(client, vm, id, 1+r.IntN(120))
 	case askOnce:
-		return c.callOnce(client, vm, id)
+		return c.callOnce(client, vm, id, r)
 	case askDraft:
 		return c.draft(client, vm, id)
 	}
@@ -198,36 +201,6 @@
 	return a
 }
 
-// callOnce sends a call with an idempotency key to one VM after another until it is
-// done.
-func (c *callers) callOnce(client *http.Client, vm int, id string) string {
-	r := result{id: id}
-	for attempt := range maxAttempts {
-		at := (vm + attempt) % len(c.world.vms)
-		began := time.Now()
-		res, err := c.post(client, at, "/remind", "", id, "nine", map[string]string{headerKey: id})
-		c.checkHeld(at, id, began)
-		r.last = ""
-		if err != nil {
-			continue
-		}
-		_, err = io.Copy(io.Discard, res.Body)
-		res.Body.Close()
-		if err == nil {
-			r.last = res.Header.Get(headerOutcome)
-		}
-		if r.last == outcomeDone {
-			r.done = true
-			break
-		}
-	}
-	c.keep(r)
-	if r.done {
-		return outcomeDone
-	}
-	return outcomeError
-}
-
 func (c *callers) draft(client *http.Client, vm int, id string) string {
 	res, err := c.post(client, vm, "/draft/"+id, forwardHost, id, "prompt", nil)
 	if err != nil {
--- a/foldfake/soak/check.go
+++ b/foldfake/soak/check.go
@@ -36,6 +36,9 @@
 	ConfigForward Promise = "configForward"
 	// ConfigHistory: the history of changes is that of one server.
 	ConfigHistory Promise = "configHistory"
+	// ClaimHistory: of the calls with one idempotency key one runs, and the others get its
+	// answer.
+	ClaimHistory Promise = "claimHistory"
 	// InTime: nothing is held past its deadline.
 	InTime Promise = "inTime"
 	// Returns: service is back after the last fault.
--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -211,6 +211,35 @@
 	}
 }
 
+// TestClaimHistoryCatches plants answers that no single run explains.
+func TestClaimHistoryCatches(t *testing.T) {
+	const open = math.MaxInt64
+	done := func(body string) claimOutput { return claimOutput{outcome: outcomeDone, body: body} }
+	send := func(call, end int64, out claimOutput) porcupine.Operation {
+		return porcupine.Operation{Input: "key", Output: out, Call: call, Return: end}
+	}
+	notRun, none := claimOutput{outcome: outcomeNotRun}, claimOutput{}
+	tests := []struct {
+		name string
+		ops  []porcupine.Operation
+		want []Promise
+	}{
+		{"answer and replay", []porcupine.Operation{send(0, 1, done("a")), send(2, 3, done("a"))}, nil},
+		{"two answers", []porcupine.Operation{send(0, 1, done("a")), send(2, 3, done("b"))}, []Promise{ClaimHistory}},
+		{"not run, then done", []porcupine.Operation{send(0, 1, notRun), send(2, 3, done("a"))}, nil},
+		{"done, then not run", []porcupine.Operation{send(0, 1, done("a")), send(2, 3, notRun)}, []Promise{ClaimHistory}},
+		{"not run beside done", []porcupine.Operation{send(0, 4, done("a")), send(1, 2, notRun)}, nil},
+		{"lost, then not run", []porcupine.Operation{send(0, open, none), send(2, 3, notRun)}, nil},
+		{"lost, then done", []porcupine.Operation{send(0, open, none), send(2, 3, done("a"))}, nil},
+	}
+	for _, tt := range tests {
+		expect(t, tt.name, broken(func(f *findings) {
+			c := &callers{findings: f, claims: tt.ops}
+			c.checkClaims()
+		}), tt.want...)
+	}
+}
+
 // TestLimitCatches sends more requests than a server's limit allows, all at once or as many
 // as it takes.
 func TestLimitCatches(t *testing.T) {
@@ -248,7 +277,7 @@
 			}
 		}
 	}
-	if len(kinds) != 20 || overlapping < 50 {
+	if len(kinds) != 25 || overlapping < 50 {
 		t.Errorf("50 plans have %d kinds of faults, and %d that overlap", len(kinds), overlapping)
 	}
 }
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -16,6 +16,9 @@
 	KillVM Kind = "killVM"
 	WipeVM Kind = "wipeVM"
 	TearVM Kind = "tearVM"
+	// ReplaceVM ends a control VM for good, and starts an empty one in its place at another
+	// address.
+	ReplaceVM Kind = "replaceVM"
 	// PauseVM suspends a process.
 	PauseVM Kind = "pauseVM"
 	// StopVM lets a process shut down, and starts it again.
@@ -33,6 +36,12 @@
 	ResetCallers    Kind = "resetCallers"
 	SilenceCallers  Kind = "silenceCallers"
 	HalfOpenCallers Kind = "halfOpenCallers"
+	// DelayPeers, ResetPeers, SilencePeers and HalfOpenPeers disturb the connections of
+	// other VMs to a VM. Half open means that its answers don't reach them.
+	DelayPeers    Kind = "delayPeers"
+	ResetPeers    Kind = "resetPeers"
+	SilencePeers  Kind = "silencePeers"
+	HalfOpenPeers Kind = "halfOpenPeers"
 	// DelayServer, ResetServer and SilenceServer disturb the connections of all VMs to
 	// a backend server.
 	DelayServer   Kind = "delayServer"
@@ -93,6 +102,8 @@
 	maxLimited = 9 * time.Second
 	// endlessGap is the longest time between two faults with endless answers.
 	endlessGap = 3 * time.Second
+	// peerGap is the longest time between two faults of connections between VMs.
+	peerGap = 3 * time.Second
 	// rollGap is the time between two stops of a rolling restart.
 	rollGap = 700 * time.Millisecond
 	// seriesChance is the chance that a fault of a VM is followed by another one, at
@@ -119,6 +130,8 @@
 	p.addReloads(seed)
 	p.addLimits(seed, servers)
 	p.addEndless(seed, servers)
+	p.addPeerLinks(seed)
+	p.addReplacement(seed)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
@@ -148,6 +161,30 @@
 	}
 }
 
+// peerKinds are the kinds of faults of connections between VMs.
+var peerKinds = []Kind{DelayPeers, ResetPeers, SilencePeers, HalfOpenPeers}
+
+// addPeerLinks adds faults of connections between VMs, drawn by themselves.
+func (p *planner) addPeerLinks(seed uint64) {
+	p.r = rand.New(rand.NewPCG(seed, 4))
+	for at := p.upTo(peerGap); at < p.length; at += p.upTo(peerGap) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: peerKinds[p.r.IntN(len(peerKinds))], Target: p.r.IntN(p.vms)})
+	}
+}
+
+// addReplacement adds the replacement of a control VM, drawn by itself, if there is a time
+// for it at which no disk is lost.
+func (p *planner) addReplacement(seed uint64) {
+	p.r = rand.New(rand.NewPCG(seed, 5))
+	at := p.upTo(max(p.length-wipeRecovery, 0))
+	nearLoss := func(f Fault) bool {
+		return f.Kind == WipeVM && f.At < at+maxDown+wipeRecovery && at < f.At+maxDown+wipeRecovery
+	}
+	if !slices.ContainsFunc(p.faults, nearLoss) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDown), Kind: ReplaceVM, Target: p.r.IntN(p.controls)})
+	}
+}
+
 // forwarded draws one of the servers that forwards go to, which come last.
 func (p *planner) forwarded(servers int) int {
 	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -156,6 +156,7 @@
 	stopCallers()
 	wg.Wait()
 	p.callers.checkResults(p.world.servers)
+	p.callers.checkClaims()
 	p.operators.checkHistory(p.first)
 	p.checkLevels()
 }
@@ -198,7 +199,9 @@
 	if f.Kind.ofServer() {
 		return []int{vmCount + 1 + f.Target}
 	}
-	if _, ok := callerModes[f.Kind]; ok || f.Kind == ReloadVM {
+	_, ofCallers := callerModes[f.Kind]
+	_, ofPeers := peerModes[f.Kind]
+	if ofCallers || ofPeers || f.Kind == ReloadVM {
 		return nil
 	}
 	return []int{f.Target}
--- a/foldfake/soak/vm.go
+++ b/foldfake/soak/vm.go
@@ -36,6 +36,8 @@
 	client wire.OperatorServiceClient
 
 	mu sync.Mutex
+	// peerProxy stands before the address for other VMs.
+	peerProxy *Proxy
 	// settings is what the settings file holds.
 	settings settings
 	process  *exec.Cmd
@@ -83,6 +85,7 @@
 	Domain    string            `json:"domain"`
 	HandleKey string            `json:"handleKey"`
 	Listen    map[string]string `json:"listen"`
+	Advertise netip.AddrPort    `json:"advertise"`
 	Peers     []netip.AddrPort  `json:"peers"`
 	Controls  []netip.AddrPort  `json:"controls"`
 	Control   *controlSettings  `json:"control,omitempty"`
@@ -102,7 +105,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.settings = settings{
-		ID: v.id, Domain: "domain-" + v.id, HandleKey: "0123456789abcdef", Peers: peers, Controls: controls,
+		ID: v.id, Domain: "domain-" + v.id, HandleKey: "0123456789abcdef", Advertise: v.peerProxy.Addr(), Peers: peers, Controls: controls,
 		Listen: map[string]string{"callers": v.callers.String(), "backends": v.backends.String(), "peers": v.peers.String(), "operators": v.operators.String()},
 		Retry:  map[string]any{"share": 0.2, "reserve": 50},
 		Limits: map[string]any{"stallTimeout": "500ms", "connectTimeout": "500ms", "drainTimeout": "3s"},
@@ -114,14 +117,29 @@
 	return v.saveSettings()
 }
 
-// changePeers changes the addresses to start from.
-func (v *vm) changePeers(peers []netip.AddrPort) error {
+// changeAddrs changes the addresses to start from.
+func (v *vm) changeAddrs(peers, controls []netip.AddrPort) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.settings.Peers = slices.Clone(peers)
+	v.settings.Peers, v.settings.Controls = peers, controls
 	return v.saveSettings()
 }
 
+// setPeerProxy sets the proxy before the address for other VMs, and returns the one before.
+func (v *vm) setPeerProxy(p *Proxy) *Proxy {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.peerProxy
+	v.peerProxy = p
+	return old
+}
+
+func (v *vm) currentPeerProxy() *Proxy {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.peerProxy
+}
+
 // saveSettings replaces the settings file, which is never seen in part. The caller
 // holds the lock.
 func (v *vm) saveSettings() error {
@@ -251,13 +269,23 @@
 	return v.process != nil && !v.down && !v.suspended && v.lastDisturbed.Before(t)
 }
 
-// disturb notes that the VM's connections are being disturbed.
-func (v *vm) disturb() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.lastDisturbed = time.Now()
+// disturbProxy lets a proxy before the VM disturb connections for a time.
+func (v *vm) disturbProxy(ctx context.Context, p *Proxy, m Mode, during time.Duration) {
+	p.SetMode(m)
+	for end := time.Now().Add(during); ; sleep(ctx, min(time.Until(end), disturbInterval)) {
+		v.mu.Lock()
+		v.lastDisturbed = time.Now()
+		v.mu.Unlock()
+		if ctx.Err() != nil || !time.Now().Before(end) {
+			break
+		}
+	}
+	p.SetMode(Pass)
 }
 
+// disturbInterval is the time between two notes that a VM is being disturbed.
+const disturbInterval = 200 * time.Millisecond
+
 func (v *vm) currentIncarnation() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -23,11 +23,21 @@
 
 // world is the system under test with its backend servers.
 type world struct {
-	vms     []*vm
-	servers *servers
-	// peers and controls are the addresses of all VMs and of the control VMs.
+	vms      []*vm
+	servers  *servers
+	findings *findings
+
+	mu sync.Mutex
+	// peers and controls are the addresses of all VMs and of the control VMs, guarded by
+	// mu.
 	peers, controls []netip.AddrPort
-	findings        *findings
+}
+
+// addrs returns the addresses of all VMs and of the control VMs.
+func (w *world) addrs() (peers, controls []netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.peers), slices.Clone(w.controls)
 }
 
 // newWorld starts the VMs and the backend servers.
@@ -39,9 +49,9 @@
 			return w, err
 		}
 		w.vms = append(w.vms, v)
-		w.peers = append(w.peers, v.peers)
+		w.peers = append(w.peers, v.peerProxy.Addr())
 		if i < controlCount {
-			w.controls = append(w.controls, v.peers)
+			w.controls = append(w.controls, v.peerProxy.Addr())
 		}
 	}
 	for _, v := range w.vms {
@@ -77,7 +87,10 @@
 	}
 	v.newClient()
 	var err error
-	v.proxy, err = NewProxy(v.callers)
+	if v.proxy, err = NewProxy(v.callers); err != nil {
+		return v, err
+	}
+	v.peerProxy, err = NewProxy(v.peers)
 	return v, err
 }
 
@@ -87,8 +100,10 @@
 	for _, v := range w.vms {
 		wg.Go(func() {
 			v.stop(syscall.SIGKILL)
-			if v.proxy != nil {
-				v.proxy.Close()
+			for _, p := range []*Proxy{v.proxy, v.peerProxy} {
+				if p != nil {
+					p.Close()
+				}
 			}
 		})
 	}
@@ -114,17 +129,21 @@
 	}
 	v := w.vms[f.Target]
 	if mode, ok := callerModes[f.Kind]; ok {
-		v.disturb()
-		v.proxy.SetMode(mode)
-		sleep(ctx, f.For)
-		v.proxy.SetMode(Pass)
-		v.disturb()
+		v.disturbProxy(ctx, v.proxy, mode, f.For)
+		return
+	}
+	if mode, ok := peerModes[f.Kind]; ok {
+		v.disturbProxy(ctx, v.currentPeerProxy(), mode, f.For)
 		return
 	}
 	if f.Kind == ReloadVM {
 		w.reload(ctx, v, f.For)
 		return
 	}
+	if f.Kind == ReplaceVM {
+		w.replaceVM(ctx, f)
+		return
+	}
 	if f.Kind == PauseVM {
 		v.signal(syscall.SIGSTOP)
 		sleep(ctx, f.For)
@@ -136,6 +155,8 @@
 
 var callerModes = map[Kind]Mode{DelayCallers: Delay, ResetCallers: Reset, SilenceCallers: Silence, HalfOpenCallers: HalfOpen}
 
+var peerModes = map[Kind]Mode{DelayPeers: Delay, ResetPeers: Reset, SilencePeers: Silence, HalfOpenPeers: HalfOpen}
+
 var serverModes = map[Kind]Mode{DelayServer: Delay, ResetServer: Reset, SilenceServer: Silence}
 
 // restart ends a VM, does what the fault says to its disk, and starts it again.
@@ -148,7 +169,8 @@
 	switch f.Kind {
 	case WipeVM:
 		w.check(v.wipe())
-		w.check(v.writeSettings(w.peers, w.controls, false))
+		peers, controls := w.addrs()
+		w.check(v.writeSettings(peers, controls, false))
 	case TearVM:
 		w.check(v.tear())
 	}
@@ -156,6 +178,35 @@
 	w.check(v.start())
 }
 
+// replaceVM ends a control VM for good, and starts one with an empty disk at another
+// address in its place. The settings of all others change.
+func (w *world) replaceVM(ctx context.Context, f Fault) {
+	v := w.vms[f.Target]
+	v.stop(syscall.SIGKILL)
+	w.check(v.wipe())
+	sleep(ctx, f.For)
+	proxy, err := NewProxy(v.peers)
+	if err != nil {
+		w.check(err)
+		return
+	}
+	old := v.setPeerProxy(proxy)
+	old.Close()
+	w.mu.Lock()
+	w.peers[f.Target], w.controls[f.Target] = proxy.Addr(), proxy.Addr()
+	w.mu.Unlock()
+	peers, controls := w.addrs()
+	for _, other := range w.vms {
+		if other == v {
+			w.check(v.writeSettings(peers, controls, false))
+			continue
+		}
+		w.check(other.changeAddrs(peers, controls))
+		other.signal(syscall.SIGHUP)
+	}
+	w.check(v.start())
+}
+
 // check records an error of the soak itself.
 func (w *world) check(err error) {
 	if err != nil {
@@ -166,10 +217,9 @@
 // reload signals a VM several times that its settings have changed: the order of the
 // addresses to start from.
 func (w *world) reload(ctx context.Context, v *vm, during time.Duration) {
-	peers := slices.Clone(w.peers)
-	for range reloads {
-		peers = append(peers[1:], peers[0])
-		w.check(v.changePeers(peers))
+	for i := range reloads {
+		peers, controls := w.addrs()
+		w.check(v.changeAddrs(append(peers[i:], peers[:i]...), controls))
 		v.signal(syscall.SIGHUP)
 		sleep(ctx, during/reloads)
 	}
