Soak: disks that are slow, stalled or full, and clocks that are wrong

Change: the build with the tag soak reads the fault of a disk from a file beside the data folder, and by how much the time of day is wrong from the environment; without the tag nothing of it is built. Four kinds of faults, drawn by themselves. The soak ends its processes when it gets a signal.

--- a/foldd/app/prompts.go
+++ b/foldd/app/prompts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiafold.example/foldd/store"
+	"fuchsiafold.example/netio/clock"
 )
 
 // promptSaveRetry is the delay before prompts in quarantine are saved again after a
@@ -14,7 +15,7 @@
 // ended, and saves them at each change until the process closes.
 func (a *App) keepPrompts(folder string) {
 	file := store.PromptFile{Folder: folder}
-	u, err := file.Load(time.Now())
+	u, err := file.Load(clock.Wall())
 	if err != nil {
 		a.Node.Log.WithError(err).Error("prompts in quarantine can't be loaded; starting without them")
 	}
@@ -43,7 +44,7 @@
 // savePrompts saves the prompts in quarantine, and calls again later if the disk
 // refuses them.
 func (a *App) savePrompts(file store.PromptFile, again func()) {
-	if err := file.Save(time.Now(), a.Node.HeldPrompts()); err != nil {
+	if err := file.Save(clock.Wall(), a.Node.HeldPrompts()); err != nil {
 		a.Node.Log.WithError(err).Warn("prompts in quarantine can't be saved; trying again")
 		a.Node.Clock.At(time.Now().Add(promptSaveRetry), func(time.Time) { again() })
 		return
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -19,6 +19,12 @@
 	// ReplaceVM ends a control VM for good, and starts an empty one in its place at another
 	// address.
 	ReplaceVM Kind = "replaceVM"
+	// SlowDisk, StallDisk and FullDisk disturb the disk of a control VM. StepClock kills a
+	// process and starts it with another time of day.
+	SlowDisk  Kind = "slowDisk"
+	StallDisk Kind = "stallDisk"
+	FullDisk  Kind = "fullDisk"
+	StepClock Kind = "stepClock"
 	// PauseVM suspends a process.
 	PauseVM Kind = "pauseVM"
 	// StopVM lets a process shut down, and starts it again.
@@ -67,6 +73,8 @@
 	// Kind says what happens, and Target to which VM or backend server, by its index.
 	Kind   Kind `json:"kind"`
 	Target int  `json:"target"`
+	// Step is by how much the time of day is wrong after StepClock.
+	Step time.Duration `json:"step,omitempty"`
 }
 
 // end returns when the fault is over.
@@ -104,6 +112,11 @@
 	endlessGap = 3 * time.Second
 	// peerGap is the longest time between two faults of connections between VMs.
 	peerGap = 3 * time.Second
+	// diskGap and clockGap are the longest times between two faults of disks and of clocks,
+	// and maxStep bounds by how much a clock is wrong.
+	diskGap  = 4 * time.Second
+	clockGap = 12 * time.Second
+	maxStep  = 30 * time.Second
 	// rollGap is the time between two stops of a rolling restart.
 	rollGap = 700 * time.Millisecond
 	// seriesChance is the chance that a fault of a VM is followed by another one, at
@@ -132,6 +145,8 @@
 	p.addEndless(seed, servers)
 	p.addPeerLinks(seed)
 	p.addReplacement(seed)
+	p.addDisks(seed)
+	p.addClocks(seed)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
@@ -185,6 +200,26 @@
 	}
 }
 
+// diskKinds are the kinds of faults of disks.
+var diskKinds = []Kind{SlowDisk, StallDisk, FullDisk}
+
+// addDisks adds faults of disks, drawn by themselves.
+func (p *planner) addDisks(seed uint64) {
+	p.r = rand.New(rand.NewPCG(seed, 6))
+	for at := p.upTo(diskGap); at < p.length; at += p.upTo(diskGap) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: diskKinds[p.r.IntN(len(diskKinds))], Target: p.r.IntN(p.controls)})
+	}
+}
+
+// addClocks adds steps of the time of day, drawn by themselves.
+func (p *planner) addClocks(seed uint64) {
+	p.r = rand.New(rand.NewPCG(seed, 7))
+	for at := p.upTo(clockGap); at < p.length; at += p.upTo(clockGap) {
+		step := time.Duration((p.r.Float64()*2 - 1) * float64(maxStep)).Round(time.Millisecond)
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDown), Kind: StepClock, Target: p.r.IntN(p.vms), Step: step})
+	}
+}
+
 // forwarded draws one of the servers that forwards go to, which come last.
 func (p *planner) forwarded(servers int) int {
 	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
--- a/foldfake/soak/vm.go
+++ b/foldfake/soak/vm.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"net/netip"
@@ -43,6 +45,8 @@
 	process  *exec.Cmd
 	// exited is closed once the process has ended and has been waited for.
 	exited chan struct{}
+	// clockStep is by how much the time of day of the next process is wrong.
+	clockStep time.Duration
 	// incarnation counts the starts.
 	incarnation int
 	// down and suspended are set while the soak keeps the process so.
@@ -174,6 +178,7 @@
 	defer log.Close()
 	p := exec.Command(v.binary, "serve", v.settingsPath())
 	p.Stdout, p.Stderr = log, log
+	p.Env = append(os.Environ(), "FOLD_SOAK_CLOCK="+v.clockStep.String())
 	if err := p.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", v.id, err)
 	}
@@ -272,15 +277,41 @@
 // disturbProxy lets a proxy before the VM disturb connections for a time.
 func (v *vm) disturbProxy(ctx context.Context, p *Proxy, m Mode, during time.Duration) {
 	p.SetMode(m)
+	v.disturbFor(ctx, during)
+	p.SetMode(Pass)
+}
+
+// disturbFor waits for a time, in which the VM counts as disturbed.
+func (v *vm) disturbFor(ctx context.Context, during time.Duration) {
 	for end := time.Now().Add(during); ; sleep(ctx, min(time.Until(end), disturbInterval)) {
 		v.mu.Lock()
 		v.lastDisturbed = time.Now()
 		v.mu.Unlock()
 		if ctx.Err() != nil || !time.Now().Before(end) {
-			break
+			return
 		}
 	}
-	p.SetMode(Pass)
+}
+
+// setDiskFault sets the fault of the VM's disk, empty for none. The soak's build of foldd
+// reads it from a file beside the data folder.
+func (v *vm) setDiskFault(fault string) error {
+	path := filepath.Join(v.folder, "disk")
+	if fault != "" {
+		return os.WriteFile(path, []byte(fault), 0o600)
+	}
+	if err := os.Remove(path); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	// Another fault of this disk has ended.
+	return nil
+}
+
+// setClock sets by how much the time of day is wrong from the next start on.
+func (v *vm) setClock(step time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.clockStep = step
 }
 
 // disturbInterval is the time between two notes that a VM is being disturbed.
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -140,6 +140,10 @@
 		w.reload(ctx, v, f.For)
 		return
 	}
+	if fault, ok := diskFaults[f.Kind]; ok {
+		w.disturbDisk(ctx, v, fault, f.For)
+		return
+	}
 	if f.Kind == ReplaceVM {
 		w.replaceVM(ctx, f)
 		return
@@ -157,6 +161,9 @@
 
 var peerModes = map[Kind]Mode{DelayPeers: Delay, ResetPeers: Reset, SilencePeers: Silence, HalfOpenPeers: HalfOpen}
 
+// diskFaults holds what the soak's build of foldd reads for each kind of fault of a disk.
+var diskFaults = map[Kind]string{SlowDisk: "150ms", StallDisk: "stall", FullDisk: "full"}
+
 var serverModes = map[Kind]Mode{DelayServer: Delay, ResetServer: Reset, SilenceServer: Silence}
 
 // restart ends a VM, does what the fault says to its disk, and starts it again.
@@ -173,11 +180,20 @@
 		w.check(v.writeSettings(peers, controls, false))
 	case TearVM:
 		w.check(v.tear())
+	case StepClock:
+		v.setClock(f.Step)
 	}
 	sleep(ctx, f.For)
 	w.check(v.start())
 }
 
+// disturbDisk lets the disk of a VM fail for a time.
+func (w *world) disturbDisk(ctx context.Context, v *vm, fault string, during time.Duration) {
+	w.check(v.setDiskFault(fault))
+	v.disturbFor(ctx, during)
+	w.check(v.setDiskFault(""))
+}
+
 // replaceVM ends a control VM for good, and starts one with an empty disk at another
 // address in its place. The settings of all others change.
 func (w *world) replaceVM(ctx context.Context, f Fault) {
--- a/foldfake/soakcmd.go
+++ b/foldfake/soakcmd.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,6 +37,9 @@
 			&cli.StringFlag{Name: "out", Value: "soak-reports", Usage: "folder for the reports, and for the logs of seeds that fail"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			// A signal ends the processes that the soak has started too.
+			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+			defer stop()
 			seeds, err := soakSeeds(c.String("seeds"))
 			if err != nil {
 				return err
