Retry, member, relay, entry: one back-off in place of three, large files split by subject

Change: retry.Pause; files admit, fault, header of relay, targets and roles of member, attach of entry.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Parameters of the gossip exchanges between VMs.
@@ -24,9 +22,6 @@
 	// not leaving in a summary for another failure domain. Direct updates are
 	// not counted.
 	SummaryPerModel = 4
-	// startWindow is the time within which VMs count as started together. It
-	// exceeds the difference between their clocks.
-	startWindow = 10 * time.Second
 	// maxSampledPeers is the largest number of other VMs in one message.
 	maxSampledPeers = 8
 )
@@ -141,138 +136,6 @@
 	return out
 }
 
-// IsRelay reports whether this VM sends its failure domain's summary to the other
-// failure domains. It does unless a live VM of its domain that is not draining has
-// a lower ID.
-func (g *Group) IsRelay(now time.Time) bool {
-	for _, p := range g.Live(now) {
-		if p.Domain == g.Self.Domain && p.ID < g.Self.ID && !p.Draining {
-			return false
-		}
-	}
-	return true
-}
-
-// ExchangeTargets returns the addresses to exchange with in one round: up to
-// Fanout VMs of the same failure domain; if this VM is the relay, one VM of each
-// other domain of the region and one VM of another region; and one seed at which
-// no live VM is known.
-func (g *Group) ExchangeTargets(now time.Time, r *rand.Rand) []netip.AddrPort {
-	sameDomain, sameRegion, otherRegions := g.splitByLocality(now)
-	r.Shuffle(len(sameDomain), func(i, j int) { sameDomain[i], sameDomain[j] = sameDomain[j], sameDomain[i] })
-	var out []netip.AddrPort
-	for _, p := range sameDomain[:min(len(sameDomain), Fanout)] {
-		out = append(out, p.Addr)
-	}
-	if g.IsRelay(now) {
-		out = append(out, onePerDomain(sameRegion, r)...)
-		if others := onePerDomain(otherRegions, r); len(others) > 0 {
-			out = append(out, others[r.IntN(len(others))])
-		}
-	}
-	return append(out, g.seedWithoutPeer(now, r)...)
-}
-
-// UrgentTargets returns the addresses to which an urgent update is sent at once.
-// from is the ID of the VM that sent the update, or empty for a local one. A local
-// update is sent to the whole failure domain and to one VM of each other domain in
-// any region. An update from another domain is sent to the local domain. An update
-// from the local domain is not sent on, as its sender has sent it to the whole
-// domain.
-//
-// With at most MaxDirectPeers live peers no VM relays updates: a local update is
-// sent to each peer, so that no unresponsive VM in between delays it.
-func (g *Group) UrgentTargets(now time.Time, from string, r *rand.Rand) []netip.AddrPort {
-	if live := g.Live(now); len(live) <= g.MaxDirectPeers {
-		return g.directTargets(live, from)
-	}
-	sameDomain, sameRegion, otherRegions := g.splitByLocality(now)
-	if p := g.peers[from]; p != nil && p.Domain == g.Self.Domain {
-		return nil
-	}
-	var out []netip.AddrPort
-	for _, p := range sameDomain {
-		out = append(out, p.Addr)
-	}
-	if from != "" {
-		return out
-	}
-	for _, group := range []map[string][]Peer{sameRegion, otherRegions} {
-		out = append(out, onePerDomain(group, r)...)
-	}
-	return out
-}
-
-// directTargets returns the addresses of all live VMs for a local update, and none
-// for an update from another VM, which has sent it to all of them.
-func (g *Group) directTargets(live []Peer, from string) []netip.AddrPort {
-	if from != "" {
-		return nil
-	}
-	var out []netip.AddrPort
-	for _, p := range live {
-		out = append(out, p.Addr)
-	}
-	return out
-}
-
-// onePerDomain returns the address of one random VM of each failure domain.
-func onePerDomain(byDomain map[string][]Peer, r *rand.Rand) []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, domain := range sortedDomains(byDomain) {
-		list := byDomain[domain]
-		out = append(out, list[r.IntN(len(list))].Addr)
-	}
-	return out
-}
-
-// splitByLocality divides the live VMs into those of the same failure domain, those
-// of the other domains of the region and those of other regions. The latter two
-// are keyed by failure domain.
-func (g *Group) splitByLocality(now time.Time) (sameDomain []Peer, sameRegion, otherRegions map[string][]Peer) {
-	sameRegion, otherRegions = map[string][]Peer{}, map[string][]Peer{}
-	for _, p := range g.Live(now) {
-		switch {
-		case p.Domain == g.Self.Domain:
-			sameDomain = append(sameDomain, p)
-		case p.Region == g.Self.Region:
-			sameRegion[p.Domain] = append(sameRegion[p.Domain], p)
-		default:
-			otherRegions[p.Domain] = append(otherRegions[p.Domain], p)
-		}
-	}
-	return sameDomain, sameRegion, otherRegions
-}
-
-func sortedDomains(m map[string][]Peer) []string {
-	out := make([]string, 0, len(m))
-	for d := range m {
-		out = append(out, d)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// seedWithoutPeer returns one random seed at whose address no live VM is known, or
-// nil if there is none.
-func (g *Group) seedWithoutPeer(now time.Time, r *rand.Rand) []netip.AddrPort {
-	live := map[netip.AddrPort]bool{g.Self.Addr: true}
-	for _, p := range g.Live(now) {
-		live[p.Addr] = true
-	}
-	var out []netip.AddrPort
-	for _, s := range g.Seeds {
-		if !live[s] {
-			out = append(out, s)
-		}
-	}
-	if len(out) == 0 {
-		return nil
-	}
-	i := r.IntN(len(out))
-	return out[i : i+1]
-}
-
 // ExchangeState returns the state of the exchange with the VM at addr: its ID, the
 // version of the local table that it has applied, the version of its table that
 // was applied locally, and its epoch. For an unknown address it returns zero
@@ -327,29 +190,6 @@
 	return r.Peer, true
 }
 
-// Scheduler returns the VM of the local failure domain that schedules a model. It
-// is the live VM with the highest hash of the model and the VM's ID, so that a VM
-// that joins or leaves moves only its own models. A draining VM does not schedule.
-// Scheduler returns false if no VM is eligible.
-func (g *Group) Scheduler(now time.Time, model string) (Peer, bool) {
-	var best Peer
-	highest := uint64(0)
-	consider := func(p Peer) {
-		if h := xxhash.Sum64String(model + "\x00" + p.ID); best.ID == "" || h > highest {
-			best, highest = p, h
-		}
-	}
-	if !g.Self.Draining {
-		consider(g.Self)
-	}
-	for _, r := range g.peers {
-		if r.Domain == g.Self.Domain && !r.Draining && now.Sub(r.lastReport) < PeerLease {
-			consider(r.Peer)
-		}
-	}
-	return best, best.ID != ""
-}
-
 // Summary selects the updates to send to another failure domain: the
 // SummaryPerModel least loaded backend servers of each model in the local domain,
 // the leaving servers of the local domain, and all direct updates, since no other
@@ -380,57 +220,3 @@
 	}
 	return out
 }
-
-// PlacementVM returns the VM that chooses the backend servers for a service's
-// requests from the whole region. Eligible are the VMs that serve callers, are
-// live, are not draining and are not backed off. Of those that started first, it is
-// the one with the highest hash of the service and the VM's ID.
-//
-// A VM that starts later takes no placements over, because it knows neither the
-// loads of the other VMs nor the lengths and the pace of runs, and because the VMs
-// learn of it one after another and would meanwhile disagree on the placement VM.
-// All live VMs count because reports may be seconds old in a large group: with a
-// limit below PeerLease, VMs would disagree as well. draining means that this VM is
-// draining; it is still returned if no other VM is eligible.
-func (g *Group) PlacementVM(now time.Time, service string, draining bool, backedOff func(p Peer) bool) Peer {
-	var eligible []Peer
-	if g.Self.ServesCallers && !draining {
-		eligible = append(eligible, g.Self)
-	}
-	for _, p := range g.Live(now) {
-		if p.Region == g.Self.Region && p.ServesCallers && !p.Draining && !backedOff(p) {
-			eligible = append(eligible, p)
-		}
-	}
-	if len(eligible) == 0 {
-		return g.Self
-	}
-	first := slices.MinFunc(eligible, func(a, b Peer) int { return cmp.Compare(a.Epoch, b.Epoch) }).Epoch
-	eligible = slices.DeleteFunc(eligible, func(p Peer) bool { return p.Epoch-first > uint64(startWindow) })
-	return slices.MaxFunc(eligible, func(a, b Peer) int { return cmp.Compare(placementHash(service, a), placementHash(service, b)) })
-}
-
-// CallerVMs returns the number of live VMs of the region that serve callers, this one
-// included, and the number of those that are not live any more, but were within the given
-// time. VMs that were draining are not among the latter.
-func (g *Group) CallerVMs(now time.Time, within time.Duration) (live, lost int) {
-	live = 1
-	for _, r := range g.peers {
-		if r.Region != g.Self.Region || !r.ServesCallers {
-			continue
-		}
-		switch silence := now.Sub(r.lastReport); {
-		case silence < PeerLease:
-			live++
-		case silence < within && !r.Draining:
-			lost++
-		}
-	}
-	return live, lost
-}
-
-// placementHash returns the rank of a VM among those that may place a service's
-// requests.
-func placementHash(service string, p Peer) uint64 {
-	return xxhash.Sum64String(service + "\x00" + p.ID)
-}
--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -104,7 +104,7 @@
 		c.delay += costBackedOff
 		c.full = false
 	}
-	if p.domains[s.Domain].active(now) {
+	if p.domains.Active(now, s.Domain) {
 		c.delay += costUnreachableDomain
 	}
 	return c
--- a/fold/place/domain.go
+++ b/fold/place/domain.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"fuchsiafold.example/fold/retry"
+)
 
 const (
 	// maxDomainBackoff bounds the back-off from a failure domain. It is short,
@@ -23,12 +27,9 @@
 		delete(p.domains, domain)
 	case result == Unreachable:
 		if p.domains == nil {
-			p.domains = map[string]*backoff{}
-		}
-		if p.domains[domain] == nil {
-			p.domains[domain] = &backoff{}
+			p.domains = retry.Pauses{}
 		}
-		p.domains[domain].recordFailure(now, maxDomainBackoff)
+		p.domains.Fail(now, domain, minBackoff, maxDomainBackoff)
 	}
 }
 
@@ -39,12 +40,12 @@
 // that come before domainProbeTime.
 func (p *Placer) DomainUnreachable(now time.Time, domain string) (time.Duration, bool) {
 	b := p.domains[domain]
-	if b == nil || b.failures < unreachableFailures {
+	if b == nil || b.Failures < unreachableFailures {
 		return 0, false
 	}
-	if b.active(now) {
-		return b.until.Sub(now), true
+	if b.Active(now) {
+		return b.Until.Sub(now), true
 	}
-	b.until = now.Add(domainProbeTime)
+	b.Until = now.Add(domainProbeTime)
 	return 0, false
 }
--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -6,6 +6,7 @@
 
 	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/usage"
 )
 
@@ -58,7 +59,8 @@
 	prefill  int
 	// runs holds the runs at an engine by ID.
 	runs map[uint64]Request
-	backoff
+	// Pause is the back-off from the server.
+	retry.Pause
 }
 
 // load returns the load with the current progress of its runs, in the order of
@@ -262,11 +264,11 @@
 	}
 	switch result {
 	case Answered:
-		b.backoff = backoff{}
+		b.Pause = retry.Pause{}
 	case Failed, Unreachable:
-		b.recordFailure(now, maxBackoff)
+		b.Fail(now, minBackoff, maxBackoff)
 	case Rejected:
-		b.until = now.Add(rejectionBackoff)
+		b.Until = now.Add(rejectionBackoff)
 	}
 }
 
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -11,6 +11,7 @@
 
 	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/retry"
 )
 
 // Request describes a request to be placed at a server.
@@ -153,7 +154,7 @@
 	// forecasts caches the memory forecast of each engine.
 	forecasts map[string]*cachedForecast
 	// domains holds the back-off from other failure domains.
-	domains map[string]*backoff
+	domains retry.Pauses
 	// rejections counts the requests for engines that were placed and those for
 	// which Pick returned a Full choice.
 	rejections rejectionRate
@@ -171,23 +172,6 @@
 	localReports map[string]localReport
 }
 
-// backoff is the back-off state after failures in a row.
-type backoff struct {
-	failures int
-	// until is the end of the back-off, zero if there is none.
-	until time.Time
-}
-
-// recordFailure starts the back-off for one more failure in a row. It lasts for at
-// most limit.
-func (b *backoff) recordFailure(now time.Time, limit time.Duration) {
-	b.failures++
-	b.until = now.Add(min(minBackoff<<min(b.failures-1, 8), limit))
-}
-
-// active reports whether the back-off lasts at now. It is false for a nil b.
-func (b *backoff) active(now time.Time) bool { return b != nil && now.Before(b.until) }
-
 // Pick chooses the server with the lowest cost. It returns false if every
 // server is leaving or excluded. Servers in back-off are chosen only if there
 // is no other. For a run that is copied, Pick reserves the links of both
@@ -230,12 +214,12 @@
 // BackOff counts a failure of a server and starts the longest back-off from it.
 func (p *Placer) BackOff(now time.Time, id string) {
 	b := p.backend(id)
-	b.failures++
-	b.until = now.Add(maxBackoff)
+	b.Failures++
+	b.Until = now.Add(maxBackoff)
 }
 
 // BackedOff reports whether this VM is backed off from a server.
 func (p *Placer) BackedOff(now time.Time, id string) bool {
 	b := p.backends[id]
-	return b != nil && b.active(now)
+	return b != nil && b.Active(now)
 }
--- a/fold/sched/health.go
+++ b/fold/sched/health.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"fuchsiafold.example/fold/retry"
+)
 
 // Parameters of backend server health.
 const (
@@ -25,11 +29,10 @@
 // that is new or returns from ejection.
 type health struct {
 	// slowStartBegan is when the slow start began. After a failure it lies in
-	// the future, at ejectedUntil.
+	// the future, at the end of the ejection.
 	slowStartBegan time.Time
-	// ejectedUntil is when the backend server may get requests again.
-	ejectedUntil time.Time
-	failures     int
+	// ejection is the time in which the backend server gets no requests.
+	ejection retry.Pause
 	// lastProgress is the time of the last token, or of the first dispatch to
 	// the server when it had no local requests.
 	lastProgress time.Time
@@ -50,22 +53,20 @@
 func (h *health) finished(now time.Time, r Result) {
 	switch r {
 	case Completed:
-		h.failures = 0
+		h.ejection.Failures = 0
 	case Failed, Rejected:
-		if now.Before(h.ejectedUntil) {
+		if h.ejection.Active(now) {
 			return
 		}
-		h.failures++
-		ejection := min(firstEjection<<min(h.failures-1, 10), maxEjection)
-		h.ejectedUntil = now.Add(ejection)
-		h.slowStartBegan = h.ejectedUntil
+		h.ejection.Fail(now, firstEjection, maxEjection)
+		h.slowStartBegan = h.ejection.Until
 	}
 }
 
 // accepts reports whether a backend server with count local requests may get
 // another one.
 func (h *health) accepts(now time.Time, count int) bool {
-	if now.Before(h.ejectedUntil) {
+	if h.ejection.Active(now) {
 		return false
 	}
 	if count > 0 && now.Sub(h.lastProgress) > progressTimeout {
--- a/foldd/entry/resume.go
+++ b/foldd/entry/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 
@@ -13,6 +12,7 @@
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/foldd/trace"
+	"fuchsiafold.example/netio/clock"
 )
 
 // serveResume continues a generation that was started through any entry VM, from
@@ -22,7 +22,7 @@
 	if err != nil {
 		return fault.NotRun(http.StatusBadRequest, fault.BadHandle, err.Error())
 	}
-	h, err := e.key().Verify(signedHandle, time.Now())
+	h, err := e.key().Verify(signedHandle, clock.Wall())
 	if fail := handleFault(err); fail != nil {
 		return fail
 	}
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -130,8 +130,8 @@
 	// backedOffVMs holds the VMs from which no placement is requested for now,
 	// backedOffDomains the failure domains of which no VM is asked. sentReports
 	// holds the last load report sent for each service.
-	backedOffVMs     backoffs
-	backedOffDomains backoffs
+	backedOffVMs     retry.Pauses
+	backedOffDomains retry.Pauses
 	sentReports      map[string]sentReport
 	// lengthSamples holds, by service, the length samples for the next load
 	// report to the placement VM.
@@ -170,8 +170,8 @@
 		placer:           place.Placer{Domain: s.Domain},
 		started:          time.Now(),
 		forwardBudgets:   map[string]*retry.WindowBudget{},
-		backedOffVMs:     backoffs{},
-		backedOffDomains: backoffs{},
+		backedOffVMs:     retry.Pauses{},
+		backedOffDomains: retry.Pauses{},
 		sentReports:      map[string]sentReport{},
 		lengthSamples:    map[string][]place.LengthSample{},
 		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
@@ -181,7 +181,7 @@
 		Addr:   s.Listen.Peers,
 		Domain: s.Domain,
 		Region: s.Region,
-		Epoch:  uint64(time.Now().UnixNano()),
+		Epoch:  uint64(clock.Wall().UnixNano()),
 		// A VM without an address for callers serves none.
 		ServesCallers:     s.Listen.Callers.IsValid(),
 		HasControlReplica: s.Control != nil,
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -37,8 +37,15 @@
 	RetryAfter time.Duration
 }
 
-// placementTimeout bounds a placement request or a load report to another VM.
-const placementTimeout = 100 * time.Millisecond
+const (
+	// placementTimeout bounds a placement request or a load report to another VM.
+	placementTimeout = 100 * time.Millisecond
+	// minPlacementBackoff and maxPlacementBackoff bound the back-off from a VM, or from a
+	// failure domain, after failed placement requests. Another VM places requests
+	// meanwhile.
+	minPlacementBackoff = 3 * time.Second
+	maxPlacementBackoff = 12 * time.Second
+)
 
 // Place chooses a backend server of a service for a forwarded request. Unless the
 // choice is Full or Unreachable, or leaves a run where it is, it counts the request
@@ -137,10 +144,10 @@
 		return place.Choice{}, false
 	}
 	if err != nil {
-		n.backedOffVMs.recordFailure(time.Now(), to.ID)
+		n.backedOffVMs.Fail(time.Now(), to.ID, minPlacementBackoff, maxPlacementBackoff)
 		if callCtx.Err() != nil && to.Domain != n.Settings.Domain {
 			// After a timeout, the whole failure domain may be unreachable.
-			n.backedOffDomains.recordFailure(time.Now(), to.Domain)
+			n.backedOffDomains.Fail(time.Now(), to.Domain, minPlacementBackoff, maxPlacementBackoff)
 		}
 		n.Count("place.placementVMsLost", 1)
 		n.Log.WithError(err).WithField("placementVM", to.ID).Warn("placement request failed; placing locally")
@@ -183,7 +190,7 @@
 		return member.Peer{}, false
 	}
 	p := n.group.PlacementVM(now, service, n.Draining(), func(p member.Peer) bool {
-		return n.backedOffVMs.active(now, p.ID) || n.backedOffDomains.active(now, p.Domain)
+		return n.backedOffVMs.Active(now, p.ID) || n.backedOffDomains.Active(now, p.Domain)
 	})
 	if p.ID == n.Settings.ID {
 		return member.Peer{}, false
--- /dev/null
+++ b/foldd/relay/fault.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"net/http"
+
+	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/fold/retry"
+	"fuchsiafold.example/foldd/fault"
+)
+
+// writeFault responds to the request with an error, and logs and counts it.
+func (x *Relay) writeFault(w http.ResponseWriter, q *request, f *fault.Fault) {
+	x.Node.Count("errors."+f.Code, 1)
+	q.log(f.Status, f.Outcome, f.Message)
+	if f.RetryAfter > 0 && x.Codec.RetryAfter != nil {
+		w.Header().Set("Retry-After", x.Codec.RetryAfter(f.RetryAfter))
+	}
+	f.Write(w)
+}
+
+// rejectionFault returns the error for a request that no server takes: those left are in
+// a failure domain that can't be reached, or have a rate limit.
+func rejectionFault(c place.Choice) *fault.Fault {
+	if c.Limited {
+		return fault.FromRateLimit(c.RetryAfter)
+	}
+	return unreachableFault(c)
+}
+
+// unreachableFault returns the error for a request whose only servers left are in
+// a failure domain that this VM can't reach.
+func unreachableFault(c place.Choice) *fault.Fault {
+	message := "the backend servers left are in failure domain " + c.Server.Domain + ", which can't be reached"
+	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, message).WithRetryAfter(c.RetryAfter)
+}
+
+// timeoutFault returns the error for a request that has timed out.
+func (q *request) timeoutFault() *fault.Fault {
+	if q.sent == 0 {
+		return fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "no backend server took the request in time").WithRetryAfter(rejectedRetryAfter)
+	}
+	return &fault.Fault{Status: http.StatusGatewayTimeout, Code: fault.UnknownOutcome, Message: "no whole answer came in time", Outcome: retry.Unknown}
+}
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -8,11 +8,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/bits"
 	"net/http"
-	"net/textproto"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -68,13 +65,6 @@
 // already open.
 const drainAcceptTime = 3 * time.Second
 
-// hopHeaders lists the headers that apply to a single connection (hop-by-hop
-// headers) and are not forwarded.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // request is a forwarded request in progress.
 type request struct {
 	relay   *Relay
@@ -145,74 +135,6 @@
 	x.servePlain(ctx, w, q)
 }
 
-// awaitConfig returns the configuration in force, or nil if there is none. On a
-// VM that has just started, it first waits for one for a part of the caller's
-// timeout.
-func (x *Relay) awaitConfig(ctx context.Context, q *request) *spec.Index {
-	limit := q.arrived.Add(q.params.Timeout / startupWaitDivisor)
-	for x.Node.Index() == nil && x.Node.Starting() && time.Now().Before(limit) && ctx.Err() == nil {
-		sleep(ctx, startupPoll)
-	}
-	return x.Node.Index()
-}
-
-// awaitBackends waits for a backend server of the service on a VM that has just
-// started and knows none, for up to a part of the request's timeout.
-func (x *Relay) awaitBackends(ctx context.Context, q *request) {
-	limit := q.arrived.Add(q.deadline.Sub(q.arrived) / startupWaitDivisor)
-	for x.Node.AwaitingBackends(q.service.Name) && time.Now().Before(limit) && ctx.Err() == nil {
-		sleep(ctx, startupPoll)
-	}
-}
-
-// admit reads a request and checks that it may be forwarded. The returned
-// request is never nil, but is incomplete if there is a fault.
-func (x *Relay) admit(r *http.Request) (*request, *fault.Fault) {
-	q := &request{relay: x, r: r, arrived: time.Now(), params: x.Codec.ParseRequest(r.Header), caller: serve.CallerOf(r)}
-	index := x.awaitConfig(r.Context(), q)
-	if index == nil {
-		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NotConfigured, "no configuration is in force yet").WithRetryAfter(notReadyRetryAfter)
-	}
-	q.revision = index.Revision()
-	var ok bool
-	if q.forward, ok = index.Forward(r.Host, r.URL.Path); !ok {
-		return q, fault.NotRun(http.StatusNotFound, fault.UnknownRoute, "no forward for "+strconv.Quote(r.Host+r.URL.Path))
-	}
-	if q.forward.Kind == spec.ForwardStream && !r.ProtoAtLeast(1, 1) {
-		return q, fault.NotRun(http.StatusHTTPVersionNotSupported, fault.BadRequest, "a stream needs HTTP/1.1: without chunks its end can't be told from a lost connection")
-	}
-	if !q.authorize(index) {
-		return q, fault.NotRun(http.StatusUnauthorized, fault.Unauthorized, "the workspace key is missing or unknown")
-	}
-	if q.service, ok = index.Service(q.forward.PickService(x.Node.Random())); !ok {
-		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "the service is not configured").WithRetryAfter(rejectedRetryAfter)
-	}
-	q.deadline = q.arrived.Add(time.Duration(q.forward.Timeout))
-	if !q.endsBeforeShutdown() {
-		return q, fault.NotRun(http.StatusServiceUnavailable, fault.Draining, "this VM is shutting down").WithRetryAfter(otherVMRetryAfter)
-	}
-	if q.params.Timeout > 0 {
-		q.deadline = q.arrived.Add(min(q.params.Timeout, time.Duration(q.forward.Timeout)))
-	}
-	return q, q.readBody(index)
-}
-
-// endsBeforeShutdown reports whether the request can be accepted. A VM that is
-// shutting down accepts requests only for drainAcceptTime, and streams only if
-// they will probably end before the drain timeout.
-func (q *request) endsBeforeShutdown() bool {
-	since, draining := q.relay.Node.DrainingSince()
-	if !draining {
-		return true
-	}
-	sinceDrain := q.arrived.Sub(since)
-	if sinceDrain > drainAcceptTime {
-		return false
-	}
-	remaining := time.Duration(q.relay.Node.Settings.Limits.DrainTimeout) - sinceDrain
-	return q.forward.Kind != spec.ForwardStream || q.expectedDuration() < remaining
-}
-
 // newRun describes the request's run at an engine, before it has generated tokens
 // and without an ID.
 func (q *request) newRun() place.Run {
@@ -233,23 +155,6 @@
 // learned separately.
 func limitBand(maxTokens int) int { return 1 << (2 * ((bits.Len(uint(maxTokens)) + 1) / 2)) }
 
-// Assumptions about a stream that has not begun.
-const (
-	// endProbability is the probability with which it ends within its expected
-	// duration.
-	endProbability = 0.8
-	// firstEventTime is the time to the first event, and eventGap the time between
-	// two.
-	firstEventTime = 500 * time.Millisecond
-	eventGap       = 60 * time.Millisecond
-)
-
-// expectedDuration returns how long the request's stream will probably take.
-func (q *request) expectedDuration() time.Duration {
-	events := q.relay.Node.RemainingTokens(q.newRun(), endProbability) / q.eventTokens()
-	return firstEventTime + time.Duration(events)*eventGap
-}
-
 // eventTokens returns the number of tokens in an event of the service, at least
 // 1.
 func (q *request) eventTokens() int {
@@ -259,40 +164,6 @@
 	return 1
 }
 
-// authorize looks up the workspace of the caller's key and reports whether the
-// request is allowed. A configuration without workspaces requires no key.
-func (q *request) authorize(index *spec.Index) bool {
-	if len(index.Document().Workspaces) == 0 {
-		return true
-	}
-	w, known := index.WorkspaceByKey(q.params.Key)
-	if known && q.params.Key != "" {
-		q.workspace = w
-	}
-	return q.workspace != nil || q.forward.Public
-}
-
-// readBody reads the request body. The limit on its size is the smaller one of
-// the settings' and the configuration's.
-func (q *request) readBody(index *spec.Index) *fault.Fault {
-	limit := q.relay.Node.Settings.Limits.MaxBody
-	if configured := index.Document().MaxBody; configured > 0 {
-		limit = min(limit, configured)
-	}
-	if q.r.Body == nil {
-		return nil
-	}
-	b, err := io.ReadAll(io.LimitReader(q.r.Body, int64(limit)+1))
-	if err != nil {
-		return fault.NotRun(http.StatusBadRequest, fault.BadRequest, "the body can't be read: "+err.Error())
-	}
-	if len(b) > limit {
-		return fault.NotRun(http.StatusRequestEntityTooLarge, fault.TooLarge, "the body exceeds the size limit")
-	}
-	q.body = b
-	return nil
-}
-
 // backendRequest returns the request to send to backend server b; resume is nil
 // unless it continues a run.
 func (q *request) backendRequest(b backend, resume *Resume) *pool.Request {
@@ -313,13 +184,6 @@
 	}
 }
 
-// matchesResponse reports whether a response with the header h belongs to the
-// request. A missing ID on either side matches.
-func (q *request) matchesResponse(h http.Header) bool {
-	id := q.relay.Codec.ParseReply(http.StatusOK, h).ID
-	return id == "" || q.params.ID == "" || id == q.params.ID
-}
-
 // maxRank is the highest rank, and so the lowest priority, that engines support.
 const maxRank = 9
 
@@ -333,31 +197,6 @@
 	return min(max(rank, 0), maxRank)
 }
 
-// removeHopHeaders removes the hop-by-hop headers, including those named by the
-// Connection header.
-func removeHopHeaders(h http.Header) {
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			if name = textproto.TrimString(name); name != "" {
-				h.Del(name)
-			}
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
-// writeFault responds to the request with an error, and logs and counts it.
-func (x *Relay) writeFault(w http.ResponseWriter, q *request, f *fault.Fault) {
-	x.Node.Count("errors."+f.Code, 1)
-	q.log(f.Status, f.Outcome, f.Message)
-	if f.RetryAfter > 0 && x.Codec.RetryAfter != nil {
-		w.Header().Set("Retry-After", x.Codec.RetryAfter(f.RetryAfter))
-	}
-	f.Write(w)
-}
-
 // log logs the end of the request; it is called once for each request.
 func (q *request) log(status int, o retry.Outcome, reason string) {
 	fields := logrus.Fields{
@@ -412,39 +251,3 @@
 		q.relay.Node.Count("forward.closeDelimited", 1)
 	}
 }
-
-// rejectionFault returns the error for a request that no server takes: those left are in
-// a failure domain that can't be reached, or have a rate limit.
-func rejectionFault(c place.Choice) *fault.Fault {
-	if c.Limited {
-		return fault.FromRateLimit(c.RetryAfter)
-	}
-	return unreachableFault(c)
-}
-
-// unreachableFault returns the error for a request whose only servers left are in
-// a failure domain that this VM can't reach.
-func unreachableFault(c place.Choice) *fault.Fault {
-	message := "the backend servers left are in failure domain " + c.Server.Domain + ", which can't be reached"
-	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, message).WithRetryAfter(c.RetryAfter)
-}
-
-// timeoutFault returns the error for a request that has timed out.
-func (q *request) timeoutFault() *fault.Fault {
-	if q.sent == 0 {
-		return fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "no backend server took the request in time").WithRetryAfter(rejectedRetryAfter)
-	}
-	return &fault.Fault{Status: http.StatusGatewayTimeout, Code: fault.UnknownOutcome, Message: "no whole answer came in time", Outcome: retry.Unknown}
-}
-
-// copyHeader copies the header of a backend server's response to the caller's,
-// without hop-by-hop headers and Content-Length. It modifies h.
-func copyHeader(w http.ResponseWriter, h http.Header) {
-	removeHopHeaders(h)
-	out := w.Header()
-	for name, values := range h {
-		if name != "Content-Length" {
-			out[name] = values
-		}
-	}
-}
