App: a control VM starts on a disk that is full or fails

Operators saw: a control VM whose disk was full when it started ended at once, again and again, and served neither operators nor backend servers, though a replica that meets a full disk later waits for room. Cause: only a missing group counted as passing at the start; any other error of the replica ended the process. Change: errors of a full or failing disk are retried like a missing group. Damage and a wrong folder still end the start.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -81,12 +81,12 @@
 	return err
 }
 
-// startReplica starts the control replica. If it finds no control group to join,
-// it returns nil and keeps retrying in the background.
+// startReplica starts the control replica. If it finds no control group to join, or its
+// disk fails, it returns nil and keeps retrying in the background.
 func (a *App) startReplica(conf ctrl.ServerConfig) error {
 	replica, err := ctrl.New(conf)
-	if errors.Is(err, ctrl.ErrNoGroup) {
-		a.Node.Log.WithError(err).Warn("control replica found no group to join; retrying")
+	if errors.Is(err, ctrl.ErrNoGroup) || store.DiskFailed(err) {
+		a.Node.Log.WithError(err).Warn("control replica can't start now; retrying")
 		a.restartReplica(conf)
 		return nil
 	}
--- a/foldd/store/disk.go
+++ b/foldd/store/disk.go
@@ -1,6 +1,11 @@
 package store
 
-import "os"
+import (
+	"errors"
+	"os"
+	"slices"
+	"syscall"
+)
 
 // disk holds the operations that may fail or take long on a faulty disk. Only the build
 // for the soak replaces them.
@@ -14,3 +19,9 @@
 	},
 	sync: (*os.File).Sync,
 }
+
+// DiskFailed reports whether an error is one of a disk that is full or fails, which may
+// pass.
+func DiskFailed(err error) bool {
+	return slices.ContainsFunc([]error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO}, func(cause error) bool { return errors.Is(err, cause) })
+}
