--- a/foldctl/main.go
+++ b/foldctl/main.go
@@ -28,6 +28,7 @@
 			diffCommand(),
 			applyCommand(),
 			compareCommand(),
+			reportCommand(),
 			drainCommand(),
 		},
 	}
