Limit: a limit that is raised ends the wait for the next permit

Cause: a VM that got no permit asked no more until the time that the issuer named, up to 5 s, also when the server had raised its limit meanwhile (found by reading). Change: a change of the limit ends the wait. BenchmarkPermit measures a request for a permit.

--- a/fold/limit/limiter.go
+++ b/fold/limit/limiter.go
@@ -152,6 +152,25 @@
 	used int
 }
 
+// Observe records what a response of a server says.
+func (l *Limiter) Observe(now time.Time, s Server, st Statement) Change {
+	return l.changed(s, l.Table.Observe(now, s, st))
+}
+
+// Merge applies an entry of another VM. It ignores one that can't be valid.
+func (l *Limiter) Merge(now time.Time, e Entry) Change {
+	return l.changed(e.Server, l.Table.Merge(now, e))
+}
+
+// changed returns a change of the limit of a server, after which the server may be asked
+// for again.
+func (l *Limiter) changed(s Server, c Change) Change {
+	if c != Unchanged {
+		delete(l.deniedUntil, s.ID)
+	}
+	return c
+}
+
 // Check decides on a request to a server. After Ask, the caller asks the issuer and calls
 // Resolve or Fail.
 func (l *Limiter) Check(now time.Time, s Server, v View) Decision {
--- a/fold/limit/limiter_test.go
+++ b/fold/limit/limiter_test.go
@@ -184,3 +184,17 @@
 		t.Errorf("reply %+v later, want a permit", reply)
 	}
 }
+
+// TestRaisedLimitEndsDenial guards against a VM that waits for the next permit of a low
+// limit after the server has raised it.
+func TestRaisedLimitEndsDenial(t *testing.T) {
+	p := newPair(0.1)
+	p.ask(0)
+	if d := p.vm.Check(p.now, server, p.vmView()); d.Verdict != limit.Denied {
+		t.Fatalf("decision %+v, want none for seconds", d)
+	}
+	p.vm.Observe(p.now, server, named(50))
+	if d := p.vm.Check(p.now, server, p.vmView()); d.Verdict != limit.Ask {
+		t.Errorf("decision %+v after the limit was raised, want the issuer to be asked", d)
+	}
+}
--- a/foldd/peer/bench_test.go
+++ b/foldd/peer/bench_test.go
@@ -1,17 +1,25 @@
 package peer
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/ticket"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/wire"
 )
 
@@ -135,3 +143,27 @@
 	}
 	b.ReportMetric(float64(size), "B/digest")
 }
+
+// BenchmarkPermit measures a request for a permit to another VM, over loopback and on both
+// sides.
+func BenchmarkPermit(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	newService := func(id string) *Service {
+		n := node.New(&conf.Settings{ID: id}, log)
+		b.Cleanup(n.Clock.Stop)
+		return New(n)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewPeerServiceHandler(newService("issuer")))
+	server := httptest.NewServer(mux)
+	b.Cleanup(server.Close)
+	to := member.Peer{ID: "issuer", Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	client := newService("vm")
+	q := limit.Request{From: "vm", Entry: limit.Entry{Server: limit.Server{ID: "backend-0123", Epoch: 1}, Version: 1, Rate: 5}}
+	for b.Loop() {
+		if _, err := client.requestPermit(context.Background(), to, "app", q); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
