Limit: what a VM sent by its own share is reported once

Cause: requests for permits that were under way at the same time each reported the same requests sent by the own share, and the issuer took them back for each (found by reading). Change: a request for a permit takes the number along, and one that no issuer has answered gives it back.

--- a/fold/limit/limiter.go
+++ b/fold/limit/limiter.go
@@ -206,11 +206,18 @@
 func (l *Limiter) Request(s Server, v View) Request {
 	r := Request{From: v.Self, Entry: l.Entry(s)}
 	if own := l.shares[s.ID]; own != nil {
-		r.Used = own.used
+		r.Used, own.used = own.used, 0
 	}
 	return r
 }
 
+// keepUsed keeps the number of a request that no issuer has answered for the next one.
+func (l *Limiter) keepUsed(q Request) {
+	if own := l.shares[q.Entry.ID]; own != nil {
+		own.used += q.Used
+	}
+}
+
 // Handle answers the request of another VM for a permit. It also returns how the limit
 // has changed here.
 func (l *Limiter) Handle(now time.Time, q Request, v View) (Reply, Change) {
@@ -244,11 +251,13 @@
 	case !limited:
 		return Decision{Verdict: Free}, change
 	case r.NotIssuer && !redirected && r.Issuer != asked && r.Issuer != v.Self && r.Issuer != "":
+		l.keepUsed(q)
 		return Decision{Verdict: Ask, Issuer: r.Issuer, Rate: rate}, change
 	case r.NotIssuer:
+		l.keepUsed(q)
 		return l.useShare(now, s, rate, v, l.loseIssuer(now, asked)), change
 	}
-	l.stateShare(now, s, r.Share, q.Used)
+	l.stateShare(now, s, r.Share)
 	if !r.Granted || elapsed(askedAt, now) > permitLifetime {
 		wait := l.deny(now, s, r.RetryAfter)
 		return Decision{Verdict: Denied, Issuer: asked, Rate: rate, RetryAfter: wait}, change
@@ -256,8 +265,11 @@
 	return Decision{Verdict: Granted, Issuer: asked, Rate: rate}, change
 }
 
-// Fail decides on a request to a server after the issuer asked has not answered.
-func (l *Limiter) Fail(now time.Time, asked string, s Server, v View) Decision {
+// Fail decides on a request to a server after the issuer asked has not answered the
+// request q for a permit.
+func (l *Limiter) Fail(now time.Time, asked string, q Request, v View) Decision {
+	s := q.Entry.Server
+	l.keepUsed(q)
 	rate, limited := l.Rate(s)
 	if !limited {
 		return Decision{Verdict: Free}
@@ -322,12 +334,10 @@
 	return own
 }
 
-// stateShare records the share that an issuer has stated, to which used requests were
-// reported.
-func (l *Limiter) stateShare(now time.Time, s Server, part float64, used int) {
-	own := l.shareOf(now, s)
-	own.used = max(own.used-used, 0)
+// stateShare records the share that an issuer has stated.
+func (l *Limiter) stateShare(now time.Time, s Server, part float64) {
 	if part > 0 && part <= 1 {
+		own := l.shareOf(now, s)
 		own.part, own.statedAt = part, now
 	}
 }
--- a/fold/limit/limiter_test.go
+++ b/fold/limit/limiter_test.go
@@ -128,7 +128,7 @@
 	for range length / (100 * time.Millisecond) {
 		d := p.vm.Check(p.now, server, p.vmView())
 		if d.Verdict == limit.Ask {
-			d = p.vm.Fail(p.now, issuerID, server, p.vmView())
+			d = p.vm.Fail(p.now, issuerID, p.vm.Request(server, p.vmView()), p.vmView())
 		}
 		if d.Verdict == limit.Granted {
 			sent++
@@ -198,3 +198,25 @@
 		t.Errorf("decision %+v after the limit was raised, want the issuer to be asked", d)
 	}
 }
+
+// TestUsedIsReportedOnce guards against an issuer that takes back the same permits for each
+// of several requests at once.
+func TestUsedIsReportedOnce(t *testing.T) {
+	p := newPair(10)
+	p.ask(0)
+	used := 0
+	for range 30 {
+		p.advance(100 * time.Millisecond)
+		if p.vm.Fail(p.now, issuerID, p.vm.Request(server, p.vmView()), p.vmView()).Verdict == limit.Granted {
+			used++
+		}
+	}
+	first, second := p.vm.Request(server, p.vmView()), p.vm.Request(server, p.vmView())
+	if first.Used != used || second.Used != 0 {
+		t.Errorf("two requests report %d and %d, want %d and 0", first.Used, second.Used, used)
+	}
+	p.vm.Fail(p.now, issuerID, first, limit.View{Self: vmID, Issuer: issuerID, Live: 2})
+	if again := p.vm.Request(server, p.vmView()); again.Used < used {
+		t.Errorf("after a failure %d are reported, want %d again", again.Used, used)
+	}
+}
--- a/fold/limit/play_test.go
+++ b/fold/limit/play_test.go
@@ -284,7 +284,7 @@
 		p.resumed(vm.id, func() {
 			if !answered {
 				answered = true
-				p.decide(vm, vm.limiter.Fail(p.clock(), issuer, p.server, p.view(vm)), true)
+				p.decide(vm, vm.limiter.Fail(p.clock(), issuer, q, p.view(vm)), true)
 			}
 		})
 	})
--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -147,7 +147,7 @@
 		return limit.Decision{Verdict: limit.Denied}
 	case err != nil:
 		n.Count("limits.issuersLost", 1)
-		d := n.limits.Fail(now, issuer, s, v)
+		d := n.limits.Fail(now, issuer, q, v)
 		n.limitLog(s).WithError(err).WithFields(logrus.Fields{
 			"issuer": issuer, "rate": d.Rate, "permit": d.Verdict == limit.Granted, "vms": v.Live, "lostVMs": v.Lost,
 		}).Warn("request for a permit failed; using the own share of the rate limit")
