--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -267,8 +267,6 @@
 		b.Pause = retry.Pause{}
 	case Failed, Unreachable:
 		b.Fail(now, minBackoff, maxBackoff)
-	case Rejected:
-		b.Until = now.Add(rejectionBackoff)
 	}
 }
 
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -127,9 +127,6 @@
 	// maxDomainBackoff for a domain.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
-	// rejectionBackoff is the back-off from a server that rejected a request
-	// for lack of capacity.
-	rejectionBackoff = 250 * time.Millisecond
 	// peerLoadTTL is how long the load report of another VM counts.
 	peerLoadTTL = 3 * time.Second
 	// reservationTTL is how long a reservation counts in addition to the VM's
