--- a/foldfake/meter/meter.go
+++ b/foldfake/meter/meter.go
@@ -1,5 +1,5 @@
-// Package meter counts the requests that a stand-in backend server gets, and names its
-// rate limit.
+// Package meter counts the requests that a stand-in backend server gets, and says in its
+// responses what the server says of itself.
 package meter
 
 import (
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// HeaderLimit is the header field in which a server names its rate limit.
-const HeaderLimit = "Fold-Rate-Limit"
+// Header fields in which a server says something of itself.
+const (
+	// HeaderLimit names its rate limit.
+	HeaderLimit = "Fold-Rate-Limit"
+	// HeaderLeaving says that it is shutting down.
+	HeaderLeaving = "Fold-Leaving"
+)
 
 // Meter counts the requests of one server. The zero value names no limit. It is safe for
 // concurrent use.
@@ -17,6 +22,10 @@
 	mu sync.Mutex
 	// limit is the value of HeaderLimit, empty if none is named.
 	limit string
+	// leaving is set if responses say that the server is leaving, and retryAfter is not
+	// empty if Wrap answers every request with status 503 and that Retry-After header.
+	leaving    bool
+	retryAfter string
 	// namedAt is when a limit was first named to a request, zero before.
 	namedAt time.Time
 	// arrivals holds when each request arrived, in this order.
@@ -53,8 +62,29 @@
 	return m.limit
 }
 
-// Wrap returns a handler that counts the requests of h and names the limit in its
-// responses. A nil Meter changes nothing.
+// Leave makes the responses of Wrap say that the server is leaving.
+func (m *Meter) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+}
+
+// TurnAway makes Wrap answer every request with status 503 and a Retry-After header. An
+// empty value ends that.
+func (m *Meter) TurnAway(retryAfter string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.retryAfter = retryAfter
+}
+
+func (m *Meter) statements() (leaving bool, retryAfter string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving, m.retryAfter
+}
+
+// Wrap returns a handler that counts the requests of h and says in its responses what the
+// Meter says of the server. A nil Meter changes nothing.
 func (m *Meter) Wrap(h http.Handler) http.Handler {
 	if m == nil {
 		return h
@@ -63,6 +93,15 @@
 		if limit := m.Arrive(); limit != "" {
 			w.Header().Set(HeaderLimit, limit)
 		}
+		leaving, retryAfter := m.statements()
+		if leaving {
+			w.Header().Set(HeaderLeaving, "1")
+		}
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -89,6 +128,19 @@
 	return most
 }
 
+// CountBetween returns the number of requests that arrived from one moment to another.
+func (m *Meter) CountBetween(from, to time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, at := range m.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // Count returns the number of requests that have arrived.
 func (m *Meter) Count() int {
 	m.mu.Lock()
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -28,6 +28,16 @@
 	headerResume    = "Fold-Resume"
 )
 
+// Part is a part of a response that has header fields.
+type Part string
+
+// The parts. Only a stream of events in chunks has a trailer.
+const (
+	Head          Part = "head"
+	Informational Part = "informational"
+	Trailer       Part = "trailer"
+)
+
 // Behaviour says how the server handles one request. The zero value answers with
 // status 200 and an empty body.
 type Behaviour struct {
@@ -59,6 +69,10 @@
 	Drop bool
 	// rateLimit is the rate limit that the response names, empty for none.
 	rateLimit string
+	// Leaving names the part of the response that says that the server is leaving, empty
+	// for none. RetryAfter is the value of the Retry-After header, empty for none.
+	Leaving    Part
+	RetryAfter string
 	// Endless, if set, answers with bytes without end in a part of the response, until the
 	// connection is closed.
 	Endless Endless
@@ -275,7 +289,7 @@
 		return false
 	case b.Crash:
 		s.countRun(id)
-		out := streamWriter{w: c, chunked: !b.CloseDelimited}
+		out := streamWriter{w: c, chunked: !b.CloseDelimited, behaviour: b}
 		_ = out.writeHead(id)
 		_ = out.write(Event(1)[:5])
 		s.Close()
@@ -321,7 +335,8 @@
 		b.Status = http.StatusOK
 	}
 	var head strings.Builder
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s", b.Status, http.StatusText(b.Status), headerRequestID, id, limitLine(b.rateLimit))
+	head.WriteString(b.informational())
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s", b.Status, http.StatusText(b.Status), headerRequestID, id, b.statements())
 	if b.NotRun {
 		fmt.Fprintf(&head, "%s: 1\r\n", headerNotRun)
 	}
@@ -354,7 +369,7 @@
 		s.mu.Unlock()
 		close(current.done)
 	}()
-	out := streamWriter{w: c, chunked: !b.CloseDelimited, rateLimit: b.rateLimit}
+	out := streamWriter{w: c, chunked: !b.CloseDelimited, behaviour: b}
 	if err := out.writeHead(id); err != nil {
 		return false
 	}
@@ -397,17 +412,34 @@
 type streamWriter struct {
 	w       io.Writer
 	chunked bool
-	// rateLimit is the rate limit that the head names, empty for none.
-	rateLimit string
+	// behaviour holds what the server says of itself.
+	behaviour Behaviour
 }
 
-// limitLine returns the header line that names a rate limit, or an empty string if there
-// is none.
-func limitLine(limit string) string {
-	if limit == "" {
+const leavingLine = meter.HeaderLeaving + ": 1\r\n"
+
+// statements returns the header lines by which the server says something of itself.
+func (b *Behaviour) statements() string {
+	var lines string
+	if b.rateLimit != "" {
+		lines += meter.HeaderLimit + ": " + b.rateLimit + "\r\n"
+	}
+	if b.Leaving == Head {
+		lines += leavingLine
+	}
+	if b.RetryAfter != "" {
+		lines += "Retry-After: " + b.RetryAfter + "\r\n"
+	}
+	return lines
+}
+
+// informational returns the informational response before the response itself, or an empty
+// string if there is none.
+func (b *Behaviour) informational() string {
+	if b.Leaving != Informational {
 		return ""
 	}
-	return meter.HeaderLimit + ": " + limit + "\r\n"
+	return "HTTP/1.1 103 Early Hints\r\n" + leavingLine + "\r\n"
 }
 
 func (s streamWriter) writeHead(id string) error {
@@ -415,7 +447,10 @@
 	if s.chunked {
 		transferEncoding = "Transfer-Encoding: chunked\r\n"
 	}
-	_, err := fmt.Fprintf(s.w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n%s\r\n", headerRequestID, id, limitLine(s.rateLimit), transferEncoding)
+	if s.behaviour.Leaving == Trailer {
+		transferEncoding += "Trailer: " + meter.HeaderLeaving + "\r\n"
+	}
+	_, err := fmt.Fprintf(s.w, "%sHTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n%s\r\n", s.behaviour.informational(), headerRequestID, id, s.behaviour.statements(), transferEncoding)
 	return err
 }
 
@@ -427,12 +462,16 @@
 	return err
 }
 
-// writeEnd writes the final chunk.
+// writeEnd writes the final chunk and the trailer.
 func (s streamWriter) writeEnd() error {
 	if !s.chunked {
 		return nil
 	}
-	_, err := io.WriteString(s.w, "0\r\n\r\n")
+	trailer := ""
+	if s.behaviour.Leaving == Trailer {
+		trailer = leavingLine
+	}
+	_, err := io.WriteString(s.w, "0\r\n"+trailer+"\r\n")
 	return err
 }
 
