Limit, relay, gate: what servers say of themselves decides what is sent to them

A server that says in its responses that it is leaving got new requests from the VM that had passed them on, and one that turned a request away with Retry-After dozens within that time. Cause: only the announcement said that a server leaves, and Retry-After of servers was not read. Change: fold/limit, which decides at the moment of the send, now also holds the servers that have said that they are leaving (until a new start of the server, whatever other VMs report and however long it is silent) and cooldowns (at most two requests, for runs in progress). Heads, errors, rejections, informational responses, trailers, replies to copies and frees count, and the own interface's calls and generations. Requests exclude servers in a cooldown when they ask for a placement, so the placement VM offers another. If no server is left they are rejected at once as not run with the end of the soonest cooldown. A Retry-After that is no number of seconds is ignored with a log line; over 5 minutes counts as 5 minutes. Generations are refused at once if all engines leave (they waited).

--- a/fold/limit/limiter.go
+++ b/fold/limit/limiter.go
@@ -65,12 +65,21 @@
 // DeniedError is the error of a request that got no permit and was not sent.
 type DeniedError struct {
 	Server Server
-	Rate   Rate
-	// RetryAfter is the time until there will be a permit again.
+	Cause  Cause
+	// Rate is the limit if Cause is RateLimit.
+	Rate Rate
+	// RetryAfter is the time until there will be a permit again, zero if there won't be
+	// one.
 	RetryAfter time.Duration
 }
 
 func (e *DeniedError) Error() string {
+	switch e.Cause {
+	case Leaving:
+		return fmt.Sprintf("backend server %s has said that it is leaving", e.Server.ID)
+	case Cooldown:
+		return fmt.Sprintf("backend server %s wants no request for another %v", e.Server.ID, e.RetryAfter)
+	}
 	return fmt.Sprintf("backend server %s takes %v requests a second and has its share", e.Server.ID, e.Rate)
 }
 
@@ -80,6 +89,8 @@
 	// Issuer is the VM to ask, with Ask, or the one that has answered, empty if the VM
 	// itself has decided.
 	Issuer string
+	// Cause is why the verdict is Denied.
+	Cause Cause
 	// Rate is the limit. It is not set with Free.
 	Rate Rate
 	// RetryAfter is the time until there will be a permit again, with Denied.
@@ -114,7 +125,11 @@
 	Entry Entry
 }
 
-// Limiter is one VM's part in keeping to the limits of servers. The VMs agree on one of
+// Limiter decides whether a request may be sent to a server, by what the server has said
+// of itself in its responses: that it is leaving, that it wants no request for some time,
+// and its rate limit.
+//
+// It is one VM's part in keeping to the rate limits. The VMs agree on one of
 // them for each service, the issuer, which issues a permit for each request to a server
 // with a limit. A VM that can't reach the issuer uses a share of the limit that is its
 // own. The zero value is ready to use. A Limiter is not safe for concurrent use.
@@ -123,7 +138,9 @@
 	// Random returns a random number in [0, 1). Nil means 0.
 	Random func() float64
 
-	issuer issuer
+	issuer     issuer
+	departures departures
+	cooldowns  cooldowns
 	// deniedUntil holds when to ask again for a server, by server ID.
 	deniedUntil map[string]time.Time
 	// lostIssuers holds the VMs that have not answered, by ID.
@@ -381,6 +398,7 @@
 // when the VM was paused.
 func (l *Limiter) Tick(now time.Time) {
 	l.Expire(now)
+	l.cooldowns.expire(now)
 	l.settled(now)
 	l.lastTick = now
 }
--- a/fold/sched/sched.go
+++ b/fold/sched/sched.go
@@ -64,7 +64,8 @@
 type Reason int
 
 const (
-	// ReasonNoBackend means that no backend server for the model is live.
+	// ReasonNoBackend means that no backend server for the model is live, or that all are
+	// leaving.
 	ReasonNoBackend Reason = iota
 	// ReasonOverload means that the request can't be served within its target.
 	ReasonOverload
@@ -259,19 +260,20 @@
 	s.enqueue(it)
 }
 
-// unservable reports whether no live backend server can take the request, and the
-// reason.
+// unservable reports whether no live backend server that isn't leaving can take the
+// request, and the reason.
 func (s *Scheduler) unservable(r *Request) (Reason, bool) {
-	list := s.byModel[r.Model]
-	if len(list) == 0 {
-		return ReasonNoBackend, true
-	}
-	for _, e := range list {
+	reason := ReasonNoBackend
+	for _, e := range s.byModel[r.Model] {
+		if e.info.Leaving {
+			continue
+		}
 		if r.PromptTokens < e.info.MemoryTokens {
 			return 0, false
 		}
+		reason = ReasonTooLarge
 	}
-	return ReasonTooLarge, true
+	return reason, true
 }
 
 func (s *Scheduler) policy(r *Request) *Policy {
--- a/fold/sched/sched_test.go
+++ b/fold/sched/sched_test.go
@@ -406,3 +406,18 @@
 		}
 	}
 }
+
+// TestRefusesWhenAllEnginesLeave guards against requests that wait for engines that are
+// all leaving.
+func TestRefusesWhenAllEnginesLeave(t *testing.T) {
+	s := New(Options{Domain: "a"})
+	b := member.Backend{ID: "e", Kind: spec.KindEngine, Model: "m", Domain: "a", MemoryTokens: 1000, Slots: 4, Epoch: 1}
+	s.UpdateBackend(epoch, b)
+	b.Leaving = true
+	s.UpdateBackend(epoch, b)
+	s.Submit(epoch, &Request{ID: 1, Model: "m", PromptTokens: 10})
+	_, refused := s.Poll(epoch)
+	if len(refused) != 1 || refused[0].Reason != ReasonNoBackend {
+		t.Errorf("refusals %+v, want one for lack of an engine", refused)
+	}
+}
--- a/foldctl/report/day.go
+++ b/foldctl/report/day.go
@@ -147,7 +147,7 @@
 		s.Moves++
 	case "move step failed":
 		s.FailedMoves++
-	case "no permit for a backend server with a rate limit":
+	case "no permit for a backend server":
 		s.Denials++
 		vm.Limited++
 	}
--- a/foldctl/report/report_test.go
+++ b/foldctl/report/report_test.go
@@ -13,7 +13,7 @@
    2.1000 entry-2 {"level":"info","msg":"server chosen","full":true,"memoryPercent":97,"time":"2026-12-04T10:00:02Z"}
    2.2000 entry-2 {"level":"warning","msg":"move step failed","time":"2026-12-04T10:00:02Z"}
 panic: not a log line
-   2.3000 entry-2 {"level":"info","msg":"no permit for a backend server with a rate limit","time":"2026-12-04T10:00:02Z"}
+   2.3000 entry-2 {"level":"info","msg":"no permit for a backend server","time":"2026-12-04T10:00:02Z"}
 `
 
 func TestRead(t *testing.T) {
--- a/foldd/app/leaving_test.go
+++ b/foldd/app/leaving_test.go
@@ -94,10 +94,10 @@
 				t.Errorf("a server that turned a request away for %v got %d more within that time", named, got)
 			}
 			m.TurnAway("")
-			time.Sleep(settle)
-			if i.send(r); r.statuses[http.StatusOK] == 0 {
-				t.Errorf("statuses %v: the server gets no request after the time that it named", r.statuses)
-			}
+			waitFor(t, "the server to get a request again", func() bool {
+				i.send(r)
+				return r.statuses[http.StatusOK] > 0
+			})
 		})
 	}
 }
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -233,8 +233,12 @@
 	return g.stream.GenerationLost(id), nil
 }
 
-// maxDenials bounds the engines for which a generation gets no permit.
-const maxDenials = 8
+const (
+	// maxDenials bounds the engines for which a generation gets no permit.
+	maxDenials = 8
+	// minRetryAfter is the shortest time after which the caller may then retry.
+	minRetryAfter = time.Second
+)
 
 // deniedFault returns the fault for a generation that got no permit for an engine with a
 // rate limit, or nil if another engine may take it.
@@ -243,7 +247,7 @@
 		return fault.FromRateLimit(retryAfter)
 	}
 	if g.denials >= maxDenials {
-		return fault.FromRateLimit(denied.RetryAfter)
+		return fault.FromRateLimit(max(denied.RetryAfter, minRetryAfter))
 	}
 	return nil
 }
--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -76,10 +76,10 @@
 	return NotRun(http.StatusServiceUnavailable, Quarantined, message).WithRetryAfter(q.RetryAfter)
 }
 
-// FromRateLimit returns the error for a request whose only servers left have a rate limit
-// and take no further request for now.
+// FromRateLimit returns the error for a request whose only servers left take no further
+// request for now, because of a rate limit or because they said so.
 func FromRateLimit(retryAfter time.Duration) *Fault {
-	return NotRun(http.StatusServiceUnavailable, RateLimited, "the backend servers left have a rate limit and take no further request now").WithRetryAfter(retryAfter)
+	return NotRun(http.StatusServiceUnavailable, RateLimited, "the backend servers left take no further request now, as they have said").WithRetryAfter(retryAfter)
 }
 
 // Body returns the JSON form of the fault, with the number of tokens that were
--- a/foldd/gate/gate.go
+++ b/foldd/gate/gate.go
@@ -1,10 +1,13 @@
-// Package gate keeps HTTP requests to backend servers within the rate limits that the
-// servers name in their responses.
+// Package gate keeps HTTP requests to backend servers within what the servers say of
+// themselves in their responses, such as a rate limit.
 package gate
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/rotisserie/eris"
 
@@ -17,7 +20,7 @@
 var errNoBackend = eris.New("the request is for no backend server")
 
 // Transport sends a request once there is a permit for it, and records what the response
-// says of its server's rate limit. The context of a request must be one of WithBackend.
+// says of its server. The context of a request must be one of WithBackend.
 // Without a permit, nothing is sent and the error is a *limit.DeniedError.
 type Transport struct {
 	Node *node.Node
@@ -48,17 +51,48 @@
 		closeBody(r)
 		return nil, err
 	}
-	res, err := t.Base.RoundTrip(r)
+	var informational []http.Header
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			informational = append(informational, http.Header(h))
+			return nil
+		},
+	})
+	res, err := t.Base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	codec := relay.DefaultCodec()
-	if reply := codec.ParseReply(res.StatusCode, res.Header); reply.SaysLimit(res.StatusCode) {
+	reply := codec.ParseReply(res.StatusCode, res.Header)
+	if reply.SaysLimit(res.StatusCode) {
 		t.Node.ObserveLimit(to.backend, reply.Limit)
 	}
+	relay.ObserveReply(t.Node, to.backend, reply)
+	for _, h := range informational {
+		relay.ObserveFields(t.Node, to.backend, &codec, reply, h)
+	}
+	res.Body = &trailerReader{ReadCloser: res.Body, response: res, observe: func(h http.Header) {
+		relay.ObserveFields(t.Node, to.backend, &codec, reply, h)
+	}}
 	return res, nil
 }
 
+// trailerReader reads the body of a response, and calls observe with its trailer.
+type trailerReader struct {
+	io.ReadCloser
+	response *http.Response
+	observe  func(http.Header)
+}
+
+// Read implements io.Reader.
+func (t *trailerReader) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	if err == io.EOF && len(t.response.Trailer) > 0 {
+		t.observe(t.response.Trailer)
+	}
+	return n, err
+}
+
 // closeBody closes the body of a request that is not sent.
 func closeBody(r *http.Request) {
 	if r.Body != nil {
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -38,6 +38,9 @@
 	n.mu.Lock()
 	now := time.Now()
 	change := n.table.Merge(now, u, from)
+	if current, ok := n.table.Get(u.ID); ok && n.keepLeaving(now, current) {
+		change = member.Changed
+	}
 	b, present := n.table.Get(u.ID)
 	if (change == member.Refreshed || change == member.Changed) && present && b.Kind == spec.KindEngine {
 		n.eachScheduler(func(s *sched.Scheduler) {
@@ -160,16 +163,15 @@
 }
 
 // AcquireBackend chooses a backend server of a plain service, passing over those
-// in exclude and those that take no further request for now because of their rate
-// limit, and counts a call in flight to it; the caller must call
+// in exclude and those that take no further request for now because of a rate limit or
+// a cooldown, and counts a call in flight to it; the caller must call
 // ReleaseBackend when the call ends. It prefers servers in the local failure
 // domain, then those with the fewest calls in flight. It returns false if no
 // server is left.
 func (n *Node) AcquireBackend(service string, exclude []string) (member.Backend, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	limited, _ := n.withoutPermits(time.Now(), service, "")
-	exclude = slices.Concat(exclude, limited)
+	exclude = slices.Concat(exclude, n.withheldServers(time.Now(), service, "", true).ids)
 	var best member.Backend
 	found := false
 	for _, b := range n.table.Live() {
--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -68,11 +68,22 @@
 
 func serverOf(b member.Backend) limit.Server { return limit.Server{ID: b.ID, Epoch: b.Epoch} }
 
+// use returns what a request with the purpose is for.
+func (p Purpose) use() limit.Use {
+	switch p {
+	case FirstSend, Retry:
+		return limit.Begin
+	case FreeCopy, CancelRun:
+		return limit.CleanUp
+	}
+	return limit.Continue
+}
+
 // AcquirePermit decides whether a request may be sent to a backend server now. If the
 // server has a rate limit, it asks the issuer of its service. The error is a
 // *limit.DeniedError if there is no permit.
 func (n *Node) AcquirePermit(ctx context.Context, b member.Backend, p Purpose) (limit.Decision, error) {
-	d := n.checkPermit(b)
+	d := n.checkPermit(b, p)
 	for redirected := false; d.Verdict == limit.Ask; redirected = true {
 		d = n.askPermit(ctx, b, d.Issuer, redirected)
 	}
@@ -81,15 +92,23 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
+	// The server may have said something while the issuer was asked.
+	if withheld, ok := n.limits.Withhold(now, serverOf(b), p.use()); ok {
+		d = withheld
+	}
 	switch d.Verdict {
 	case limit.Granted:
 		n.Count("limits.sent."+string(p), 1)
 		n.limits.sendsTo(b).counts[p]++
 	case limit.Denied:
-		n.Count("limits.denied", 1)
-		n.limits.sendsTo(b).denied++
-		return d, &limit.DeniedError{Server: serverOf(b), Rate: d.Rate, RetryAfter: d.RetryAfter}
+		n.Count("limits.denied."+d.Cause.String(), 1)
+		if d.Cause == limit.RateLimit {
+			n.limits.sendsTo(b).denied++
+		}
+		return d, &limit.DeniedError{Server: serverOf(b), Cause: d.Cause, Rate: d.Rate, RetryAfter: d.RetryAfter}
 	}
+	n.limits.Sending(now, serverOf(b))
 	if d.OwnShare {
 		n.Count("limits.ownShare", 1)
 	}
@@ -100,7 +119,7 @@
 func (n *Node) AwaitPermit(ctx context.Context, b member.Backend, p Purpose) error {
 	for {
 		d, err := n.AcquirePermit(ctx, b, p)
-		if d.Verdict != limit.Denied {
+		if d.Verdict != limit.Denied || d.Cause == limit.Leaving {
 			return err
 		}
 		select {
@@ -111,14 +130,16 @@
 	}
 }
 
-func (n *Node) checkPermit(b member.Backend) limit.Decision {
+func (n *Node) checkPermit(b member.Backend, p Purpose) limit.Decision {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := serverOf(b)
+	s, now := serverOf(b), time.Now()
+	if d, withheld := n.limits.Withhold(now, s, p.use()); withheld {
+		return d
+	}
 	if _, limited := n.limits.Rate(s); !limited {
 		return limit.Decision{}
 	}
-	now := time.Now()
 	return n.limits.Check(now, s, n.limitView(now, b.Service))
 }
 
@@ -181,50 +202,72 @@
 	}
 }
 
-// withoutPermits returns the servers of a service that get no further request for now,
-// other than stay, and the time until the first of them does. The caller holds the lock.
-func (n *Node) withoutPermits(now time.Time, service, stay string) (ids []string, wait time.Duration) {
-	if n.limits.Empty() {
-		return nil, 0
+// withheld holds the servers of a service that get no request for now.
+type withheld struct {
+	ids []string
+	// wait is the time until the first of them gets one. cause is why it gets none yet.
+	wait  time.Duration
+	cause limit.Cause
+}
+
+func (w *withheld) add(id string, wait time.Duration, cause limit.Cause) {
+	if len(w.ids) == 0 || wait < w.wait {
+		w.wait, w.cause = wait, cause
+	}
+	w.ids = append(w.ids, id)
+}
+
+// withheldServers returns the servers of a service, other than stay, that get no request
+// for now: those without a permit, and, for the requests of this VM, those in a cooldown.
+// The caller holds the lock.
+func (n *Node) withheldServers(now time.Time, service, stay string, own bool) withheld {
+	var out withheld
+	if n.limits.Idle() {
+		return out
 	}
 	v := n.limitView(now, service)
 	for _, b := range n.table.OfService(service) {
-		w, exhausted := n.limits.Exhausted(now, serverOf(b), v)
-		if !exhausted || b.ID == stay {
+		if b.ID == stay || b.Leaving {
 			continue
 		}
-		if len(ids) == 0 || w < wait {
-			wait = w
+		wait, cooling := n.limits.Cooldown(now, serverOf(b))
+		if cooling && own {
+			out.add(b.ID, wait, limit.Cooldown)
+			continue
+		}
+		if wait, exhausted := n.limits.Exhausted(now, serverOf(b), v); exhausted {
+			out.add(b.ID, wait, limit.RateLimit)
 		}
-		ids = append(ids, b.ID)
 	}
-	return ids, wait
+	return out
 }
 
-// limitedChoice returns the choice for a request for which only servers without permits
-// are left, wait being the time until the first has one, and counts it as rejected. The
-// caller holds the lock.
-func (n *Node) limitedChoice(now time.Time, service string, wait time.Duration) place.Choice {
+// limitedChoice returns the choice for a request for which only withheld servers are left,
+// and counts it as rejected. The caller holds the lock.
+func (n *Node) limitedChoice(now time.Time, service string, w withheld) place.Choice {
+	if w.cause == limit.Cooldown {
+		return place.Choice{Limited: true, RetryAfter: w.wait}
+	}
 	b := n.limits.backlogs[service]
 	if b == nil {
 		b = &limit.Backlog{}
 		n.limits.backlogs[service] = b
 	}
-	return place.Choice{Limited: true, RetryAfter: b.Reject(now, wait)}
+	return place.Choice{Limited: true, RetryAfter: b.Reject(now, w.wait)}
 }
 
-// RejectLimited reports whether all servers of a service, other than those excluded, have
-// a rate limit and take no further request for now. It then counts a request as rejected,
+// RejectLimited reports whether all servers of a service, other than those excluded, take
+// no further request for now, because of a rate limit or a cooldown. It then counts a request as rejected,
 // and returns the time after which it may come back.
 func (n *Node) RejectLimited(service string, exclude []string) (time.Duration, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	ids, wait := n.withoutPermits(now, service, "")
-	if !n.hasOtherServer(service, exclude) || n.hasOtherServer(service, slices.Concat(exclude, ids)) {
+	w := n.withheldServers(now, service, "", true)
+	if !n.hasOtherServer(service, exclude) || n.hasOtherServer(service, slices.Concat(exclude, w.ids)) {
 		return 0, false
 	}
-	return n.limitedChoice(now, service, wait).RetryAfter, true
+	return n.limitedChoice(now, service, w).RetryAfter, true
 }
 
 // hasOtherServer reports whether a service has a server besides the given ones. The caller
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -57,7 +57,7 @@
 // are placed locally.
 func (n *Node) Place(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
 	excluded := r.Exclude
-	wait := n.excludeLimited(service, &r)
+	withheld := n.excludeWithheld(service, &r, true)
 	if c, ok := n.placeRemotely(ctx, service, r); ok {
 		return c, true
 	}
@@ -67,7 +67,7 @@
 	r.Random = n.random.Float64()
 	c, ok := n.placer.Pick(now, n.candidates(service), r)
 	if !ok && n.hasOtherServer(service, excluded) {
-		return n.limitedChoice(now, service, wait), true
+		return n.limitedChoice(now, service, withheld), true
 	}
 	if !ok {
 		return c, false
@@ -84,18 +84,18 @@
 	return c, true
 }
 
-// excludeLimited excludes the servers that get no request for now because of their rate
-// limit, and returns the time until the first of them does.
-func (n *Node) excludeLimited(service string, r *place.Request) time.Duration {
+// excludeWithheld excludes and returns the servers that get no request for now. own is set
+// for a request of this VM.
+func (n *Node) excludeWithheld(service string, r *place.Request, own bool) withheld {
 	stay := ""
 	if r.Copy != nil && r.Copy.MayStay {
 		stay = r.Copy.Source
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	ids, wait := n.withoutPermits(time.Now(), service, stay)
-	r.Exclude = slices.Concat(r.Exclude, ids)
-	return wait
+	w := n.withheldServers(time.Now(), service, stay, own)
+	r.Exclude = slices.Concat(r.Exclude, w.ids)
+	return w
 }
 
 // logPlacement logs the choice of a server for a run of the VM from, with the
@@ -202,7 +202,7 @@
 // placement, chooses a server and reserves room there.
 func (n *Node) HandlePlacement(req PlacementRequest) PlacementResponse {
 	if req.Request != nil {
-		n.excludeLimited(req.Service, req.Request)
+		n.excludeWithheld(req.Service, req.Request, false)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -77,6 +77,11 @@
 	WrongInstance bool
 	// Limit is what the response says of the server's rate limit.
 	Limit limit.Statement
+	// Leaving is set if the server says that it is leaving (shutting down).
+	Leaving bool
+	// RetryAfter is set if the server has turned the request away (status 503) and says
+	// for how long it wants no further one.
+	RetryAfter limit.RetryAfter
 }
 
 // SaysLimit reports whether a response with the given status says something of its
@@ -113,6 +118,7 @@
 	headerResume    = "Fold-Resume"
 	headerNotRun    = "Fold-Not-Run"
 	headerRateLimit = "Fold-Rate-Limit"
+	headerLeaving   = "Fold-Leaving"
 	headerLastEvent = "Last-Event-Id"
 )
 
@@ -193,5 +199,19 @@
 		NotRun:        h.Get(headerNotRun) != "",
 		WrongInstance: status == http.StatusMisdirectedRequest,
 		Limit:         limit.ParseStatement(h[headerRateLimit]),
+		Leaving:       ParseFlag(h.Get(headerLeaving)),
+		RetryAfter:    ParseRetryAfter(status, h),
 	}
 }
+
+// ParseFlag parses a header field that is "1" if it holds.
+func ParseFlag(text string) bool { return strings.TrimSpace(text) == "1" }
+
+// ParseRetryAfter parses the Retry-After field of a response, which counts only with
+// status 503.
+func ParseRetryAfter(status int, h http.Header) limit.RetryAfter {
+	if status != http.StatusServiceUnavailable {
+		return limit.RetryAfter{}
+	}
+	return limit.ParseRetryAfter(h["Retry-After"])
+}
--- a/foldd/relay/limit_test.go
+++ b/foldd/relay/limit_test.go
@@ -44,7 +44,7 @@
 	b := r.backend("b", "models", behave)
 	mover := newMover(a, b)
 	move, copies := mover.Copy, atomic.Int64{}
-	mover.Copy = func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, error) {
+	mover.Copy = func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, relay.Reply, error) {
 		copies.Add(1)
 		return move(ctx, source, id, target, stop)
 	}
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -35,10 +35,12 @@
 type Mover struct {
 	// Copy copies the part of a run's memory that was not copied before to
 	// another engine. If stop is set, the run is stopped first. Copy returns the
-	// handle by which the run can be resumed.
-	Copy func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (handle string, err error)
-	// Free frees the memory of a copy at the source and at the target.
-	Free func(ctx context.Context, source netip.AddrPort, handle string) error
+	// handle by which the run can be resumed, and the reply of the source, which is zero if
+	// there is none.
+	Copy func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (handle string, r Reply, err error)
+	// Free frees the memory of a copy at the source and at the target. It returns the
+	// reply of the source.
+	Free func(ctx context.Context, source netip.AddrPort, handle string) (Reply, error)
 }
 
 // move is the final step of a run's move: the run is stopped, and the rest of
--- a/foldd/relay/move_test.go
+++ b/foldd/relay/move_test.go
@@ -20,24 +20,24 @@
 // run at its source.
 func newMover(engines ...*origin.Server) *relay.Mover {
 	return &relay.Mover{
-		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, error) {
+		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, relay.Reply, error) {
 			for _, e := range engines {
 				if e.Addr() != source {
 					continue
 				}
 				if !stop {
 					if !e.Running(id) {
-						return "", relay.ErrRunNotFound
+						return "", relay.Reply{}, relay.ErrRunNotFound
 					}
-					return "copy", nil
+					return "copy", relay.Reply{}, nil
 				}
 				if _, ok := e.StopRun(id); ok {
-					return "last", nil
+					return "last", relay.Reply{}, nil
 				}
 			}
-			return "", relay.ErrRunNotFound
+			return "", relay.Reply{}, relay.ErrRunNotFound
 		},
-		Free: func(context.Context, netip.AddrPort, string) error { return nil },
+		Free: func(context.Context, netip.AddrPort, string) (relay.Reply, error) { return relay.Reply{}, nil },
 	}
 }
 
@@ -115,9 +115,9 @@
 	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: 100, Hold: release, HoldAt: 5}))
 	var releaseOnce sync.Once
 	r.relay.Mover = &relay.Mover{
-		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, error) {
+		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, relay.Reply, error) {
 			releaseOnce.Do(func() { close(release) })
-			return "", errors.New("injected copy failure")
+			return "", relay.Reply{}, errors.New("injected copy failure")
 		},
 	}
 	done := make(chan error)
@@ -195,7 +195,7 @@
 	var order sync.Map
 	var copies atomic.Int32
 	r.relay.Mover = &relay.Mover{
-		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, error) {
+		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, relay.Reply, error) {
 			if !stop {
 				order.Store(id, copies.Add(1))
 			}
@@ -280,9 +280,9 @@
 	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: 5, Hold: release, HoldAt: 0}))
 	var copies atomic.Int32
 	r.relay.Mover = &relay.Mover{
-		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, error) {
+		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, relay.Reply, error) {
 			copies.Add(1)
-			return "", relay.ErrRunNotFound
+			return "", relay.Reply{}, relay.ErrRunNotFound
 		},
 	}
 	conn, _ := r.sendRaw("POST /draft/x HTTP/1.1\r\nHost: h.example\r\nFold-Request-Id: 1\r\nAuthorization: Bearer key\r\nFold-Prompt-Tokens: 10\r\nContent-Length: 0\r\n\r\n")
--- a/foldd/relay/send.go
+++ b/foldd/relay/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,22 +16,48 @@
 )
 
 // exchange sends the request to a backend server once there is a permit for it, and
-// records what the response says of the server's rate limit. resume is nil unless the
-// request continues a run.
+// records what the response says of the server. resume is nil unless the request continues
+// a run.
 func (q *request) exchange(ctx context.Context, b backend, p node.Purpose, resume *Resume) (*pool.Response, error) {
+	codec := &q.relay.Codec
+	var reply Reply
 	r := q.backendRequest(b, resume)
 	r.Admit = func(ctx context.Context) error { return q.acquirePermit(ctx, b, p) }
+	r.OnTrailer = func(trailer http.Header) { ObserveFields(q.relay.Node, b, codec, reply, trailer) }
 	res, err := q.relay.Pool.Do(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	reply := q.relay.Codec.ParseReply(res.Status, res.Header)
+	reply = codec.ParseReply(res.Status, res.Header)
+	for _, h := range res.Informational {
+		ObserveFields(q.relay.Node, b, codec, reply, h)
+	}
 	if reply.SaysLimit(res.Status) {
 		q.relay.Node.ObserveLimit(b, reply.Limit)
 	}
+	ObserveReply(q.relay.Node, b, reply)
 	return res, nil
 }
 
+// ObserveReply records what a response says of its server, other than its rate limit.
+func ObserveReply(n *node.Node, b backend, r Reply) {
+	if r.WrongInstance {
+		return
+	}
+	if r.Leaving {
+		n.ObserveLeaving(b)
+	}
+	n.ObserveRetryAfter(b, r.RetryAfter)
+}
+
+// ObserveFields records what header fields besides the head of a response say of its
+// server: those of an informational response, or its trailer. r is the response.
+func ObserveFields(n *node.Node, b backend, codec *Codec, r Reply, h http.Header) {
+	if !r.WrongInstance && codec.ParseReply(http.StatusContinue, h).Leaving {
+		n.ObserveLeaving(b)
+	}
+}
+
 // resumePermitTimeout bounds the wait for the permit to resume a run, whose stream stands
 // still meanwhile.
 const resumePermitTimeout = 2 * time.Second
@@ -60,8 +87,9 @@
 	}
 	q.denials++
 	q.relay.Node.Log.WithFields(logrus.Fields{
-		"request": q.params.ID, "backend": d.Server.ID, "rate": d.Rate, "waitMs": d.RetryAfter.Milliseconds(), "ms": sinceArrival(q).Milliseconds(),
-	}).Info("no permit for a backend server with a rate limit")
+		"request": q.params.ID, "backend": d.Server.ID, "cause": d.Cause.String(), "rate": d.Rate, "waitMs": d.RetryAfter.Milliseconds(),
+		"ms": sinceArrival(q).Milliseconds(),
+	}).Info("no permit for a backend server")
 	return true
 }
 
@@ -79,7 +107,9 @@
 	if err := x.Node.AwaitPermit(ctx, from, node.CopyRun); err != nil {
 		return "", fmt.Errorf("copy run: %w", err)
 	}
-	return x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, stop)
+	handle, reply, err := x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, stop)
+	ObserveReply(x.Node, from, reply)
+	return handle, err
 }
 
 // freeTimeout bounds the call that frees a copy.
@@ -91,7 +121,9 @@
 	defer cancel()
 	err := x.Node.AwaitPermit(ctx, source, node.FreeCopy)
 	if err == nil {
-		err = x.Mover.Free(ctx, source.Addr, handle)
+		var reply Reply
+		reply, err = x.Mover.Free(ctx, source.Addr, handle)
+		ObserveReply(x.Node, source, reply)
 	}
 	if err != nil {
 		x.Node.Log.WithError(err).WithField("handle", handle).Warn("freeing the copy of a run failed")
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -143,12 +143,12 @@
 	r, a, b, result := startHeldStream(t, origin.Behaviour{})
 	inner := newMover(a, b)
 	r.relay.Mover = &relay.Mover{
-		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, error) {
-			handle, err := inner.Copy(ctx, source, id, target, stop)
+		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, relay.Reply, error) {
+			handle, reply, err := inner.Copy(ctx, source, id, target, stop)
 			if stop {
-				return "", errors.New("injected loss of the response")
+				return "", relay.Reply{}, errors.New("injected loss of the response")
 			}
-			return handle, err
+			return handle, reply, err
 		},
 		Free: inner.Free,
 	}
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -32,6 +32,9 @@
 	// Admit, if not nil, is called once there is a connection, before the first byte is
 	// sent. If it returns an error, nothing is sent.
 	Admit func(context.Context) error
+	// OnTrailer, if not nil, is called with the trailer fields, if there are any, once the
+	// body has been read to its end.
+	OnTrailer func(http.Header)
 }
 
 // Response is a response whose body has not been read yet. The caller must close
@@ -45,6 +48,8 @@
 	// Framing says what marks the end of Body.
 	Framing Framing
 	Body    io.ReadCloser
+	// Informational holds the headers of the informational (1xx) responses before it.
+	Informational []http.Header
 }
 
 // errNoMatchingResponse reports a connection that delivered only responses to
@@ -105,6 +110,8 @@
 	sent            bool
 	responseStarted bool
 	body            io.ReadCloser
+	// response is the response that body belongs to.
+	response *http.Response
 	// reuse is set if the server keeps the connection open after the response.
 	reuse bool
 	// ended is set by end.
@@ -144,25 +151,30 @@
 
 // receive reads responses until one matches the request.
 func (x *exchange) receive() (*Response, error) {
+	var informational []http.Header
 	for range maxSkipped {
 		res, err := x.conn.readHead(x.request.Method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
+		matches := x.request.Matches == nil || x.request.Matches(res.Header)
 		if res.StatusCode < http.StatusOK {
+			if matches {
+				informational = append(informational, res.Header)
+			}
 			continue
 		}
-		if x.request.Matches != nil && !x.request.Matches(res.Header) {
+		if !matches {
 			if err := skip(res); err != nil {
 				return nil, err
 			}
 			continue
 		}
 		x.responseStarted = true
-		x.body = res.Body
+		x.body, x.response = res.Body, res
 		x.reuse = !res.Close
 		x.conn.keepAlive = keepAliveTimeout(res.Header)
-		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Framing: framingOf(res), Body: (*body)(x)}, nil
+		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Framing: framingOf(res), Body: (*body)(x), Informational: informational}, nil
 	}
 	return nil, errNoMatchingResponse
 }
@@ -236,6 +248,9 @@
 	n, err := b.body.Read(p)
 	switch {
 	case err == io.EOF:
+		if b.request.OnTrailer != nil && len(b.response.Trailer) > 0 {
+			b.request.OnTrailer(b.response.Trailer)
+		}
 		(*exchange)(b).end(true)
 	case err != nil:
 		(*exchange)(b).end(false)
