--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,8 +21,9 @@
 	// not leaving in a summary for another failure domain. Direct updates are
 	// not counted.
 	SummaryPerModel = 4
-	// maxSampledPeers is the largest number of other VMs in one message.
-	maxSampledPeers = 8
+	// peerRetention is how long the last report of a VM that is not live is kept. Until
+	// then, late reports of it are told from new ones.
+	peerRetention = 10 * time.Minute
 )
 
 // Peer is one VM of the system.
@@ -35,6 +35,9 @@
 	// Epoch is when the VM's process started, by its own clock, in nanoseconds
 	// since the Unix epoch. It grows with each start.
 	Epoch uint64
+	// Seq grows with each heartbeat of the VM within an epoch. A relayed report counts
+	// only if its Seq is higher than the last one.
+	Seq uint64
 	// Revision is the revision of the VM's configuration.
 	Revision uint64
 	Draining bool
@@ -68,6 +71,33 @@
 	// urgent updates to each peer itself instead of relying on relays.
 	MaxDirectPeers int
 	peers          map[string]*peerRecord
+	// beatAt is the time of this VM's last heartbeat.
+	beatAt time.Time
+	// live is nil if the set of live VMs, or what a digest covers of them, may have
+	// changed since it was computed.
+	live *liveIndex
+}
+
+// SetDraining records whether this VM is draining.
+func (g *Group) SetDraining(now time.Time, draining bool) {
+	if draining == g.Self.Draining {
+		return
+	}
+	g.Self.Draining = draining
+	g.live = nil
+	g.beat(now)
+}
+
+// Beat begins the next heartbeat of this VM if the last one was ExchangeInterval ago.
+func (g *Group) Beat(now time.Time) {
+	if g.beatAt.IsZero() || now.Sub(g.beatAt) >= ExchangeInterval {
+		g.beat(now)
+	}
+}
+
+func (g *Group) beat(now time.Time) {
+	g.Self.Seq++
+	g.beatAt = now
 }
 
 // ReceiveDirect applies a direct report, which a VM sent about itself. It ignores
@@ -78,7 +108,7 @@
 		return
 	}
 	r := g.peers[p.ID]
-	if r != nil && p.Epoch < r.Epoch && now.Sub(r.lastReport) < PeerLease {
+	if r != nil && (p.Epoch < r.Epoch && now.Sub(r.lastReport) < PeerLease || p.Epoch == r.Epoch && p.Seq < r.Seq) {
 		return
 	}
 	if g.peers == nil {
@@ -88,8 +118,20 @@
 		r = &peerRecord{}
 		g.peers[p.ID] = r
 	}
+	if !r.sameMember(p) || now.Sub(r.lastReport) >= PeerLease {
+		g.live = nil
+	}
 	r.Peer = p
-	r.lastReport = now
+	if now.After(r.lastReport) {
+		r.lastReport = now
+	}
+}
+
+// sameMember reports whether p says nothing else of the VM than r, apart from its
+// heartbeat and the revision of its configuration.
+func (r *peerRecord) sameMember(p Peer) bool {
+	p.Seq, p.Revision = r.Seq, r.Revision
+	return p == r.Peer
 }
 
 // PeerUpdate is a relayed report: what one VM sends about another.
@@ -102,37 +144,44 @@
 // ReceiveRelayed applies a relayed report. It ignores reports that are older than
 // PeerLease or not newer than what is known.
 func (g *Group) ReceiveRelayed(now time.Time, u PeerUpdate) {
-	r := g.peers[u.ID]
-	if u.Age >= PeerLease || r != nil && !r.lastReport.Before(now.Add(-u.Age)) {
+	if u.Age >= PeerLease || g.knowsLater(now, u) {
 		return
 	}
 	g.ReceiveDirect(now.Add(-u.Age), u.Peer)
 }
 
+// knowsLater reports whether a relayed report is not newer than what is known: by its
+// heartbeat, or by its age if it is of another start of the VM.
+func (g *Group) knowsLater(now time.Time, u PeerUpdate) bool {
+	r := g.peers[u.ID]
+	switch {
+	case r == nil:
+		return false
+	case r.Epoch == u.Epoch:
+		return u.Seq <= r.Seq
+	}
+	return !r.lastReport.Before(now.Add(-u.Age))
+}
+
 // Live returns the VMs whose last report is younger than PeerLease, ordered by ID.
-func (g *Group) Live(now time.Time) []Peer { return g.LiveWithin(now, PeerLease) }
+func (g *Group) Live(now time.Time) []Peer {
+	live := g.liveAt(now).peers
+	out := make([]Peer, len(live))
+	for i, r := range live {
+		out[i] = r.Peer
+	}
+	return out
+}
 
-// LiveWithin returns the VMs whose last report is younger than maxAge, ordered by
-// ID.
+// LiveWithin returns the VMs whose last report is younger than maxAge, which is at most
+// PeerLease, ordered by ID.
 func (g *Group) LiveWithin(now time.Time, maxAge time.Duration) []Peer {
 	var out []Peer
-	for _, r := range g.peers {
+	for _, r := range g.liveAt(now).peers {
 		if now.Sub(r.lastReport) < maxAge {
 			out = append(out, r.Peer)
 		}
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// SamplePeers returns a random sample of the live VMs to send to another VM.
-func (g *Group) SamplePeers(now time.Time, r *rand.Rand) []PeerUpdate {
-	live := g.Live(now)
-	r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	var out []PeerUpdate
-	for _, p := range live[:min(len(live), maxSampledPeers)] {
-		out = append(out, PeerUpdate{Peer: p, Age: now.Sub(g.peers[p.ID].lastReport)})
-	}
 	return out
 }
 
--- a/fold/member/lease.go
+++ b/fold/member/lease.go
@@ -1,50 +1,12 @@
 package member
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fuchsiafold.example/fold/spec"
 )
 
-// LeaseBuckets is the number of buckets into which backend servers are divided by
-// the hash of their IDs. Two VMs that know different servers of one bucket can
-// still renew the leases of all other buckets by a digest.
-const LeaseBuckets = 16
-
-// Leases is a digest of the leases that one VM knows: those of all live backend
-// servers except the ones of kind spec.KindEngine, whose updates carry loads as
-// well. It takes two bytes a server on the wire, where an update takes about fifty.
-type Leases [LeaseBuckets]LeaseBucket
-
-// LeaseBucket holds the leases of one bucket.
-type LeaseBucket struct {
-	// Servers is a hash of the IDs, the epochs and the leaving marks of the
-	// bucket's servers.
-	Servers uint32
-	// Leases holds the lease of each of them, in the order of their IDs.
-	Leases []Lease
-}
-
-// Lease is the lease of one server.
-type Lease struct {
-	// Seq is the lowest byte of the sequence number of the server's last
-	// announcement, and Age the time since then.
-	Seq uint8
-	Age time.Duration
-}
-
-// maxSeqLead is the largest number of announcements by which one VM can be ahead of
-// another for a lease to be renewed. A larger difference of the lowest bytes means
-// that it is behind.
-const maxSeqLead = 127
-
-// EqualBuckets reports for each bucket whether two VMs know the same servers.
-type EqualBuckets [LeaseBuckets]bool
-
 // Covers reports whether an update says no more than the digests of two VMs with
 // these equal buckets: that a server, not of kind spec.KindEngine, has announced
 // itself again.
@@ -52,9 +14,6 @@
 	return u.Brief && u.Kind != spec.KindEngine && e[leaseBucket(u.ID)]
 }
 
-// leaseBucket returns the bucket of a backend server.
-func leaseBucket(id string) uint64 { return xxhash.Sum64String(id) % LeaseBuckets }
-
 // leaseIndex holds the servers of each bucket of a table.
 type leaseIndex [LeaseBuckets]struct {
 	// ids are in ascending order.
@@ -83,19 +42,14 @@
 	return t.leases
 }
 
-// hashServers returns the hash of LeaseBucket.Servers.
+// hashServers returns the hash of LeaseBucket.Members.
 func (t *Table) hashServers(ids []string) uint32 {
 	var data []byte
 	for _, id := range ids {
 		r := t.records[id]
-		data = append(data, id...)
-		data = append(data, 0)
-		data = binary.BigEndian.AppendUint64(data, r.Epoch)
-		if r.Leaving {
-			data = append(data, 1)
-		}
+		data = appendMember(data, id, r.Epoch, r.Leaving)
 	}
-	return uint32(xxhash.Sum64(data))
+	return hashMembers(data)
 }
 
 // Leases returns a digest of the table's leases.
@@ -103,7 +57,7 @@
 	var out Leases
 	for i := range t.leaseIndex() {
 		b := &t.leases[i]
-		out[i].Servers = b.hash
+		out[i].Members = b.hash
 		for _, id := range b.ids {
 			r := t.records[id]
 			out[i].Leases = append(out[i].Leases, Lease{Seq: uint8(r.Seq), Age: now.Sub(r.lastReport)})
@@ -120,7 +74,7 @@
 	t.version++
 	for i := range t.leaseIndex() {
 		b := &t.leases[i]
-		if b.hash != l[i].Servers || len(b.ids) != len(l[i].Leases) {
+		if b.hash != l[i].Members || len(b.ids) != len(l[i].Leases) {
 			continue
 		}
 		equal[i] = true
@@ -132,14 +86,13 @@
 }
 
 // renew renews the lease of a server if l is of a later announcement than what is
-// known. The age alone would not do: it is too low by the time that the message
-// took, so that two VMs could renew the lease of a dead server for each other.
+// known.
 func (t *Table) renew(now time.Time, r *record, l Lease) {
-	lead := l.Seq - uint8(r.Seq)
-	if lead == 0 || lead > maxSeqLead || l.Age >= t.lease() {
+	lead := l.lead(r.Seq, t.lease())
+	if lead == 0 {
 		return
 	}
-	r.Seq += uint64(lead)
+	r.Seq += lead
 	r.lastReport = now.Add(-l.Age)
 	r.version = t.version
 }
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -153,15 +153,17 @@
 		for _, g := range all {
 			for _, addr := range g.ExchangeTargets(now, r) {
 				o := all[addr]
-				request, reply := g.SamplePeers(now, r), o.SamplePeers(now, r)
+				g.Beat(now)
+				o.Beat(now)
 				o.ReceiveDirect(now, g.Self)
 				g.ReceiveDirect(now, o.Self)
-				for _, u := range request {
-					o.ReceiveRelayed(now, u)
-				}
-				for _, u := range reply {
+				request, reply := g.Leases(now), o.Leases(now)
+				for _, u := range o.Updates(now, o.RenewLeases(now, &request)) {
 					g.ReceiveRelayed(now, u)
 				}
+				for _, u := range g.Updates(now, g.RenewLeases(now, &reply)) {
+					o.ReceiveRelayed(now, u)
+				}
 			}
 		}
 		for _, g := range all {
--- a/fold/member/roles.go
+++ b/fold/member/roles.go
@@ -1,8 +1,7 @@
 package member
 
 import (
-	"cmp"
-	"slices"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,21 +46,33 @@
 // limit below PeerLease, VMs would disagree as well. draining means that this VM is
 // draining; it is still returned if no other VM is eligible.
 func (g *Group) PlacementVM(now time.Time, service string, draining bool, backedOff func(p Peer) bool) Peer {
-	var eligible []Peer
-	if g.Self.ServesCallers && !draining {
-		eligible = append(eligible, g.Self)
+	live := g.liveAt(now).peers
+	eligible := func(r *peerRecord) bool {
+		return r.Region == g.Self.Region && r.ServesCallers && !r.Draining && !backedOff(r.Peer)
 	}
-	for _, p := range g.Live(now) {
-		if p.Region == g.Self.Region && p.ServesCallers && !p.Draining && !backedOff(p) {
-			eligible = append(eligible, p)
+	selfEligible := g.Self.ServesCallers && !draining
+	first := uint64(math.MaxUint64)
+	if selfEligible {
+		first = g.Self.Epoch
+	}
+	for _, r := range live {
+		if r.Epoch < first && eligible(r) {
+			first = r.Epoch
 		}
 	}
-	if len(eligible) == 0 {
-		return g.Self
+	best, highest := g.Self, uint64(0)
+	if selfEligible && g.Self.Epoch-first <= uint64(startWindow) {
+		highest = placementHash(service, g.Self.ID)
+	}
+	for _, r := range live {
+		if r.Epoch < first || r.Epoch-first > uint64(startWindow) || !eligible(r) {
+			continue
+		}
+		if h := placementHash(service, r.ID); h > highest {
+			best, highest = r.Peer, h
+		}
 	}
-	first := slices.MinFunc(eligible, func(a, b Peer) int { return cmp.Compare(a.Epoch, b.Epoch) }).Epoch
-	eligible = slices.DeleteFunc(eligible, func(p Peer) bool { return p.Epoch-first > uint64(startWindow) })
-	return slices.MaxFunc(eligible, func(a, b Peer) int { return cmp.Compare(placementHash(service, a), placementHash(service, b)) })
+	return best
 }
 
 // CallerVMs returns the number of live VMs of the region that serve callers, this one
@@ -85,6 +96,12 @@
 
 // placementHash returns the rank of a VM among those that may place a service's
 // requests.
-func placementHash(service string, p Peer) uint64 {
-	return xxhash.Sum64String(service + "\x00" + p.ID)
+func placementHash(service, vm string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a Digest do not fail.
+	_, _ = d.WriteString(service)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(vm)
+	return d.Sum64()
 }
--- a/fold/member/targets.go
+++ b/fold/member/targets.go
@@ -11,7 +11,7 @@
 // failure domains. It does unless a live VM of its domain that is not draining has
 // a lower ID.
 func (g *Group) IsRelay(now time.Time) bool {
-	for _, p := range g.Live(now) {
+	for _, p := range g.liveAt(now).peers {
 		if p.Domain == g.Self.Domain && p.ID < g.Self.ID && !p.Draining {
 			return false
 		}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -82,12 +82,28 @@
 // notifyChange logs that a backend server is new, has restarted or is leaving,
 // calls BackendChanged and gossips the update to other VMs. from is the VM that
 // relayed the update, empty for a local one. The caller must not hold the lock.
+//
+// A VM that learns of the change from another one logs it only if it has requests under
+// way there: the VMs that learned of it first have logged it.
 func (n *Node) notifyChange(b member.Backend, from string) {
-	n.Log.WithFields(logrus.Fields{"backend": b.ID, "addr": b.Addr, "service": b.Service, "domain": b.Domain, "leaving": b.Leaving, "epoch": b.Epoch, "seq": b.Seq, "from": from}).Info("backend server changed")
+	n.Count("backends.changes", 1)
+	log := n.Log.WithFields(logrus.Fields{"backend": b.ID, "addr": b.Addr, "service": b.Service, "domain": b.Domain, "leaving": b.Leaving, "epoch": b.Epoch, "seq": b.Seq, "from": from})
+	if from == "" || n.hasRequestsAt(b) {
+		log.Info("backend server changed")
+	} else {
+		log.Debug("backend server changed")
+	}
 	n.BackendChanged(b)
 	n.Gossip(n.urgentTargets(from))
 }
 
+// hasRequestsAt reports whether this VM has requests under way at a backend server.
+func (n *Node) hasRequestsAt(b member.Backend) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls[b.ID] > 0 || len(n.placer.LocalLoad([]member.Backend{b})) > 0
+}
+
 // controlUnreachable reports whether this VM learns of backend servers only from
 // control VMs and none of them has reported within half a lease. Nothing expires
 // meanwhile, since the last known set is the best available. The caller holds
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -15,7 +15,9 @@
 type Exchange struct {
 	Self    member.Peer
 	Updates []member.BackendUpdate
-	// Known holds relayed reports about some of the other VMs.
+	// VMs is the digest of the live VMs, nil in an exchange for an urgent update.
+	VMs *member.Leases
+	// Known holds relayed reports about other VMs that the receiver may not know.
 	Known []member.PeerUpdate
 	// Leases is the digest of the local table.
 	Leases member.Leases
@@ -35,8 +37,10 @@
 // self returns the description of this VM that is sent to other VMs. The caller
 // holds the lock.
 func (n *Node) self() member.Peer {
+	now := time.Now()
+	n.group.SetDraining(now, n.Draining())
+	n.group.Beat(now)
 	p := n.group.Self
-	p.Draining = n.Draining()
 	if x := n.Index(); x != nil {
 		p.Revision = x.Revision()
 	}
@@ -100,26 +104,48 @@
 	return n.group.Live(time.Now())
 }
 
-// OutgoingExchange returns what to send in an exchange to the VM at an address.
-func (n *Node) OutgoingExchange(addr netip.AddrPort) Exchange {
+// OutgoingExchange returns what to send in an exchange to the VM at an address. urgent
+// leaves out the digest of the live VMs.
+func (n *Node) OutgoingExchange(addr netip.AddrPort, urgent bool) Exchange {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	id, acked, have, epoch := n.group.ExchangeState(addr)
 	x := n.exchange(id, acked, n.group.EqualBuckets(id))
 	x.PeerVersion, x.PeerEpoch = have, epoch
+	if !urgent {
+		vms := n.group.Leases(time.Now())
+		x.VMs = &vms
+	}
 	return x
 }
 
 // ExchangeReply returns the reply to a VM that has applied version have of the
 // local table. If epoch is not that of this process, have does not count and the
-// reply covers the whole table.
-func (n *Node) ExchangeReply(from member.Peer, have, epoch uint64) Exchange {
+// reply covers the whole table. vms is the VM's digest of the live VMs, nil if it has
+// sent none.
+func (n *Node) ExchangeReply(from member.Peer, have, epoch uint64, vms *member.Leases) Exchange {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if epoch != n.group.Self.Epoch {
 		have = 0
 	}
-	return n.exchange(from.ID, have, n.group.EqualBuckets(from.ID))
+	x := n.exchange(from.ID, have, n.group.EqualBuckets(from.ID))
+	if vms != nil {
+		now := time.Now()
+		x.Known = n.group.Updates(now, n.group.RenewLeases(now, vms))
+		own := n.group.Leases(now)
+		x.VMs = &own
+	}
+	return x
+}
+
+// ReceiveVMs applies another VM's digest of the live VMs, and returns reports about those
+// that the VM may not know.
+func (n *Node) ReceiveVMs(vms *member.Leases) []member.PeerUpdate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	return n.group.Updates(now, n.group.RenewLeases(now, vms))
 }
 
 // exchange returns what to send to the VM id, with the updates after version
@@ -127,7 +153,7 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Known: n.group.SamplePeers(now, n.random), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
+	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
--- a/foldd/node/scheduler.go
+++ b/foldd/node/scheduler.go
@@ -12,7 +12,7 @@
 // schedulerFor returns the process that schedules a model, the zero ID if there
 // is none. The caller holds the lock.
 func (n *Node) schedulerFor(model string) ticket.SchedulerID {
-	n.group.Self.Draining = n.Draining()
+	n.group.SetDraining(time.Now(), n.Draining())
 	p, _ := n.group.Scheduler(time.Now(), model)
 	return ticket.SchedulerID{VM: p.ID, Epoch: p.Epoch}
 }
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -20,6 +20,7 @@
 		Draining:       p.Draining,
 		Control:        p.HasControlReplica,
 		ServesCallers:  p.ServesCallers,
+		Seq:            p.Seq,
 	}
 }
 
@@ -37,6 +38,7 @@
 		Draining:          p.GetDraining(),
 		HasControlReplica: p.GetControl(),
 		ServesCallers:     p.GetServesCallers(),
+		Seq:               p.GetSeq(),
 	}
 }
 
@@ -47,6 +49,22 @@
 	return p
 }
 
+func toPeerUpdates(list []member.PeerUpdate) []*wire.Peer {
+	var out []*wire.Peer
+	for _, u := range list {
+		out = append(out, toPeerUpdate(u))
+	}
+	return out
+}
+
+func toBackends(list []member.BackendUpdate) []*wire.Backend {
+	var out []*wire.Backend
+	for _, u := range list {
+		out = append(out, ToBackend(u))
+	}
+	return out
+}
+
 // ToBackend returns the wire form of an update about a backend server. A brief
 // update carries only what identifies the server, its state and its load.
 func ToBackend(u member.BackendUpdate) *wire.Backend {
--- a/foldd/peer/lease.go
+++ b/foldd/peer/lease.go
@@ -18,7 +18,7 @@
 	unit := ageUnit(l)
 	out := &wire.Leases{AgeUnitMillis: uint32(unit.Milliseconds())}
 	for _, b := range l {
-		out.Servers = append(out.Servers, b.Servers)
+		out.Members = append(out.Members, b.Members)
 		out.Counts = append(out.Counts, uint32(len(b.Leases)))
 		for _, x := range b.Leases {
 			out.Seqs = append(out.Seqs, x.Seq)
@@ -28,6 +28,23 @@
 	return out
 }
 
+// toVMs returns the wire form of a digest of the live VMs, nil if there is none.
+func toVMs(l *member.Leases) *wire.Leases {
+	if l == nil {
+		return nil
+	}
+	return toLeases(l)
+}
+
+// fromVMs converts the wire form of a digest of the live VMs. It returns nil for none.
+func fromVMs(l *wire.Leases) *member.Leases {
+	if l == nil {
+		return nil
+	}
+	out := fromLeases(l)
+	return &out
+}
+
 // ageUnit returns the unit of a digest's ages, in whole milliseconds, by which the
 // greatest is at most maxAgeUnits.
 func ageUnit(l *member.Leases) time.Duration {
@@ -46,7 +63,7 @@
 // renewed by it.
 func fromLeases(l *wire.Leases) member.Leases {
 	var out member.Leases
-	if len(l.GetServers()) != len(out) || len(l.GetCounts()) != len(out) || len(l.GetSeqs()) != len(l.GetAges()) {
+	if len(l.GetMembers()) != len(out) || len(l.GetCounts()) != len(out) || len(l.GetSeqs()) != len(l.GetAges()) {
 		return out
 	}
 	unit := time.Duration(l.GetAgeUnitMillis()) * time.Millisecond
@@ -56,7 +73,7 @@
 		if n > len(seqs) {
 			return member.Leases{}
 		}
-		out[i].Servers = l.GetServers()[i]
+		out[i].Members = l.GetMembers()[i]
 		for j := range n {
 			out[i].Leases = append(out[i].Leases, member.Lease{Seq: seqs[j], Age: time.Duration(ages[j]) * unit})
 		}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -33,9 +33,9 @@
 
 	// mu protects the fields below.
 	mu sync.Mutex
-	// inFlight holds the addresses with an exchange in progress; the value reports
-	// whether another exchange follows.
-	inFlight map[netip.AddrPort]bool
+	// inFlight holds the addresses with an exchange in progress, and the exchange that
+	// follows it.
+	inFlight map[netip.AddrPort]exchangeKind
 	// outboxes holds the queued calls to each VM, which carry tickets and decisions.
 	outboxes map[netip.AddrPort]chan func(wire.PeerServiceClient)
 }
@@ -49,8 +49,8 @@
 		MaxIdleConnsPerHost:    2,
 		IdleConnTimeout:        time.Minute,
 	}
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]bool{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
-	n.SetTransport(s.exchangeAll, s.sendTickets, s.sendDecisions)
+	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]exchangeKind{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
+	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
 	return s
@@ -87,7 +87,7 @@
 	s.started = time.Now()
 	s.contactSeeds(s.started)
 	s.node.Clock.Every(member.ExchangeInterval, func(time.Time) {
-		s.exchangeAll(s.node.ExchangeTargets())
+		s.exchangeAll(s.node.ExchangeTargets(), periodic)
 	})
 }
 
@@ -106,37 +106,51 @@
 	if s.node.Index() != nil && now.Sub(s.started) > minSeedPeriod {
 		return
 	}
-	s.exchangeAll(s.node.Seeds())
+	s.exchangeAll(s.node.Seeds(), periodic)
 	s.node.Clock.At(now.Add(seedInterval), s.contactSeeds)
 }
 
+// exchangeKind says what an exchange is for.
+type exchangeKind int
+
+const (
+	none exchangeKind = iota
+	// urgent: it carries an update that others must get at once.
+	urgent
+	// periodic: it carries the digest of the live VMs, too.
+	periodic
+)
+
+// exchangeUrgently starts an urgent exchange with each address. It does not block.
+func (s *Service) exchangeUrgently(addrs []netip.AddrPort) { s.exchangeAll(addrs, urgent) }
+
 // exchangeAll starts an exchange with each address. It does not block.
-func (s *Service) exchangeAll(addrs []netip.AddrPort) {
+func (s *Service) exchangeAll(addrs []netip.AddrPort, kind exchangeKind) {
 	for _, a := range addrs {
-		go s.exchangeWith(a)
+		go s.exchangeWith(a, kind)
 	}
 }
 
 // exchangeWith exchanges with a VM. If an exchange with it is already in progress,
 // it returns at once and another exchange follows that one, whose request may have
 // been sent before the latest update.
-func (s *Service) exchangeWith(addr netip.AddrPort) {
+func (s *Service) exchangeWith(addr netip.AddrPort, kind exchangeKind) {
 	s.mu.Lock()
-	if _, running := s.inFlight[addr]; running {
-		s.inFlight[addr] = true
+	if next, running := s.inFlight[addr]; running {
+		s.inFlight[addr] = max(next, kind)
 		s.mu.Unlock()
 		return
 	}
-	s.inFlight[addr] = false
+	s.inFlight[addr] = none
 	s.mu.Unlock()
-	for again := true; again; {
-		if err := s.exchange(addr); err != nil {
+	for kind != none {
+		if err := s.exchange(addr, kind); err != nil {
 			s.node.Count("peers.exchangesFailed", 1)
 		}
 		s.mu.Lock()
-		again = s.inFlight[addr]
-		s.inFlight[addr] = false
-		if !again {
+		kind = s.inFlight[addr]
+		s.inFlight[addr] = none
+		if kind == none {
 			delete(s.inFlight, addr)
 		}
 		s.mu.Unlock()
@@ -144,30 +158,45 @@
 }
 
 // exchange does one exchange with a VM, and fetches its configuration if that is
-// newer.
-func (s *Service) exchange(addr netip.AddrPort) error {
+// newer. If the VM may not know all VMs that are live here, it gets reports about them in
+// a second call.
+func (s *Service) exchange(addr netip.AddrPort, kind exchangeKind) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	out := s.node.OutgoingExchange(addr)
-	req := &wire.ExchangeRequest{From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits)}
-	for _, u := range out.Updates {
-		req.Backends = append(req.Backends, ToBackend(u))
+	from, lacking, err := s.callExchange(ctx, addr, kind, nil)
+	if err == nil && len(lacking) > 0 {
+		_, _, err = s.callExchange(ctx, addr, urgent, lacking)
 	}
-	for _, p := range out.Known {
-		req.Known = append(req.Known, toPeerUpdate(p))
+	if err != nil {
+		return fmt.Errorf("exchange with %v: %w", addr, err)
+	}
+	return s.fetchNewerConfig(ctx, from)
+}
+
+// callExchange makes one call of an exchange, which carries the given reports about VMs,
+// and applies the response. It returns the VM that responded, and reports about VMs that
+// it may not know.
+func (s *Service) callExchange(ctx context.Context, addr netip.AddrPort, kind exchangeKind, known []member.PeerUpdate) (from member.Peer, lacking []member.PeerUpdate, err error) {
+	out := s.node.OutgoingExchange(addr, kind == urgent)
+	req := &wire.ExchangeRequest{
+		From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Backends: toBackends(out.Updates), Known: toPeerUpdates(known),
+		Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits), Vms: toVMs(out.VMs),
 	}
 	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
 	res, err := c.Exchange(ctx, connect.NewRequest(req))
 	if err != nil {
-		return fmt.Errorf("exchange with %v: %w", addr, err)
+		return from, nil, fmt.Errorf("call: %w", err)
 	}
 	s.node.Count("peers.exchanges", 1)
-	from := FromPeer(res.Msg.GetFrom())
+	from = FromPeer(res.Msg.GetFrom())
 	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
 	s.node.ReceivePromptUpdate(fromPromptUpdate(res.Msg.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, res.Msg.GetLimits())
 	s.node.RecordExchange(from.ID, out.Version, res.Msg.GetVersion())
-	return s.fetchNewerConfig(ctx, from)
+	if vms := fromVMs(res.Msg.GetVms()); vms != nil {
+		lacking = s.node.ReceiveVMs(vms)
+	}
+	return from, lacking, nil
 }
 
 // applyUpdates applies the direct report of a VM, the VMs and backend servers that
@@ -214,16 +243,13 @@
 	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
 	s.node.ReceivePromptUpdate(fromPromptUpdate(m.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, m.GetLimits())
-	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch())
-	res := &wire.ExchangeResponse{From: ToPeer(out.Self), Version: out.Version, Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits)}
-	for _, u := range out.Updates {
-		res.Backends = append(res.Backends, ToBackend(u))
-	}
-	for _, p := range out.Known {
-		res.Known = append(res.Known, toPeerUpdate(p))
+	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch(), fromVMs(m.GetVms()))
+	res := &wire.ExchangeResponse{
+		From: ToPeer(out.Self), Version: out.Version, Backends: toBackends(out.Updates), Known: toPeerUpdates(out.Known),
+		Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits), Vms: toVMs(out.VMs),
 	}
 	if x := s.node.Index(); from.Revision > 0 && (x == nil || x.Revision() < from.Revision) {
-		go s.exchangeWith(from.Addr)
+		go s.exchangeWith(from.Addr, urgent)
 	}
 	return connect.NewResponse(res), nil
 }
