Node: in a large group, each failure domain has a placement VM for its engines

Callers saw: on the large site, drafts that pause when 9 engines leave at once: the VMs got no placement in 100 ms, chose by themselves and copied at the same moment over the same links. Cause: one VM with a fifth of a core placed for 195, up to 780 load reports a second and 150 placements in a burst; what it did not answer in time was chosen locally. Weighed: load reports as deltas alone (the bursts remain), the control VMs as placers (bound to the control group's losses), a placement VM for each failure domain (chosen: a domain's placement goes on when it is cut off). Change: with more than 100 VMs that serve callers, a request is placed by the placement VM of its failure domain, which gets only the loads at its engines. If that says that its engines are crowded or full, up to two other domains are asked, those that were not crowded lately first. A VM that gets no answer asks the next placement VM before it chooses by itself; a run that goes on meanwhile waits 300 ms for an answer. Trials of prompts that crash engines stay with one VM. A VM that is asked though another one should be logs and counts it.

--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -288,7 +288,7 @@
 				g.ReceiveDirect(start, p)
 			}
 		}
-		return g.PlacementVM(start, "service", false, noneBackedOff)
+		return g.PlacementVM(start, "service", "", false, noneBackedOff)
 	}
 	first := placementVM(0, "")
 	// In a large group, a VM's report may be nearly as old as its lease.
@@ -300,7 +300,7 @@
 		}
 		late.ReceiveRelayed(start, PeerUpdate{Peer: p, Age: age})
 	}
-	if p := late.PlacementVM(start, "service", false, noneBackedOff); p.ID != first.ID {
+	if p := late.PlacementVM(start, "service", "", false, noneBackedOff); p.ID != first.ID {
 		t.Errorf("with an old report of %s: placement VM %s, want the same", first.ID, p.ID)
 	}
 	for i := range 4 {
@@ -322,7 +322,7 @@
 			g.ReceiveDirect(start, p)
 		}
 	}
-	if p := g.PlacementVM(start, "service", false, func(p Peer) bool { return p.ID == first.ID }); p.ID != second.ID {
+	if p := g.PlacementVM(start, "service", "", false, func(p Peer) bool { return p.ID == first.ID }); p.ID != second.ID {
 		t.Errorf("with %s backed off: placement VM %s, want %s", first.ID, p.ID, second.ID)
 	}
 }
@@ -340,7 +340,7 @@
 		}
 		count := map[string]int{}
 		for i := range services {
-			count[g.PlacementVM(start, fmt.Sprint("service", i), false, noneBackedOff).ID]++
+			count[g.PlacementVM(start, fmt.Sprint("service", i), "", false, noneBackedOff).ID]++
 		}
 		return count
 	}
--- a/fold/member/play_test.go
+++ b/fold/member/play_test.go
@@ -215,7 +215,7 @@
 	for _, v := range alive {
 		n := len(v.group.Live(f.now))
 		least, most = min(least, n), max(most, n)
-		believed[v.group.PlacementVM(f.now, "service", false, func(Peer) bool { return false }).ID] = true
+		believed[v.group.PlacementVM(f.now, "service", "", false, func(Peer) bool { return false }).ID] = true
 	}
 	return least, most, len(believed)
 }
--- a/fold/member/roles.go
+++ b/fold/member/roles.go
@@ -35,9 +35,10 @@
 }
 
 // PlacementVM returns the VM that chooses the backend servers for a service's
-// requests from the whole region. Eligible are the VMs that serve callers, are
-// live, are not draining and are not backed off. Of those that started first, it is
-// the one with the highest hash of the service and the VM's ID.
+// requests: those of a failure domain, or, if domain is empty, those of the whole region.
+// Eligible are the VMs of the domain or the region that serve callers, are live, are not
+// draining and are not backed off; those of the region if the domain has none. Of those
+// that started first, it is the one with the highest hash of the service and the VM's ID.
 //
 // A VM that starts later takes no placements over, because it knows neither the
 // loads of the other VMs nor the lengths and the pace of runs, and because the VMs
@@ -45,34 +46,52 @@
 // All live VMs count because reports may be seconds old in a large group: with a
 // limit below PeerLease, VMs would disagree as well. draining means that this VM is
 // draining; it is still returned if no other VM is eligible.
-func (g *Group) PlacementVM(now time.Time, service string, draining bool, backedOff func(p Peer) bool) Peer {
-	live := g.liveAt(now).peers
-	eligible := func(r *peerRecord) bool {
-		return r.Region == g.Self.Region && r.ServesCallers && !r.Draining && !backedOff(r.Peer)
+func (g *Group) PlacementVM(now time.Time, service, domain string, draining bool, backedOff func(p Peer) bool) Peer {
+	e := eligibility{region: g.Self.Region, domain: domain, backedOff: backedOff}
+	selfEligible := g.Self.ServesCallers && !draining && (domain == "" || g.Self.Domain == domain)
+	if p, ok := g.placementVM(now, service, e, selfEligible); ok || domain == "" {
+		return p
 	}
-	selfEligible := g.Self.ServesCallers && !draining
+	return g.PlacementVM(now, service, "", draining, backedOff)
+}
+
+// eligibility says which VMs may place requests.
+type eligibility struct {
+	// region and domain are where the VM has to be; an empty domain is any.
+	region, domain string
+	backedOff      func(p Peer) bool
+}
+
+func (e *eligibility) has(r *peerRecord) bool {
+	return r.Region == e.region && (e.domain == "" || r.Domain == e.domain) && r.ServesCallers && !r.Draining && !e.backedOff(r.Peer)
+}
+
+// placementVM returns the VM with the highest hash of those that started first. It returns
+// this VM and false if none is eligible.
+func (g *Group) placementVM(now time.Time, service string, e eligibility, selfEligible bool) (Peer, bool) {
+	live := g.liveAt(now).peers
 	first := uint64(math.MaxUint64)
 	if selfEligible {
 		first = g.Self.Epoch
 	}
 	for _, r := range live {
-		if r.Epoch < first && eligible(r) {
+		if r.Epoch < first && e.has(r) {
 			first = r.Epoch
 		}
 	}
-	best, highest := g.Self, uint64(0)
+	best, highest, found := g.Self, uint64(0), false
 	if selfEligible && g.Self.Epoch-first <= uint64(startWindow) {
-		highest = placementHash(service, g.Self.ID)
+		highest, found = placementHash(service, g.Self.ID), true
 	}
 	for _, r := range live {
-		if r.Epoch < first || r.Epoch-first > uint64(startWindow) || !eligible(r) {
+		if r.Epoch < first || r.Epoch-first > uint64(startWindow) || !e.has(r) {
 			continue
 		}
-		if h := placementHash(service, r.ID); h > highest {
-			best, highest = r.Peer, h
+		if h := placementHash(service, r.ID); !found || h > highest {
+			best, highest, found = r.Peer, h, true
 		}
 	}
-	return best
+	return best, found
 }
 
 // CallerVMs returns the number of live VMs of the region that serve callers, this one
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -28,6 +28,9 @@
 	// Domain is the failure domain whose servers are preferred. If empty, the
 	// placer's own domain is used.
 	Domain string
+	// Scope, if not empty, is the failure domain whose servers may be chosen. A run that
+	// may stay where it is may stay in another one.
+	Scope string
 	// Copy is set for a run whose memory is copied from another server.
 	Copy *Copy
 	// FirstTokenBudget is the time left until the first token is due, zero if
@@ -57,6 +60,11 @@
 	return req.Copy != nil && req.Copy.MayStay && req.Copy.Source == id
 }
 
+// inScope reports whether a server may be chosen by its failure domain.
+func (req *Request) inScope(s *member.Backend) bool {
+	return req.Scope == "" || s.Domain == req.Scope || req.Stays(s.ID)
+}
+
 // Choice is the server chosen for a request.
 type Choice struct {
 	Server member.Backend
@@ -68,6 +76,9 @@
 	// or counted there. Full is never set for a run that is copied or for a
 	// server in back-off.
 	Full bool
+	// Crowded reports that Server, although it has the lowest cost, has all slots taken or
+	// most of its memory. Another failure domain may serve the request better.
+	Crowded bool
 	// RetryAfter is the time until there will probably be capacity. It is set if
 	// Full, Unreachable or Limited is.
 	RetryAfter time.Duration
@@ -186,7 +197,7 @@
 	for i := range servers {
 		i = (i + start) % len(servers)
 		s := &servers[i]
-		if s.Leaving || slices.Contains(req.Exclude, s.ID) {
+		if s.Leaving || slices.Contains(req.Exclude, s.ID) || !req.inScope(s) {
 			continue
 		}
 		if c := p.cost(now, s, req, need, paces[i]); best < 0 || c.delay < lowest.delay {
@@ -196,7 +207,7 @@
 	if best < 0 {
 		return Choice{}, false
 	}
-	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Load: p.serverLoad(now, &servers[best])}
+	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Crowded: lowest.delay >= costFull*targetMemoryShare, Load: p.serverLoad(now, &servers[best])}
 	switch {
 	case req.Stays(c.Server.ID):
 		// Nothing is copied.
--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -197,7 +197,7 @@
 	everyVM := func(member.Peer) bool { return false }
 	live, lost := n.group.CallerVMs(now, lostVMPeriod)
 	return limit.View{
-		Self: n.Settings.ID, Issuer: n.group.PlacementVM(now, service, n.Draining(), everyVM).ID,
+		Self: n.Settings.ID, Issuer: n.group.PlacementVM(now, service, "", n.Draining(), everyVM).ID,
 		Live: live, Lost: lost, Starting: n.Starting(),
 	}
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -129,10 +129,14 @@
 	placer place.Placer
 	// backedOffVMs holds the VMs from which no placement is requested for now,
 	// backedOffDomains the failure domains of which no VM is asked. sentReports
-	// holds the last load report sent for each service.
+	// holds the last load reports sent.
 	backedOffVMs     retry.Pauses
 	backedOffDomains retry.Pauses
-	sentReports      map[string]sentReport
+	sentReports      map[reportKey]sentReport
+	// crowdedUntil is until when a failure domain counts as crowded, by its name.
+	crowdedUntil map[string]time.Time
+	// otherPlacementLogged is when a request that another VM places was last logged.
+	otherPlacementLogged time.Time
 	// lengthSamples holds, by service, the length samples for the next load
 	// report to the placement VM.
 	lengthSamples map[string][]place.LengthSample
@@ -172,7 +176,8 @@
 		forwardBudgets:   map[string]*retry.WindowBudget{},
 		backedOffVMs:     retry.Pauses{},
 		backedOffDomains: retry.Pauses{},
-		sentReports:      map[string]sentReport{},
+		sentReports:      map[reportKey]sentReport{},
+		crowdedUntil:     map[string]time.Time{},
 		lengthSamples:    map[string][]place.LengthSample{},
 		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
 	}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -31,59 +31,69 @@
 	Backend string
 	// CopyDelay is the wait before the copy of the run's memory may begin.
 	CopyDelay time.Duration
-	// Full reports that no server has room; the request is not counted then.
-	Full bool
+	// Full reports that no server has room; the request is not counted then. Crowded is as
+	// in place.Choice.
+	Full    bool
+	Crowded bool
 	// RetryAfter is the time until there will probably be room, set with Full.
 	RetryAfter time.Duration
 }
 
-const (
-	// placementTimeout bounds a placement request or a load report to another VM.
-	placementTimeout = 100 * time.Millisecond
-	// minPlacementBackoff and maxPlacementBackoff bound the back-off from a VM, or from a
-	// failure domain, after failed placement requests. Another VM places requests
-	// meanwhile.
-	minPlacementBackoff = 3 * time.Second
-	maxPlacementBackoff = 12 * time.Second
-)
-
 // Place chooses a backend server of a service for a forwarded request. Unless the
 // choice is Full or Unreachable, or leaves a run where it is, it counts the request
 // there, and the caller must call EndPlacement when the request ends. It returns
 // false if no server is left.
 //
-// Requests for engines are placed by the placement VM of the service. Other
-// requests, and those for which the placement VM fails to name a usable server,
-// are placed locally.
+// Requests for engines are placed by placement VMs. Other requests, and those for which
+// no placement VM names a usable server, are placed locally.
 func (n *Node) Place(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
 	excluded := r.Exclude
 	withheld := n.excludeWithheld(service, &r, true)
-	if c, ok := n.placeRemotely(ctx, service, r); ok {
+	if c, ok := n.placeByDomain(ctx, service, r); ok {
 		return c, true
 	}
+	if ctx.Err() != nil {
+		return place.Choice{}, false
+	}
+	r.Scope = ""
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	r.Random = n.random.Float64()
-	c, ok := n.placer.Pick(now, n.candidates(service), r)
+	c, ok := n.pickLocally(now, service, r)
 	if !ok && n.hasOtherServer(service, excluded) {
 		return n.limitedChoice(now, service, withheld), true
 	}
 	if !ok {
 		return c, false
 	}
+	n.beginPlacement(now, c, r)
+	return c, true
+}
+
+// pickLocally chooses a server by the loads that this VM knows. The caller holds the lock.
+func (n *Node) pickLocally(now time.Time, service string, r place.Request) (place.Choice, bool) {
+	r.Random = n.random.Float64()
+	c, ok := n.placer.Pick(now, n.candidates(service), r)
+	if !ok {
+		return c, false
+	}
 	if !c.Full {
 		c.RetryAfter, c.Unreachable = n.placer.DomainUnreachable(now, c.Server.Domain)
 	}
-	if !c.Full && !c.Unreachable && !r.Stays(c.Server.ID) {
-		n.placer.Begin(now, c.Server.ID, r)
-	}
 	if r.ID != 0 {
 		n.logPlacement(n.Settings.ID, service, r, c)
 	}
 	return c, true
 }
 
+// beginPlacement counts a request at the chosen server, unless it is not sent there. The
+// caller holds the lock.
+func (n *Node) beginPlacement(now time.Time, c place.Choice, r place.Request) {
+	if !c.Full && !c.Unreachable && !r.Stays(c.Server.ID) {
+		n.placer.Begin(now, c.Server.ID, r)
+	}
+}
+
 // excludeWithheld excludes and returns the servers that get no request for now. own is set
 // for a request of this VM.
 func (n *Node) excludeWithheld(service string, r *place.Request, own bool) withheld {
@@ -104,7 +114,7 @@
 func (n *Node) logPlacement(from, service string, r place.Request, c place.Choice) {
 	fields := logrus.Fields{
 		"vm": from, "run": r.ID, "service": service, "backend": c.Server.ID, "domain": c.Server.Domain, "preferred": r.Domain,
-		"full": c.Full, "requests": c.Load.Requests, "prefillTokens": c.Load.PrefillTokens,
+		"full": c.Full, "crowded": c.Crowded, "requests": c.Load.Requests, "prefillTokens": c.Load.PrefillTokens,
 		"memoryPercent": int(100 * c.Load.MemoryShare), "loadAgeMs": c.Load.ReportAge.Milliseconds(),
 	}
 	if r.Copy != nil {
@@ -119,85 +129,6 @@
 	n.Log.WithFields(fields).Info("server chosen")
 }
 
-// placeRemotely requests a placement from the placement VM of a service. It
-// returns false if the request must be placed locally.
-func (n *Node) placeRemotely(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
-	n.mu.Lock()
-	to, ok := n.placementVM(time.Now(), service)
-	if !ok {
-		n.mu.Unlock()
-		return place.Choice{}, false
-	}
-	if r.Domain == "" {
-		r.Domain = n.Settings.Domain
-	}
-	req := n.newLoadReport(service)
-	req.Request = &r
-	n.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, placementTimeout)
-	defer cancel()
-	res, err := n.RequestPlacement(callCtx, to, req)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if ctx.Err() != nil {
-		// The caller has disconnected, which says nothing about the placement VM.
-		return place.Choice{}, false
-	}
-	if err != nil {
-		n.backedOffVMs.Fail(time.Now(), to.ID, minPlacementBackoff, maxPlacementBackoff)
-		if callCtx.Err() != nil && to.Domain != n.Settings.Domain {
-			// After a timeout, the whole failure domain may be unreachable.
-			n.backedOffDomains.Fail(time.Now(), to.Domain, minPlacementBackoff, maxPlacementBackoff)
-		}
-		n.Count("place.placementVMsLost", 1)
-		n.Log.WithError(err).WithField("placementVM", to.ID).Warn("placement request failed; placing locally")
-		return place.Choice{}, false
-	}
-	delete(n.backedOffVMs, to.ID)
-	delete(n.backedOffDomains, to.Domain)
-	c, ok := n.applyPlacement(service, res, r)
-	c.ChosenBy = to.ID
-	return c, ok
-}
-
-// applyPlacement counts a request at the server that the placement VM chose. It
-// returns false if the server is unknown, leaving, backed off or unreachable at this VM. The
-// caller holds the lock.
-func (n *Node) applyPlacement(service string, res PlacementResponse, r place.Request) (place.Choice, bool) {
-	list := n.candidates(service)
-	i := slices.IndexFunc(list, func(b member.Backend) bool { return b.ID == res.Backend })
-	now := time.Now()
-	if i < 0 || list[i].Leaving || n.placer.BackedOff(now, res.Backend) {
-		return place.Choice{}, false
-	}
-	if _, unreachable := n.placer.DomainUnreachable(now, list[i].Domain); unreachable {
-		return place.Choice{}, false
-	}
-	if !res.Full && !r.Stays(res.Backend) {
-		n.placer.Begin(now, res.Backend, r)
-	}
-	return place.Choice{Server: list[i], CopyDelay: res.CopyDelay, Full: res.Full, RetryAfter: res.RetryAfter}, true
-}
-
-// placementVM returns the placement VM of a service. It returns false if this VM
-// places the service's requests itself. The caller holds the lock.
-func (n *Node) placementVM(now time.Time, service string) (member.Peer, bool) {
-	x := n.Index()
-	if x == nil || n.RequestPlacement == nil {
-		return member.Peer{}, false
-	}
-	if s, ok := x.Service(service); !ok || s.Engine == nil {
-		return member.Peer{}, false
-	}
-	p := n.group.PlacementVM(now, service, n.Draining(), func(p member.Peer) bool {
-		return n.backedOffVMs.Active(now, p.ID) || n.backedOffDomains.Active(now, p.Domain)
-	})
-	if p.ID == n.Settings.ID {
-		return member.Peer{}, false
-	}
-	return p, true
-}
-
 // HandlePlacement applies the load report of another VM and, if it requests a
 // placement, chooses a server and reserves room there.
 func (n *Node) HandlePlacement(req PlacementRequest) PlacementResponse {
@@ -216,6 +147,7 @@
 	}
 	r := *req.Request
 	r.Random = n.random.Float64()
+	n.noteOtherPlacementVM(now, req.Service, r.Scope, req.From)
 	c, ok := n.placer.Pick(now, n.candidates(req.Service), r)
 	if !ok {
 		return PlacementResponse{}
@@ -224,7 +156,7 @@
 		n.placer.Reserve(now, req.From, c.Server.ID, r)
 	}
 	n.logPlacement(req.From, req.Service, r, c)
-	return PlacementResponse{Backend: c.Server.ID, CopyDelay: c.CopyDelay, Full: c.Full, RetryAfter: c.RetryAfter}
+	return PlacementResponse{Backend: c.Server.ID, CopyDelay: c.CopyDelay, Full: c.Full, Crowded: c.Crowded, RetryAfter: c.RetryAfter}
 }
 
 // RemainingTokens returns an upper bound on the number of tokens that a run has
--- a/foldd/node/report.go
+++ b/foldd/node/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"fuchsiafold.example/fold/member"
@@ -17,21 +18,35 @@
 	maxReportInterval = time.Second
 )
 
-// sentReport is the last load report sent for a service and when it was sent.
+// reportKey identifies the load reports on a service to one placement VM. domain is the
+// failure domain of the engines, empty for the whole region.
+type reportKey struct{ service, domain string }
+
+// sentReport is the last load report sent to a placement VM and when it was sent.
 type sentReport struct {
 	loads map[string]place.Load
 	at    time.Time
 }
 
-// newLoadReport returns a load report on a service. It removes the pending length
-// samples, which are sent once and lost if the message is lost. The caller holds
-// the lock.
-func (n *Node) newLoadReport(service string) PlacementRequest {
-	req := PlacementRequest{From: n.Settings.ID, Service: service, Loads: n.placer.LocalLoad(n.table.OfService(service)), LengthSamples: n.lengthSamples[service]}
-	delete(n.lengthSamples, service)
+// newLoadReport returns a load report on a service's engines in a failure domain, or in the
+// whole region if domain is empty. A report for the VM's own domain or the region removes
+// the pending length samples, which are sent once and lost if the message is lost. The
+// caller holds the lock.
+func (n *Node) newLoadReport(service, domain string) PlacementRequest {
+	req := PlacementRequest{From: n.Settings.ID, Service: service, Loads: n.placer.LocalLoad(n.enginesIn(service, domain))}
+	if domain == "" || domain == n.Settings.Domain {
+		req.LengthSamples = n.lengthSamples[service]
+		delete(n.lengthSamples, service)
+	}
 	return req
 }
 
+// enginesIn returns the servers of a service in a failure domain, or all of them if domain
+// is empty. The caller holds the lock.
+func (n *Node) enginesIn(service, domain string) []member.Backend {
+	return slices.DeleteFunc(n.table.OfService(service), func(b member.Backend) bool { return domain != "" && b.Domain != domain })
+}
+
 // maxLengthSamples bounds the length samples of a service that are pending for
 // the placement VM.
 const maxLengthSamples = 512
@@ -42,7 +57,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.placer.Learn(sample)
-	if _, ok := n.placementVM(time.Now(), service); !ok {
+	if _, ok := n.homePlacementVM(time.Now(), service); !ok {
 		return
 	}
 	if len(n.lengthSamples[service]) >= maxLengthSamples {
@@ -61,20 +76,14 @@
 	var sends []func()
 	busy := false
 	for service := range n.forwardBudgets {
-		loads := n.placer.LocalLoad(n.table.OfService(service))
-		n.placer.ObserveLocal(now, loads)
-		to, ok := n.placementVM(now, service)
-		last := n.sentReports[service]
-		if len(loads) == 0 && len(last.loads) == 0 {
-			continue
+		n.placer.ObserveLocal(now, n.placer.LocalLoad(n.table.OfService(service)))
+		for _, key := range n.reportKeys(now, service) {
+			send, active := n.dueReport(now, key)
+			busy = busy || active
+			if send != nil {
+				sends = append(sends, send)
+			}
 		}
-		busy = true
-		if !ok || (maps.EqualFunc(loads, last.loads, place.Load.SameRequests) && now.Sub(last.at) < maxReportInterval) {
-			continue
-		}
-		n.sentReports[service] = sentReport{loads: loads, at: now}
-		req := n.newLoadReport(service)
-		sends = append(sends, func() { n.sendLoadReport(to, req) })
 	}
 	if busy {
 		n.scheduleReport(now)
@@ -85,6 +94,45 @@
 	}
 }
 
+// reportKeys returns the load reports that this VM may have to send on a service. The caller
+// holds the lock.
+func (n *Node) reportKeys(now time.Time, service string) []reportKey {
+	if !n.placesByDomain(now) {
+		return []reportKey{{service: service}}
+	}
+	var out []reportKey
+	for _, b := range n.table.OfService(service) {
+		if key := (reportKey{service: service, domain: b.Domain}); !slices.Contains(out, key) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// dueReport returns a function that sends a load report, nil if none is due, and reports
+// whether this VM has requests in progress there or its last report showed some. The caller
+// holds the lock.
+func (n *Node) dueReport(now time.Time, key reportKey) (send func(), active bool) {
+	loads := n.placer.LocalLoad(n.enginesIn(key.service, key.domain))
+	last := n.sentReports[key]
+	if len(loads) == 0 && len(last.loads) == 0 {
+		return nil, false
+	}
+	if maps.EqualFunc(loads, last.loads, place.Load.SameRequests) && now.Sub(last.at) < maxReportInterval {
+		return nil, true
+	}
+	if !n.hasPlacementVM(key.service) {
+		return nil, true
+	}
+	to := n.placementVM(now, key.service, key.domain)
+	if to.ID == n.Settings.ID {
+		return nil, true
+	}
+	n.sentReports[key] = sentReport{loads: loads, at: now}
+	req := n.newLoadReport(key.service, key.domain)
+	return func() { n.sendLoadReport(to, req) }, true
+}
+
 // sendLoadReport sends a load report to a placement VM. It is called without the
 // lock.
 func (n *Node) sendLoadReport(to member.Peer, req PlacementRequest) {
--- a/foldd/node/view.go
+++ b/foldd/node/view.go
@@ -70,7 +70,7 @@
 // serviceView returns the view of a service. The caller holds the lock.
 func (n *Node) serviceView(now time.Time, service string) ServiceView {
 	v := ServiceView{Service: service}
-	if to, ok := n.placementVM(now, service); ok {
+	if to, ok := n.homePlacementVM(now, service); ok {
 		v.PlacedBy = to.ID
 	}
 	v.Requests, v.Retries, v.RetriesRemaining = n.forwardBudget(now, service).Usage(now)
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -24,7 +24,7 @@
 		return node.PlacementResponse{}, fmt.Errorf("request placement from %s: %w", to.ID, err)
 	}
 	return node.PlacementResponse{
-		Backend: res.Msg.GetBackend(), CopyDelay: micros(res.Msg.GetWaitMicros()), Full: res.Msg.GetFull(), RetryAfter: micros(res.Msg.GetBackMicros()),
+		Backend: res.Msg.GetBackend(), CopyDelay: micros(res.Msg.GetWaitMicros()), Full: res.Msg.GetFull(), Crowded: res.Msg.GetCrowded(), RetryAfter: micros(res.Msg.GetBackMicros()),
 	}, nil
 }
 
@@ -36,7 +36,7 @@
 	}
 	res := s.node.HandlePlacement(p)
 	return connect.NewResponse(&wire.PlaceResponse{
-		Backend: res.Backend, WaitMicros: uint64(res.CopyDelay.Microseconds()), Full: res.Full, BackMicros: uint64(res.RetryAfter.Microseconds()),
+		Backend: res.Backend, WaitMicros: uint64(res.CopyDelay.Microseconds()), Full: res.Full, Crowded: res.Crowded, BackMicros: uint64(res.RetryAfter.Microseconds()),
 	}), nil
 }
 
@@ -49,7 +49,7 @@
 		m.Growth = append(m.Growth, &wire.RunGrowth{Group: toRunGroup(sample.Group), From: uint64(sample.From), To: uint64(sample.To), Ended: sample.Ended})
 	}
 	if r := req.Request; r != nil {
-		m.Want = &wire.PlaceWant{Run: toEngineRun(r.Run), PromptTokens: uint64(r.PromptTokens), Avoid: r.Exclude, Domain: r.Domain, WithinMicros: uint64(r.FirstTokenBudget.Microseconds())}
+		m.Want = &wire.PlaceWant{Run: toEngineRun(r.Run), PromptTokens: uint64(r.PromptTokens), Avoid: r.Exclude, Domain: r.Domain, Scope: r.Scope, WithinMicros: uint64(r.FirstTokenBudget.Microseconds())}
 		if c := r.Copy; c != nil {
 			m.Want.CopySource, m.Want.CopyMicros = c.Source, uint64(c.Duration.Microseconds())
 			m.Want.CopyDomain, m.Want.MayStay = c.Domain, c.MayStay
@@ -72,7 +72,7 @@
 	}
 	if w := m.GetWant(); w != nil {
 		req.Request = &place.Request{
-			Run: fromEngineRun(w.GetRun()), PromptTokens: int(w.GetPromptTokens()), Exclude: w.GetAvoid(), Domain: w.GetDomain(),
+			Run: fromEngineRun(w.GetRun()), PromptTokens: int(w.GetPromptTokens()), Exclude: w.GetAvoid(), Domain: w.GetDomain(), Scope: w.GetScope(),
 			FirstTokenBudget: micros(w.GetWithinMicros()),
 		}
 		if w.GetCopySource() != "" {
