Soak: servers that say they are leaving, and that turn requests away for a time

Change: the kinds sayLeaving (a server says so in its responses and does not announce it) and turnAway (503 with Retry-After); two promises, saidLeaving and leftAlone, checked beside all other faults, drawn by themselves, so that the other faults of a seed stay. Result: TestStatementsCatch: each check catches what is planted and lets pass what is allowed.

--- a/foldfake/soak/check.go
+++ b/foldfake/soak/check.go
@@ -31,6 +31,12 @@
 	LeavingIdle Promise = "leavingIdle"
 	// LimitKept: a backend server that names a rate limit gets no more than that allows.
 	LimitKept Promise = "limitKept"
+	// SaidLeaving: a backend server gets nothing new from a VM that has passed on a response
+	// in which the server says that it is leaving.
+	SaidLeaving Promise = "saidLeaving"
+	// LeftAlone: a backend server that has turned a request of a VM away gets at most two
+	// from it in the time that it named.
+	LeftAlone Promise = "leftAlone"
 	// ConfigForward: a VM never goes back to an older configuration, and what was
 	// accepted is in force everywhere within a bound and stays.
 	ConfigForward Promise = "configForward"
--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -268,6 +268,39 @@
 	}
 }
 
+// TestStatementsCatch sends requests to a server that has said that it wants none.
+func TestStatementsCatch(t *testing.T) {
+	for _, tt := range []struct {
+		what  string
+		say   func(s *statements)
+		gap   time.Duration
+		count int
+		calm  bool
+		want  []Promise
+	}{
+		{"leaving", (*statements).sayLeaving, 600 * time.Millisecond, 2, true, []Promise{SaidLeaving}},
+		{"leaving, at once", (*statements).sayLeaving, 100 * time.Millisecond, 2, true, nil},
+		{"leaving, VM disturbed", (*statements).sayLeaving, 600 * time.Millisecond, 2, false, nil},
+		{"turns away", func(s *statements) { s.turnAway(true) }, 600 * time.Millisecond, 4, true, []Promise{LeftAlone}},
+		{"turns away, two more", func(s *statements) { s.turnAway(true) }, 600 * time.Millisecond, 3, true, nil},
+		{"turns away, after the time", func(s *statements) { s.turnAway(true) }, awayTime, 9, true, nil},
+	} {
+		got := broken(func(f *findings) {
+			var s statements
+			tt.say(&s)
+			start := time.Now()
+			for i := range tt.count {
+				var b origin.Behaviour
+				if p := s.arrive(start.Add(time.Duration(i)*tt.gap), 0, true, &b, func(int, time.Time) bool { return tt.calm }); p != "" {
+					f.add(p, "", "")
+					return
+				}
+			}
+		})
+		expect(t, tt.what, got, tt.want...)
+	}
+}
+
 func TestPlanDependsOnSeedAlone(t *testing.T) {
 	first := NewPlan(1, DefaultLength, vmCount, controlCount, len(layout))
 	if again := NewPlan(1, DefaultLength, vmCount, controlCount, len(layout)); !reflect.DeepEqual(first, again) {
@@ -283,7 +316,7 @@
 			}
 		}
 	}
-	if len(kinds) != 29 || overlapping < 50 {
+	if len(kinds) != 31 || overlapping < 50 {
 		t.Errorf("50 plans have %d kinds of faults, and %d that overlap", len(kinds), overlapping)
 	}
 }
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -63,6 +63,11 @@
 	// without end in a part of its answers.
 	LimitServer    Kind = "limitServer"
 	EndlessAnswers Kind = "endlessAnswers"
+	// SayLeaving lets a backend server say in its responses that it is leaving, which it
+	// does not announce, and replaces it. TurnAway lets one turn requests away and name a
+	// time in which it wants none.
+	SayLeaving Kind = "sayLeaving"
+	TurnAway   Kind = "turnAway"
 )
 
 // Fault is a fault of a plan.
@@ -110,6 +115,9 @@
 	maxLimited = 9 * time.Second
 	// endlessGap is the longest time between two faults with endless answers.
 	endlessGap = 3 * time.Second
+	// statementGap is the longest time between two faults in which a server says something
+	// of itself.
+	statementGap = 3 * time.Second
 	// peerGap is the longest time between two faults of connections between VMs.
 	peerGap = 3 * time.Second
 	// diskGap and clockGap are the longest times between two faults of disks and of clocks,
@@ -147,6 +155,7 @@
 	p.addReplacement(seed)
 	p.addDisks(seed)
 	p.addClocks(seed)
+	p.addStatements(seed, servers)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
@@ -220,6 +229,17 @@
 	}
 }
 
+// statementKinds are the kinds of faults in which a server says something of itself.
+var statementKinds = []Kind{SayLeaving, TurnAway}
+
+// addStatements adds such faults, drawn by themselves.
+func (p *planner) addStatements(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 8))
+	for at := p.upTo(statementGap); at < p.length; at += p.upTo(statementGap) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: statementKinds[p.r.IntN(len(statementKinds))], Target: p.forwarded(servers)})
+	}
+}
+
 // forwarded draws one of the servers that forwards go to, which come last.
 func (p *planner) forwarded(servers int) int {
 	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
@@ -227,7 +247,7 @@
 
 // ofServer reports whether a fault's target is a backend server.
 func (k Kind) ofServer() bool {
-	return slices.Contains([]Kind{DelayServer, ResetServer, SilenceServer, CrashServer, LeaveServer, BreakAnswers, LimitServer, EndlessAnswers}, k)
+	return slices.Contains([]Kind{DelayServer, ResetServer, SilenceServer, CrashServer, LeaveServer, BreakAnswers, LimitServer, EndlessAnswers, SayLeaving, TurnAway}, k)
 }
 
 // planner draws the faults of VMs.
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -69,6 +69,8 @@
 	breaking, endless bool
 	// limited watches the limit that a server of forwards names. It doesn't change.
 	limited limited
+	// statements is what a server of forwards says of itself.
+	statements statements
 }
 
 // servers holds the backend servers of a soak.
@@ -185,6 +187,7 @@
 	if endless {
 		b.Endless = endlessPart(id)
 	}
+	s.checkStatements(x, r, &b)
 	return b
 }
 
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -283,6 +283,16 @@
 		x.setEndless(true)
 		sleep(ctx, f.For)
 		x.setEndless(false)
+	case SayLeaving:
+		x.statements.sayLeaving()
+		sleep(ctx, f.For)
+		w.check(w.servers.replace(f.Target))
+		sleep(ctx, leaveTime)
+		x.close()
+	case TurnAway:
+		x.statements.turnAway(true)
+		sleep(ctx, f.For)
+		x.statements.turnAway(false)
 	case LeaveServer:
 		x.leave()
 		w.check(w.servers.replace(f.Target))
