--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -239,6 +239,12 @@
 	return out
 }
 
+// InUse reports whether this VM has requests under way at a server.
+func (p *Placer) InUse(id string) bool {
+	b := p.backends[id]
+	return b != nil && b.requests > 0
+}
+
 // backend returns this VM's state for a server, creating it if there is none.
 func (p *Placer) backend(id string) *backendState {
 	b := p.backends[id]
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -88,7 +88,10 @@
 func (n *Node) notifyChange(b member.Backend, from string) {
 	n.Count("backends.changes", 1)
 	log := n.Log.WithFields(logrus.Fields{"backend": b.ID, "addr": b.Addr, "service": b.Service, "domain": b.Domain, "leaving": b.Leaving, "epoch": b.Epoch, "seq": b.Seq, "from": from})
-	if from == "" || n.hasRequestsAt(b) {
+	n.mu.Lock()
+	used := n.hasRequestsAt(b.ID)
+	n.mu.Unlock()
+	if from == "" || used {
 		log.Info("backend server changed")
 	} else {
 		log.Debug("backend server changed")
@@ -97,11 +100,10 @@
 	n.Gossip(n.urgentTargets(from))
 }
 
-// hasRequestsAt reports whether this VM has requests under way at a backend server.
-func (n *Node) hasRequestsAt(b member.Backend) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.calls[b.ID] > 0 || len(n.placer.LocalLoad([]member.Backend{b})) > 0
+// hasRequestsAt reports whether this VM has requests under way at a backend server. The
+// caller holds the lock.
+func (n *Node) hasRequestsAt(id string) bool {
+	return n.calls[id] > 0 || n.placer.InUse(id)
 }
 
 // controlUnreachable reports whether this VM learns of backend servers only from
@@ -109,7 +111,7 @@
 // meanwhile, since the last known set is the best available. The caller holds
 // the lock.
 func (n *Node) controlUnreachable(now time.Time) bool {
-	if n.Settings.Listen.Backends.IsValid() || n.Settings.Control != nil || len(n.Settings.ControlVMs) == 0 {
+	if n.receivesAnnouncements() || n.Settings.Control != nil || len(n.Settings.ControlVMs) == 0 {
 		return false
 	}
 	return !slices.ContainsFunc(n.group.LiveWithin(now, n.table.Lease/2), func(p member.Peer) bool { return p.HasControlReplica })
@@ -150,7 +152,9 @@
 		return
 	}
 	expired := n.table.Expire(now)
+	used := map[string]bool{}
 	for _, id := range expired {
+		used[id] = n.hasRequestsAt(id)
 		n.placer.Forget(id)
 		n.limits.Forget(id)
 		n.eachScheduler(func(s *sched.Scheduler) { s.RemoveBackend(now, id) })
@@ -159,10 +163,18 @@
 	n.mu.Unlock()
 	for _, id := range expired {
 		n.Count("backends.expired", 1)
-		n.Log.WithField("backend", id).Warn("backend server lease expired; server removed")
+		log := n.Log.WithField("backend", id)
+		if used[id] || n.receivesAnnouncements() {
+			log.Warn("backend server lease expired; server removed")
+			continue
+		}
+		log.Debug("backend server lease expired; server removed")
 	}
 }
 
+// receivesAnnouncements reports whether backend servers report to this VM themselves.
+func (n *Node) receivesAnnouncements() bool { return n.Settings.Listen.Backends.IsValid() }
+
 // Backend returns the live backend server with an ID. It returns false if there
 // is none.
 func (n *Node) Backend(id string) (member.Backend, bool) {
--- a/foldd/node/placevm.go
+++ b/foldd/node/placevm.go
@@ -168,16 +168,12 @@
 // this VM if it is that. It returns false if no VM names a usable server.
 func (n *Node) placeIn(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
 	for range maxPlacementVMs {
-		n.mu.Lock()
-		now := time.Now()
-		to := n.placementVM(now, service, r.Scope)
+		to, req := n.newPlacementRequest(service, r)
 		if to.ID == n.Settings.ID {
+			n.mu.Lock()
 			defer n.mu.Unlock()
-			return n.pickLocally(now, service, r)
+			return n.pickLocally(time.Now(), service, r)
 		}
-		req := n.newLoadReport(service, r.Scope)
-		req.Request = &r
-		n.mu.Unlock()
 		c, usable, err := n.askPlacement(ctx, service, to, req)
 		if err == nil || ctx.Err() != nil {
 			return c, usable
@@ -187,6 +183,20 @@
 	return place.Choice{}, false
 }
 
+// newPlacementRequest returns the placement VM of a request's scope, and what to send it if
+// that is another VM.
+func (n *Node) newPlacementRequest(service string, r place.Request) (member.Peer, PlacementRequest) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	to := n.placementVM(time.Now(), service, r.Scope)
+	if to.ID == n.Settings.ID {
+		return to, PlacementRequest{}
+	}
+	req := n.newLoadReport(service, r.Scope)
+	req.Request = &r
+	return to, req
+}
+
 // askPlacement asks a placement VM to place a request. It returns false if the VM names no
 // usable server, and an error if it doesn't answer.
 func (n *Node) askPlacement(ctx context.Context, service string, to member.Peer, req PlacementRequest) (place.Choice, bool, error) {
@@ -213,6 +223,8 @@
 	delete(n.backedOffDomains, to.Domain)
 	c, ok := n.applyPlacement(service, res)
 	c.ChosenBy = to.ID
+	// The delay counts from the choice, which was made somewhere within the call.
+	c.CopyDelay = max(c.CopyDelay-time.Since(began)/2, 0)
 	return c, ok, nil
 }
 
