Node: before a request is rejected, up to six failure domains are asked; an unreachable one is asked once

Cause: found by reading. With placement VMs for each domain a request was rejected when its own domain and two others were full, though others might have room; and each spill to a domain that is cut off waited twice 100 ms for its placement VMs. Change: two other domains are asked while the own one is only crowded, six before a rejection. After a timeout a domain's placement VMs are not asked during the back-off. Servers that name no domain belong to each. Result: TestCrowdedDomainSpillsOver has the case; TestUnreachableDomainIsNotAskedAgain is new.

--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -60,9 +60,10 @@
 	return req.Copy != nil && req.Copy.MayStay && req.Copy.Source == id
 }
 
-// inScope reports whether a server may be chosen by its failure domain.
+// inScope reports whether a server may be chosen by its failure domain. One that names none
+// may always be.
 func (req *Request) inScope(s *member.Backend) bool {
-	return req.Scope == "" || s.Domain == req.Scope || req.Stays(s.ID)
+	return req.Scope == "" || s.Domain == "" || s.Domain == req.Scope || req.Stays(s.ID)
 }
 
 // Choice is the server chosen for a request.
--- a/foldd/node/placevm.go
+++ b/foldd/node/placevm.go
@@ -30,8 +30,9 @@
 	// for its engines.
 	maxVMsPerPlacementVM = 100
 	// maxSpillDomains is the number of other failure domains that are asked for a request
-	// if its own is crowded.
+	// if its own is crowded, and maxFullDomains that if none has room.
 	maxSpillDomains = 2
+	maxFullDomains  = 6
 	// crowdedPeriod is how long a failure domain that was crowded is asked for requests of
 	// others only if there is no other.
 	crowdedPeriod = 500 * time.Millisecond
@@ -50,7 +51,10 @@
 	scopes := n.placementScopes(service, r)
 	var best place.Choice
 	found := false
-	for _, scope := range scopes {
+	for i, scope := range scopes {
+		if found && !best.Rejects() && (!best.Crowded || i > maxSpillDomains) {
+			break
+		}
 		r.Scope = scope
 		c, ok := n.placeIn(ctx, service, r)
 		if ctx.Err() != nil {
@@ -63,9 +67,6 @@
 		if !found || preferred(c, best) {
 			best, found = c, true
 		}
-		if !best.Crowded && !best.Rejects() {
-			break
-		}
 	}
 	if !found {
 		return place.Choice{}, false
@@ -98,12 +99,19 @@
 	if !n.placesByDomain(now) {
 		return []string{""}
 	}
-	scopes := []string{r.Domain}
-	others, crowded := n.otherDomains(now, service, r)
-	if others = append(others, crowded...); len(others) > maxSpillDomains {
-		others = others[:maxSpillDomains]
+	var scopes []string
+	if n.domainReachable(now, r.Domain) {
+		scopes = append(scopes, r.Domain)
 	}
-	return append(scopes, others...)
+	others, crowded := n.otherDomains(now, service, r)
+	others = append(others, crowded...)
+	return append(scopes, others[:min(len(others), maxFullDomains)]...)
+}
+
+// domainReachable reports whether the placement VMs of a failure domain may be asked: those
+// of this VM's own always are. The caller holds the lock.
+func (n *Node) domainReachable(now time.Time, domain string) bool {
+	return domain == n.Settings.Domain || !n.backedOffDomains.Active(now, domain)
 }
 
 // hasPlacementVM reports whether placement VMs place the requests of a service: those for
@@ -132,9 +140,9 @@
 	if r.Copy != nil && r.Copy.MayStay {
 		return nil, nil
 	}
-	seen := map[string]bool{r.Domain: true}
+	seen := map[string]bool{r.Domain: true, "": true}
 	for _, b := range n.table.OfService(service) {
-		if seen[b.Domain] || b.Leaving || slices.Contains(r.Exclude, b.ID) {
+		if seen[b.Domain] || b.Leaving || slices.Contains(r.Exclude, b.ID) || !n.domainReachable(now, b.Domain) {
 			continue
 		}
 		seen[b.Domain] = true
@@ -169,6 +177,10 @@
 func (n *Node) placeIn(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
 	for range maxPlacementVMs {
 		to, req := n.newPlacementRequest(service, r)
+		if r.Scope != "" && to.Domain != r.Scope {
+			// The failure domain has no VM that can be asked.
+			break
+		}
 		if to.ID == n.Settings.ID {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -233,7 +245,7 @@
 func (n *Node) losePlacementVM(to member.Peer, timedOut bool, err error) {
 	now := time.Now()
 	n.backedOffVMs.Fail(now, to.ID, minPlacementBackoff, maxPlacementBackoff)
-	if timedOut && to.Domain != n.Settings.Domain && !n.placesByDomain(now) {
+	if timedOut && to.Domain != n.Settings.Domain {
 		// After a timeout, the whole failure domain may be unreachable.
 		n.backedOffDomains.Fail(now, to.Domain, minPlacementBackoff, maxPlacementBackoff)
 	}
--- a/foldd/node/placevm_test.go
+++ b/foldd/node/placevm_test.go
@@ -77,6 +77,7 @@
 		{"all domains are crowded", []string{"a", "b", "c"}, nil, []string{"a"}, false},
 		{"own domain is full and the others are crowded", []string{"b", "c"}, []string{"a"}, []string{"b", "c"}, false},
 		{"all domains are full", nil, []string{"a", "b", "c"}, []string{"a"}, true},
+		{"only the last domain has room", nil, []string{"a", "b"}, []string{"c"}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.what, func(t *testing.T) {
@@ -121,3 +122,27 @@
 		t.Errorf("the next request is placed by %s, want %s, while the first VM is backed off", c.ChosenBy, asked[1])
 	}
 }
+
+// TestUnreachableDomainIsNotAskedAgain checks that a request whose own domain is crowded
+// waits for the placement VM of a domain that does not answer only once, and that the next
+// ones don't wait for it.
+func TestUnreachableDomainIsNotAskedAgain(t *testing.T) {
+	asked := map[string]int{}
+	n := largeGroup(t, nil)
+	n.RequestPlacement = func(ctx context.Context, to member.Peer, req PlacementRequest) (PlacementResponse, error) {
+		asked[to.Domain]++
+		if to.Domain == "b" {
+			<-ctx.Done()
+			return PlacementResponse{}, ctx.Err()
+		}
+		return PlacementResponse{Backend: "e-" + req.Request.Scope, Crowded: true}, nil
+	}
+	for range 8 {
+		if c, ok := n.Place(t.Context(), "models", modelRequest()); !ok || c.Server.ID != "e-a" {
+			t.Errorf("engine %q, %t; want the crowded one of the VM's own domain", c.Server.ID, ok)
+		}
+	}
+	if asked["b"] > 1 {
+		t.Errorf("the VMs of the unreachable domain were asked %d times, want once", asked["b"])
+	}
+}
--- a/foldd/node/report.go
+++ b/foldd/node/report.go
@@ -41,10 +41,12 @@
 	return req
 }
 
-// enginesIn returns the servers of a service in a failure domain, or all of them if domain
-// is empty. The caller holds the lock.
+// enginesIn returns the servers of a service in a failure domain, with those that name none,
+// or all of them if domain is empty. The caller holds the lock.
 func (n *Node) enginesIn(service, domain string) []member.Backend {
-	return slices.DeleteFunc(n.table.OfService(service), func(b member.Backend) bool { return domain != "" && b.Domain != domain })
+	return slices.DeleteFunc(n.table.OfService(service), func(b member.Backend) bool {
+		return domain != "" && b.Domain != "" && b.Domain != domain
+	})
 }
 
 // maxLengthSamples bounds the length samples of a service that are pending for
@@ -100,8 +102,11 @@
 	if !n.placesByDomain(now) {
 		return []reportKey{{service: service}}
 	}
-	var out []reportKey
+	out := []reportKey{{service: service, domain: n.Settings.Domain}}
 	for _, b := range n.table.OfService(service) {
+		if b.Domain == "" {
+			continue
+		}
 		if key := (reportKey{service: service, domain: b.Domain}); !slices.Contains(out, key) {
 			out = append(out, key)
 		}
