Member: a VM that is heard of again after its lease is live at once

Callers saw: nothing; found by reading. Cause: whether the index of live VMs has to be made anew was told from the time of a relayed report, which lies before the end of the lease that had passed meanwhile. The VM then counted as live only once the lease of another one ended. Change: a record says whether the index holds it. TestVMHeardOfAgainIsLiveAtOnce failed before.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -52,6 +52,8 @@
 	// lastReport is the time of the VM's last direct report, whether it arrived
 	// here or at the VM that relayed it.
 	lastReport time.Time
+	// indexed is set if the VM was live when the index of live VMs was last computed.
+	indexed bool
 	// acked is the version of the local table that the VM has applied.
 	acked uint64
 	// have is the version of the VM's table that was applied locally.
@@ -118,7 +120,7 @@
 		r = &peerRecord{}
 		g.peers[p.ID] = r
 	}
-	if !r.sameMember(p) || now.Sub(r.lastReport) >= PeerLease {
+	if !r.indexed || !r.sameMember(p) {
 		g.live = nil
 	}
 	r.Peer = p
--- a/fold/member/live.go
+++ b/fold/member/live.go
@@ -40,7 +40,8 @@
 		if silence >= peerRetention {
 			delete(g.peers, id)
 		}
-		if silence >= PeerLease {
+		r.indexed = silence < PeerLease
+		if !r.indexed {
 			continue
 		}
 		x.peers = append(x.peers, r)
--- a/fold/member/member_test.go
+++ b/fold/member/member_test.go
@@ -393,3 +393,19 @@
 		}
 	}
 }
+
+// TestVMHeardOfAgainIsLiveAtOnce guards against a VM whose lease has ended and of which a
+// relayed report arrives, and that counts as live only once the list is made anew.
+func TestVMHeardOfAgainIsLiveAtOnce(t *testing.T) {
+	var g Group
+	g.ReceiveDirect(start, Peer{ID: "a", Epoch: 1, Seq: 1})
+	now := start.Add(PeerLease + time.Second)
+	g.ReceiveDirect(now, Peer{ID: "b", Epoch: 1, Seq: 1})
+	if live := g.Live(now); len(live) != 1 {
+		t.Fatalf("live VMs %v, want b", live)
+	}
+	g.ReceiveRelayed(now, PeerUpdate{Peer: Peer{ID: "a", Epoch: 1, Seq: 2}, Age: 2 * time.Second})
+	if live := g.Live(now); len(live) != 2 {
+		t.Errorf("live VMs %v, want a and b", live)
+	}
+}
