--- a/fold/place/copy.go
+++ b/fold/place/copy.go
@@ -7,10 +7,8 @@
 )
 
 // copyGap is the interval kept between two copies on a link. In it, the run of
-// the first copy stops and transfers what it generated during the copy. A VM that begins
-// its copy late by most of it still has the link for itself: when an engine leaves, all VMs
-// with runs there are busy at once.
-const copyGap = 40 * time.Millisecond
+// the first copy stops and transfers what it generated during the copy.
+const copyGap = 25 * time.Millisecond
 
 // copySchedule returns when the copy of a run to server s can begin and how
 // long it takes. The copy waits until the links of both servers are free, and
