--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,7 +9,6 @@
 
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
-	"fuchsiafold.example/fold/place"
 )
 
 // Purpose says why a request is sent to a backend server.
@@ -202,82 +200,6 @@
 	}
 }
 
-// withheld holds the servers of a service that get no request for now.
-type withheld struct {
-	ids []string
-	// wait is the time until the first of them gets one. cause is why it gets none yet.
-	wait  time.Duration
-	cause limit.Cause
-}
-
-func (w *withheld) add(id string, wait time.Duration, cause limit.Cause) {
-	if len(w.ids) == 0 || wait < w.wait {
-		w.wait, w.cause = wait, cause
-	}
-	w.ids = append(w.ids, id)
-}
-
-// withheldServers returns the servers of a service, other than stay, that get no request
-// for now: those without a permit, and, for the requests of this VM, those in a cooldown.
-// The caller holds the lock.
-func (n *Node) withheldServers(now time.Time, service, stay string, own bool) withheld {
-	var out withheld
-	if n.limits.Idle() {
-		return out
-	}
-	v := n.limitView(now, service)
-	for _, b := range n.table.OfService(service) {
-		if b.ID == stay || b.Leaving {
-			continue
-		}
-		wait, cooling := n.limits.Cooldown(now, serverOf(b))
-		if cooling && own {
-			out.add(b.ID, wait, limit.Cooldown)
-			continue
-		}
-		if wait, exhausted := n.limits.Exhausted(now, serverOf(b), v); exhausted {
-			out.add(b.ID, wait, limit.RateLimit)
-		}
-	}
-	return out
-}
-
-// limitedChoice returns the choice for a request for which only withheld servers are left,
-// and counts it as rejected. The caller holds the lock.
-func (n *Node) limitedChoice(now time.Time, service string, w withheld) place.Choice {
-	if w.cause == limit.Cooldown {
-		return place.Choice{Limited: true, RetryAfter: w.wait}
-	}
-	b := n.limits.backlogs[service]
-	if b == nil {
-		b = &limit.Backlog{}
-		n.limits.backlogs[service] = b
-	}
-	return place.Choice{Limited: true, RetryAfter: b.Reject(now, w.wait)}
-}
-
-// RejectLimited reports whether all servers of a service, other than those excluded, take
-// no further request for now, because of a rate limit or a cooldown. It then counts a request as rejected,
-// and returns the time after which it may come back.
-func (n *Node) RejectLimited(service string, exclude []string) (time.Duration, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	w := n.withheldServers(now, service, "", true)
-	if !n.hasOtherServer(service, exclude) || n.hasOtherServer(service, slices.Concat(exclude, w.ids)) {
-		return 0, false
-	}
-	return n.limitedChoice(now, service, w).RetryAfter, true
-}
-
-// hasOtherServer reports whether a service has a server besides the given ones. The caller
-// holds the lock.
-func (n *Node) hasOtherServer(service string, ids []string) bool {
-	return slices.ContainsFunc(n.table.OfService(service), func(b member.Backend) bool {
-		return !b.Leaving && !slices.Contains(ids, b.ID)
-	})
-}
-
 // ObserveLimit records what a response of a server says of its rate limit.
 func (n *Node) ObserveLimit(b member.Backend, st limit.Statement) {
 	n.mu.Lock()
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -94,20 +93,6 @@
 	}
 }
 
-// excludeWithheld excludes and returns the servers that get no request for now. own is set
-// for a request of this VM.
-func (n *Node) excludeWithheld(service string, r *place.Request, own bool) withheld {
-	stay := ""
-	if r.Copy != nil && r.Copy.MayStay {
-		stay = r.Copy.Source
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	w := n.withheldServers(time.Now(), service, stay, own)
-	r.Exclude = slices.Concat(r.Exclude, w.ids)
-	return w
-}
-
 // logPlacement logs the choice of a server for a run of the VM from, with the
 // load that it was based on. Plain calls are not logged here: their server is in
 // the line at their end.
