--- a/foldd/node/placevm_test.go
+++ b/foldd/node/placevm_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/spec"
@@ -146,3 +147,27 @@
 		t.Errorf("the VMs of the unreachable domain were asked %d times, want once", asked["b"])
 	}
 }
+
+// TestPlacementVMIsToldOfCooldown checks that a request names the engines that want none
+// from this VM, so that its placement VM offers another, and that requests of other VMs are
+// not kept from them.
+func TestPlacementVMIsToldOfCooldown(t *testing.T) {
+	var excluded []string
+	n := largeGroup(t, func(_ member.Peer, r place.Request) (PlacementResponse, error) {
+		excluded = r.Exclude
+		return PlacementResponse{Backend: "e-b"}, nil
+	})
+	away, _ := n.Backend("e-a")
+	n.ObserveRetryAfter(away, limit.RetryAfter{Wait: time.Minute})
+	if c, ok := n.Place(t.Context(), "models", modelRequest()); !ok || c.Server.ID != "e-b" || !slices.Contains(excluded, "e-a") {
+		t.Errorf("engine %q, %t; the request excludes %v, want e-a", c.Server.ID, ok, excluded)
+	}
+	r := modelRequest()
+	r.Scope = "a"
+	if res := n.HandlePlacement(PlacementRequest{From: "a-1", Service: "models", Request: &r}); res.Backend != "e-a" {
+		t.Errorf("the request of another VM goes to %q, want e-a", res.Backend)
+	}
+	if views := n.ServiceViews(); !slices.ContainsFunc(views[0].Backends, func(b BackendView) bool { return b.ID == "e-a" && b.BackedOff }) {
+		t.Errorf("views %+v don't show the cooldown of e-a", views)
+	}
+}
--- a/foldd/node/view.go
+++ b/foldd/node/view.go
@@ -35,8 +35,9 @@
 	Leaving bool
 	// Age is the time since the server itself last reported.
 	Age time.Duration
-	// BackedOff is set while this VM is backed off from the server after a
-	// failure or rejection. It then sends requests there only if no other is left.
+	// BackedOff is set while this VM is backed off from the server after a failure, and
+	// then sends requests there only if no other is left, and while the server wants no
+	// request from this VM.
 	BackedOff bool
 	// Limit is the rate limit of the server, Ended if it has none.
 	Limit limit.Entry
@@ -78,8 +79,9 @@
 	loads := n.placer.LocalLoad(servers)
 	for _, b := range servers {
 		age, _ := n.table.Age(now, b.ID)
+		_, cooling := n.limits.Cooldown(now, serverOf(b))
 		v.Backends = append(v.Backends, BackendView{
-			ID: b.ID, Domain: b.Domain, Leaving: b.Leaving, Age: age, BackedOff: n.placer.BackedOff(now, b.ID), Load: loads[b.ID],
+			ID: b.ID, Domain: b.Domain, Leaving: b.Leaving, Age: age, BackedOff: cooling || n.placer.BackedOff(now, b.ID), Load: loads[b.ID],
 			Limit: n.limits.Entry(serverOf(b)),
 		})
 	}
