--- a/fold/place/bench_test.go
+++ b/fold/place/bench_test.go
@@ -36,9 +36,8 @@
 // BenchmarkPick measures the choice of an engine at the size of a large fleet.
 func BenchmarkPick(b *testing.B) {
 	p, servers := largeFleet(195, 63, 8)
-	at := now
 	for i := range b.N {
-		at = now.Add(time.Duration(i%500) * time.Millisecond)
+		at := now.Add(time.Duration(i%500) * time.Millisecond)
 		req := Request{Run: Run{ID: uint64(i + 10_000), Group: learn.Group{Class: "c"}, BaseTokens: 2000, MaxTokens: 2268}, PromptTokens: 2000, FirstTokenBudget: time.Second}
 		p.Pick(at, servers, req)
 	}
--- a/foldd/gate/gate.go
+++ b/foldd/gate/gate.go
@@ -64,13 +64,7 @@
 	}
 	codec := relay.DefaultCodec()
 	reply := codec.ParseReply(res.StatusCode, res.Header)
-	if reply.SaysLimit(res.StatusCode) {
-		t.Node.ObserveLimit(to.backend, reply.Limit)
-	}
-	relay.ObserveReply(t.Node, to.backend, reply)
-	for _, h := range informational {
-		relay.ObserveFields(t.Node, to.backend, &codec, reply, h)
-	}
+	relay.ObserveResponse(t.Node, to.backend, &codec, res.StatusCode, reply, informational)
 	res.Body = &trailerReader{ReadCloser: res.Body, response: res, observe: func(h http.Header) {
 		relay.ObserveFields(t.Node, to.backend, &codec, reply, h)
 	}}
--- a/foldd/relay/send.go
+++ b/foldd/relay/send.go
@@ -29,18 +29,24 @@
 		return nil, err
 	}
 	reply = codec.ParseReply(res.Status, res.Header)
-	for _, h := range res.Informational {
-		ObserveFields(q.relay.Node, b, codec, reply, h)
+	ObserveResponse(q.relay.Node, b, codec, res.Status, reply, res.Informational)
+	return res, nil
+}
+
+// ObserveResponse records what a response with the given status, and the headers of the
+// informational responses before it, say of their server.
+func ObserveResponse(n *node.Node, b backend, codec *Codec, status int, r Reply, informational []http.Header) {
+	for _, h := range informational {
+		ObserveFields(n, b, codec, r, h)
 	}
-	if reply.SaysLimit(res.Status) {
-		q.relay.Node.ObserveLimit(b, reply.Limit)
+	if r.SaysLimit(status) {
+		n.ObserveLimit(b, r.Limit)
 	}
-	ObserveReply(q.relay.Node, b, reply)
-	return res, nil
+	observeReply(n, b, r)
 }
 
-// ObserveReply records what a response says of its server, other than its rate limit.
-func ObserveReply(n *node.Node, b backend, r Reply) {
+// observeReply records what a response says of its server, other than its rate limit.
+func observeReply(n *node.Node, b backend, r Reply) {
 	if r.WrongInstance {
 		return
 	}
@@ -108,7 +114,7 @@
 		return "", fmt.Errorf("copy run: %w", err)
 	}
 	handle, reply, err := x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, stop)
-	ObserveReply(x.Node, from, reply)
+	observeReply(x.Node, from, reply)
 	return handle, err
 }
 
@@ -123,7 +129,7 @@
 	if err == nil {
 		var reply Reply
 		reply, err = x.Mover.Free(ctx, source.Addr, handle)
-		ObserveReply(x.Node, source, reply)
+		observeReply(x.Node, source, reply)
 	}
 	if err != nil {
 		x.Node.Log.WithError(err).WithField("handle", handle).Warn("freeing the copy of a run failed")
