--- a/foldd/relay/leaving_test.go
+++ b/foldd/relay/leaving_test.go
@@ -1,14 +1,19 @@
 package relay_test
 
 import (
+	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/relay"
 	"fuchsiafold.example/foldfake/meter"
 	"fuchsiafold.example/foldfake/origin"
 )
@@ -127,3 +132,102 @@
 		})
 	}
 }
+
+// TestMovesLeaveServerAlone guards against copies of runs, and frees of them, that go on at
+// an engine that has turned one away and wants no request for some time.
+func TestMovesLeaveServerAlone(t *testing.T) {
+	t.Parallel()
+	const streams, events = 8, 30
+	const named, settle = 2 * time.Second, 500 * time.Millisecond
+	// Each run is tried at several engines, one after the other.
+	const copyTime = 300 * time.Millisecond
+	r := startVM(t)
+	release := make(chan struct{})
+	behave := respondWith(origin.Behaviour{Events: events, Hold: release, HoldAt: 3})
+	a := r.backend("a", "models", behave)
+	var mu sync.Mutex
+	var calls []time.Time
+	call := func() relay.Reply {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, time.Now())
+		return relay.Reply{RetryAfter: limit.RetryAfter{Wait: named}}
+	}
+	r.relay.Mover = &relay.Mover{
+		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, relay.Reply, error) {
+			reply := call()
+			time.Sleep(copyTime)
+			return "", reply, relay.ErrNoRoom
+		},
+		Free: func(context.Context, netip.AddrPort, string) (relay.Reply, error) { return call(), nil },
+	}
+	done := make(chan error, streams)
+	for i := range streams {
+		id := strconv.Itoa(i)
+		go func() {
+			_, _, err := r.sendAndRead(http.MethodPost, "/draft/x", id, "prompt")
+			done <- err
+		}()
+		waitFor(t, "the stream to run", func() bool { return a.EventsSent(id) > 0 })
+	}
+	for _, id := range []string{"b", "c", "d"} {
+		r.backend(id, "models", behave)
+	}
+	r.announce(a, "models", true)
+	time.Sleep(named + settle)
+	close(release)
+	for range streams {
+		if err := <-done; err != nil {
+			t.Errorf("a run that can't be moved did not stay: %v", err)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for _, at := range calls {
+		if d := at.Sub(calls[0]); d > settle && d < named {
+			late++
+		}
+	}
+	if len(calls) == 0 || late > 2 {
+		t.Errorf("%d calls, %d of them from %v to %v after the first, which was turned away for %v", len(calls), late, settle, named, named)
+	}
+}
+
+// TestLeavingIsLearnedFromCopy guards against new requests for an engine that has said only
+// in the reply to the copy of a run that it is leaving.
+func TestLeavingIsLearnedFromCopy(t *testing.T) {
+	t.Parallel()
+	r := startVM(t)
+	release := make(chan struct{})
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: 9, Hold: release, HoldAt: 2}))
+	r.relay.Mover = &relay.Mover{
+		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, relay.Reply, error) {
+			return "", relay.Reply{Leaving: true}, relay.ErrNoRoom
+		},
+	}
+	done := make(chan error)
+	go func() {
+		_, _, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt")
+		done <- err
+	}()
+	waitFor(t, "the stream to run", func() bool { return a.EventsSent("1") > 0 })
+	b := r.backend("b", "models", respondWith(origin.Behaviour{Events: 2}))
+	// Only the reply says it: the platform's order to move is a mark of its own.
+	r.announce(a, "models", true)
+	waitFor(t, "the reply to be recorded", func() bool { return r.node.Metrics.Get("limits.leaving") != nil })
+	for i := range 6 {
+		if status, _, err := r.sendAndRead(http.MethodPost, "/draft/x", "later"+strconv.Itoa(i), "prompt"); err != nil || status != http.StatusOK {
+			t.Errorf("status %d, %v", status, err)
+		}
+	}
+	for i := range 6 {
+		if id := "later" + strconv.Itoa(i); a.RunCount(id) != 0 || b.RunCount(id) != 1 {
+			t.Errorf("request %s ran %d times at the engine that leaves", id, a.RunCount(id))
+		}
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
