Ctrl: log lines for calls between control replicas that fail, and for what each control VM said

Neither the hypothesis of messages that wait behind a dead connection nor that of a slow leader could be told from the logs. Now the first failed call of a series to a replica is a line with its time and the number of messages queued behind it, the first success a second line; and the error of an attempt without a quorum names each control VM that was asked, for how long and its answer. No decision changes.

--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -56,26 +56,57 @@
 	return &Client{http: h, options: o, addrs: addrs}
 }
 
+// failedCall is a call to a control VM that failed.
+type failedCall struct {
+	addr string
+	took time.Duration
+	err  error
+}
+
+// noQuorumError is an ErrNoQuorum that says which control VMs failed and why.
+type noQuorumError struct{ failed []failedCall }
+
+// maxReportedCalls bounds the calls that the text of a noQuorumError names.
+const maxReportedCalls = 8
+
+func (e noQuorumError) Error() string {
+	text := ErrNoQuorum.Error()
+	for i, f := range e.failed[:min(len(e.failed), maxReportedCalls)] {
+		text += fmt.Sprintf("%s%s after %d ms: %v", []string{": ", "; "}[min(i, 1)], f.addr, f.took.Milliseconds(), f.err)
+	}
+	if more := len(e.failed) - maxReportedCalls; more > 0 {
+		text += fmt.Sprintf("; and %d more", more)
+	}
+	return text
+}
+
+// Unwrap returns ErrNoQuorum.
+func (e noQuorumError) Unwrap() error { return ErrNoQuorum }
+
 // callWithRetry runs call against the control VMs until one succeeds, one rejects
-// the request itself, or ctx ends. The error is ErrNoQuorum if ctx ended.
+// the request itself, or ctx ends. The error wraps ErrNoQuorum if ctx ended.
 func (c *Client) callWithRetry(ctx context.Context, call func(context.Context, wire.ControlServiceClient) error) error {
+	var failed []failedCall
 	for {
-		err := c.tryAll(ctx, call)
+		more, err := c.tryAll(ctx, call)
 		if err == nil || !errors.Is(err, ErrNoQuorum) {
 			return err
 		}
+		failed = append(failed, more...)
 		select {
 		case <-time.After(retryInterval):
 		case <-ctx.Done():
-			return err
+			return noQuorumError{failed}
 		}
 	}
 }
 
 // tryAll runs call against every control VM, each at most once and the probable
 // leader first, until one succeeds or rejects the request itself. If a control
-// VM's error names the leader, that address is tried next.
-func (c *Client) tryAll(ctx context.Context, call func(context.Context, wire.ControlServiceClient) error) error {
+// VM's error names the leader, that address is tried next. It returns the calls that
+// failed.
+func (c *Client) tryAll(ctx context.Context, call func(context.Context, wire.ControlServiceClient) error) ([]failedCall, error) {
+	var failed []failedCall
 	tried := map[string]bool{}
 	queue := c.candidateAddrs()
 	for len(queue) > 0 {
@@ -85,14 +116,16 @@
 			continue
 		}
 		tried[addr] = true
+		begun := time.Now()
 		hint, err := c.callOne(ctx, addr, call)
 		if err == nil {
 			c.setLeader(addr)
-			return nil
+			return nil, nil
 		}
 		if code := connect.CodeOf(err); code == connect.CodeInvalidArgument || code == connect.CodeUnauthenticated {
-			return err
+			return nil, err
 		}
+		failed = append(failed, failedCall{addr: addr, took: time.Since(begun), err: err})
 		if hint != "" {
 			queue = slices.Insert(queue, 0, hint)
 		}
@@ -100,7 +133,7 @@
 			break
 		}
 	}
-	return ErrNoQuorum
+	return failed, ErrNoQuorum
 }
 
 // candidateAddrs returns the addresses to try in order: the last known leader and
--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/raft"
 	"fuchsiafold.example/foldd/store"
@@ -57,6 +59,7 @@
 func (h *Server) sendLoop(addr netip.AddrPort, outbox chan *wire.LogMessage) {
 	defer h.done.Done()
 	c := wire.NewControlServiceClient(h.conf.HTTP, "http://"+addr.String(), h.conf.Options)
+	link := linkState{log: h.conf.Log.WithField("addr", addr)}
 	for {
 		req := &wire.StepRequest{Group: h.identity.Group, FromAddr: h.conf.Addr.String()}
 		select {
@@ -76,14 +79,48 @@
 		}
 		// The first attempt may use a pooled connection that broke while it was
 		// idle, so a failed call is retried once.
-		if !h.send(c, req) {
-			h.send(c, req)
+		for range 2 {
+			begun := time.Now()
+			err := h.send(c, req)
+			link.record(begun, err, len(req.Messages), len(outbox))
+			if err == nil {
+				break
+			}
 		}
 	}
 }
 
-// send reports whether the peer accepted the messages.
-func (h *Server) send(c wire.ControlServiceClient, req *wire.StepRequest) bool {
+// linkState logs when calls to a control replica begin to fail, and when they succeed
+// again.
+type linkState struct {
+	log *logrus.Entry
+	// failingSince is when the first of the failed calls was sent, zero if the last call
+	// succeeded. failed counts them.
+	failingSince time.Time
+	failed       int
+}
+
+// record records the result of a call that was sent at begun with some messages, while
+// others were queued.
+func (l *linkState) record(begun time.Time, err error, messages, queued int) {
+	now := time.Now()
+	switch {
+	case err != nil && l.failingSince.IsZero():
+		l.failingSince = begun
+		l.failed = 1
+		l.log.WithError(err).WithFields(logrus.Fields{"messages": messages, "queued": queued, "ms": now.Sub(begun).Milliseconds()}).
+			Warn("call to a control replica failed")
+	case err != nil:
+		l.failed++
+	case !l.failingSince.IsZero():
+		l.log.WithFields(logrus.Fields{"failed": l.failed, "ms": now.Sub(l.failingSince).Milliseconds()}).
+			Info("calls to a control replica succeed again")
+		l.failingSince = time.Time{}
+	}
+}
+
+// send returns nil if the peer accepted the messages.
+func (h *Server) send(c wire.ControlServiceClient, req *wire.StepRequest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	go func() {
@@ -95,7 +132,7 @@
 	}()
 	if _, err := c.Step(ctx, connect.NewRequest(req)); err != nil {
 		h.conf.Count("control.sendsFailed", 1)
-		return false
+		return fmt.Errorf("send messages: %w", err)
 	}
-	return true
+	return nil
 }
