--- /dev/null
+++ b/foldd/ctrl/rig_test.go
@@ -0,0 +1,236 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/wire"
+)
+
+// network connects the VMs of a test in memory, so that tests run in virtual time.
+// Its connections can go silent: they stay open and carry nothing more, while new ones
+// work.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	open      []*memConn
+}
+
+// dial opens a connection to the listener at an address.
+func (n *network) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, fmt.Errorf("dial %s: %w", addr, errNoListener)
+	}
+	a, b := net.Pipe()
+	caller, server := newMemConn(a), newMemConn(b)
+	n.mu.Lock()
+	n.open = append(n.open, caller, server)
+	n.mu.Unlock()
+	select {
+	case l.accept <- server:
+		return caller, nil
+	case <-l.closed:
+		return nil, fmt.Errorf("dial %s: %w", addr, errNoListener)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+var errNoListener = errors.New("connection refused")
+
+// silence makes all open connections silent for good.
+func (n *network) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.open {
+		c.silenceOnce.Do(func() { close(c.silent) })
+	}
+	n.open = nil
+}
+
+func (n *network) listen(addr string) *memListener {
+	l := &memListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners == nil {
+		n.listeners = map[string]*memListener{}
+	}
+	n.listeners[addr] = l
+	return l
+}
+
+type memListener struct {
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// memConn is one end of a connection. Once silent is closed, reads wait until the
+// connection is closed, and writes are discarded.
+type memConn struct {
+	net.Conn
+	silent      chan struct{}
+	silenceOnce sync.Once
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+func newMemConn(c net.Conn) *memConn {
+	return &memConn{Conn: c, silent: make(chan struct{}), closed: make(chan struct{})}
+}
+
+func (c *memConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.silent:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *memConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return len(b), nil
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+// Close closes both ends. The other end doesn't notice it if the connection is silent.
+func (c *memConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// groupRig is a control group of several VMs on a network.
+type groupRig struct {
+	network network
+	vms     []*rigVM
+}
+
+// rigVM is a control VM with its client of the control group.
+type rigVM struct {
+	addr   netip.AddrPort
+	server *Server
+	client *Client
+}
+
+// newGroupRig starts a group of n control VMs and waits until it has a leader. It must
+// run in a synctest bubble.
+func newGroupRig(t *testing.T, n int) *groupRig {
+	t.Helper()
+	g := &groupRig{}
+	var addrs []netip.AddrPort
+	for i := range n {
+		addrs = append(addrs, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7200))
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i, addr := range addrs {
+		transport := &http.Transport{DialContext: g.network.dial, MaxIdleConnsPerHost: 2}
+		client := &http.Client{Transport: transport}
+		options := connect.WithClientOptions()
+		peers := func() []netip.AddrPort { return addrs }
+		server, err := New(ServerConfig{
+			VM: fmt.Sprint("vm", i+1), Addr: addr, DataFolder: filepath.Join(t.TempDir(), "data"), InitialMembers: addrs, Peers: peers,
+			HTTP: client, Options: options, Log: log, Check: func([]byte) error { return nil },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		mux := http.NewServeMux()
+		mux.Handle(wire.NewControlServiceHandler(server.Handler()))
+		listener := g.network.listen(addr.String())
+		web := &http.Server{Handler: mux}
+		go web.Serve(listener)
+		t.Cleanup(func() {
+			server.Close()
+			transport.CloseIdleConnections()
+			web.Close()
+		})
+		g.vms = append(g.vms, &rigVM{addr: addr, server: server, client: NewClient(client, options, peers)})
+	}
+	g.apply(t, 1)
+	return g
+}
+
+// applyTimeout is how long an operator waits for one VM.
+const applyTimeout = 900 * time.Millisecond
+
+// apply sends a version of the configuration to one VM after the other until one
+// confirms it, and returns how long that took.
+func (g *groupRig) apply(t *testing.T, version uint64) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	for i := 0; time.Since(begun) < time.Minute; i++ {
+		ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+		res, err := g.vms[i%len(g.vms)].client.Apply(ctx, &wire.ApplyRequest{Version: version, Document: fmt.Append(nil, version)})
+		cancel()
+		if err == nil && res.GetRevision() >= version {
+			return time.Since(begun)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("version %d was not confirmed within a minute", version)
+	return 0
+}
+
+// applyAtOnce sends versions from first on to all VMs at the same moment, several to
+// each, so that the VMs open several connections to each other.
+func (g *groupRig) applyAtOnce(t *testing.T, first uint64) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i := range 4 * len(g.vms) {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+			defer cancel()
+			version := first + uint64(i)
+			req := &wire.ApplyRequest{Version: version, Document: fmt.Append(nil, version)}
+			if _, err := g.vms[i%len(g.vms)].client.Apply(ctx, req); err != nil {
+				t.Errorf("version %d: %v", version, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// inBubble runs test in virtual time.
+func inBubble(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, test)
+}
