Ctrl: a dead connection no longer holds up the messages between control replicas

Cause: a replica sends one call at a time to each other replica, and gave it 5 s, then 5 s more on another connection of the pool that it shares with all calls between VMs. When open connections go silent without a reset, heartbeats and votes waited behind such calls: the leader stepped down after 1 s and nobody could be elected. Operators' calls met the dead connections of the pool one after the other in the same way.

Change: a call has 300 ms and the time for its size, so that a heartbeat and its reply can each fail once within an election timeout. Calls to control VMs have a transport of their own, netio/redial, which closes all idle connections after a failure on a reused one; the next call opens one.

TestTruncatedReplyIsAnError covers the new client too.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -27,7 +27,8 @@
 	if s.Control == nil && len(s.ControlVMs) == 0 {
 		return nil
 	}
-	a.controlClient = ctrl.NewClient(a.peers.Client(), a.peers.Options(), a.controlAddrs)
+	client := a.peers.ControlClient()
+	a.controlClient = ctrl.NewClient(client, a.peers.Options(), a.controlAddrs)
 	a.entry.Claims = a.controlClient
 	a.operators.Control = a.controlClient
 	if s.Control == nil {
@@ -41,7 +42,7 @@
 		DataFolder:     s.Control.DataFolder,
 		Peers:          a.controlAddrs,
 		Bootstrap:      s.Control.Bootstrap,
-		HTTP:           a.peers.Client(),
+		HTTP:           client,
 		Options:        a.peers.Options(),
 		Log:            a.Node.Log,
 		Check:          a.checkDocument,
--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"fuchsiafold.example/fold/raft"
 	"fuchsiafold.example/foldd/store"
@@ -18,10 +19,20 @@
 const (
 	// outboxSize limits the messages queued for one address.
 	outboxSize = 1024
-	// stepTimeout limits one call that delivers messages.
-	stepTimeout = 5 * time.Second
+	// stepTimeout limits one call that delivers messages, besides the time that their
+	// size takes. Heartbeats wait behind the call: within an election timeout, one to a
+	// replica and its reply must each be able to fail once on a dead connection.
+	stepTimeout = 3 * heartbeatInterval / 2
+	// minStepRate is the least rate, in bytes per second, at which a replica is expected
+	// to receive messages.
+	minStepRate = 4 << 20
 )
 
+// stepTimeoutFor returns the timeout of a call with these messages.
+func stepTimeoutFor(req *wire.StepRequest) time.Duration {
+	return stepTimeout + time.Duration(proto.Size(req))*time.Second/minStepRate
+}
+
 // enqueue queues a message for a replica. It drops the message if the replica's
 // address is unknown or its queue is full: raft tolerates lost messages and
 // resends what is still needed.
@@ -121,7 +132,7 @@
 
 // send returns nil if the peer accepted the messages.
 func (h *Server) send(c wire.ControlServiceClient, req *wire.StepRequest) error {
-	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeoutFor(req))
 	defer cancel()
 	go func() {
 		select {
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -17,6 +17,7 @@
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
 )
 
@@ -162,7 +163,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i, addr := range addrs {
-		transport := &http.Transport{DialContext: g.network.dial, MaxIdleConnsPerHost: 2}
+		transport := &redial.Transport{}
+		transport.DialContext = g.network.dial
+		transport.MaxIdleConnsPerHost = 2
 		client := &http.Client{Transport: transport}
 		options := connect.WithClientOptions()
 		peers := func() []netip.AddrPort { return addrs }
--- a/foldd/peer/framed_test.go
+++ b/foldd/peer/framed_test.go
@@ -33,9 +33,12 @@
 		addr := serveUnframed(t, reply[:length])
 		n := node.New(&conf.Settings{ID: "vm"}, logrus.New())
 		t.Cleanup(n.Clock.Stop)
-		c := wire.NewPeerServiceClient(New(n).Client(), "http://"+addr)
-		if res, err := c.Place(context.Background(), connect.NewRequest(&wire.PlaceRequest{})); err == nil {
-			t.Errorf("reply of %d bytes without framing was taken as %+v", length, res.Msg)
+		s := New(n)
+		for _, client := range []*http.Client{s.http, s.ControlClient()} {
+			c := wire.NewPeerServiceClient(client, "http://"+addr)
+			if res, err := c.Place(context.Background(), connect.NewRequest(&wire.PlaceRequest{})); err == nil {
+				t.Errorf("reply of %d bytes without framing was taken as %+v", length, res.Msg)
+			}
 		}
 	}
 }
@@ -83,7 +86,7 @@
 	defer cancel()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	_, err := wire.NewPeerServiceClient(peers.Client(), s.URL, peers.Options()).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{}))
+	_, err := wire.NewPeerServiceClient(peers.http, s.URL, peers.Options()).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{}))
 	runtime.ReadMemStats(&after)
 	if took := after.TotalAlloc - before.TotalAlloc; err == nil || took > maxAllocated {
 		t.Errorf("error %v, took %d bytes; want an error and at most %d", err, took, maxAllocated)
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -17,6 +17,7 @@
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/bound"
+	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
 )
 
@@ -43,12 +44,8 @@
 // New returns a service and sets it as the transport of the node. Start begins the
 // exchanges.
 func New(n *node.Node) *Service {
-	t := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: callTimeout}).DialContext,
-		MaxResponseHeaderBytes: bound.MaxHead,
-		MaxIdleConnsPerHost:    2,
-		IdleConnTimeout:        time.Minute,
-	}
+	t := &http.Transport{}
+	configureTransport(t)
 	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]exchangeKind{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
@@ -56,8 +53,21 @@
 	return s
 }
 
-// Client returns the HTTP client that is used for calls to other VMs.
-func (s *Service) Client() *http.Client { return s.http }
+// ControlClient returns a new HTTP client for calls to control VMs. It shares no
+// connections with other calls.
+func (s *Service) ControlClient() *http.Client {
+	t := &redial.Transport{}
+	configureTransport(&t.Transport)
+	return &http.Client{Transport: framedTransport{t}}
+}
+
+// configureTransport sets up a transport for calls to other VMs.
+func configureTransport(t *http.Transport) {
+	t.DialContext = (&net.Dialer{Timeout: callTimeout}).DialContext
+	t.MaxResponseHeaderBytes = bound.MaxHead
+	t.MaxIdleConnsPerHost = 2
+	t.IdleConnTimeout = time.Minute
+}
 
 // MaxMessage bounds a message of another VM or of an operator in bytes. A configuration
 // with 10,000 workspaces takes about 1.5 MB.
