--- /dev/null
+++ b/foldd/ctrl/lost_leader_test.go
@@ -0,0 +1,55 @@
+package ctrl
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fuchsiafold.example/wire"
+)
+
+// TestChangeDoesNotWaitForLostLeader guards against operators' calls that wait for a
+// leader that hangs although the called VM's replica knows its successor.
+func TestChangeDoesNotWaitForLostLeader(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		for i := range g.vms {
+			g.applyAt(t, i, uint64(10+i))
+		}
+		lost := g.leader(t)
+		g.network.hang(g.vms[lost].addr.String())
+		time.Sleep(3 * time.Second)
+		for i := range g.vms {
+			if i == lost {
+				continue
+			}
+			if took := g.applyAt(t, i, uint64(20+i)); took >= callTimeout {
+				t.Errorf("VM %d confirmed a change after %v, want less than the timeout of one call, %v", i, took, callTimeout)
+			}
+		}
+	})
+}
+
+// applyAt sends a version of the configuration to one VM and returns how long that took.
+func (g *groupRig) applyAt(t *testing.T, vm int, version uint64) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+	defer cancel()
+	if _, err := g.vms[vm].client.Apply(ctx, &wire.ApplyRequest{Version: version, Document: []byte("{}")}); err != nil {
+		t.Fatalf("VM %d, version %d: %v", vm, version, err)
+	}
+	return time.Since(begun)
+}
+
+// leader returns the VM that leads the group.
+func (g *groupRig) leader(t *testing.T) int {
+	t.Helper()
+	for i, v := range g.vms {
+		if _, leader, err := v.server.Status(t.Context()); err == nil && leader == v.addr.String() {
+			return i
+		}
+	}
+	t.Fatal("the group has no leader")
+	return 0
+}
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -28,24 +28,35 @@
 	mu        sync.Mutex
 	listeners map[string]*memListener
 	open      []*memConn
+	// hanging holds the VMs that do not respond.
+	hanging map[string]bool
+}
+
+// dialFrom opens connections of the VM at caller.
+func (n *network) dialFrom(caller string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, caller, addr) }
 }
 
 // dial opens a connection to the listener at an address.
-func (n *network) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+func (n *network) dial(ctx context.Context, caller, addr string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[addr]
+	l, hanging := n.listeners[addr], n.hanging[addr] || n.hanging[caller]
 	n.mu.Unlock()
+	if hanging {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if l == nil {
 		return nil, fmt.Errorf("dial %s: %w", addr, errNoListener)
 	}
 	a, b := net.Pipe()
-	caller, server := newMemConn(a), newMemConn(b)
+	client, server := newMemConn(a), newMemConn(b)
 	n.mu.Lock()
-	n.open = append(n.open, caller, server)
+	n.open = append(n.open, client, server)
 	n.mu.Unlock()
 	select {
 	case l.accept <- server:
-		return caller, nil
+		return client, nil
 	case <-l.closed:
 		return nil, fmt.Errorf("dial %s: %w", addr, errNoListener)
 	case <-ctx.Done():
@@ -65,6 +76,18 @@
 	n.open = nil
 }
 
+// hang makes a VM unresponsive for good: no connection to or from it opens. All open
+// connections go silent.
+func (n *network) hang(addr string) {
+	n.silence()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hanging == nil {
+		n.hanging = map[string]bool{}
+	}
+	n.hanging[addr] = true
+}
+
 func (n *network) listen(addr string) *memListener {
 	l := &memListener{accept: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
@@ -164,7 +187,7 @@
 	log.SetOutput(io.Discard)
 	for i, addr := range addrs {
 		transport := &redial.Transport{}
-		transport.DialContext = g.network.dial
+		transport.DialContext = g.network.dialFrom(addr.String())
 		transport.MaxIdleConnsPerHost = 2
 		client := &http.Client{Transport: transport}
 		options := connect.WithClientOptions()
