Ctrl: a control VM asks the leader that its own replica knows first

Cause: calls to the control group begin at the VM that confirmed the last one. When that leader is frozen, the first call at each control VM waits 500 ms for it, although its own replica has a new leader, or is it.

Change: Client.LocalLeader; a control VM begins at the leader that its own replica knows at the time.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -29,6 +29,7 @@
 	}
 	client := a.peers.ControlClient()
 	a.controlClient = ctrl.NewClient(client, a.peers.Options(), a.controlAddrs)
+	a.controlClient.LocalLeader = a.controlServer.Leader
 	a.entry.Claims = a.controlClient
 	a.operators.Control = a.controlClient
 	if s.Control == nil {
--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -35,9 +35,14 @@
 	releaseTimeout = 30 * time.Second
 )
 
-// Client calls the control VMs, the last known leader first. It is returned by
+// Client calls the control VMs, the probable leader first. It is returned by
 // NewClient and is safe for concurrent use.
 type Client struct {
+	// LocalLeader returns the leader that the control replica of this VM knows, and false
+	// if it knows none. It is nil on a VM without a replica. It must not be changed after
+	// the first call.
+	LocalLeader func() (netip.AddrPort, bool)
+
 	http    *http.Client
 	options connect.ClientOption
 	// addrs returns the addresses of possible control VMs.
@@ -136,12 +141,18 @@
 	return failed, ErrNoQuorum
 }
 
-// candidateAddrs returns the addresses to try in order: the last known leader and
-// then all control VMs. An address may occur twice.
+// candidateAddrs returns the addresses to try in order: the leader that the local
+// replica knows, the one that last responded, and then all control VMs. An address may
+// occur twice.
 func (c *Client) candidateAddrs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
+	if c.LocalLeader != nil {
+		if leader, ok := c.LocalLeader(); ok {
+			out = append(out, leader.String())
+		}
+	}
 	if c.leader != "" {
 		out = append(out, c.leader)
 	}
--- a/foldd/ctrl/deferred.go
+++ b/foldd/ctrl/deferred.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -24,6 +25,15 @@
 // Server returns the server passed to SetServer, or nil if there is none.
 func (d *DeferredServer) Server() *Server { return d.server.Load() }
 
+// Leader returns the result of Leader of the current server, and false if there is none.
+func (d *DeferredServer) Leader() (netip.AddrPort, bool) {
+	h := d.server.Load()
+	if h == nil {
+		return netip.AddrPort{}, false
+	}
+	return h.Leader()
+}
+
 // delegate runs call with the handler of the current server.
 func delegate[Q, R any](ctx context.Context, d *DeferredServer, req *connect.Request[Q], call func(wire.ControlServiceHandler) (*connect.Response[R], error)) (*connect.Response[R], error) {
 	h := d.server.Load()
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,7 @@
 		return nil, fmt.Errorf("dial %s: %w", addr, errNoListener)
 	}
 	a, b := net.Pipe()
-	client, server := newMemConn(a), newMemConn(b)
+	client, server := newMemConn(a, caller, addr), newMemConn(b, caller, addr)
 	n.mu.Lock()
 	n.open = append(n.open, client, server)
 	n.mu.Unlock()
@@ -66,20 +67,21 @@
 
 var errNoListener = errors.New("connection refused")
 
-// silence makes all open connections silent for good.
-func (n *network) silence() {
+// silence makes the open connections of the VMs silent for good.
+func (n *network) silence(addrs ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.open {
-		c.silenceOnce.Do(func() { close(c.silent) })
+		if slices.Contains(addrs, c.caller) || slices.Contains(addrs, c.server) {
+			c.silenceOnce.Do(func() { close(c.silent) })
+		}
 	}
-	n.open = nil
 }
 
-// hang makes a VM unresponsive for good: no connection to or from it opens. All open
-// connections go silent.
+// hang makes a VM unresponsive for good: its open connections go silent, and no other
+// one to or from it opens.
 func (n *network) hang(addr string) {
-	n.silence()
+	n.silence(addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.hanging == nil {
@@ -125,14 +127,16 @@
 // connection is closed, and writes are discarded.
 type memConn struct {
 	net.Conn
-	silent      chan struct{}
-	silenceOnce sync.Once
-	closed      chan struct{}
-	closeOnce   sync.Once
+	// caller and server are the addresses of the VMs at its ends.
+	caller, server string
+	silent         chan struct{}
+	silenceOnce    sync.Once
+	closed         chan struct{}
+	closeOnce      sync.Once
 }
 
-func newMemConn(c net.Conn) *memConn {
-	return &memConn{Conn: c, silent: make(chan struct{}), closed: make(chan struct{})}
+func newMemConn(c net.Conn, caller, server string) *memConn {
+	return &memConn{Conn: c, caller: caller, server: server, silent: make(chan struct{}), closed: make(chan struct{})}
 }
 
 func (c *memConn) Read(b []byte) (int, error) {
@@ -209,12 +213,23 @@
 			transport.CloseIdleConnections()
 			web.Close()
 		})
-		g.vms = append(g.vms, &rigVM{addr: addr, server: server, client: NewClient(client, options, peers)})
+		vm := &rigVM{addr: addr, server: server, client: NewClient(client, options, peers)}
+		vm.client.LocalLeader = server.Leader
+		g.vms = append(g.vms, vm)
 	}
 	g.apply(t, 1)
 	return g
 }
 
+// addrs returns the addresses of all VMs.
+func (g *groupRig) addrs() []string {
+	var out []string
+	for _, v := range g.vms {
+		out = append(out, v.addr.String())
+	}
+	return out
+}
+
 // applyTimeout is how long an operator waits for one VM.
 const applyTimeout = 900 * time.Millisecond
 
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -76,6 +77,8 @@
 	stop     chan struct{}
 	stopOnce sync.Once
 	done     sync.WaitGroup
+	// knownLeader is the address of the leader that this replica knows, nil for none.
+	knownLeader atomic.Pointer[netip.AddrPort]
 
 	// The fields below are used only on the replica's goroutine. Other
 	// goroutines access them by calling do.
@@ -233,18 +236,22 @@
 		h.conf.Count("control.leaderChanges", 1)
 		h.conf.Log.WithFields(logrus.Fields{"replica": h.identity.ID, "leads": leading, "term": h.rep.Term()}).Info("control leadership changed")
 	}
-	h.logGroupChange()
+	h.recordGroup()
 }
 
-// logGroupChange logs the leader, the term and the members that this replica
+// recordGroup records and logs the leader, the term and the members that this replica
 // knows when they have changed.
-func (h *Server) logGroupChange() {
+func (h *Server) recordGroup() {
 	leader, _ := h.rep.Leader()
 	g := groupView{leader: leader.ID, term: h.rep.Term(), membershipIndex: h.rep.MembershipIndex()}
 	if g == h.loggedGroup {
 		return
 	}
 	h.loggedGroup = g
+	h.knownLeader.Store(nil)
+	if leader.Addr.IsValid() {
+		h.knownLeader.Store(&leader.Addr)
+	}
 	var voters, learners []string
 	for _, m := range h.rep.Membership().Members {
 		if m.Voter {
@@ -348,6 +355,16 @@
 	return members, leader, err
 }
 
+// Leader returns the address of the leader that this replica knows, which may be itself,
+// and false if it knows none. It does not wait for the replica.
+func (h *Server) Leader() (netip.AddrPort, bool) {
+	leader := h.knownLeader.Load()
+	if leader == nil {
+		return netip.AddrPort{}, false
+	}
+	return *leader, true
+}
+
 // leaderAddr returns the leader's address. It is empty if the leader is unknown or
 // is this replica.
 func (h *Server) leaderAddr(ctx context.Context) string {
--- a/foldd/ctrl/silent_test.go
+++ b/foldd/ctrl/silent_test.go
@@ -16,7 +16,7 @@
 		inBubble(t, func(t *testing.T) {
 			g := newGroupRig(t, 3)
 			g.applyAtOnce(t, 2)
-			g.network.silence()
+			g.network.silence(g.addrs()...)
 			if took := g.apply(t, 100); took > maxUnconfirmed {
 				t.Errorf("confirmed after %v, want at most %v", took, maxUnconfirmed)
 			}
