Ctrl: the loop that sends messages to a replica in three functions

Cause: sendLoop had grown to collect, send and record. No decision changes; the tests of foldd/ctrl pass.

--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -72,31 +72,39 @@
 	c := wire.NewControlServiceClient(h.conf.HTTP, "http://"+addr.String(), h.conf.Options)
 	link := linkState{log: h.conf.Log.WithField("addr", addr)}
 	for {
-		req := &wire.StepRequest{Group: h.identity.Group, FromAddr: h.conf.Addr.String()}
 		select {
 		case <-h.stop:
 			return
 		case m := <-outbox:
-			req.Messages = append(req.Messages, m)
+			req := &wire.StepRequest{Group: h.identity.Group, FromAddr: h.conf.Addr.String()}
+			req.Messages = appendQueued([]*wire.LogMessage{m}, outbox)
+			h.deliver(c, req, &link, len(outbox))
 		}
-		for range outboxSize {
-			select {
-			case m := <-outbox:
-				req.Messages = append(req.Messages, m)
-				continue
-			default:
-			}
-			break
+	}
+}
+
+// appendQueued appends the messages that are queued in outbox.
+func appendQueued(messages []*wire.LogMessage, outbox chan *wire.LogMessage) []*wire.LogMessage {
+	for range outboxSize {
+		select {
+		case m := <-outbox:
+			messages = append(messages, m)
+		default:
+			return messages
 		}
-		// The first attempt may use a pooled connection that broke while it was
-		// idle, so a failed call is retried once.
-		for range 2 {
-			begun := time.Now()
-			err := h.send(c, req)
-			link.record(begun, err, len(req.Messages), len(outbox))
-			if err == nil {
-				break
-			}
+	}
+	return messages
+}
+
+// deliver sends messages while others are queued. The first attempt may use a pooled
+// connection that broke while it was idle, so a failed call is retried once.
+func (h *Server) deliver(c wire.ControlServiceClient, req *wire.StepRequest, link *linkState, queued int) {
+	for range 2 {
+		begun := time.Now()
+		err := h.send(c, req)
+		link.record(begun, err, len(req.Messages), queued)
+		if err == nil {
+			return
 		}
 	}
 }
