Ctrl: a follower names the leader before it looks at an operator's document

Cause: a control VM checked the whole document before it found that it is not the leader.

Change: Server.Apply rejects at once where the replica does not lead.

Evidence: TestFollowerRedirectsWithoutCheckingDocument failed before (the follower checked 1 document, want none) and passes now, 5 of 5.

--- a/foldd/ctrl/handler.go
+++ b/foldd/ctrl/handler.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"fuchsiafold.example/fold/repl"
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/store"
 	"fuchsiafold.example/wire"
@@ -79,6 +80,9 @@
 // Apply implements wire.ControlServiceHandler.
 func (h *Server) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
 	m := req.Msg
+	if !h.leads() {
+		return nil, h.connectError(ctx, repl.ErrNotLeader)
+	}
 	if err := h.conf.Check(m.GetDocument()); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
--- a/foldd/ctrl/lost_leader_test.go
+++ b/foldd/ctrl/lost_leader_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"fuchsiafold.example/wire"
 )
 
@@ -30,6 +32,23 @@
 	})
 }
 
+// TestFollowerRedirectsWithoutCheckingDocument guards against followers that spend an
+// operator's time on a large document before they name the leader.
+func TestFollowerRedirectsWithoutCheckingDocument(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		follower := g.vms[(g.leader(t)+1)%len(g.vms)]
+		before := follower.checked.Load()
+		_, err := follower.server.Apply(t.Context(), connect.NewRequest(&wire.ApplyRequest{Version: 10, Document: []byte("{}")}))
+		if code := connect.CodeOf(err); code != connect.CodeFailedPrecondition {
+			t.Errorf("error %v, want one with the code %v", err, connect.CodeFailedPrecondition)
+		}
+		if checked := follower.checked.Load() - before; checked != 0 {
+			t.Errorf("the follower checked %d documents, want none", checked)
+		}
+	})
+}
+
 // applyAt sends a version of the configuration to one VM and returns how long that took.
 func (g *groupRig) applyAt(t *testing.T, vm int, version uint64) time.Duration {
 	t.Helper()
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,6 +177,8 @@
 	addr   netip.AddrPort
 	server *Server
 	client *Client
+	// checked counts the documents that the VM has checked.
+	checked atomic.Int64
 }
 
 // newGroupRig starts a group of n control VMs and waits until it has a leader. It must
@@ -196,9 +199,14 @@
 		client := &http.Client{Transport: transport}
 		options := connect.WithClientOptions()
 		peers := func() []netip.AddrPort { return addrs }
+		vm := &rigVM{addr: addr, client: NewClient(client, options, peers)}
+		check := func([]byte) error {
+			vm.checked.Add(1)
+			return nil
+		}
 		server, err := New(ServerConfig{
 			VM: fmt.Sprint("vm", i+1), Addr: addr, DataFolder: filepath.Join(t.TempDir(), "data"), InitialMembers: addrs, Peers: peers,
-			HTTP: client, Options: options, Log: log, Check: func([]byte) error { return nil },
+			HTTP: client, Options: options, Log: log, Check: check,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -213,7 +221,7 @@
 			transport.CloseIdleConnections()
 			web.Close()
 		})
-		vm := &rigVM{addr: addr, server: server, client: NewClient(client, options, peers)}
+		vm.server = server
 		vm.client.LocalLeader = server.Leader
 		g.vms = append(g.vms, vm)
 	}
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -77,8 +77,8 @@
 	stop     chan struct{}
 	stopOnce sync.Once
 	done     sync.WaitGroup
-	// knownLeader is the address of the leader that this replica knows, nil for none.
-	knownLeader atomic.Pointer[netip.AddrPort]
+	// knownLeader is the leader that this replica knows, which may be itself, nil for none.
+	knownLeader atomic.Pointer[raft.Member]
 
 	// The fields below are used only on the replica's goroutine. Other
 	// goroutines access them by calling do.
@@ -249,8 +249,8 @@
 	}
 	h.loggedGroup = g
 	h.knownLeader.Store(nil)
-	if leader.Addr.IsValid() {
-		h.knownLeader.Store(&leader.Addr)
+	if leader.ID != "" {
+		h.knownLeader.Store(&leader)
 	}
 	var voters, learners []string
 	for _, m := range h.rep.Membership().Members {
@@ -359,10 +359,20 @@
 // and false if it knows none. It does not wait for the replica.
 func (h *Server) Leader() (netip.AddrPort, bool) {
 	leader := h.knownLeader.Load()
-	if leader == nil {
+	switch {
+	case leader == nil:
 		return netip.AddrPort{}, false
+	case leader.ID == h.identity.ID:
+		return h.conf.Addr, true
 	}
-	return *leader, true
+	return leader.Addr, leader.Addr.IsValid()
+}
+
+// leads reports whether this replica is the leader, as far as it knows. It does not wait
+// for the replica.
+func (h *Server) leads() bool {
+	leader := h.knownLeader.Load()
+	return leader != nil && leader.ID == h.identity.ID
 }
 
 // leaderAddr returns the leader's address. It is empty if the leader is unknown or
