Relay: lines of failed attempts name what repeats of a request have in common

The logs of the incident could not tell a request that ends servers from load: nothing joined two requests of one caller for one thing. The line now has a fingerprint of the workspace, the method, the host, the path and the body. No decision changes.

Measured: tests of fold/poison and foldd/relay pass.

--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"fuchsiafold.example/fold/learn"
 	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/fold/poison"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/fault"
@@ -174,16 +175,30 @@
 		p.Workspace = q.workspace.Name
 	}
 	q.relay.Codec.WriteForward(h, p)
-	uri := q.r.RequestURI
-	if !strings.HasPrefix(uri, "/") {
-		uri = q.r.URL.RequestURI()
-	}
 	return &pool.Request{
-		Addr: b.Addr, Method: q.r.Method, URI: uri, Host: q.r.Host, Header: h, Body: q.body,
+		Addr: b.Addr, Method: q.r.Method, URI: q.uri(), Host: q.r.Host, Header: h, Body: q.body,
 		Matches: q.matchesResponse,
 	}
 }
 
+// uri returns the path and the query of the request as the caller sent them.
+func (q *request) uri() string {
+	if strings.HasPrefix(q.r.RequestURI, "/") {
+		return q.r.RequestURI
+	}
+	return q.r.URL.RequestURI()
+}
+
+// fingerprint returns what the request has in common only with its repeats: those from
+// the same workspace with the same method, host, path and body.
+func (q *request) fingerprint() string {
+	workspace := ""
+	if q.workspace != nil {
+		workspace = q.workspace.Name
+	}
+	return poison.Fingerprint(workspace, q.r.Method, q.r.Host, q.uri(), string(q.body))
+}
+
 // maxRank is the highest rank, and so the lowest priority, that engines support.
 const maxRank = 9
 
