--- a/foldd/app/crash_test.go
+++ b/foldd/app/crash_test.go
@@ -36,23 +36,34 @@
 	if err := d.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	r := &crashRig{t: t}
+	r := &crashRig{t: t, vms: startVMGroup(t, vms, d, nil)}
+	for range engines {
+		r.startEngine()
+	}
+	return r
+}
+
+// startVMGroup starts VMs that know each other, with a configuration in force. adjust, if
+// not nil, changes their settings.
+func startVMGroup(t *testing.T, vms int, d *spec.Document, adjust func(*conf.Settings)) []*app.App {
+	t.Helper()
+	var out []*app.App
 	for i := range vms {
 		a := startEntry(t, fmt.Sprint("vm", i), func(s *conf.Settings) {
-			for _, other := range r.vms {
+			for _, other := range out {
 				s.Peers = append(s.Peers, other.Addrs().Peers)
 			}
+			if adjust != nil {
+				adjust(s)
+			}
 		})
 		a.Node.ApplyIndex(spec.NewIndex(d, 2))
-		r.vms = append(r.vms, a)
+		out = append(out, a)
 	}
-	for _, a := range r.vms {
+	for _, a := range out {
 		waitFor(t, "the VMs to know each other", func() bool { return len(a.Node.Peers()) == vms-1 })
 	}
-	for range engines {
-		r.startEngine()
-	}
-	return r
+	return out
 }
 
 func (r *crashRig) startEngine() {
@@ -69,7 +80,7 @@
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(e.Close)
-	go r.announce(e)
+	go announceUntil(r.t, r.vms[0], member.Backend{ID: e.ID, Addr: e.Addr(), Kind: spec.KindPlain, Service: "models", Domain: "a", Epoch: 1}, e.Closed)
 	for _, a := range r.vms {
 		waitFor(r.t, "engine "+id+" to be known", func() bool { _, ok := a.Node.Backend(id); return ok })
 	}
@@ -78,12 +89,11 @@
 // announceInterval is a small part of the lease of a backend server.
 const announceInterval = 200 * time.Millisecond
 
-// announce announces an engine to the first VM until it has crashed or the test ends.
-func (r *crashRig) announce(e *origin.Server) {
-	b := member.Backend{ID: e.ID, Addr: e.Addr(), Kind: spec.KindPlain, Service: "models", Domain: "a", Epoch: 1}
-	for !e.Closed() && r.t.Context().Err() == nil {
+// announceUntil announces a backend server to a VM until it has crashed or the test ends.
+func announceUntil(t *testing.T, to *app.App, b member.Backend, crashed func() bool) {
+	for !crashed() && t.Context().Err() == nil {
 		b.Seq++
-		r.vms[0].Node.ReceiveAnnouncement(b)
+		to.Node.ReceiveAnnouncement(b)
 		time.Sleep(announceInterval)
 	}
 }
@@ -98,18 +108,20 @@
 	for _, part := range append(slices.Clone(shared), "own"+id) {
 		parts += part + ":100,"
 	}
-	status := r.post(vm, id, strings.TrimSuffix(parts, ","))
+	status := sendForward(r.t, r.vms[vm], id, "/draft/x", strings.TrimSuffix(parts, ","))
 	if r.crashes.Load() > before {
 		r.startEngine()
 	}
 	return status
 }
 
-func (r *crashRig) post(vm int, id, parts string) int {
-	r.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.vms[vm].Addrs().Callers.String()+"/draft/x", strings.NewReader("prompt"))
+// sendForward sends a request to be forwarded to a VM, and returns its status, or 0 if the
+// response broke off.
+func sendForward(t *testing.T, to *app.App, id, path, parts string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+to.Addrs().Callers.String()+path, strings.NewReader("prompt"))
 	if err != nil {
-		r.t.Fatal(err)
+		t.Fatal(err)
 	}
 	req.Host = "h.example"
 	req.Header.Set("Authorization", "Bearer "+alphaKey)
