Relay: a forwarded request that crashes servers is quarantined by what its repeats have in common

Cause: the crashes of servers were held against the shared parts of prompts only. A request without them, and a stream whose shared parts are sound, left no evidence, so each VM sent each repeat to a server, and a safe one to a second one.

Change: poison.Fingerprint of workspace, method, host, path and body is the first part of every forwarded request. A plain request whose server closes the connection without a whole answer is a loss, a complete answer a survival, any answer of the server shows that it lives. The quarantine is checked before each send; a request that was sent already is not reported as not run. One VM makes the trials for services without placement VMs too.

Evidence: TestRepeatedRequestThatCrashesServersIsQuarantined failed before (11 or 12 of 12 late repeats reached servers, at most 3 allowed) in five kinds and passes now; sound requests of the same caller are all served. TestQuarantinedRequestIsRejected, TestRequestThatRanIsNotReportedNotRun and TestLostAnswersAreNoCrashes hold what callers get.

--- a/fold/poison/evaluate.go
+++ b/fold/poison/evaluate.go
@@ -80,7 +80,7 @@
 	out := make([]suspect, 0, len(byPart))
 	for part, list := range byPart {
 		sound := t.sound(part)
-		s := weigh(list, sound)
+		s := weigh(list, sound, isFingerprint(part))
 		s.part, s.position, s.limit = part, position[part], newPartLimit
 		if sound {
 			s.limit = soundPartLimit
@@ -93,15 +93,17 @@
 // weigh sums up the evidence of losses, which are in the order of their times.
 // Each crash counts once, by its first loss, and an incident by its heaviest one.
 // Further crashes of an incident count a little against a part that is not known as
-// sound: it is rare, and so are several of its runs among those lost together.
-func weigh(losses []*loss, sound bool) suspect {
+// sound: it is rare, and so are several of its runs among those lost together. Each loss
+// of the same request weighs as much as one that had begun: in a queue, a request is lost
+// to a crash of another's once, but hardly to several.
+func weigh(losses []*loss, sound, sameRequest bool) suspect {
 	var s suspect
 	var incidentStart time.Time
 	incidentWeight := 0
 	crashes := map[Crash]bool{}
 	for _, l := range losses {
 		weight := waitingWeight
-		if l.begun {
+		if l.begun || sameRequest {
 			weight = begunWeight
 		}
 		sameIncidentAsBefore := s.incidents > 0 && l.at.Sub(incidentStart) < sameIncident
--- a/fold/poison/fingerprint.go
+++ b/fold/poison/fingerprint.go
@@ -4,8 +4,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
+// fingerprintPrefix begins each fingerprint.
+const fingerprintPrefix = "request:"
+
 // fingerprintBytes is the length of the hash in a fingerprint.
 const fingerprintBytes = 12
 
@@ -19,5 +23,7 @@
 		h.Write(length[:])
 		h.Write([]byte(f))
 	}
-	return "request:" + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+	return fingerprintPrefix + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
+
+func isFingerprint(part string) bool { return strings.HasPrefix(part, fingerprintPrefix) }
--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -50,9 +50,12 @@
 	maxLosses = 512
 	maxRecent = 4096
 	maxName   = 64
-	maxParts  = 32
 )
 
+// MaxParts is the largest number of parts of a run. A loss of a run with more is not
+// recorded.
+const MaxParts = 32
+
 // Crash identifies the end of one process of a backend server.
 type Crash struct {
 	Backend string
@@ -143,7 +146,7 @@
 // changed.
 func (t *Table) add(now time.Time, l Loss) bool {
 	at := now.Add(-l.Age)
-	if len(l.Parts) == 0 || len(l.Parts) > maxParts || now.Sub(at) >= retention {
+	if len(l.Parts) == 0 || len(l.Parts) > MaxParts || now.Sub(at) >= retention {
 		return false
 	}
 	t.init()
--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -124,7 +124,7 @@
 }
 
 func (l *Loss) valid() bool {
-	return len(l.Parts) > 0 && len(l.Parts) <= maxParts && !slices.ContainsFunc(l.Parts, func(p string) bool { return !validName(p) }) &&
+	return len(l.Parts) > 0 && len(l.Parts) <= MaxParts && !slices.ContainsFunc(l.Parts, func(p string) bool { return !validName(p) }) &&
 		validName(l.Crash.Backend) && l.Age >= 0
 }
 
--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -69,10 +69,10 @@
 	Tokens int `json:"tokens,omitempty"`
 }
 
-// FromQuarantine returns the error for a request whose prompt has a part that crashes
-// engines.
+// FromQuarantine returns the error for a request that crashes backend servers, or whose
+// prompt has a part that does.
 func FromQuarantine(q poison.Quarantine) *Fault {
-	message := fmt.Sprintf("part %s of the prompt has crashed engines %d times", q.Part, q.Crashes)
+	message := fmt.Sprintf("%s has crashed backend servers %d times", q.Part, q.Crashes)
 	return NotRun(http.StatusServiceUnavailable, Quarantined, message).WithRetryAfter(q.RetryAfter)
 }
 
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -63,8 +63,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.checkQuarantine(parts, func(now time.Time) bool {
-		// One VM of the region, even if each failure domain has a placement VM.
-		return !n.hasPlacementVM(service) || n.placementVM(now, service, "").ID == n.Settings.ID
+		// One VM of the region, even if each failure domain has a placement VM, or none.
+		return n.RequestPlacement == nil || n.placementVM(now, service, "").ID == n.Settings.ID
 	})
 }
 
--- a/foldd/relay/crash.go
+++ b/foldd/relay/crash.go
@@ -1,6 +1,43 @@
 package relay
 
-import "fuchsiafold.example/netio/pool"
+import (
+	"context"
+
+	"fuchsiafold.example/fold/poison"
+	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/netio/pool"
+)
+
+// newCrashParts returns the value of request.crashParts: the request's fingerprint and the
+// shared parts of its prompt. The fingerprint comes first: of two parts with the same
+// evidence, the one further back counts as the cause, and a part of the prompt may be in
+// other requests too.
+func (q *request) newCrashParts() []string {
+	shared := q.params.Prompt.SharedParts()
+	return append([]string{q.fingerprint()}, shared[:min(len(shared), poison.MaxParts-1)]...)
+}
+
+// checkQuarantine returns a fault if the request crashes servers.
+func (q *request) checkQuarantine() *fault.Fault {
+	if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.crashParts); ok {
+		return fault.FromQuarantine(quarantine)
+	}
+	return nil
+}
+
+// recordPlainLoss records a request whose server closed the connection before its
+// response was complete as evidence that it crashes servers.
+func (q *request) recordPlainLoss(ctx context.Context, b backend, a attempt) {
+	if a.Sent && ctx.Err() == nil && pool.ClosedByPeer(a.err) {
+		q.relay.Node.PromptLost(q.crashParts, b, true)
+	}
+}
+
+// recordPlainSurvival records a complete response.
+func (q *request) recordPlainSurvival(b backend) {
+	q.relay.Node.EngineAnswered(b)
+	q.relay.Node.PromptSurvived(q.crashParts)
+}
 
 // survivingEvents is the number of events after which a run's prompt counts as one
 // that does not crash engines. A prompt that does, crashes them as they begin to
@@ -14,9 +51,7 @@
 	}
 	s.survived = true
 	s.q.relay.Node.EngineAnswered(s.server)
-	if parts := s.q.params.Prompt.SharedParts(); len(parts) > 0 {
-		s.q.relay.Node.PromptSurvived(parts)
-	}
+	s.q.relay.Node.PromptSurvived(s.q.crashParts)
 }
 
 // recordLoss logs that the connection of a run was lost, and records it as evidence
@@ -25,6 +60,6 @@
 func (s *stream) recordLoss(b backend, begun bool, err error) {
 	s.logLoss(b, begun, err)
 	if !s.survived && pool.ClosedByPeer(err) {
-		s.q.relay.Node.PromptLost(s.q.params.Prompt.SharedParts(), b, begun)
+		s.q.relay.Node.PromptLost(s.q.crashParts, b, begun)
 	}
 }
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -52,6 +52,6 @@
 func (x *Relay) attemptLog(q *request, b backend) *logrus.Entry {
 	return x.Node.Log.WithFields(logrus.Fields{
 		"request": q.params.ID, "backend": b.ID, "addr": b.Addr, "epoch": b.Epoch, "ms": sinceArrival(q).Milliseconds(),
-		"fingerprint": q.fingerprint(),
+		"fingerprint": q.crashParts[0],
 	})
 }
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -58,8 +58,8 @@
 // ones. ok is false if no server is left.
 func (s *stream) choose(ctx context.Context, exclude []string) (b backend, ok bool, f *fault.Fault) {
 	q := s.q
-	if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.params.Prompt.SharedParts()); ok {
-		return b, false, fault.FromQuarantine(quarantine)
+	if f := q.checkQuarantine(); f != nil {
+		return b, false, f
 	}
 	req := s.placement
 	req.Exclude, req.FirstTokenBudget = exclude, s.firstTokenBudget()
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -70,6 +70,12 @@
 	var tried []string
 	var last attempt
 	for unsent := 0; unsent < maxUnsent && q.denials < maxDenials; {
+		if f := q.checkQuarantine(); f != nil {
+			if q.sent == 0 {
+				return nil, f
+			}
+			break
+		}
 		choice, ok := q.relay.Node.Place(ctx, q.service.Name, place.Request{Exclude: tried})
 		if !ok || choice.Full {
 			break
@@ -157,6 +163,9 @@
 	if reply.NotRun || reply.WrongInstance {
 		a.Refused = true
 		q.relay.recordRejection(b, place.Request{}, reply)
+		if !reply.WrongInstance {
+			q.relay.Node.EngineAnswered(b)
+		}
 		a.err = errRejected
 		return a
 	}
@@ -168,6 +177,7 @@
 	}
 	q.relay.Node.EndPlacement(b.ID, place.Request{}, place.Answered)
 	a.ResponseComplete = true
+	q.recordPlainSurvival(b)
 	a.response = &response{status: res.Status, header: res.Header, body: body}
 	return a
 }
@@ -195,6 +205,7 @@
 	q.relay.Node.EndPlacement(b.ID, place.Request{}, result)
 	q.relay.Node.Count("forward.failures", 1)
 	q.relay.logAttempt(q, b, err)
+	q.recordPlainLoss(ctx, b, a)
 	return a
 }
 
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -82,6 +82,9 @@
 	arrived   time.Time
 	// deadline is when the request times out.
 	deadline time.Time
+	// crashParts holds the parts by which crashes of servers under the request are counted.
+	// ServeHTTP sets it before the request is sent.
+	crashParts []string
 	// sent counts the backend servers that may have received the request.
 	sent int
 	// mayHaveRun is set once a backend server may have begun the request.
@@ -124,6 +127,7 @@
 		return
 	}
 	defer x.Node.ReleaseStream()
+	q.crashParts = q.newCrashParts()
 	x.awaitBackends(r.Context(), q)
 	x.Node.CountForward(q.service.Name)
 	x.Node.Count("forward.requests."+q.forward.Kind, 1)
