Entry: calls and generations of the own interface are quarantined by what their repeats have in common

Cause: a lost call left no evidence at all; a generation only by its text, and five crashes were needed where the engine had not begun its answer.

Change: a call has a fingerprint of workspace, method, URI and body, checked before each attempt; a call of which an earlier attempt may have run is not reported as not run. A generation has one of workspace, model and prompt besides its parts.

TestThreeCrashesHoldRepeatedRequest holds the evidence of three crashes.

--- a/fold/poison/fingerprint_test.go
+++ b/fold/poison/fingerprint_test.go
@@ -1,6 +1,10 @@
 package poison
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"time"
+)
 
 func TestFingerprint(t *testing.T) {
 	tests := []struct {
@@ -25,3 +29,28 @@
 		})
 	}
 }
+
+// TestThreeCrashesHoldRepeatedRequest guards against a request that crashes servers before
+// they answer, and needs more of them than one whose answers had begun.
+func TestThreeCrashesHoldRepeatedRequest(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	repeated := Fingerprint("w", "/x")
+	for i := range 3 {
+		if _, held := table.Check(now, []string{repeated}); held {
+			t.Fatalf("the request is held after %d crashes, want 3", i)
+		}
+		table.Lost(now, []string{repeated, "common"}, Crash{Backend: fmt.Sprint("b", i)}, false)
+		table.Lost(now, []string{Fingerprint("w", "/other", fmt.Sprint(i)), "common"}, Crash{Backend: fmt.Sprint("b", i)}, false)
+		table.Survived(now.Add(100*time.Millisecond), []string{"common"})
+		now = now.Add(time.Second)
+	}
+	if _, held := table.Check(now, []string{repeated}); !held {
+		t.Error("the request is not held after 3 crashes")
+	}
+	for _, sound := range []string{"common", Fingerprint("w", "/other", "0")} {
+		if _, held := table.Check(now, []string{sound}); held {
+			t.Errorf("%s is held, want only the request that was in all crashes", sound)
+		}
+	}
+}
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -18,6 +19,7 @@
 
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/poison"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/fault"
@@ -25,6 +27,7 @@
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/trace"
 	"fuchsiafold.example/netio/bound"
+	"fuchsiafold.example/netio/pool"
 )
 
 // headerNotRun is the response header with which a plain service states that it
@@ -50,6 +53,8 @@
 	triedBackends []string
 	// reserved is the memory in bytes that the bodies of responses have reserved.
 	reserved int64
+	// crashParts holds the call's fingerprint, by which crashes of servers are counted.
+	crashParts []string
 }
 
 // serveCall serves a call of the route that matches the request's path, within
@@ -68,6 +73,7 @@
 	}
 	e.Node.Count("calls."+route.Service, 1)
 	c := &call{handler: e, requester: a, route: route, r: r, body: body}
+	c.crashParts = []string{poison.Fingerprint(a.workspace, r.Method, r.URL.RequestURI(), string(body))}
 	defer func() { e.Node.Answers.Release(c.reserved) }()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(route.Timeout))
 	defer cancel()
@@ -83,12 +89,18 @@
 func (c *call) runIdempotent(ctx context.Context, w http.ResponseWriter) *fault.Fault {
 	n := c.handler.Node
 	n.CountFirstAttempt()
+	var last *fault.Fault
 	for attempts := 1; ; attempts++ {
 		answer, attempt, fail := c.attempt(ctx)
 		if fail == nil {
 			answer.write(w)
 			return nil
 		}
+		if fail.Code == fault.Quarantined {
+			// An earlier attempt of this call may have run.
+			return cmp.Or(last, fail)
+		}
+		last = fail
 		if ctx.Err() != nil || !attempt.Retryable(true) || fail.Code == fault.RateLimited {
 			return fail
 		}
@@ -214,6 +226,9 @@
 // Servers that take no request for now because of their rate limit are passed over.
 func (c *call) attempt(ctx context.Context) (RecordedAnswer, retry.Attempt, *fault.Fault) {
 	n := c.handler.Node
+	if q, ok := n.Quarantine(c.route.Service, c.crashParts); ok {
+		return RecordedAnswer{}, retry.Attempt{}, fault.FromQuarantine(q)
+	}
 	for {
 		b, ok := n.AcquireBackend(c.route.Service, c.triedBackends)
 		if !ok {
@@ -221,6 +236,7 @@
 		}
 		answer, a, fail, err := c.sendTo(ctx, b)
 		n.ReleaseBackend(b.ID)
+		c.recordCrash(ctx, b, a, err)
 		var denied *limit.DeniedError
 		if !errors.As(err, &denied) {
 			c.triedBackends = append(c.triedBackends, b.ID)
@@ -237,8 +253,23 @@
 	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "no backend server of "+c.route.Service+" is present").WithRetryAfter(time.Second)
 }
 
+// recordCrash records what an attempt says of the server and of the call: whether one may
+// have crashed under the other.
+func (c *call) recordCrash(ctx context.Context, b member.Backend, a retry.Attempt, err error) {
+	n := c.handler.Node
+	switch {
+	case a.ResponseComplete:
+		n.EngineAnswered(b)
+		n.PromptSurvived(c.crashParts)
+	case a.Refused:
+		n.EngineAnswered(b)
+	case a.Sent && ctx.Err() == nil && pool.ClosedByPeer(err):
+		n.PromptLost(c.crashParts, b, true)
+	}
+}
+
 // sendTo sends the call to a backend server. err is the reason of the fault if there was
-// no response.
+// no complete response.
 func (c *call) sendTo(ctx context.Context, b member.Backend) (answer RecordedAnswer, a retry.Attempt, fail *fault.Fault, err error) {
 	ctx, span := trace.Start(ctx, "call", attribute.String("backend", b.ID))
 	defer span.End()
@@ -263,8 +294,7 @@
 		a.Refused = true
 		return answer, a, callFault(a, errors.New("the backend server refused the call")), nil
 	}
-	answer, a, fail = c.readAnswer(res, a)
-	return answer, a, fail, nil
+	return c.readAnswer(res, a)
 }
 
 func (c *call) transport() http.RoundTripper {
@@ -315,7 +345,7 @@
 	return req, nil
 }
 
-func (c *call) readAnswer(res *http.Response, a retry.Attempt) (RecordedAnswer, retry.Attempt, *fault.Fault) {
+func (c *call) readAnswer(res *http.Response, a retry.Attempt) (RecordedAnswer, retry.Attempt, *fault.Fault, error) {
 	body, reserved, err := c.handler.Node.Answers.Read(res.Body, res.ContentLength, c.handler.Node.Settings.Limits.MaxAnswer)
 	c.reserved += reserved
 	switch {
@@ -324,13 +354,13 @@
 		f := unknownOutcomeFault(err.Error())
 		f.Code = fault.AnswerTooLarge
 		f.Status = http.StatusBadGateway
-		return RecordedAnswer{}, a, f
+		return RecordedAnswer{}, a, f, err
 	case err != nil:
 		a.ResponseStarted = true
-		return RecordedAnswer{}, a, callFault(a, err)
+		return RecordedAnswer{}, a, callFault(a, err), err
 	}
 	a.ResponseComplete = true
-	return RecordedAnswer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, a, nil
+	return RecordedAnswer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, a, nil, nil
 }
 
 func callFault(a retry.Attempt, err error) *fault.Fault {
--- a/foldd/entry/complete.go
+++ b/foldd/entry/complete.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
 
+	"fuchsiafold.example/fold/poison"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/engine"
@@ -78,7 +79,7 @@
 		Arrived:      time.Now(),
 		Policy:       e.Node.AssignPolicy(),
 	}
-	g.parts = promptParts(req.Prompt, g.sched.Prefix)
+	g.parts = append([]string{poison.Fingerprint(a.workspace, req.Model, req.Prompt)}, promptParts(req.Prompt, g.sched.Prefix)...)
 	return g.run(ctx)
 }
 
