Entry: a call that a server has begun is not reported as not run when no other server is left

What callers saw: an idempotent call whose server crashed under it, with no other server for the retry, got 503 with the outcome notRun, though it had run.

Cause: the answer was that of the last attempt, which was not sent, whatever the earlier ones had been.

Change: an attempt that may have run decides the outcome of the call.

Evidence: TestCallThatRanIsNotReportedNotRun failed before (status 503, outcome notRun after 1 run) and passes now.

--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -89,24 +89,24 @@
 func (c *call) runIdempotent(ctx context.Context, w http.ResponseWriter) *fault.Fault {
 	n := c.handler.Node
 	n.CountFirstAttempt()
-	var last *fault.Fault
+	// mayHaveRun is the fault of the last attempt that may have run.
+	var mayHaveRun *fault.Fault
 	for attempts := 1; ; attempts++ {
 		answer, attempt, fail := c.attempt(ctx)
 		if fail == nil {
 			answer.write(w)
 			return nil
 		}
-		if fail.Code == fault.Quarantined {
-			// An earlier attempt of this call may have run.
-			return cmp.Or(last, fail)
+		if fail.Outcome != retry.NotRun {
+			mayHaveRun = fail
 		}
-		last = fail
-		if ctx.Err() != nil || !attempt.Retryable(true) || fail.Code == fault.RateLimited {
-			return fail
+		final := cmp.Or(mayHaveRun, fail)
+		if ctx.Err() != nil || !attempt.Retryable(true) || fail.Code == fault.RateLimited || fail.Code == fault.Quarantined {
+			return final
 		}
 		wait, ok := n.TakeRetry(attempts)
 		if !ok {
-			return fail
+			return final
 		}
 		n.Count("calls.retries", 1)
 		sleep(ctx, wait)
