--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -1,5 +1,7 @@
-// Package poison finds the parts of prompts that crash engines, and keeps requests
-// with such parts (poison messages) from engines.
+// Package poison finds what crashes engines and other backend servers, and keeps
+// requests with it (poison messages) from them: a part that the prompts of several
+// requests share, or one request that is sent again and again, which has a Fingerprint
+// as one of its parts.
 //
 // An engine that crashes loses all its runs. Those that it had just begun, or whose
 // prompts it still read, may have been the cause, and each of the shared parts of
--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -75,14 +76,17 @@
 const maxReportedCalls = 8
 
 func (e noQuorumError) Error() string {
-	text := ErrNoQuorum.Error()
-	for i, f := range e.failed[:min(len(e.failed), maxReportedCalls)] {
-		text += fmt.Sprintf("%s%s after %d ms: %v", []string{": ", "; "}[min(i, 1)], f.addr, f.took.Milliseconds(), f.err)
+	if len(e.failed) == 0 {
+		return ErrNoQuorum.Error()
+	}
+	var calls []string
+	for _, f := range e.failed[:min(len(e.failed), maxReportedCalls)] {
+		calls = append(calls, fmt.Sprintf("%s after %d ms: %v", f.addr, f.took.Milliseconds(), f.err))
 	}
 	if more := len(e.failed) - maxReportedCalls; more > 0 {
-		text += fmt.Sprintf("; and %d more", more)
+		calls = append(calls, fmt.Sprintf("%d more", more))
 	}
-	return text
+	return fmt.Sprintf("%v (%s)", ErrNoQuorum, strings.Join(calls, "; "))
 }
 
 // Unwrap returns ErrNoQuorum.
@@ -108,8 +112,7 @@
 
 // tryAll runs call against every control VM, each at most once and the probable
 // leader first, until one succeeds or rejects the request itself. If a control
-// VM's error names the leader, that address is tried next. It returns the calls that
-// failed.
+// VM's error names the leader, that address is next. It returns the calls that failed.
 func (c *Client) tryAll(ctx context.Context, call func(context.Context, wire.ControlServiceClient) error) ([]failedCall, error) {
 	var failed []failedCall
 	tried := map[string]bool{}
