App: the test of generations that crash engines no longer waits for a trial

Cause: it sent prompts until five engines had crashed.

Change: the first loop ends when a prompt crashes no engine. The checks and bounds after it are the same, and begin earlier: at most 3 engines may crash from then on, and sound generations must be served.

--- a/foldd/app/crash_test.go
+++ b/foldd/app/crash_test.go
@@ -211,7 +211,10 @@
 		return r.summary != nil && r.summary.Outcome == "done"
 	}
 	for i := 0; crashes < crashesBefore; i++ {
-		generate(i%2, "bad")
+		before := crashes
+		if generate(i%2, "bad"); crashes == before {
+			break // The prompt is held already.
+		}
 	}
 	time.Sleep(newsBound)
 	before := crashes
