--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -30,6 +30,7 @@
 	client := a.peers.ControlClient()
 	a.controlClient = ctrl.NewClient(client, a.peers.Options(), a.controlAddrs)
 	a.controlClient.LocalLeader = a.controlServer.Leader
+	a.controlClient.Observe = a.Node.Observe
 	a.entry.Claims = a.controlClient
 	a.operators.Control = a.controlClient
 	if s.Control == nil {
--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -43,6 +43,9 @@
 	// if it knows none. It is nil on a VM without a replica. It must not be changed after
 	// the first call.
 	LocalLeader func() (netip.AddrPort, bool)
+	// Observe records the duration of each change of the configuration. It may be nil. It
+	// must not be changed after the first call.
+	Observe func(name string, d time.Duration)
 
 	http    *http.Client
 	options connect.ClientOption
@@ -264,8 +267,15 @@
 	return nil
 }
 
+// applyMetric is the name of the histogram of the time until a change is committed, or
+// the attempt fails.
+const applyMetric = "control.applyMicros"
+
 // Apply submits a configuration and returns the result once it is committed.
 func (c *Client) Apply(ctx context.Context, req *wire.ApplyRequest) (*wire.ApplyResponse, error) {
+	if c.Observe != nil {
+		defer func(begun time.Time) { c.Observe(applyMetric, time.Since(begun)) }(time.Now())
+	}
 	var res *wire.ApplyResponse
 	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
 		r, err := s.Apply(ctx, connect.NewRequest(req))
