--- a/foldd/ctrl/lost_leader_test.go
+++ b/foldd/ctrl/lost_leader_test.go
@@ -65,6 +65,9 @@
 func (g *groupRig) leader(t *testing.T) int {
 	t.Helper()
 	for i, v := range g.vms {
+		if v.server == nil {
+			continue
+		}
 		if _, leader, err := v.server.Status(t.Context()); err == nil && leader == v.addr.String() {
 			return i
 		}
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -172,9 +172,10 @@
 	vms     []*rigVM
 }
 
-// rigVM is a control VM with its client of the control group.
+// rigVM is a VM with its client of the control group.
 type rigVM struct {
-	addr   netip.AddrPort
+	addr netip.AddrPort
+	// server is nil on an entry VM.
 	server *Server
 	client *Client
 	// checked counts the documents that the VM has checked.
@@ -192,13 +193,10 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	options := connect.WithClientOptions()
+	peers := func() []netip.AddrPort { return addrs }
 	for i, addr := range addrs {
-		transport := &redial.Transport{}
-		transport.DialContext = g.network.dialFrom(addr.String())
-		transport.MaxIdleConnsPerHost = 2
-		client := &http.Client{Transport: transport}
-		options := connect.WithClientOptions()
-		peers := func() []netip.AddrPort { return addrs }
+		client := g.httpClient(t, addr)
 		vm := &rigVM{addr: addr, client: NewClient(client, options, peers)}
 		check := func([]byte) error {
 			vm.checked.Add(1)
@@ -218,7 +216,6 @@
 		go web.Serve(listener)
 		t.Cleanup(func() {
 			server.Close()
-			transport.CloseIdleConnections()
 			web.Close()
 		})
 		vm.server = server
@@ -229,6 +226,29 @@
 	return g
 }
 
+// httpClient returns a client whose connections are opened by the VM at addr.
+func (g *groupRig) httpClient(t *testing.T, addr netip.AddrPort) *http.Client {
+	transport := &redial.Transport{}
+	transport.DialContext = g.network.dialFrom(addr.String())
+	transport.MaxIdleConnsPerHost = 2
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// addEntryVMs adds n VMs without a control replica.
+func (g *groupRig) addEntryVMs(t *testing.T, n int) {
+	t.Helper()
+	var control []netip.AddrPort
+	for _, v := range g.vms {
+		control = append(control, v.addr)
+	}
+	for i := range n {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}), 7200)
+		client := NewClient(g.httpClient(t, addr), connect.WithClientOptions(), func() []netip.AddrPort { return control })
+		g.vms = append(g.vms, &rigVM{addr: addr, client: client})
+	}
+}
+
 // addrs returns the addresses of all VMs.
 func (g *groupRig) addrs() []string {
 	var out []string
