App: the client of the control group is there before a VM listens

Cause: the client was created after the listeners had started, and not at all without control VMs: an operator's call in between, or at such a VM, panicked and was answered with 500. One HTTP client serves it and the replica, as before. TestEntryVMPassesConfigOn (passed before too) shows that an entry VM takes a change, its repeat, an invalid one and a read for the group.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -34,10 +34,14 @@
 	Node  *node.Node
 	entry *entry.Handler
 	// operators is set before the process accepts the first request.
-	operators         *oper.Service
-	controlServer     ctrl.DeferredServer
-	peers             *peer.Service
-	controlClient     *ctrl.Client
+	operators     *oper.Service
+	controlServer ctrl.DeferredServer
+	peers         *peer.Service
+	// controlClient is set before the process accepts the first request. It is nil if
+	// there is no control group.
+	controlClient *ctrl.Client
+	// controlHTTP makes the calls of controlClient and of the control replica.
+	controlHTTP       *http.Client
 	servers           []*serve.Server
 	addrs             Addrs
 	flushTraces       func(context.Context) error
@@ -101,6 +105,11 @@
 		IdempotentTransport: limited(entry.NewIdempotentTransport(connect)),
 		AtMostOnceTransport: limited(entry.NewAtMostOnceTransport(connect)),
 	}
+	// Callers and operators may be served as soon as the process listens.
+	a.controlHTTP = a.peers.ControlClient()
+	if a.controlClient = a.newControlClient(); a.controlClient != nil {
+		a.entry.Claims = a.controlClient
+	}
 	if err := a.listen(adapter); err != nil {
 		a.Close()
 		return nil, err
@@ -183,6 +192,9 @@
 func (a *App) listen(adapter Adapter) error {
 	s := a.Node.Settings
 	a.operators = &oper.Service{Node: a.Node, Peers: a.peers, ControlServer: &a.controlServer}
+	if a.controlClient != nil {
+		a.operators.Control = a.controlClient
+	}
 	listeners := []struct {
 		name      string
 		addr      netip.AddrPort
--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -19,20 +19,26 @@
 	configFetchTimeout = time.Second
 )
 
-// startControl creates the client of the control group if the settings name
-// control VMs or make this VM one. A control VM starts its replica; any other VM
-// fetches the newest configuration.
-func (a *App) startControl() error {
+// newControlClient returns a client of the control group, or nil if the settings neither
+// name control VMs nor make this VM one.
+func (a *App) newControlClient() *ctrl.Client {
 	s := a.Node.Settings
 	if s.Control == nil && len(s.ControlVMs) == 0 {
 		return nil
 	}
-	client := a.peers.ControlClient()
-	a.controlClient = ctrl.NewClient(client, a.peers.Options(), a.controlAddrs)
-	a.controlClient.LocalLeader = a.controlServer.Leader
-	a.controlClient.Observe = a.Node.Observe
-	a.entry.Claims = a.controlClient
-	a.operators.Control = a.controlClient
+	client := ctrl.NewClient(a.controlHTTP, a.peers.Options(), a.controlAddrs)
+	client.LocalLeader = a.controlServer.Leader
+	client.Observe = a.Node.Observe
+	return client
+}
+
+// startControl starts the control replica if the settings make this VM a control VM.
+// Any other VM fetches the newest configuration.
+func (a *App) startControl() error {
+	s := a.Node.Settings
+	if a.controlClient == nil {
+		return nil
+	}
 	if s.Control == nil {
 		a.fetchConfig()
 		return nil
@@ -44,7 +50,7 @@
 		DataFolder:     s.Control.DataFolder,
 		Peers:          a.controlAddrs,
 		Bootstrap:      s.Control.Bootstrap,
-		HTTP:           client,
+		HTTP:           a.controlHTTP,
 		Options:        a.peers.Options(),
 		Log:            a.Node.Log,
 		Check:          a.checkDocument,
