Ctrl: a VM that reaches no control VM rejects operators' calls within 100 ms

Cause: an operator's call at a VM that is cut off from the control group waited for its whole time, 0.9 s, before the operator tried another VM. Entry VMs are to accept these calls too, and are cut off more often.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -29,6 +29,7 @@
 	client := ctrl.NewClient(a.controlHTTP, a.peers.Options(), a.controlAddrs)
 	client.LocalLeader = a.controlServer.Leader
 	client.Observe = a.Node.Observe
+	client.Unreachable = a.Node.ControlLost
 	return client
 }
 
--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -31,6 +31,9 @@
 	claimTimeout = time.Second
 	// retryInterval is the pause after all control VMs have been tried.
 	retryInterval = 50 * time.Millisecond
+	// unreachableTimeout limits an operator's call while no control VM is reachable as far
+	// as this VM knows, so that the operator soon tries another VM.
+	unreachableTimeout = 100 * time.Millisecond
 	// releaseTimeout limits the attempts to release a claim that may have been
 	// granted although no response arrived.
 	releaseTimeout = 30 * time.Second
@@ -43,6 +46,10 @@
 	// if it knows none. It is nil on a VM without a replica. It must not be changed after
 	// the first call.
 	LocalLeader func() (netip.AddrPort, bool)
+	// Unreachable reports whether no control VM has been heard of for some time. Calls of
+	// operators then end after unreachableTimeout. It may be nil. It must not be changed
+	// after the first call.
+	Unreachable func() bool
 	// Observe records the duration of each change of the configuration. It may be nil. It
 	// must not be changed after the first call.
 	Observe func(name string, d time.Duration)
@@ -271,11 +278,21 @@
 // the attempt fails.
 const applyMetric = "control.applyMicros"
 
+// operatorContext returns the context of an operator's call.
+func (c *Client) operatorContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.Unreachable != nil && c.Unreachable() {
+		return context.WithTimeout(ctx, unreachableTimeout)
+	}
+	return context.WithCancel(ctx)
+}
+
 // Apply submits a configuration and returns the result once it is committed.
 func (c *Client) Apply(ctx context.Context, req *wire.ApplyRequest) (*wire.ApplyResponse, error) {
 	if c.Observe != nil {
 		defer func(begun time.Time) { c.Observe(applyMetric, time.Since(begun)) }(time.Now())
 	}
+	ctx, cancel := c.operatorContext(ctx)
+	defer cancel()
 	var res *wire.ApplyResponse
 	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
 		r, err := s.Apply(ctx, connect.NewRequest(req))
@@ -290,6 +307,8 @@
 // Latest returns the newest committed configuration. Its revision is zero if none
 // was committed yet.
 func (c *Client) Latest(ctx context.Context) (*wire.ConfigResponse, error) {
+	ctx, cancel := c.operatorContext(ctx)
+	defer cancel()
 	var res *wire.ConfigResponse
 	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
 		r, err := s.Latest(ctx, connect.NewRequest(&wire.ConfigRequest{}))
--- a/foldd/ctrl/operator_test.go
+++ b/foldd/ctrl/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -105,3 +106,36 @@
 	t.Fatalf("version %d was not confirmed within a minute", version)
 	return 0
 }
+
+// TestVMCutOffFromControlRejectsAtOnce guards against operators' calls that wait at a VM
+// which knows that it reaches no control VM, and checks that it serves them again as soon
+// as one can be reached.
+func TestVMCutOffFromControlRejectsAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		g.addEntryVMs(t, 1)
+		entry := g.vms[3]
+		entry.client.Unreachable = func() bool { return true }
+		g.applyAt(t, 3, 10)
+		g.network.hang(entry.addr.String())
+		calls := map[string]func(context.Context) error{
+			"change": func(ctx context.Context) error {
+				_, err := entry.client.Apply(ctx, &wire.ApplyRequest{Version: 20, Document: []byte("{}")})
+				return err
+			},
+			"read": func(ctx context.Context) error {
+				_, err := entry.client.Latest(ctx)
+				return err
+			},
+		}
+		for name, call := range calls {
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+			err := call(ctx)
+			cancel()
+			if took := time.Since(begun); !errors.Is(err, ErrNoQuorum) || took > applyTimeout/2 {
+				t.Errorf("%s: %v after %v, want %v in less than %v", name, err, took, ErrNoQuorum, applyTimeout/2)
+			}
+		}
+	})
+}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -117,6 +117,14 @@
 	return !slices.ContainsFunc(n.group.LiveWithin(now, n.table.Lease/2), func(p member.Peer) bool { return p.HasControlReplica })
 }
 
+// ControlLost reports whether this VM, without a control replica, has received no report of
+// a control VM for controlTimeout.
+func (n *Node) ControlLost() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.controlLost
+}
+
 // watchControl logs when all control VMs become unreachable and when one is
 // reachable again. The caller holds the lock.
 func (n *Node) watchControl(now time.Time) {
