Ctrl: a call to the control group is hedged after 100 ms

Cause: a VM without a replica begins at the leader of its last call. Once that hangs, its next call waited for the timeout of one call, 500 ms: half of what an operator gives it. Change: the next control VM is called as well once a call is unanswered for 100 ms; the first success ends the round and cancels the others. All calls are idempotent. The round is a file of its own, and the five copies of the code round it one.

--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +26,9 @@
 	// claimTimeout limits a claim. When it expires, the caller's request is
 	// rejected as not run.
 	claimTimeout = time.Second
+	// hedgeDelay is how long a call may be unanswered until the next control VM is called
+	// too. It is above the time that the leader needs to commit a change.
+	hedgeDelay = 100 * time.Millisecond
 	// retryInterval is the pause after all control VMs have been tried.
 	retryInterval = 50 * time.Millisecond
 	// unreachableTimeout limits an operator's call while no control VM is reachable as far
@@ -72,88 +72,6 @@
 	return &Client{http: h, options: o, addrs: addrs}
 }
 
-// failedCall is a call to a control VM that failed.
-type failedCall struct {
-	addr string
-	took time.Duration
-	err  error
-}
-
-// noQuorumError is an ErrNoQuorum that says which control VMs failed and why.
-type noQuorumError struct{ failed []failedCall }
-
-// maxReportedCalls bounds the calls that the text of a noQuorumError names.
-const maxReportedCalls = 8
-
-func (e noQuorumError) Error() string {
-	if len(e.failed) == 0 {
-		return ErrNoQuorum.Error()
-	}
-	var calls []string
-	for _, f := range e.failed[:min(len(e.failed), maxReportedCalls)] {
-		calls = append(calls, fmt.Sprintf("%s after %d ms: %v", f.addr, f.took.Milliseconds(), f.err))
-	}
-	if more := len(e.failed) - maxReportedCalls; more > 0 {
-		calls = append(calls, fmt.Sprintf("%d more", more))
-	}
-	return fmt.Sprintf("%v (%s)", ErrNoQuorum, strings.Join(calls, "; "))
-}
-
-// Unwrap returns ErrNoQuorum.
-func (e noQuorumError) Unwrap() error { return ErrNoQuorum }
-
-// callWithRetry runs call against the control VMs until one succeeds, one rejects
-// the request itself, or ctx ends. The error wraps ErrNoQuorum if ctx ended.
-func (c *Client) callWithRetry(ctx context.Context, call func(context.Context, wire.ControlServiceClient) error) error {
-	var failed []failedCall
-	for {
-		more, err := c.tryAll(ctx, call)
-		if err == nil || !errors.Is(err, ErrNoQuorum) {
-			return err
-		}
-		failed = append(failed, more...)
-		select {
-		case <-time.After(retryInterval):
-		case <-ctx.Done():
-			return noQuorumError{failed}
-		}
-	}
-}
-
-// tryAll runs call against every control VM, each at most once and the probable
-// leader first, until one succeeds or rejects the request itself. If a control
-// VM's error names the leader, that address is next. It returns the calls that failed.
-func (c *Client) tryAll(ctx context.Context, call func(context.Context, wire.ControlServiceClient) error) ([]failedCall, error) {
-	var failed []failedCall
-	tried := map[string]bool{}
-	queue := c.candidateAddrs()
-	for len(queue) > 0 {
-		addr := queue[0]
-		queue = queue[1:]
-		if tried[addr] {
-			continue
-		}
-		tried[addr] = true
-		begun := time.Now()
-		hint, err := c.callOne(ctx, addr, call)
-		if err == nil {
-			c.setLeader(addr)
-			return nil, nil
-		}
-		if code := connect.CodeOf(err); code == connect.CodeInvalidArgument || code == connect.CodeUnauthenticated {
-			return nil, err
-		}
-		failed = append(failed, failedCall{addr: addr, took: time.Since(begun), err: err})
-		if hint != "" {
-			queue = slices.Insert(queue, 0, hint)
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return failed, ErrNoQuorum
-}
-
 // candidateAddrs returns the addresses to try in order: the leader that the local
 // replica knows, the one that last responded, and then all control VMs. An address may
 // occur twice.
@@ -181,19 +99,6 @@
 	c.leader = addr
 }
 
-// callOne runs call against the control VM at addr. After an error, hint is the
-// leader's address if the control VM returned it.
-func (c *Client) callOne(ctx context.Context, addr string, call func(context.Context, wire.ControlServiceClient) error) (hint string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err = call(ctx, wire.NewControlServiceClient(c.http, "http://"+addr, c.options))
-	var ce *connect.Error
-	if errors.As(err, &ce) {
-		hint = ce.Meta().Get(headerLeader)
-	}
-	return hint, err
-}
-
 // claimStatesFromWire has no entry for CLAIM_STATE_FULL, which Claim reports as
 // errTooManyKeys.
 var claimStatesFromWire = map[wire.ClaimState]entry.ClaimState{
@@ -221,13 +126,8 @@
 		Nonce:         claim.Nonce,
 		TimeoutMillis: uint64(claim.Timeout.Milliseconds()),
 	}
-	var res *wire.ClaimResponse
-	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
-		r, err := s.Claim(ctx, connect.NewRequest(req))
-		if err == nil {
-			res = r.Msg
-		}
-		return err
+	res, err := callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ClaimResponse], error) {
+		return s.Claim(ctx, connect.NewRequest(req))
 	})
 	if err != nil {
 		go c.releaseClaim(claim)
@@ -264,9 +164,8 @@
 	case entry.SettleUnknown:
 		req.Unknown = true
 	}
-	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
-		_, err := s.Settle(ctx, connect.NewRequest(req))
-		return err
+	_, err := callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.SettleResponse], error) {
+		return s.Settle(ctx, connect.NewRequest(req))
 	})
 	if err != nil {
 		return fmt.Errorf("settle: %w", err)
@@ -293,15 +192,9 @@
 	}
 	ctx, cancel := c.operatorContext(ctx)
 	defer cancel()
-	var res *wire.ApplyResponse
-	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
-		r, err := s.Apply(ctx, connect.NewRequest(req))
-		if err == nil {
-			res = r.Msg
-		}
-		return err
+	return callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ApplyResponse], error) {
+		return s.Apply(ctx, connect.NewRequest(req))
 	})
-	return res, err
 }
 
 // Latest returns the newest committed configuration. Its revision is zero if none
@@ -309,26 +202,14 @@
 func (c *Client) Latest(ctx context.Context) (*wire.ConfigResponse, error) {
 	ctx, cancel := c.operatorContext(ctx)
 	defer cancel()
-	var res *wire.ConfigResponse
-	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
-		r, err := s.Latest(ctx, connect.NewRequest(&wire.ConfigRequest{}))
-		if err == nil {
-			res = r.Msg
-		}
-		return err
+	return callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ConfigResponse], error) {
+		return s.Latest(ctx, connect.NewRequest(&wire.ConfigRequest{}))
 	})
-	return res, err
 }
 
 // Lease acquires, renews or releases a lease.
 func (c *Client) Lease(ctx context.Context, req *wire.LeaseRequest) (*wire.LeaseResponse, error) {
-	var res *wire.LeaseResponse
-	err := c.callWithRetry(ctx, func(ctx context.Context, s wire.ControlServiceClient) error {
-		r, err := s.Lease(ctx, connect.NewRequest(req))
-		if err == nil {
-			res = r.Msg
-		}
-		return err
+	return callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.LeaseResponse], error) {
+		return s.Lease(ctx, connect.NewRequest(req))
 	})
-	return res, err
 }
--- a/foldd/ctrl/lost_leader_test.go
+++ b/foldd/ctrl/lost_leader_test.go
@@ -75,3 +75,18 @@
 	t.Fatal("the group has no leader")
 	return 0
 }
+
+// TestEntryVMDoesNotWaitForLostLeader guards against operators' calls at a VM without a
+// replica that wait for the leader of its last call, which hangs.
+func TestEntryVMDoesNotWaitForLostLeader(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		g.addEntryVMs(t, 1)
+		g.applyAt(t, 3, 10)
+		g.network.hang(g.vms[g.leader(t)].addr.String())
+		time.Sleep(3 * time.Second)
+		if took := g.applyAt(t, 3, 20); took >= callTimeout {
+			t.Errorf("a change was confirmed after %v, want less than the timeout of one call, %v", took, callTimeout)
+		}
+	})
+}
--- /dev/null
+++ b/foldd/ctrl/round.go
@@ -0,0 +1,161 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"fuchsiafold.example/wire"
+)
+
+// failedCall is a call to a control VM that failed.
+type failedCall struct {
+	addr string
+	took time.Duration
+	err  error
+}
+
+// noQuorumError is an ErrNoQuorum that says which control VMs failed and why.
+type noQuorumError struct{ failed []failedCall }
+
+// maxReportedCalls bounds the calls that the text of a noQuorumError names.
+const maxReportedCalls = 8
+
+func (e noQuorumError) Error() string {
+	if len(e.failed) == 0 {
+		return ErrNoQuorum.Error()
+	}
+	var calls []string
+	for _, f := range e.failed[:min(len(e.failed), maxReportedCalls)] {
+		calls = append(calls, fmt.Sprintf("%s after %d ms: %v", f.addr, f.took.Milliseconds(), f.err))
+	}
+	if more := len(e.failed) - maxReportedCalls; more > 0 {
+		calls = append(calls, fmt.Sprintf("%d more", more))
+	}
+	return fmt.Sprintf("%v (%s)", ErrNoQuorum, strings.Join(calls, "; "))
+}
+
+// Unwrap returns ErrNoQuorum.
+func (e noQuorumError) Unwrap() error { return ErrNoQuorum }
+
+// controlCall calls one control VM. It may run more than once, and at several control VMs
+// at the same time, so what it asks for must be idempotent.
+type controlCall[T any] func(context.Context, wire.ControlServiceClient) (*connect.Response[T], error)
+
+// callWithRetry runs call against the control VMs until one succeeds, one rejects
+// the request itself, or ctx ends. The error wraps ErrNoQuorum if ctx ended.
+func callWithRetry[T any](ctx context.Context, c *Client, call controlCall[T]) (*T, error) {
+	var failed []failedCall
+	for {
+		res, more, err := runRound(ctx, c, call)
+		if err == nil || !errors.Is(err, ErrNoQuorum) {
+			return res, err
+		}
+		failed = append(failed, more...)
+		select {
+		case <-time.After(retryInterval):
+		case <-ctx.Done():
+			return nil, noQuorumError{failed}
+		}
+	}
+}
+
+// callResult is the result of one call of a round.
+type callResult[T any] struct {
+	addr string
+	took time.Duration
+	res  *T
+	// hint is the leader's address if the call failed and the control VM returned it.
+	hint string
+	err  error
+}
+
+// round is one pass over the control VMs.
+type round[T any] struct {
+	client *Client
+	call   controlCall[T]
+	// results has room for the results of all calls of the round.
+	results chan callResult[T]
+	// queue holds the addresses to call next.
+	queue []string
+	// called holds the addresses that have been called, each once.
+	called map[string]bool
+	// pending is the number of calls without a result.
+	pending int
+}
+
+// runRound runs call against every control VM, each at most once and the probable
+// leader first, until one succeeds or rejects the request itself. The next control VM
+// is called as soon as a call fails, and once a call is unanswered for hedgeDelay. If a
+// control VM's error names the leader, that address is next. runRound returns the calls
+// that failed.
+func runRound[T any](ctx context.Context, c *Client, call controlCall[T]) (*T, []failedCall, error) {
+	// The calls that are still pending at the end of the round are canceled.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := round[T]{client: c, call: call, queue: c.candidateAddrs(), called: map[string]bool{}}
+	r.results = make(chan callResult[T], 2*len(r.queue))
+	var failed []failedCall
+	r.startNext(ctx)
+	for r.pending > 0 {
+		hedge := time.NewTimer(hedgeDelay)
+		select {
+		case <-hedge.C:
+			r.startNext(ctx)
+		case result := <-r.results:
+			r.pending--
+			if result.err == nil {
+				c.setLeader(result.addr)
+				return result.res, nil, nil
+			}
+			if code := connect.CodeOf(result.err); code == connect.CodeInvalidArgument || code == connect.CodeUnauthenticated {
+				return nil, nil, result.err
+			}
+			failed = append(failed, failedCall{addr: result.addr, took: result.took, err: result.err})
+			if result.hint != "" {
+				r.queue = slices.Insert(r.queue, 0, result.hint)
+			}
+			r.startNext(ctx)
+		}
+		hedge.Stop()
+	}
+	return nil, failed, ErrNoQuorum
+}
+
+// startNext calls the next control VM that was not called in this round, if there is one
+// and ctx has not ended.
+func (r *round[T]) startNext(ctx context.Context) {
+	for len(r.queue) > 0 && len(r.called) < cap(r.results) && ctx.Err() == nil {
+		addr := r.queue[0]
+		r.queue = r.queue[1:]
+		if r.called[addr] {
+			continue
+		}
+		r.called[addr] = true
+		r.pending++
+		go r.run(ctx, addr)
+		return
+	}
+}
+
+// run calls the control VM at addr and sends the result.
+func (r *round[T]) run(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	begun := time.Now()
+	res, err := r.call(ctx, wire.NewControlServiceClient(r.client.http, "http://"+addr, r.client.options))
+	result := callResult[T]{addr: addr, took: time.Since(begun), err: err}
+	if err == nil {
+		result.res = res.Msg
+	}
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		result.hint = ce.Meta().Get(headerLeader)
+	}
+	r.results <- result
+}
