--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -182,48 +182,60 @@
 	checked atomic.Int64
 }
 
+// vmAddrs returns the addresses of n control VMs.
+func vmAddrs(n int) []netip.AddrPort {
+	var out []netip.AddrPort
+	for i := range n {
+		out = append(out, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7200))
+	}
+	return out
+}
+
 // newGroupRig starts a group of n control VMs and waits until it has a leader. It must
 // run in a synctest bubble.
 func newGroupRig(t *testing.T, n int) *groupRig {
 	t.Helper()
 	g := &groupRig{}
-	var addrs []netip.AddrPort
-	for i := range n {
-		addrs = append(addrs, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7200))
+	addrs := vmAddrs(n)
+	for _, addr := range addrs {
+		g.addControlVM(t, addr, addrs)
 	}
+	g.apply(t, 1)
+	return g
+}
+
+// addControlVM starts a control VM of the group that the VMs at seeds form.
+func (g *groupRig) addControlVM(t *testing.T, addr netip.AddrPort, seeds []netip.AddrPort) {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	options := connect.WithClientOptions()
-	peers := func() []netip.AddrPort { return addrs }
-	for i, addr := range addrs {
-		client := g.httpClient(t, addr)
-		vm := &rigVM{addr: addr, client: NewClient(client, options, peers)}
-		check := func([]byte) error {
-			vm.checked.Add(1)
-			return nil
-		}
-		server, err := New(ServerConfig{
-			VM: fmt.Sprint("vm", i+1), Addr: addr, DataFolder: filepath.Join(t.TempDir(), "data"), InitialMembers: addrs, Peers: peers,
-			HTTP: client, Options: options, Log: log, Check: check,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		mux := http.NewServeMux()
-		mux.Handle(wire.NewControlServiceHandler(server.Handler()))
-		listener := g.network.listen(addr.String())
-		web := &http.Server{Handler: mux}
-		go web.Serve(listener)
-		t.Cleanup(func() {
-			server.Close()
-			web.Close()
-		})
-		vm.server = server
-		vm.client.LocalLeader = server.Leader
-		g.vms = append(g.vms, vm)
+	client := g.httpClient(t, addr)
+	peers := func() []netip.AddrPort { return seeds }
+	vm := &rigVM{addr: addr, client: NewClient(client, options, peers)}
+	check := func([]byte) error {
+		vm.checked.Add(1)
+		return nil
 	}
-	g.apply(t, 1)
-	return g
+	server, err := New(ServerConfig{
+		VM: fmt.Sprint("vm", len(g.vms)+1), Addr: addr, DataFolder: filepath.Join(t.TempDir(), "data"), InitialMembers: seeds, Peers: peers,
+		HTTP: client, Options: options, Log: log, Check: check,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewControlServiceHandler(server.Handler()))
+	listener := g.network.listen(addr.String())
+	web := &http.Server{Handler: mux}
+	go web.Serve(listener)
+	t.Cleanup(func() {
+		server.Close()
+		web.Close()
+	})
+	vm.server = server
+	vm.client.LocalLeader = server.Leader
+	g.vms = append(g.vms, vm)
 }
 
 // httpClient returns a client whose connections are opened by the VM at addr.
