--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -192,7 +192,7 @@
 	}
 	ctx, cancel := c.operatorContext(ctx)
 	defer cancel()
-	return callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ApplyResponse], error) {
+	return callForOperator(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ApplyResponse], error) {
 		return s.Apply(ctx, connect.NewRequest(req))
 	})
 }
@@ -202,7 +202,7 @@
 func (c *Client) Latest(ctx context.Context) (*wire.ConfigResponse, error) {
 	ctx, cancel := c.operatorContext(ctx)
 	defer cancel()
-	return callWithRetry(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ConfigResponse], error) {
+	return callForOperator(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ConfigResponse], error) {
 		return s.Latest(ctx, connect.NewRequest(&wire.ConfigRequest{}))
 	})
 }
--- a/foldd/ctrl/operator_test.go
+++ b/foldd/ctrl/operator_test.go
@@ -139,3 +139,28 @@
 		}
 	})
 }
+
+// TestMinoritySideRejectsChangesSoon guards against operators' calls that take their whole
+// time at each VM of a failure domain which is cut off together with one control VM.
+func TestMinoritySideRejectsChangesSoon(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		g.addEntryVMs(t, 1)
+		minority := (g.leader(t) + 1) % 3
+		g.applyAt(t, 3, 10)
+		g.network.cut(g.vms[minority].addr.String(), g.vms[3].addr.String())
+		time.Sleep(3 * time.Second)
+		for _, vm := range []int{minority, 3} {
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+			_, err := g.vms[vm].client.Apply(ctx, &wire.ApplyRequest{Version: 20, Document: []byte("{}")})
+			cancel()
+			if took := time.Since(begun); !errors.Is(err, ErrNoQuorum) || took > applyTimeout/2 {
+				t.Errorf("VM %d: %v after %v, want %v in less than %v", vm, err, took, ErrNoQuorum, applyTimeout/2)
+			}
+		}
+		if took := g.applyAt(t, (minority+1)%3, 30); took > applyTimeout/2 {
+			t.Errorf("the other side confirmed a change after %v, want less than %v", took, applyTimeout/2)
+		}
+	})
+}
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -32,6 +32,8 @@
 	open      []*memConn
 	// hanging holds the VMs that do not respond.
 	hanging map[string]bool
+	// minority holds the VMs that are cut off from all others, but not from each other.
+	minority map[string]bool
 }
 
 // dialFrom opens connections of the VM at caller.
@@ -42,7 +44,7 @@
 // dial opens a connection to the listener at an address.
 func (n *network) dial(ctx context.Context, caller, addr string) (net.Conn, error) {
 	n.mu.Lock()
-	l, hanging := n.listeners[addr], n.hanging[addr] || n.hanging[caller]
+	l, hanging := n.listeners[addr], n.hanging[addr] || n.hanging[caller] || n.minority[addr] != n.minority[caller]
 	n.mu.Unlock()
 	if hanging {
 		<-ctx.Done()
@@ -91,6 +93,22 @@
 	n.hanging[addr] = true
 }
 
+// cut separates the VMs at addrs from all others: open connections between the two sides go
+// silent, and no other one opens.
+func (n *network) cut(addrs ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.minority = map[string]bool{}
+	for _, a := range addrs {
+		n.minority[a] = true
+	}
+	for _, c := range n.open {
+		if n.minority[c.caller] != n.minority[c.server] {
+			c.silenceOnce.Do(func() { close(c.silent) })
+		}
+	}
+}
+
 func (n *network) listen(addr string) *memListener {
 	l := &memListener{accept: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
--- a/foldd/ctrl/round.go
+++ b/foldd/ctrl/round.go
@@ -50,13 +50,28 @@
 // callWithRetry runs call against the control VMs until one succeeds, one rejects
 // the request itself, or ctx ends. The error wraps ErrNoQuorum if ctx ended.
 func callWithRetry[T any](ctx context.Context, c *Client, call controlCall[T]) (*T, error) {
+	return retryRounds(ctx, &round[T]{client: c, call: call})
+}
+
+// callForOperator is callWithRetry for the call of an operator, who can try another VM: it
+// also ends once this VM seems to be cut off from most control VMs.
+func callForOperator[T any](ctx context.Context, c *Client, call controlCall[T]) (*T, error) {
+	return retryRounds(ctx, &round[T]{client: c, call: call, endsIfCutOff: true})
+}
+
+// retryRounds runs r until it succeeds, a control VM rejects the request itself, ctx ends,
+// or r finds this VM cut off. The error wraps ErrNoQuorum in the last two cases.
+func retryRounds[T any](ctx context.Context, r *round[T]) (*T, error) {
 	var failed []failedCall
 	for {
-		res, more, err := runRound(ctx, c, call)
+		res, more, err := r.run(ctx)
 		if err == nil || !errors.Is(err, ErrNoQuorum) {
 			return res, err
 		}
 		failed = append(failed, more...)
+		if errors.Is(err, errCutOff) {
+			return nil, noQuorumError{failed}
+		}
 		select {
 		case <-time.After(retryInterval):
 		case <-ctx.Done():
@@ -65,6 +80,9 @@
 	}
 }
 
+// errCutOff is the ErrNoQuorum of a round that has found this VM cut off.
+var errCutOff = fmt.Errorf("%w: most control VMs are silent, and none of the others knows a leader", ErrNoQuorum)
+
 // callResult is the result of one call of a round.
 type callResult[T any] struct {
 	addr string
@@ -75,30 +93,35 @@
 	err  error
 }
 
-// round is one pass over the control VMs.
+// round is one pass over the control VMs. run may be called again for the next pass.
 type round[T any] struct {
 	client *Client
 	call   controlCall[T]
+	// endsIfCutOff ends the round as soon as cutOff holds.
+	endsIfCutOff bool
 	// results has room for the results of all calls of the round.
 	results chan callResult[T]
 	// queue holds the addresses to call next.
 	queue []string
 	// called holds the addresses that have been called, each once.
 	called map[string]bool
-	// pending is the number of calls without a result.
-	pending int
+	// pending is the number of calls without a result, and answered the number of control
+	// VMs that have responded, with whatever result.
+	pending, answered int
+	// leaderKnown is set once a control VM has named the leader.
+	leaderKnown bool
 }
 
-// runRound runs call against every control VM, each at most once and the probable
-// leader first, until one succeeds or rejects the request itself. The next control VM
-// is called as soon as a call fails, and once a call is unanswered for hedgeDelay. If a
-// control VM's error names the leader, that address is next. runRound returns the calls
-// that failed.
-func runRound[T any](ctx context.Context, c *Client, call controlCall[T]) (*T, []failedCall, error) {
+// run calls every control VM, each at most once and the probable leader first, until one
+// succeeds or rejects the request itself. The next control VM is called as soon as a call
+// fails, and once a call is unanswered for hedgeDelay. If a control VM's error names the
+// leader, that address is next. run returns the calls that failed.
+func (r *round[T]) run(ctx context.Context) (*T, []failedCall, error) {
 	// The calls that are still pending at the end of the round are canceled.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := round[T]{client: c, call: call, queue: c.candidateAddrs(), called: map[string]bool{}}
+	r.queue, r.called = r.client.candidateAddrs(), map[string]bool{}
+	r.pending, r.answered, r.leaderKnown = 0, 0, false
 	r.results = make(chan callResult[T], 2*len(r.queue))
 	var failed []failedCall
 	r.startNext(ctx)
@@ -106,20 +129,21 @@
 		hedge := time.NewTimer(hedgeDelay)
 		select {
 		case <-hedge.C:
+			if r.endsIfCutOff && r.cutOff() {
+				return nil, failed, errCutOff
+			}
 			r.startNext(ctx)
 		case result := <-r.results:
 			r.pending--
 			if result.err == nil {
-				c.setLeader(result.addr)
+				r.client.setLeader(result.addr)
 				return result.res, nil, nil
 			}
 			if code := connect.CodeOf(result.err); code == connect.CodeInvalidArgument || code == connect.CodeUnauthenticated {
 				return nil, nil, result.err
 			}
 			failed = append(failed, failedCall{addr: result.addr, took: result.took, err: result.err})
-			if result.hint != "" {
-				r.queue = slices.Insert(r.queue, 0, result.hint)
-			}
+			r.noteFailure(result)
 			r.startNext(ctx)
 		}
 		hedge.Stop()
@@ -127,6 +151,28 @@
 	return nil, failed, ErrNoQuorum
 }
 
+// noteFailure notes what a failed call says of the control group.
+func (r *round[T]) noteFailure(result callResult[T]) {
+	if connect.IsWireError(result.err) {
+		r.answered++
+	}
+	if result.hint != "" {
+		r.leaderKnown = true
+		r.queue = slices.Insert(r.queue, 0, result.hint)
+	}
+}
+
+// cutOff reports whether all control VMs have been called, each at least hedgeDelay ago,
+// half of them or more are silent, and none of the others knows a leader.
+func (r *round[T]) cutOff() bool {
+	for _, addr := range r.queue {
+		if !r.called[addr] {
+			return false
+		}
+	}
+	return !r.leaderKnown && 2*r.answered <= len(r.called)
+}
+
 // startNext calls the next control VM that was not called in this round, if there is one
 // and ctx has not ended.
 func (r *round[T]) startNext(ctx context.Context) {
@@ -138,13 +184,13 @@
 		}
 		r.called[addr] = true
 		r.pending++
-		go r.run(ctx, addr)
+		go r.callOne(ctx, addr, r.results)
 		return
 	}
 }
 
-// run calls the control VM at addr and sends the result.
-func (r *round[T]) run(ctx context.Context, addr string) {
+// callOne calls the control VM at addr and sends the result.
+func (r *round[T]) callOne(ctx context.Context, addr string, results chan<- callResult[T]) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	begun := time.Now()
@@ -157,5 +203,5 @@
 	if errors.As(err, &ce) {
 		result.hint = ce.Meta().Get(headerLeader)
 	}
-	r.results <- result
+	results <- result
 }
