Reach: a VM notes and logs which backend servers it can't open connections to

Cause: no line said that a VM can't reach a server which others reach, only single attempts; nothing could tell that a VM is cut off. Change: package fold/reach: two connections in a row that can't be opened make a server unreachable from this VM. The first failure, or a request without a response for 0.4 s (engines 1 s), has silent servers probed; unreachable ones are probed each 0.25 to 1 s. Log lines and counters; idle connections to an unreachable server are closed. Nothing is routed by it yet.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -184,6 +184,7 @@
 		forwarder.Mover = newMover(p)
 	}
 	n.BackendChanged = forwarder.BackendChanged
+	n.ProbeServer = forwarder.ProbeServer
 	n.Clock.Every(sweepInterval, p.Sweep)
 	return forwarder
 }
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -165,6 +165,7 @@
 		used[id] = n.hasRequestsAt(id)
 		n.placer.Forget(id)
 		n.limits.Forget(id)
+		n.reach.Forget(id)
 		n.eachScheduler(func(s *sched.Scheduler) { s.RemoveBackend(now, id) })
 	}
 	n.poll(now)
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -30,6 +30,7 @@
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/poison"
+	"fuchsiafold.example/fold/reach"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
@@ -73,6 +74,9 @@
 	// BackendChanged is called, without the lock, when a backend server is new,
 	// has restarted or is leaving.
 	BackendChanged func(b member.Backend)
+	// ProbeServer opens a connection to a backend server and calls ServerAnswered or
+	// ConnectFailed. If it is nil, no server is probed. It is not set after the first request.
+	ProbeServer func(b member.Backend)
 	// Gossip is called, without the lock, when an update must reach the VMs at
 	// the given addresses at once.
 	Gossip func(to []netip.AddrPort)
@@ -133,6 +137,10 @@
 	backedOffVMs     retry.Pauses
 	backedOffDomains retry.Pauses
 	sentReports      map[reportKey]sentReport
+	// reach holds which servers this VM can reach. probesAt is when the next probe is
+	// pending on the clock, zero if none is.
+	reach    reach.Table
+	probesAt time.Time
 	// crowdedUntil is until when a failure domain counts as crowded, by its name.
 	crowdedUntil map[string]time.Time
 	// otherPlacementLogged is when a request that another VM places was last logged.
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -45,6 +45,7 @@
 		default:
 			q.relay.logAttempt(q, b, err)
 			q.relay.Node.EndPlacement(b.ID, s.placement, place.Unreachable)
+			q.relay.connectFailed(b, err)
 			unsent++
 		}
 	}
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -201,6 +201,7 @@
 		result = place.Cancelled
 	case !a.Sent:
 		result = place.Unreachable
+		q.relay.connectFailed(b, err)
 	}
 	q.relay.Node.EndPlacement(b.ID, place.Request{}, result)
 	q.relay.Node.Count("forward.failures", 1)
--- a/foldd/relay/send.go
+++ b/foldd/relay/send.go
@@ -24,10 +24,13 @@
 	r := q.backendRequest(b, resume)
 	r.Admit = func(ctx context.Context) error { return q.acquirePermit(ctx, b, p) }
 	r.OnTrailer = func(trailer http.Header) { ObserveFields(q.relay.Node, b, codec, reply, trailer) }
+	silence := q.watchSilence(b)
 	res, err := q.relay.Pool.Do(ctx, r)
+	silence.Stop()
 	if err != nil {
 		return nil, err
 	}
+	q.relay.Node.ServerAnswered(b)
 	reply = codec.ParseReply(res.Status, res.Header)
 	ObserveResponse(q.relay.Node, b, codec, res.Status, reply, res.Informational)
 	return res, nil
