--- /dev/null
+++ b/foldd/app/cutoff_test.go
@@ -0,0 +1,141 @@
+package app_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/app"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldfake/origin"
+)
+
+// cutOffRig is an entry VM that can't reach a backend server, and one that can.
+type cutOffRig struct {
+	cutOff, other *app.App
+	server        *origin.Server
+}
+
+// newCutOffRig starts the VMs, which know each other, and a server of two services that
+// behaves as behave says. The VM that is cut off knows the server at an address where
+// nothing listens.
+func newCutOffRig(t *testing.T, behave func(r *http.Request) origin.Behaviour) *cutOffRig {
+	t.Helper()
+	server, err := origin.New("s1", behave)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	rig := &cutOffRig{server: server}
+	rig.other = startEntry(t, "b1", nil)
+	rig.cutOff = startEntry(t, "a1", func(s *conf.Settings) {
+		s.Peers = []netip.AddrPort{rig.other.Addrs().Peers}
+	})
+	rig.apply(t)
+	waitFor(t, "the VMs to know each other", func() bool {
+		return len(rig.cutOff.Node.Peers()) == 1 && len(rig.other.Node.Peers()) == 1
+	})
+	rig.announce(rig.other, server.Addr())
+	rig.announce(rig.cutOff, unusedAddr(t))
+	return rig
+}
+
+// unusedAddr returns an address that refuses connections.
+func unusedAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// apply puts a configuration with a forward of each kind in force.
+func (r *cutOffRig) apply(t *testing.T) {
+	t.Helper()
+	d := testConfig()
+	for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
+		d.Forwards = append(d.Forwards, spec.Forward{Name: kind, Host: "h.example", Prefix: "/" + kind + "/", Kind: kind, Timeout: 5e9, Attempts: 2, Services: []spec.WeightedService{{Service: "booking-app", Weight: 1}}})
+	}
+	if err := d.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range []*app.App{r.cutOff, r.other} {
+		a.Node.ApplyIndex(spec.NewIndex(d, 2))
+	}
+}
+
+// announce makes the server known to a VM at an address.
+func (r *cutOffRig) announce(a *app.App, addr netip.AddrPort) {
+	a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: addr, Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1})
+}
+
+// call sends a request of a kind to the VM that is cut off.
+func (r *cutOffRig) call(ctx context.Context, t *testing.T, kind, id string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.cutOff.Addrs().Callers.String()+"/"+kind+"/x?q=1", strings.NewReader("body of "+id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Authorization", "Bearer "+alphaKey)
+	req.Header.Set("Fold-Request-Id", id)
+	req.Header.Set("Fold-Deadline-Ms", "4000")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
+
+// TestVMCutOffFromServersStillServes guards against callers of a VM that can't reach any
+// backend server being rejected although another VM can: their requests of all kinds are
+// served through it, unchanged and once.
+func TestVMCutOffFromServersStillServes(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(r *http.Request) origin.Behaviour {
+		if strings.HasPrefix(r.URL.Path, "/"+spec.ForwardStream+"/") {
+			return origin.Behaviour{Events: 5}
+		}
+		return origin.Behaviour{Status: http.StatusCreated, Body: "answer"}
+	})
+	for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
+		for i := range 3 {
+			id := fmt.Sprint(kind, i)
+			res, body, err := rig.call(t.Context(), t, kind, id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wantStatus, wantBody := http.StatusCreated, "answer"
+			if kind == spec.ForwardStream {
+				wantStatus, wantBody = http.StatusOK, origin.Event(1)+origin.Event(2)+origin.Event(3)+origin.Event(4)+origin.Event(5)
+			}
+			if res.StatusCode != wantStatus || body != wantBody {
+				t.Errorf("%s: status %d, body %.100q, want %d, %.100q", id, res.StatusCode, body, wantStatus, wantBody)
+				continue
+			}
+			if n := rig.server.RunCount(id); n != 1 {
+				t.Errorf("%s ran %d times, want once", id, n)
+			}
+			got := rig.server.LastRequest(id)
+			if got.Method != http.MethodPost || got.URI != "/"+kind+"/x?q=1" || got.Body != "body of "+id {
+				t.Errorf("%s reached the server as %s %s with body %q", id, got.Method, got.URI, got.Body)
+			}
+			for name := range got.Header {
+				if strings.HasPrefix(name, "Fold-Peer") || name == "Authorization" {
+					t.Errorf("%s: the server got the header %s", id, name)
+				}
+			}
+		}
+	}
+}
