Relay: a VM that can't reach the servers passes requests to one that can

Cause: a request ended at the VM that had taken it once that VM found no server; nothing carried it to a VM that has one. Callers saw 503 at the first attempt, for the whole time of a cut, at every VM that had lost its servers.

--- a/fold/reach/reach.go
+++ b/fold/reach/reach.go
@@ -88,6 +88,12 @@
 	return s != nil && s.unreachable()
 }
 
+// Failing reports whether the last connection to a server could not be opened.
+func (t *Table) Failing(id string) bool {
+	s := t.servers[id]
+	return s != nil && s.failures.Failures > 0
+}
+
 func (s *server) unreachable() bool { return s.failures.Failures >= unreachableFailures }
 
 // Due returns the servers whose probe is due, and notes that it is under way until Heard or
--- a/fold/reach/reach_test.go
+++ b/fold/reach/reach_test.go
@@ -15,6 +15,9 @@
 	if table.Fail(now, "a") || table.Unreachable("a") {
 		t.Error("unreachable after one failure")
 	}
+	if !table.Failing("a") {
+		t.Error("not failing after a failure")
+	}
 	if due := table.Due(now); !slices.Equal(due, []string{"a"}) {
 		t.Errorf("due after the first failure: %v, want the server", due)
 	}
@@ -36,7 +39,7 @@
 			t.Error("became unreachable twice")
 		}
 	}
-	if !table.Heard(now, "a") || table.Unreachable("a") {
+	if !table.Heard(now, "a") || table.Unreachable("a") || table.Failing("a") {
 		t.Error("a server that was heard of is unreachable")
 	}
 	if _, ok := table.Next(now); ok {
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,7 +42,9 @@
 	// there is no control group.
 	controlClient *ctrl.Client
 	// controlHTTP makes the calls of controlClient and of the control replica.
-	controlHTTP       *http.Client
+	controlHTTP *http.Client
+	// forwarder is nil until NewRelay is called.
+	forwarder         atomic.Pointer[relay.Relay]
 	servers           []*serve.Server
 	addrs             Addrs
 	flushTraces       func(context.Context) error
@@ -179,13 +182,15 @@
 func (a *App) NewRelay(c relay.Codec, newMover func(p *pool.Pool) *relay.Mover) *relay.Relay {
 	n := a.Node
 	p := &pool.Pool{OnDial: func() { n.Count("forward.connections", 1) }}
-	forwarder := &relay.Relay{Node: n, Pool: p, Codec: c}
+	forwarder := &relay.Relay{Node: n, Pool: p, Peers: relay.NewPeerPool(), Codec: c}
+	a.forwarder.Store(forwarder)
 	if newMover != nil {
 		forwarder.Mover = newMover(p)
 	}
 	n.BackendChanged = forwarder.BackendChanged
 	n.ProbeServer = forwarder.ProbeServer
 	n.Clock.Every(sweepInterval, p.Sweep)
+	n.Clock.Every(sweepInterval, forwarder.Peers.Sweep)
 	return forwarder
 }
 
@@ -239,13 +244,20 @@
 	return a.addrs.Peers
 }
 
-// peerHandler returns the handler of requests from other VMs. It requires the peer
-// token if the settings have one.
+// peerHandler returns the handler of calls from other VMs, and of callers' requests that
+// they pass on. It requires the peer token if the settings have one.
 func (a *App) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewPeerServiceHandler(a.peers))
 	mux.Handle(wire.NewControlServiceHandler(&a.controlServer))
-	return oper.RequireToken(a.Node.Settings.PeerToken, mux)
+	calls := oper.RequireToken(a.Node.Settings.PeerToken, mux)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forwarder := a.forwarder.Load(); forwarder != nil && relay.FromPeer(r) {
+			forwarder.ServePeer(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
 }
 
 // ControlClient returns the client of the control group, or nil if the settings
--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -41,6 +41,9 @@
 	RateLimited            = "rateLimited"
 )
 
+// HeaderOutcome is the response header that states the outcome of the request.
+const HeaderOutcome = "Fold-Outcome"
+
 // Fault is an error that is returned to a caller.
 type Fault struct {
 	Status  int
@@ -105,7 +108,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
-	h.Set("Fold-Outcome", f.Outcome.String())
+	h.Set(HeaderOutcome, f.Outcome.String())
 	if f.RetryAfter > 0 && h.Get("Retry-After") == "" {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
 	}
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -46,6 +46,9 @@
 // Requests for engines are placed by placement VMs. Other requests, and those for which
 // no placement VM names a usable server, are placed locally.
 func (n *Node) Place(ctx context.Context, service string, r place.Request) (place.Choice, bool) {
+	if !n.excludeUnreachable(service, &r) {
+		return place.Choice{}, false
+	}
 	excluded := r.Exclude
 	withheld := n.excludeWithheld(service, &r, true)
 	if c, ok := n.placeByDomain(ctx, service, r); ok {
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -99,6 +99,8 @@
 	ParseRequest func(h http.Header) RequestParams
 	WriteForward func(h http.Header, p ForwardParams)
 	ParseReply   func(status int, h http.Header) Reply
+	// SetTimeout sets how long the sender of a request waits for the response.
+	SetTimeout func(h http.Header, d time.Duration)
 	// RetryAfter formats the value of the Retry-After header. If it is nil, the
 	// value is in whole seconds, rounded up.
 	RetryAfter func(d time.Duration) string
@@ -124,7 +126,7 @@
 
 // DefaultCodec returns the codec of the default protocol.
 func DefaultCodec() Codec {
-	return Codec{ParseRequest: parseRequest, WriteForward: writeForward, ParseReply: parseReply}
+	return Codec{ParseRequest: parseRequest, WriteForward: writeForward, ParseReply: parseReply, SetTimeout: setTimeout}
 }
 
 func parseRequest(h http.Header) RequestParams {
@@ -183,7 +185,7 @@
 	}
 	h.Set(headerBackend, p.Backend)
 	h.Set(headerWorkspace, p.Workspace)
-	h.Set(headerDeadline, strconv.FormatInt(p.Remaining.Milliseconds(), 10))
+	setTimeout(h, p.Remaining)
 	if p.Priority >= 0 {
 		h.Set(headerPriority, strconv.Itoa(p.Priority))
 	}
@@ -193,6 +195,10 @@
 	}
 }
 
+func setTimeout(h http.Header, d time.Duration) {
+	h.Set(headerDeadline, strconv.FormatInt(d.Milliseconds(), 10))
+}
+
 func parseReply(status int, h http.Header) Reply {
 	return Reply{
 		ID:            h.Get(headerID),
--- a/foldd/relay/fault.go
+++ b/foldd/relay/fault.go
@@ -15,6 +15,9 @@
 	if f.RetryAfter > 0 && x.Codec.RetryAfter != nil {
 		w.Header().Set("Retry-After", x.Codec.RetryAfter(f.RetryAfter))
 	}
+	if q.declinesPeer(f) {
+		w.Header().Set(headerPeerDeclined, f.Code)
+	}
 	f.Write(w)
 }
 
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -31,6 +31,14 @@
 	err      error
 }
 
+// failure returns why the attempt got no response.
+func (a *attempt) failure() string {
+	if a.err == nil {
+		return "no other backend server takes the request"
+	}
+	return a.err.Error()
+}
+
 // servePlain forwards a request whose response is read completely before any of
 // it is sent to the caller, so that a truncated response never looks complete.
 func (x *Relay) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
@@ -43,6 +51,9 @@
 	}
 	defer func() { x.Node.Answers.Release(q.reserved) }()
 	a, f := q.sendWithRetries(ctx)
+	if f != nil && q.mayPassOn(f) {
+		a, f = q.passOnPlain(ctx, f)
+	}
 	switch {
 	case q.caller.Disconnected() || errors.Is(context.Cause(ctx), serve.ErrCallerDisconnected):
 		q.log(0, retry.Unknown, "the caller has gone")
@@ -99,6 +110,7 @@
 			continue
 		}
 		q.sent++
+		q.retryGranted = false
 		q.mayHaveRun = q.mayHaveRun || !a.Refused
 		if a.response == nil {
 			a.response = last.response
@@ -110,6 +122,7 @@
 		case !q.shouldRetry(a):
 			return q.finalResult(last)
 		}
+		q.retryGranted = true
 		q.relay.Node.Count("forward.repeats", 1)
 	}
 	if q.sent == 0 && q.denials >= maxDenials {
@@ -141,7 +154,7 @@
 	case last.response != nil:
 		return last.response, nil
 	case q.mayHaveRun:
-		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: last.err.Error(), Outcome: retry.Unknown}
+		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: last.failure(), Outcome: retry.Unknown}
 	case last.Refused:
 		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").WithRetryAfter(rejectedRetryAfter)
 	}
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -27,11 +27,13 @@
 	"fuchsiafold.example/netio/serve"
 )
 
-// Relay is the HTTP handler for forwarded requests. Node, Pool and Codec must be
+// Relay is the HTTP handler for forwarded requests. Node, Pool, Peers and Codec must be
 // set.
 type Relay struct {
-	Node  *node.Node
-	Pool  *pool.Pool
+	Node *node.Node
+	Pool *pool.Pool
+	// Peers holds the connections to other VMs, for requests that are passed on.
+	Peers *pool.Pool
 	Codec Codec
 	// Mover copies runs between engines. If it is nil, runs are not moved.
 	Mover *Mover
@@ -85,10 +87,17 @@
 	// crashParts holds the parts by which crashes of servers under the request are counted.
 	// ServeHTTP sets it before the request is sent.
 	crashParts []string
+	// passedBy is the ID of the VM that passed the request on, empty if it came from its
+	// caller. passedTo is the ID of the VM that it was passed to, and peerOutcome the
+	// outcome in the response of that VM, empty if the response is a server's.
+	passedBy, passedTo, peerOutcome string
 	// sent counts the backend servers that may have received the request.
 	sent int
 	// mayHaveRun is set once a backend server may have begun the request.
 	mayHaveRun bool
+	// retryGranted is set while a retry of an idempotent request has been taken from the
+	// budget and was not sent yet.
+	retryGranted bool
 	// reserved is the memory in bytes that the bodies of responses have reserved.
 	reserved int64
 	// backend is the ID of the backend server that the request was last sent to.
@@ -113,8 +122,13 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (x *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (x *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) { x.serve(w, r, "", 0) }
+
+// serve serves a request. passedBy is the ID of the VM that passed it on, empty if it came
+// from its caller, and sent the number of servers that the request was sent to before.
+func (x *Relay) serve(w http.ResponseWriter, r *http.Request, passedBy string, sent int) {
 	q, rejection := x.admit(r)
+	q.passedBy, q.sent, q.mayHaveRun = passedBy, sent, sent > 0
 	if x.Node.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -129,7 +143,9 @@
 	defer x.Node.ReleaseStream()
 	q.crashParts = q.newCrashParts()
 	x.awaitBackends(r.Context(), q)
-	x.Node.CountForward(q.service.Name)
+	if q.passedBy == "" {
+		x.Node.CountForward(q.service.Name)
+	}
 	x.Node.Count("forward.requests."+q.forward.Kind, 1)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
@@ -174,6 +190,7 @@
 func (q *request) backendRequest(b backend, resume *Resume) *pool.Request {
 	h := q.r.Header.Clone()
 	removeHopHeaders(h)
+	removePeerHeaders(h)
 	p := ForwardParams{Backend: b.ID, Remaining: time.Until(q.deadline), Priority: q.priority(), Resume: resume}
 	if q.workspace != nil {
 		p.Workspace = q.workspace.Name
@@ -238,6 +255,15 @@
 		fields["promptTokens"] = p.Tokens
 		fields["maxTokens"] = p.MaxTokens
 	}
+	if q.passedBy != "" {
+		fields["passedBy"] = q.passedBy
+	}
+	if q.passedTo != "" {
+		fields["passedTo"] = q.passedTo
+	}
+	if q.peerOutcome != "" {
+		fields["peerOutcome"] = q.peerOutcome
+	}
 	if q.placedBy != "" {
 		fields["placedBy"] = q.placedBy
 	}
--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -91,7 +91,7 @@
 		t.Fatal(err)
 	}
 	n.ApplyIndex(spec.NewIndex(d, 1))
-	x := &relay.Relay{Node: n, Pool: &pool.Pool{}, Codec: relay.DefaultCodec()}
+	x := &relay.Relay{Node: n, Pool: &pool.Pool{}, Peers: relay.NewPeerPool(), Codec: relay.DefaultCodec()}
 	n.BackendChanged = x.BackendChanged
 	server, err := serve.New(serve.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Handler: x, MaxBody: 1 << 20, Log: log})
 	if err != nil {
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,6 +30,9 @@
 	headerSent bool
 	splitter   event.Splitter
 
+	// viaPeer is set if another VM serves the stream, and has its run.
+	viaPeer bool
+
 	// initialRun describes the run at its start, without generated tokens.
 	initialRun place.Run
 
@@ -96,6 +100,13 @@
 // resumes the run when it was moved to another engine.
 func (s *stream) sendAndRelay(ctx context.Context) *fault.Fault {
 	res, f := s.open(ctx)
+	if f != nil && s.q.mayPassOn(f) {
+		passed, lost := s.q.passOn(ctx)
+		if passed != nil {
+			return s.relayPeer(ctx, passed)
+		}
+		f = cmp.Or(lost, f)
+	}
 	if f != nil {
 		return f
 	}
@@ -235,18 +246,25 @@
 		}
 		s.lastAt = now
 		s.mu.Unlock()
-		if first {
+		if first && !s.viaPeer {
 			s.recordPrefilled()
 		}
 	}
+	if !s.viaPeer {
+		s.recordProgress()
+	}
+	if f, ok := s.w.(http.Flusher); wrote && ok {
+		f.Flush()
+	}
+}
+
+// recordProgress records what the run has shown so far, and may move it.
+func (s *stream) recordProgress() {
 	s.recordLength(false)
 	if s.events >= survivingEvents {
 		s.recordSurvival()
 	}
 	s.q.relay.returnRun(s)
-	if f, ok := s.w.(http.Flusher); wrote && ok {
-		f.Flush()
-	}
 }
 
 // recordPrefilled records that the engine has read the run's prompt.
@@ -280,7 +298,7 @@
 	switch {
 	case s.splitter.Partial():
 		return errPartialEvent
-	case res.Framing != pool.CloseDelimited || s.currentMove() != nil:
+	case res.Framing != pool.CloseDelimited || s.currentMove() != nil || s.viaPeer:
 		return nil
 	case s.eventCount() == before:
 		return errNoEvents
