Relay, node: tests of requests that are passed on; a failure has at most 16 servers probed

Cause: each failed connection had every silent server probed: with thousands of engines, thousands of connections. Change: up to 16 random ones; in a real cut each of them that fails has more probed. Tests: a stream that breaks off behind the other VM, a server's rejection, the other VM lost while the server works, VMs that are all cut off, a caller that leaves, the return after a cut.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/spec"
@@ -139,3 +140,110 @@
 		}
 	}
 }
+
+// TestRequestPassedOnOutcomes checks what callers of a VM that is cut off are told when the
+// server or the other VM fails, and how often the request runs.
+func TestRequestPassedOnOutcomes(t *testing.T) {
+	t.Parallel()
+	started := make(chan string, 10)
+	rig := newCutOffRig(t, func(r *http.Request) origin.Behaviour {
+		id := r.Header.Get("Fold-Request-Id")
+		started <- id
+		switch {
+		case strings.HasPrefix(id, "cut"):
+			return origin.Behaviour{Events: 5, TruncateAt: 2}
+		case strings.HasPrefix(id, "full"):
+			return origin.Behaviour{Status: http.StatusServiceUnavailable, NotRun: true}
+		}
+		return origin.Behaviour{Hang: true}
+	})
+	res, body, err := rig.call(t.Context(), t, spec.ForwardStream, "cut1")
+	if err == nil {
+		t.Errorf("a stream that broke off looks complete: status %d, body %.100q", res.StatusCode, body)
+	}
+	if n := rig.server.RunCount("cut1"); n != 1 {
+		t.Errorf("the stream ran %d times, want once", n)
+	}
+	res, body, err = rig.call(t.Context(), t, spec.ForwardNonIdempotent, "full1")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Fold-Outcome") != "notRun" {
+		t.Errorf("rejected by the server: %v, %v, %.100q; want 503, not run", err, res, body)
+	}
+	for len(started) > 0 {
+		<-started
+	}
+	lost := make(chan struct{})
+	go func() {
+		<-started
+		rig.other.Close()
+		close(lost)
+	}()
+	res, body, err = rig.call(t.Context(), t, spec.ForwardNonIdempotent, "lost1")
+	<-lost
+	if err == nil && (res.StatusCode < http.StatusInternalServerError || res.Header.Get("Fold-Outcome") == "notRun") {
+		t.Errorf("the other VM was lost while the server worked: status %d, %.100q; want an unknown outcome", res.StatusCode, body)
+	}
+	if n := rig.server.RunCount("lost1"); n > 1 {
+		t.Errorf("the request ran %d times, want at most once", n)
+	}
+}
+
+// TestRequestIsPassedOnOnce guards against requests that VMs which are all cut off pass to
+// each other: the caller is told at once that nothing ran.
+func TestRequestIsPassedOnOnce(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "answer"} })
+	rig.server.Close()
+	for i := range 5 {
+		id := fmt.Sprint("r", i)
+		res, body, err := rig.call(t.Context(), t, spec.ForwardNonIdempotent, id)
+		if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Fold-Outcome") != "notRun" {
+			t.Errorf("%s: %v, %v, %.100q; want 503, not run", id, err, res, body)
+		}
+	}
+	if n := counter(rig.cutOff, "peer.received"); n != 0 {
+		t.Errorf("%d requests came back to the VM that passed them on, want none", n)
+	}
+	if n := counter(rig.cutOff, "peer.failed"); n == 0 || n > 2 {
+		t.Errorf("the other VM was asked in vain %d times, want once or twice until it is left out", n)
+	}
+}
+
+// TestCallerOfCutOffVMDisconnects checks that a caller's disconnection reaches the server of
+// a request that was passed on.
+func TestCallerOfCutOffVMDisconnects(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour {
+		return origin.Behaviour{Events: 1000, Gap: 20 * time.Millisecond}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = rig.call(ctx, t, spec.ForwardStream, "s1")
+	}()
+	waitFor(t, "the stream to begin", func() bool { return rig.server.EventsSent("s1") > 2 })
+	cancel()
+	<-done
+	waitFor(t, "the server to notice the disconnection", func() bool { return !rig.server.Running("s1") })
+}
+
+// TestVMUsesServersAgainAfterCut checks that a VM sends requests itself as soon as it can
+// reach the server again, and that neither VM counts a request twice.
+func TestVMUsesServersAgainAfterCut(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "answer"} })
+	if res, _, err := rig.call(t.Context(), t, spec.ForwardIdempotent, "during"); err != nil || res.StatusCode != http.StatusOK {
+		t.Fatalf("during the cut: %v, %v", err, res)
+	}
+	if a, b := counter(rig.cutOff, "peer.passed"), counter(rig.other, "peer.received"); a != 1 || b != 1 {
+		t.Fatalf("%d passed, %d received, want one", a, b)
+	}
+	rig.cutOff.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: rig.server.Addr(), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 2})
+	waitFor(t, "the server to be reachable again", func() bool { return counter(rig.cutOff, "reach.regained") == 1 })
+	if res, _, err := rig.call(t.Context(), t, spec.ForwardIdempotent, "after"); err != nil || res.StatusCode != http.StatusOK {
+		t.Fatalf("after the cut: %v, %v", err, res)
+	}
+	if n := counter(rig.cutOff, "peer.passed"); n != 1 {
+		t.Errorf("%d requests were passed on, want only the one during the cut", n)
+	}
+}
--- a/foldd/node/reach.go
+++ b/foldd/node/reach.go
@@ -32,13 +32,25 @@
 		n.Count("reach.lost", 1)
 		n.logReach(b).WithError(err).Warn("backend server can't be reached from this VM")
 	}
-	for _, other := range n.table.Live() {
-		n.reach.Suspect(now, other.ID)
-	}
+	n.suspectOthers(now)
 	n.scheduleProbes(now)
 	return lost
 }
 
+// maxSuspects bounds the servers that are probed because a connection to another one failed.
+// If the cause is this VM's network, these probes fail too and others follow.
+const maxSuspects = 16
+
+// suspectOthers has some of the servers probed that were silent lately. The caller holds the
+// lock.
+func (n *Node) suspectOthers(now time.Time) {
+	live := n.table.Live()
+	n.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	for _, b := range live[:min(len(live), maxSuspects)] {
+		n.reach.Suspect(now, b.ID)
+	}
+}
+
 // SuspectServer has a backend server probed that has not responded to a request for some
 // time, unless it responded to another one lately.
 func (n *Node) SuspectServer(b member.Backend) {
