App: stand-ins of a test with short leases announce themselves to all VMs

Its servers have leases of 0.5 s and announced themselves to one VM; the others heard of them by exchanges, one a second and pair, so a delay of some hundred milliseconds ends a lease at a VM that does its third of the requests. Change: the stand-ins announce themselves to every VM, as the lease asks for. What the test checks is unchanged.

--- a/foldd/app/repeat_test.go
+++ b/foldd/app/repeat_test.go
@@ -65,7 +65,8 @@
 // interface.
 func TestRepeatedCallThatCrashesServersIsQuarantined(t *testing.T) {
 	t.Parallel()
-	// A server that has crashed is forgotten soon.
+	// A server that has crashed is forgotten soon. The lease is shorter than the time between
+	// exchanges, so servers announce themselves to all VMs.
 	const lease = 500 * time.Millisecond
 	r := &repeatRig{pause: 3 * lease}
 	r.vms = startVMGroup(t, 3, testConfig(), func(s *conf.Settings) { s.Limits.BackendLease = strict.Duration(lease) })
@@ -188,7 +189,9 @@
 	r.servers++
 	id := fmt.Sprint("s", r.servers)
 	addr, crashed := r.newServer(id)
-	go announceUntil(t, r.vms[0], member.Backend{ID: id, Addr: addr, Kind: spec.KindPlain, Service: service, Domain: "a", Epoch: 1}, crashed)
+	for _, a := range r.vms {
+		go announceUntil(t, a, member.Backend{ID: id, Addr: addr, Kind: spec.KindPlain, Service: service, Domain: "a", Epoch: 1}, crashed)
+	}
 	for _, a := range r.vms {
 		waitFor(t, "server "+id+" to be known", func() bool { _, ok := a.Node.Backend(id); return ok })
 	}
