App: failing test of own calls at a VM that can't reach any server

Cause: only forwards are passed to another VM; calls of the own interface use transports of their own, which record nothing of connections that fail.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -247,3 +247,18 @@
 		t.Errorf("%d requests were passed on, want only the one during the cut", n)
 	}
 }
+
+// TestOwnCallAtCutOffVMStillServed guards against plain calls of the own interface being
+// rejected at a VM that can't reach any server although another VM can.
+func TestOwnCallAtCutOffVMStillServed(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "answer"} })
+	for range 3 {
+		res := callerRequest{method: http.MethodGet, path: "/lookup"}.send(t, rig.cutOff)
+		body, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if err != nil || res.StatusCode != http.StatusOK || string(body) != "answer" {
+			t.Errorf("status %d, body %.100q, error %v; want the server's answer", res.StatusCode, body, err)
+		}
+	}
+}
