--- a/foldfake/soakcmd.go
+++ b/foldfake/soakcmd.go
@@ -102,9 +102,12 @@
 		})
 	}
 	for _, seed := range seeds {
+		if ctx.Err() != nil {
+			break
+		}
 		next <- seed
 	}
-	for seed := uint64(time.Now().UnixNano()); time.Now().Before(s.until); seed++ {
+	for seed := uint64(time.Now().UnixNano()); time.Now().Before(s.until) && ctx.Err() == nil; seed++ {
 		next <- seed
 	}
 	close(next)
