Relay: a VM learns from an answer that another VM passes back that the server is leaving

Cause: the answer of a leaving server to a request that was passed on reached the caller through two VMs, of which only the one that had sent it noted that the server is leaving. The other VMs hear of it by exchanges, but a server that goes on announcing itself as ready takes that back; the first VM, once it reached the server again, sent it new requests. Change: the answer names its server to the VM that passed the request on, which notes what it passes to its caller.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -248,6 +248,33 @@
 	}
 }
 
+// TestLeavingServerIsLearnedThroughPeer guards against a VM that has passed on the answer of a
+// leaving server, through another VM, and sends that server new requests later.
+func TestLeavingServerIsLearnedThroughPeer(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
+		rig := newCutOffRig(t, func(*http.Request) origin.Behaviour {
+			if kind == spec.ForwardStream {
+				return origin.Behaviour{Events: 2, Leaving: origin.Head}
+			}
+			return origin.Behaviour{Body: "answer", Leaving: origin.Head}
+		})
+		res, _, err := rig.call(t.Context(), t, kind, "first")
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %v, %v", kind, err, res)
+		}
+		for name := range res.Header {
+			if strings.HasPrefix(name, "Fold-Peer") {
+				t.Errorf("%s: the caller got the header %s", kind, name)
+			}
+		}
+		rig.cutOff.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: rig.server.Addr(), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 2})
+		if b, ok := rig.cutOff.Node.Backend("s1"); !ok || !b.Leaving {
+			t.Errorf("%s: the VM counts the server as leaving: %t, want true", kind, b.Leaving)
+		}
+	}
+}
+
 // TestOwnCallAtCutOffVMStillServed guards against plain calls of the own interface being
 // rejected at a VM that can't reach any server although another VM can.
 func TestOwnCallAtCutOffVMStillServed(t *testing.T) {
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -29,6 +29,8 @@
 	// headerPeerDeclined is set in the response if the VM has not begun the request and
 	// another VM may serve it. It is the code of the fault.
 	headerPeerDeclined = "Fold-Peer-Declined"
+	// headerPeerBackend is set in the response of a backend server, to the ID of that server.
+	headerPeerBackend = "Fold-Peer-Backend"
 )
 
 const (
@@ -64,7 +66,7 @@
 
 // removePeerHeaders removes the header fields between VMs.
 func removePeerHeaders(h http.Header) {
-	for _, name := range []string{headerPeerVM, headerPeerSent, headerPeerToken, headerPeerDeclined} {
+	for _, name := range []string{headerPeerVM, headerPeerSent, headerPeerToken, headerPeerDeclined, headerPeerBackend} {
 		h.Del(name)
 	}
 }
@@ -109,6 +111,7 @@
 			q.passedTo = p.ID
 			q.sent++
 			n.Count("peer.passed", 1)
+			q.observePeerResponse(res)
 			return res, nil
 		}
 		n.EndPass(q.service.Name, p.ID, ctx.Err() == nil)
@@ -127,6 +130,26 @@
 	return nil, nil
 }
 
+// observePeerResponse records that a server is leaving if it says so in a response that
+// another VM has passed back: this VM passes that on to its caller. What else the server says
+// of itself concerns the VM that has sent the request.
+func (q *request) observePeerResponse(res *pool.Response) {
+	n := q.relay.Node
+	b, known := n.Backend(res.Header.Get(headerPeerBackend))
+	if known && q.relay.Codec.ParseReply(res.Status, res.Header).Leaving {
+		n.ObserveLeaving(b)
+	}
+	removePeerHeaders(res.Header)
+}
+
+// namePeerBackend names the server of a response to the VM that has passed the request on.
+func (q *request) namePeerBackend(h http.Header) {
+	removePeerHeaders(h)
+	if q.passedBy != "" {
+		h.Set(headerPeerBackend, q.backend)
+	}
+}
+
 // endPass ends the count of a request that another VM serves.
 func (q *request) endPass() {
 	if q.passedTo != "" {
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -62,6 +62,7 @@
 		x.writeFault(w, q, f)
 	default:
 		q.log(a.status, retry.Done, "")
+		q.namePeerBackend(a.header)
 		x.Node.Observe("forward.micros."+q.forward.Kind, sinceArrival(q))
 		a.write(w)
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -171,6 +171,7 @@
 	}
 	if !s.headerSent {
 		s.headerSent = true
+		s.q.namePeerBackend(res.Header)
 		copyHeader(s.w, res.Header)
 		s.w.WriteHeader(res.Status)
 	}
