Soak: a response without the server's header fields does not tell a VM that the server is leaving

Cause: the check saidLeaving counted a VM as told once a request had arrived, also when the response was one of bytes without end, which has none of the server's fields. Change: such responses don't count as told. All others do as before; a case of the table shows that the next response does.

--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -277,13 +277,17 @@
 		count int
 		calm  bool
 		want  []Promise
+		// first is the behaviour under the first request.
+		first origin.Behaviour
 	}{
-		{"leaving", (*statements).sayLeaving, 600 * time.Millisecond, 2, true, []Promise{SaidLeaving}},
-		{"leaving, at once", (*statements).sayLeaving, 100 * time.Millisecond, 2, true, nil},
-		{"leaving, VM disturbed", (*statements).sayLeaving, 600 * time.Millisecond, 2, false, nil},
-		{"turns away", func(s *statements) { s.turnAway(true) }, 600 * time.Millisecond, 4, true, []Promise{LeftAlone}},
-		{"turns away, two more", func(s *statements) { s.turnAway(true) }, 600 * time.Millisecond, 3, true, nil},
-		{"turns away, after the time", func(s *statements) { s.turnAway(true) }, awayTime, 9, true, nil},
+		{what: "leaving", say: (*statements).sayLeaving, gap: 600 * time.Millisecond, count: 2, calm: true, want: []Promise{SaidLeaving}},
+		{what: "leaving, at once", say: (*statements).sayLeaving, gap: 100 * time.Millisecond, count: 2, calm: true},
+		{what: "leaving, VM disturbed", say: (*statements).sayLeaving, gap: 600 * time.Millisecond, count: 2, calm: false},
+		{what: "leaving, first response has no such field", say: (*statements).sayLeaving, gap: 600 * time.Millisecond, count: 2, calm: true, first: origin.Behaviour{Endless: origin.EndlessChunks}},
+		{what: "leaving, second response has it", say: (*statements).sayLeaving, gap: 600 * time.Millisecond, count: 3, calm: true, want: []Promise{SaidLeaving}, first: origin.Behaviour{Endless: origin.EndlessChunks}},
+		{what: "turns away", say: func(s *statements) { s.turnAway(true) }, gap: 600 * time.Millisecond, count: 4, calm: true, want: []Promise{LeftAlone}},
+		{what: "turns away, two more", say: func(s *statements) { s.turnAway(true) }, gap: 600 * time.Millisecond, count: 3, calm: true},
+		{what: "turns away, after the time", say: func(s *statements) { s.turnAway(true) }, gap: awayTime, count: 9, calm: true},
 	} {
 		got := broken(func(f *findings) {
 			var s statements
@@ -291,6 +295,9 @@
 			start := time.Now()
 			for i := range tt.count {
 				var b origin.Behaviour
+				if i == 0 {
+					b = tt.first
+				}
 				if p := s.arrive(start.Add(time.Duration(i)*tt.gap), 0, true, &b, func(int, time.Time) bool { return tt.calm }); p != "" {
 					f.add(p, "", "")
 					return
--- a/foldfake/soak/statement.go
+++ b/foldfake/soak/statement.go
@@ -62,7 +62,8 @@
 	if s.leaving {
 		b.Leaving = origin.Head
 		told, known := s.told[vm]
-		if !known {
+		// Endless responses have none of the server's header fields.
+		if !known && b.Endless == "" {
 			s.told[vm] = now
 		}
 		if known && isNew && now.Sub(told) > toldTime && calm(vm, told) {
