--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -141,7 +141,8 @@
 	// pending on the clock, zero if none is.
 	reach    reach.Table
 	probesAt time.Time
-	passes   passes
+	// passes holds the requests that other VMs serve for this one.
+	passes passes
 	// crowdedUntil is until when a failure domain counts as crowded, by its name.
 	crowdedUntil map[string]time.Time
 	// otherPlacementLogged is when a request that another VM places was last logged.
