Ctrl: a control group that is slow is not taken for one that is cut off

Cause: an operator's call ended after 100 ms if none of the control VMs had answered by then. With one control VM, or three slow ones, that is a leader that commits more slowly: the change was committed and never confirmed. Change: the call ends early only if a control VM has answered that it knows no leader.

--- a/foldd/ctrl/operator_test.go
+++ b/foldd/ctrl/operator_test.go
@@ -164,3 +164,18 @@
 		}
 	})
 }
+
+// TestSlowControlVMIsNotCutOff guards against changes that are never confirmed because the
+// only control VM, or all of them, take longer than the delay of a hedged call.
+func TestSlowControlVMIsNotCutOff(t *testing.T) {
+	for _, n := range []int{1, 3} {
+		inBubble(t, func(t *testing.T) {
+			g := newGroupRig(t, n)
+			g.addEntryVMs(t, 1)
+			for _, v := range g.vms {
+				v.checkTime.Store(int64(4 * hedgeDelay))
+			}
+			g.applyAt(t, n, 10)
+		})
+	}
+}
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -196,8 +196,9 @@
 	// server is nil on an entry VM.
 	server *Server
 	client *Client
-	// checked counts the documents that the VM has checked.
-	checked atomic.Int64
+	// checked counts the documents that the VM has checked, each for checkTime, a
+	// time.Duration.
+	checked, checkTime atomic.Int64
 }
 
 // vmAddrs returns the addresses of n control VMs.
@@ -233,6 +234,7 @@
 	vm := &rigVM{addr: addr, client: NewClient(client, options, peers)}
 	check := func([]byte) error {
 		vm.checked.Add(1)
+		time.Sleep(time.Duration(vm.checkTime.Load()))
 		return nil
 	}
 	server, err := New(ServerConfig{
--- a/foldd/ctrl/round.go
+++ b/foldd/ctrl/round.go
@@ -163,14 +163,15 @@
 }
 
 // cutOff reports whether all control VMs have been called, each at least hedgeDelay ago,
-// half of them or more are silent, and none of the others knows a leader.
+// half of them or more are silent, and the others, at least one, know no leader. Silence
+// alone may be a leader that is slow.
 func (r *round[T]) cutOff() bool {
 	for _, addr := range r.queue {
 		if !r.called[addr] {
 			return false
 		}
 	}
-	return !r.leaderKnown && 2*r.answered <= len(r.called)
+	return r.answered > 0 && !r.leaderKnown && 2*r.answered <= len(r.called)
 }
 
 // startNext calls the next control VM that was not called in this round, if there is one
