Soak: an endless response does not turn a VM away

Cause: the check leftAlone counted a VM as turned away once a request had arrived at a server that turns requests away, also when the response was one of bytes without end, with status 200. Change: such responses don't count as turned away. All others do as before; a case of the table shows that the next does. Result: TestStatementsCatch, the new case fails without the change.

--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -286,6 +286,8 @@
 		{what: "leaving, first response has no such field", say: (*statements).sayLeaving, gap: 600 * time.Millisecond, count: 2, calm: true, first: origin.Behaviour{Endless: origin.EndlessChunks}},
 		{what: "leaving, second response has it", say: (*statements).sayLeaving, gap: 600 * time.Millisecond, count: 3, calm: true, want: []Promise{SaidLeaving}, first: origin.Behaviour{Endless: origin.EndlessChunks}},
 		{what: "turns away", say: func(s *statements) { s.turnAway(true) }, gap: 600 * time.Millisecond, count: 4, calm: true, want: []Promise{LeftAlone}},
+		{what: "turns away, first response is endless", say: func(s *statements) { s.turnAway(true) }, gap: 600 * time.Millisecond, count: 4, calm: true, first: origin.Behaviour{Endless: origin.EndlessEvent}},
+		{what: "turns away, second response says it", say: func(s *statements) { s.turnAway(true) }, gap: 600 * time.Millisecond, count: 5, calm: true, want: []Promise{LeftAlone}, first: origin.Behaviour{Endless: origin.EndlessEvent}},
 		{what: "turns away, two more", say: func(s *statements) { s.turnAway(true) }, gap: 600 * time.Millisecond, count: 3, calm: true},
 		{what: "turns away, after the time", say: func(s *statements) { s.turnAway(true) }, gap: awayTime, count: 9, calm: true},
 	} {
--- a/foldfake/soak/statement.go
+++ b/foldfake/soak/statement.go
@@ -77,7 +77,7 @@
 		if s.count[vm] > awayMost && calm(vm, since) {
 			broken = LeftAlone
 		}
-	} else if s.away {
+	} else if s.away && b.Endless == "" {
 		s.since[vm], s.count[vm] = now, 0
 	}
 	if s.away {
