--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -47,6 +48,9 @@
 	LoseMoveAnswer bool
 	// Work is how long a request that is no stream takes.
 	Work time.Duration
+	// Pause is the time between the two halves of an answer with neither a length nor
+	// chunks, which requests whose path ends with oddPlainSuffix get.
+	Pause time.Duration
 	// Extra sends bytes that belong to no request after one in extraEvery complete
 	// answers, at the point where the answer to the next request on the connection is
 	// due. It does so for extraTime.
@@ -59,11 +63,19 @@
 	shortPath   = "/draft/short"
 	oddPath     = "/draft/odd"
 	shortEvents = 3
+	// Requests that are no streams get an answer with neither a length nor chunks
+	// if their path ends with it.
+	oddPlainSuffix = "/odd"
 )
 
 const (
 	extraEvery = 34
 	extraTime  = 5 * time.Second
+
+	// eventTokens is the number of tokens in an event, and tokenTime how long the copy
+	// of a token takes: 262,144 bytes at 38,000 Mbit/s.
+	eventTokens = 4
+	tokenTime   = 55 * time.Microsecond
 )
 
 // startEngine starts a stand-in engine. Its log goes into the record when the
@@ -137,17 +149,35 @@
 	// runs holds the streams in progress, and copies the copies that arrived here,
 	// by handle.
 	runs   map[string]*run
-	copies map[string]int
+	copies map[string]copied
 	serial int
+	// link is locked while a copy is sent.
+	link sync.Mutex
+	// late holds the bytes that are sent on a connection ahead of its next answer.
+	late map[net.Conn][]byte
 	// answers counts the answers since firstAnswer.
 	answers     int
 	firstAnswer time.Time
 }
 
+// copied is the copy of a run's memory that arrived at an engine.
+type copied struct {
+	Owner string
+	Made  int
+}
+
 // run is a stream in progress.
 type run struct {
 	path string
 	made int
+	// owner is the request whose memory the run goes on from, and tokens the size of
+	// its prompt.
+	owner  string
+	tokens int
+	// handles holds the handle of the run's copy at each engine, and copied the number
+	// of tokens that are there already.
+	handles map[string]string
+	copied  map[string]int
 	// stop is closed when the run has been stopped for a move.
 	stop    chan struct{}
 	stopped bool
@@ -156,7 +186,7 @@
 func engineMain(args []string) {
 	fs := flag.NewFlagSet("engine", flag.ExitOnError)
 	fs.Parse(args)
-	e := &engine{runs: map[string]*run{}, copies: map[string]int{}}
+	e := &engine{runs: map[string]*run{}, copies: map[string]copied{}, late: map[net.Conn][]byte{}}
 	if err := json.Unmarshal([]byte(fs.Arg(0)), &e.o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -262,7 +292,6 @@
 func (e *engine) serve(c *net.TCPConn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
-	extra := false
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -272,17 +301,35 @@
 		if err != nil {
 			return
 		}
-		if extra {
-			c.Write([]byte(extraBytes))
-			e.logf("sends bytes that belong to no request, ahead of the answer to %s", req.Header.Get("X-Attempt-Id"))
+		if late := e.takeLate(c); late != nil {
+			c.Write(late)
+			e.logf("sends bytes that belong to no request, ahead of the answer to %s %s", req.URL.Path, req.Header.Get("X-Attempt-Id"))
 		}
 		if !e.answer(c, req, body) {
 			return
 		}
-		extra = e.extraAfter()
+		if e.extraAfter() {
+			e.sendLate(c, []byte(extraBytes))
+		}
 	}
 }
 
+// sendLate has bytes sent on a connection at the point where the next answer is due.
+func (e *engine) sendLate(c net.Conn, b []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.late[c] = b
+}
+
+// takeLate returns the bytes of sendLate, nil if there are none.
+func (e *engine) takeLate(c net.Conn) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.late[c]
+	delete(e.late, c)
+	return b
+}
+
 // extraAfter counts an answer and reports whether extra bytes follow it.
 func (e *engine) extraAfter() bool {
 	e.mu.Lock()
@@ -307,9 +354,10 @@
 		return e.reply(c, http.StatusOK, http.Header{}, nil)
 	case strings.HasPrefix(req.URL.Path, "/copy/"):
 		// The copy of a run arrives from another stand-in.
-		made, _ := strconv.Atoi(string(body))
+		var copy copied
+		json.Unmarshal(body, &copy)
 		e.mu.Lock()
-		e.copies[strings.TrimPrefix(req.URL.Path, "/copy/")] = made
+		e.copies[strings.TrimPrefix(req.URL.Path, "/copy/")] = copy
 		e.mu.Unlock()
 		return e.reply(c, http.StatusOK, http.Header{}, nil)
 	}
@@ -329,9 +377,33 @@
 	e.logf("runs %s %s %s", id, req.Method, req.URL.Path)
 	time.Sleep(e.o.Work)
 	h.Set("Content-Type", "text/plain")
+	if strings.HasSuffix(req.URL.Path, oddPlainSuffix) {
+		return e.replyUnframed(c, h, id)
+	}
 	return e.reply(c, http.StatusOK, h, []byte(plainAnswer(e.o.ID, id)))
 }
 
+// replyUnframed writes an answer that ends with its connection, in two halves.
+func (e *engine) replyUnframed(c net.Conn, h http.Header, id string) bool {
+	h.Set("Connection", "close")
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 200 OK\r\n")
+	h.Write(&b)
+	b.WriteString("\r\n")
+	body := longAnswer(e.o.ID, id)
+	b.WriteString(body[:len(body)/2])
+	c.Write(b.Bytes())
+	time.Sleep(e.o.Pause)
+	io.WriteString(c, body[len(body)/2:])
+	e.logf("answer to %s is complete: %d bytes, then the end of the connection", id, len(body))
+	return false
+}
+
+// longAnswer returns the answer with neither a length nor chunks of an engine.
+func longAnswer(engine, id string) string {
+	return strings.Repeat(plainAnswer(engine, id), 12) + "end\n"
+}
+
 // plainAnswer returns the answer of an engine to a request that is no stream.
 func plainAnswer(engine, id string) string { return "answer of " + engine + " to " + id + "\n" }
 
@@ -353,7 +425,9 @@
 }
 
 // event returns the event of a stream with a number, counted from 1.
-func event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+func event(n int, owner string) string {
+	return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, owner)
+}
 
 // stream runs a request as a stream of events. With Kv-From it goes on after
 // Last-Event-Id.
@@ -363,13 +437,16 @@
 		total = shortEvents
 	}
 	unframed := req.URL.Path == oddPath
+	owner := id
 	if from := req.Header.Get("Kv-From"); from != "" {
 		_, handle, _ := strings.Cut(from, "/")
 		e.mu.Lock()
-		_, ok := e.copies[handle]
+		copy, ok := e.copies[handle]
 		delete(e.copies, handle)
 		e.mu.Unlock()
+		owner = copy.Owner
 		if !ok {
+			e.logf("refuses %s, not run: there is no copy %s", id, handle)
 			h.Set("X-Not-Run", "1")
 			return e.reply(c, http.StatusServiceUnavailable, h, nil)
 		}
@@ -378,7 +455,7 @@
 		n, _ := strconv.Atoi(last)
 		first = n + 1
 	}
-	e.logf("runs %s, a stream of %d events, from event %d", id, total, first)
+	e.logf("runs %s, a stream of %d events, from event %d, with the memory of %s", id, total, first, owner)
 	h.Set("Content-Type", "text/event-stream")
 	w := io.Writer(c)
 	var b bytes.Buffer
@@ -394,7 +471,8 @@
 	if _, err := c.Write(b.Bytes()); err != nil {
 		return false
 	}
-	r := &run{path: req.URL.Path, made: first - 1, stop: make(chan struct{})}
+	r := &run{path: req.URL.Path, made: first - 1, owner: owner, stop: make(chan struct{}), handles: map[string]string{}, copied: map[string]int{}}
+	fmt.Sscanf(req.Header.Get("X-Token-Count"), "%d", &r.tokens)
 	e.mu.Lock()
 	e.runs[id] = r
 	e.mu.Unlock()
@@ -408,16 +486,16 @@
 		case <-r.stop:
 			// The stream is closed without its end. What was made before reaches the
 			// caller of the move's answer late: connections overtake each other.
-			time.Sleep(overtake)
+			time.Sleep(time.Duration(rand.Int64N(int64(overtake))))
 			for n <= r.made {
-				io.WriteString(w, event(n))
+				io.WriteString(w, event(n, owner))
 				n++
 			}
 			e.logf("stream %s is closed without its end after event %d of %d", id, r.made, total)
 			return false
 		case <-time.After(e.o.Gap):
 		}
-		if _, err := io.WriteString(w, event(n)); err != nil {
+		if _, err := io.WriteString(w, event(n, owner)); err != nil {
 			e.logf("stream %s: its caller has gone after event %d", id, n-1)
 			return false
 		}
@@ -433,7 +511,7 @@
 	return err == nil
 }
 
-// overtake is how much later than the answer of a move the last bytes of a stopped
+// overtake is how much later, at most, than the answer of a move the last bytes of a stopped
 // stream arrive.
 const overtake = 100 * time.Millisecond
 
@@ -463,8 +541,12 @@
 		e.logf("kv-move of %s, last %v: no such run", m.ID, m.Last)
 		return e.reply(c, http.StatusNotFound, http.Header{}, nil)
 	}
-	e.serial++
-	handle := fmt.Sprintf("h%d%s", e.serial, m.ID)
+	handle := r.handles[m.To]
+	if handle == "" {
+		e.serial++
+		handle = fmt.Sprintf("h%d", e.serial)
+		r.handles[m.To] = handle
+	}
 	if m.Last {
 		r.stopped = true
 		// The event that the engine was at is still made.
@@ -472,15 +554,22 @@
 		close(r.stop)
 	}
 	made := r.made
+	size := r.tokens + made*eventTokens - r.copied[m.To]
+	r.copied[m.To] += size
 	e.mu.Unlock()
-	e.logf("kv-move of %s, last %v: %d events made", m.ID, m.Last, made)
+	e.logf("kv-move of %s, last %v: handle %s, %d events made, %d tokens to copy", m.ID, m.Last, handle, made, size)
 	if m.Last && e.o.LoseMoveAnswer && r.path == oddPath {
 		e.logf("the answer to kv-move of %s is lost: its connection is reset", m.ID)
 		c.SetLinger(0)
 		return false
 	}
-	if !call(http.MethodPut, "http://"+m.To+"/copy/"+handle, []byte(strconv.Itoa(made))) {
+	e.link.Lock()
+	time.Sleep(time.Duration(size) * tokenTime)
+	e.link.Unlock()
+	b, _ := json.Marshal(copied{r.owner, made})
+	if !call(http.MethodPut, "http://"+m.To+"/copy/"+handle, b) {
 		return e.reply(c, http.StatusServiceUnavailable, http.Header{}, []byte(fmt.Sprintf(`{"handle":%q}`, handle)))
 	}
-	return e.reply(c, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, []byte(fmt.Sprintf(`{"handle":%q,"made":%d}`, handle, made)))
+	answer := []byte(fmt.Sprintf(`{"handle":%q,"made":%d}`, handle, made))
+	return e.reply(c, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, answer)
 }
