--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -58,7 +58,10 @@
 }
 
 // send writes a request.
-func (c *client) send(r clientRequest) error {
+func (c *client) send(r clientRequest) error { return c.sendPaced(r, 0) }
+
+// sendPaced writes a request at a rate in bytes per second, zero for no limit.
+func (c *client) sendPaced(r clientRequest, rate int) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key-1\r\n", r.method, r.path, r.id, r.deadline.Milliseconds())
 	for k, v := range r.header {
@@ -69,8 +72,19 @@
 	}
 	b.WriteString("\r\n" + r.body)
 	c.w.rec.add("client", "sends %s %s %s", r.id, r.method, r.path)
-	_, err := io.WriteString(c.conn, b.String())
-	return err
+	const piece = 32 << 10
+	begun := time.Now()
+	for sent, text := 0, b.String(); sent < len(text); {
+		n, err := io.WriteString(c.conn, text[sent:min(sent+piece, len(text))])
+		if err != nil {
+			return err
+		}
+		sent += n
+		if rate > 0 {
+			time.Sleep(time.Until(begun.Add(time.Duration(sent) * time.Second / time.Duration(rate))))
+		}
+	}
+	return nil
 }
 
 // receive reads an answer to its end.
