--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -162,6 +162,10 @@
 // Leader returns the ID of the leader, or an empty string if it is unknown.
 func (n *Node) Leader() string { return n.leader }
 
+// HardState returns the current term and vote. Right after Ready, they are what the owner
+// has been told to write.
+func (n *Node) HardState() HardState { return n.hardState }
+
 // Term returns the current term.
 func (n *Node) Term() uint64 { return n.hardState.Term }
 
--- a/fold/repl/bootstrap_test.go
+++ b/fold/repl/bootstrap_test.go
@@ -22,8 +22,7 @@
 		members = members.With(m)
 	}
 	for _, vm := range g.vms[:initial] {
-		start := raft.BootstrapGroup(members)
-		g.servers[vm].disk = &disk{hard: start.HardState, snapshot: start.Snapshot}
+		g.servers[vm].disk = &disk{raft.BootstrapGroup(members)}
 	}
 	for i, k := range order {
 		g.after(time.Duration(i)*time.Second, func() {
--- a/fold/repl/history_test.go
+++ b/fold/repl/history_test.go
@@ -221,7 +221,7 @@
 	vm := g.vms[g.random.IntN(len(g.vms))]
 	s := g.servers[vm]
 	duration := time.Duration(300+g.random.IntN(4000)) * time.Millisecond
-	switch g.random.IntN(6) {
+	switch g.random.IntN(8) {
 	case 0:
 		g.kill(vm)
 		g.after(duration, func() { g.restart(vm) })
@@ -244,10 +244,26 @@
 	case 5:
 		g.isolate(vm, true, false)
 		g.after(duration, g.heal)
+	case 6:
+		g.killAll()
+	case 7:
+		s.crash = []crashPoint{beforeWrite, afterWrite}[g.random.IntN(2)]
+		g.after(duration, func() { g.restart(vm) })
 	}
 	g.after(duration+time.Duration(g.random.IntN(1500))*time.Millisecond, func() { g.injectFaults(until) })
 }
 
+// maxAllDown is the longest time until a VM is back after all were killed.
+const maxAllDown = time.Second
+
+// killAll kills all VMs. They start again one after the other, in any order.
+func (g *group) killAll() {
+	for _, vm := range g.vms {
+		g.kill(vm)
+		g.after(time.Duration(g.random.Int64N(int64(maxAllDown))), func() { g.restart(vm) })
+	}
+}
+
 // restart starts a VM unless it is up.
 func (g *group) restart(vm string) {
 	if g.servers[vm].replica == nil {
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -41,17 +41,33 @@
 	Err error
 }
 
-// Write is the data that must be written and synced to the disk atomically.
+// Write is the data that must be written and synced to the disk atomically. It either
+// replaces all that was written before, or adds to it.
 type Write struct {
+	// Replace is the whole state of the replica: nothing that was written before is
+	// kept. It is nil if the Write adds to the state on the disk. The other fields are
+	// zero if it is set.
+	Replace *raft.PersistentState
+	// HardState replaces the hard state, unless it is nil.
 	HardState *raft.HardState
-	// Snapshot replaces everything that was written before. Entries then hold
-	// the whole log after it.
-	Snapshot *raft.Snapshot
-	Entries  []raft.Entry
+	// Entries replace the log from the index of the first of them on.
+	Entries []raft.Entry
 }
 
 // Empty reports whether there is nothing to write.
-func (w Write) Empty() bool { return w.HardState == nil && w.Snapshot == nil && len(w.Entries) == 0 }
+func (w Write) Empty() bool { return w.Replace == nil && w.HardState == nil && len(w.Entries) == 0 }
+
+// lastEntry returns the last entry that is written, and false if there is none.
+func (w Write) lastEntry() (raft.Entry, bool) {
+	entries := w.Entries
+	if w.Replace != nil {
+		entries = w.Replace.Entries
+	}
+	if len(entries) == 0 {
+		return raft.Entry{}, false
+	}
+	return entries[len(entries)-1], true
+}
 
 // Output is the work that a Replica hands to its owner, to be done in the order
 // of the fields.
@@ -70,10 +86,9 @@
 // Replica is one replica of the control group. Create it with New. It is not
 // safe for concurrent use.
 type Replica struct {
-	opts      Options
-	node      *raft.Node
-	hardState raft.HardState
-	machine   state.Machine
+	opts    Options
+	node    *raft.Node
+	machine state.Machine
 	// applied is the index of the last entry applied to the machine.
 	applied uint64
 	// pending holds the commands proposed on this replica, by log index.
@@ -95,7 +110,7 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
-	p := &Replica{opts: o, node: raft.New(now, o.Raft, restored), hardState: restored.HardState, pending: map[uint64]pendingCommand{}, lastLeaderSeen: now}
+	p := &Replica{opts: o, node: raft.New(now, o.Raft, restored), pending: map[uint64]pendingCommand{}, lastLeaderSeen: now}
 	if err := p.machine.Restore(restored.Snapshot.Data); err != nil {
 		return nil, fmt.Errorf("restore snapshot: %w", err)
 	}
@@ -127,6 +142,9 @@
 // Term returns the current term.
 func (p *Replica) Term() uint64 { return p.node.Term() }
 
+// HardState returns the current term and vote.
+func (p *Replica) HardState() raft.HardState { return p.node.HardState() }
+
 // Tick advances the replica's time. The leader also repairs the membership.
 func (p *Replica) Tick(now time.Time) {
 	p.node.Tick(now)
@@ -187,11 +205,9 @@
 func (p *Replica) Output() Output {
 	p.node.Flush()
 	r := p.node.Ready()
-	out := Output{Messages: r.Messages, Write: Write{HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries}}
-	if r.HardState != nil {
-		p.hardState = *r.HardState
-	}
+	out := Output{Messages: r.Messages, Write: Write{HardState: r.HardState, Entries: r.Entries}}
 	if r.Snapshot != nil {
+		out.Write = p.replaceAll(*r.Snapshot)
 		p.install(r.Snapshot)
 	}
 	for _, e := range r.Committed {
@@ -209,8 +225,7 @@
 
 // Persisted reports that a Write is synced.
 func (p *Replica) Persisted(w Write) {
-	if n := len(w.Entries); n > 0 {
-		last := w.Entries[n-1]
+	if last, ok := w.lastEntry(); ok {
 		p.node.Persisted(last.Index, last.Term)
 	}
 }
@@ -277,6 +292,11 @@
 	if !ok {
 		return
 	}
-	h := p.hardState
-	*w = Write{HardState: &h, Snapshot: &s, Entries: p.node.Log()}
+	*w = p.replaceAll(s)
+}
+
+// replaceAll returns the Write that replaces the state on the disk by the snapshot s, the
+// log after it and the current hard state.
+func (p *Replica) replaceAll(s raft.Snapshot) Write {
+	return Write{Replace: &raft.PersistentState{HardState: p.node.HardState(), Snapshot: s, Entries: p.node.Log()}}
 }
--- a/fold/repl/rig_test.go
+++ b/fold/repl/rig_test.go
@@ -32,6 +32,8 @@
 	lastID           uint64
 	newDisks         int
 	snapshotInterval int
+	// leaders holds the ID of the replica that led in each term.
+	leaders map[uint64]string
 }
 
 // server is one VM. disk is nil if it was lost or never existed, and replica is
@@ -44,28 +46,48 @@
 	replica     *repl.Replica
 	frozenUntil time.Time
 	inbox       []raft.Message
+	// crash says when the VM is killed by itself.
+	crash crashPoint
+	// promised is the hard state when the replica last sent messages.
+	promised raft.HardState
 }
 
-// disk holds the synced state of a replica.
-type disk struct {
-	hard     raft.HardState
-	snapshot raft.Snapshot
-	entries  []raft.Entry
-}
+// crashPoint is a moment of a write to the disk.
+type crashPoint int
+
+const (
+	noCrash crashPoint = iota
+	// beforeWrite: the next write is lost with what follows it.
+	beforeWrite
+	// afterWrite: the next write is synced, and what follows it is lost.
+	afterWrite
+)
+
+// disk holds the synced state of a replica. A Write survives whole or not at all, as in a
+// data folder of package store.
+type disk struct{ state raft.PersistentState }
 
 // write applies a Write atomically.
 func (d *disk) write(w repl.Write) {
-	if w.HardState != nil {
-		d.hard = *w.HardState
+	if w.Replace != nil {
+		d.state = *w.Replace
+		return
 	}
-	if w.Snapshot != nil {
-		d.snapshot, d.entries = *w.Snapshot, nil
+	if w.HardState != nil {
+		d.state.HardState = *w.HardState
 	}
 	if len(w.Entries) == 0 {
 		return
 	}
-	keep := int(w.Entries[0].Index - d.snapshot.Index - 1)
-	d.entries = append(d.entries[:keep:keep], w.Entries...)
+	keep := int(w.Entries[0].Index - d.state.Snapshot.Index - 1)
+	d.state.Entries = append(d.state.Entries[:keep:keep], w.Entries...)
+}
+
+// restore returns what a replica that starts reads.
+func (d *disk) restore() raft.PersistentState {
+	restored := d.state
+	restored.Entries = slices.Clone(d.state.Entries)
+	return restored
 }
 
 // newEmptyGroup returns a group of n VMs that have no disks and are down.
@@ -73,6 +95,7 @@
 	g := &group{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), snapshotInterval: snapshotEvery,
 		servers: map[string]*server{}, blocked: map[[2]string]bool{}, callbacks: map[uint64]func(repl.Completion){},
+		leaders: map[uint64]string{},
 	}
 	for i := range n {
 		vm := fmt.Sprintf("vm%d", i+1)
@@ -89,7 +112,7 @@
 	first := g.servers[g.vms[0]]
 	first.id = first.vm + "#1"
 	boot := raft.Bootstrap(member(first))
-	first.disk = &disk{hard: boot.HardState, snapshot: boot.Snapshot}
+	first.disk = &disk{boot}
 	for _, vm := range g.vms {
 		g.start(vm)
 		g.tick(vm)
@@ -137,21 +160,44 @@
 		g.newDisks++
 		s.id = fmt.Sprintf("%s#%d", vm, g.newDisks+1)
 		s.disk = &disk{}
+		s.promised = raft.HardState{}
 	}
 	rep, err := repl.New(g.now, repl.Options{
 		Raft:          raft.Options{ID: s.id, Random: rand.New(rand.NewPCG(g.random.Uint64(), 2))},
 		SnapshotEvery: g.snapshotInterval,
-	}, raft.PersistentState{HardState: s.disk.hard, Snapshot: s.disk.snapshot, Entries: slices.Clone(s.disk.entries)})
+	}, s.disk.restore())
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	s.replica = rep
+	g.checkPromise(s)
+}
+
+// checkPromise fails the test if a replica that starts has forgotten its term or its vote.
+func (g *group) checkPromise(s *server) {
+	h, promised := s.replica.HardState(), s.promised
+	if h.Term < promised.Term || (h.Term == promised.Term && promised.Vote != "" && h.Vote != promised.Vote) {
+		g.t.Errorf("%s starts with %+v, but it has sent messages with %+v", s.id, h, promised)
+	}
+}
+
+// checkLeader fails the test if two replicas lead in the same term.
+func (g *group) checkLeader(s *server) {
+	if !s.replica.IsLeader() {
+		return
+	}
+	term := s.replica.Term()
+	if other, ok := g.leaders[term]; ok && other != s.id {
+		g.t.Errorf("%s and %s both lead in term %d", other, s.id, term)
+	}
+	g.leaders[term] = s.id
 }
 
 // kill stops a VM's replica, which loses all state that is not on its disk.
 func (g *group) kill(vm string) {
 	s := g.servers[vm]
 	s.replica = nil
+	s.crash = noCrash
 	s.inbox = nil
 	s.frozenUntil = time.Time{}
 }
@@ -200,8 +246,13 @@
 		if out.Write.Empty() && len(out.Messages) == 0 && len(out.Completions) == 0 {
 			return
 		}
-		s.disk.write(out.Write)
-		s.replica.Persisted(out.Write)
+		if !out.Write.Empty() && !g.write(s, out.Write) {
+			return
+		}
+		g.checkLeader(s)
+		if len(out.Messages) > 0 {
+			s.promised = s.replica.HardState()
+		}
 		for _, m := range out.Messages {
 			g.send(s.vm, m)
 		}
@@ -211,6 +262,20 @@
 	}
 }
 
+// write writes to a VM's disk, and reports whether the VM has survived that.
+func (g *group) write(s *server, w repl.Write) bool {
+	crash := s.crash
+	if crash != beforeWrite {
+		s.disk.write(w)
+	}
+	if crash != noCrash {
+		g.kill(s.vm)
+		return false
+	}
+	s.replica.Persisted(w)
+	return true
+}
+
 // send delivers a message after a delay. Depending on faultRate, it may lose or
 // duplicate it.
 func (g *group) send(from string, m raft.Message) {
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -193,7 +194,10 @@
 // rigVM is a VM with its client of the control group.
 type rigVM struct {
 	addr netip.AddrPort
-	// server is nil on an entry VM.
+	// conf is the configuration of server, and web serves its calls.
+	conf ServerConfig
+	web  *http.Server
+	// server is nil on an entry VM, and while the VM is down.
 	server *Server
 	client *Client
 	// checked counts the documents that the VM has checked, each for checkTime, a
@@ -237,25 +241,47 @@
 		time.Sleep(time.Duration(vm.checkTime.Load()))
 		return nil
 	}
-	server, err := New(ServerConfig{
+	vm.conf = ServerConfig{
 		VM: fmt.Sprint("vm", len(g.vms)+1), Addr: addr, DataFolder: filepath.Join(t.TempDir(), "data"), InitialMembers: seeds, Peers: peers,
 		HTTP: client, Options: options, Log: log, Check: check,
-	})
+	}
+	g.vms = append(g.vms, vm)
+	g.start(t, vm)
+	t.Cleanup(func() { g.stop(vm) })
+}
+
+// start starts the control replica of a VM that is down.
+func (g *groupRig) start(t *testing.T, vm *rigVM) {
+	t.Helper()
+	server, err := New(vm.conf)
 	if err != nil {
 		t.Fatal(err)
 	}
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewControlServiceHandler(server.Handler()))
-	listener := g.network.listen(addr.String())
-	web := &http.Server{Handler: mux}
-	go web.Serve(listener)
-	t.Cleanup(func() {
-		server.Close()
-		web.Close()
-	})
+	vm.web = &http.Server{Handler: mux}
+	go vm.web.Serve(g.network.listen(vm.addr.String()))
 	vm.server = server
 	vm.client.LocalLeader = server.Leader
-	g.vms = append(g.vms, vm)
+}
+
+// stop ends the control replica of a VM without warning, if it runs. Its disk stays.
+func (g *groupRig) stop(vm *rigVM) {
+	if vm.server == nil {
+		return
+	}
+	vm.web.Close()
+	vm.server.Close()
+	vm.server = nil
+}
+
+// loseDisk makes a VM that is down start with an empty disk, on which it joins the group.
+func (vm *rigVM) loseDisk(t *testing.T) {
+	t.Helper()
+	if err := os.RemoveAll(vm.conf.DataFolder); err != nil {
+		t.Fatal(err)
+	}
+	vm.conf.InitialMembers = nil
 }
 
 // httpClient returns a client whose connections are opened by the VM at addr.
@@ -296,11 +322,17 @@
 // apply sends a version of the configuration to one VM after the other until one
 // confirms it, and returns how long that took.
 func (g *groupRig) apply(t *testing.T, version uint64) time.Duration {
+	t.Helper()
+	return g.applyAtAnyOf(t, g.vms, version)
+}
+
+// applyAtAnyOf is like apply for some of the VMs.
+func (g *groupRig) applyAtAnyOf(t *testing.T, vms []*rigVM, version uint64) time.Duration {
 	t.Helper()
 	begun := time.Now()
 	for i := 0; time.Since(begun) < time.Minute; i++ {
 		ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
-		res, err := g.vms[i%len(g.vms)].client.Apply(ctx, &wire.ApplyRequest{Version: version, Document: fmt.Append(nil, version)})
+		res, err := vms[i%len(vms)].client.Apply(ctx, &wire.ApplyRequest{Version: version, Document: fmt.Append(nil, version)})
 		cancel()
 		if err == nil && res.GetRevision() >= version {
 			return time.Since(begun)
--- a/foldd/store/disk.go
+++ b/foldd/store/disk.go
@@ -10,14 +10,14 @@
 // disk holds the operations that may fail or take long on a faulty disk. Only the build
 // for the soak replaces them.
 var disk = struct {
-	write func(f *os.File, b []byte) error
-	sync  func(f *os.File) error
+	Write func(f *os.File, b []byte) error
+	Sync  func(f *os.File) error
 }{
-	write: func(f *os.File, b []byte) error {
+	Write: func(f *os.File, b []byte) error {
 		_, err := f.Write(b)
 		return err
 	},
-	sync: (*os.File).Sync,
+	Sync: (*os.File).Sync,
 }
 
 // DiskFailed reports whether an error is one of a disk that is full or fails, which may
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -71,8 +71,7 @@
 		return nil, fmt.Errorf("create data folder: %w", err)
 	}
 	f := &Folder{path: path, identity: id}
-	h := r.HardState
-	if err := f.Write(repl.Write{HardState: &h, Snapshot: &r.Snapshot, Entries: r.Entries}); err != nil {
+	if err := f.Write(repl.Write{Replace: &r}); err != nil {
 		return nil, err
 	}
 	// The identity is written last, because Open treats a folder without it as
@@ -310,31 +309,33 @@
 // Write writes w and syncs it to the disk. After an error the caller must not
 // write again, because it is unknown how much of w reached the disk.
 func (f *Folder) Write(w repl.Write) error {
-	record, err := encodeRecord(w)
+	if w.Replace != nil {
+		return f.startGeneration(w.Replace)
+	}
+	record, err := encodeRecord(w.HardState, w.Entries)
 	if err != nil {
 		return err
 	}
-	if w.Snapshot != nil {
-		return f.startGeneration(w.Snapshot, record)
-	}
 	return writeSynced(f.log, record)
 }
 
 // writeSynced writes to a file and syncs it.
 func writeSynced(f *os.File, b []byte) error {
-	if err := disk.write(f, b); err != nil {
+	if err := disk.Write(f, b); err != nil {
 		return fmt.Errorf("write %s: %w", filepath.Base(f.Name()), err)
 	}
-	if err := disk.sync(f); err != nil {
+	if err := disk.Sync(f); err != nil {
 		return fmt.Errorf("sync %s: %w", filepath.Base(f.Name()), err)
 	}
 	return nil
 }
 
-func encodeRecord(w repl.Write) ([]byte, error) {
-	rec := &wire.LogRecord{Entries: ToEntries(w.Entries)}
-	if w.HardState != nil {
-		rec.HardState = &wire.HardState{Term: w.HardState.Term, Vote: w.HardState.Vote}
+// encodeRecord returns a record of the log. h is nil if the record does not change the
+// hard state.
+func encodeRecord(h *raft.HardState, entries []raft.Entry) ([]byte, error) {
+	rec := &wire.LogRecord{Entries: ToEntries(entries)}
+	if h != nil {
+		rec.HardState = &wire.HardState{Term: h.Term, Vote: h.Vote}
 	}
 	payload, err := proto.Marshal(rec)
 	if err != nil {
@@ -353,11 +354,15 @@
 	return b.Bytes()
 }
 
-// startGeneration writes the log and the snapshot of a new generation. The
-// snapshot comes last, because its file name is what makes the generation valid
-// for Open.
-func (f *Folder) startGeneration(s *raft.Snapshot, record []byte) error {
-	payload, err := proto.Marshal(ToSnapshot(*s))
+// startGeneration writes the log and the snapshot of a new generation, which hold the
+// whole state r: Open reads nothing of earlier generations. The snapshot comes last,
+// because its file name is what makes the generation valid for Open.
+func (f *Folder) startGeneration(r *raft.PersistentState) error {
+	record, err := encodeRecord(&r.HardState, r.Entries)
+	if err != nil {
+		return err
+	}
+	payload, err := proto.Marshal(ToSnapshot(r.Snapshot))
 	if err != nil {
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -366,9 +371,6 @@
 	if err != nil {
 		return fmt.Errorf("create log: %w", err)
 	}
-	if len(record) == headerSize {
-		record = nil
-	}
 	if err := writeSynced(log, record); err != nil {
 		log.Close()
 		return err
--- a/foldd/store/store_test.go
+++ b/foldd/store/store_test.go
@@ -96,8 +96,8 @@
 		e := expected.Entries[cut-1]
 		expected.Snapshot = raft.Snapshot{Index: e.Index, Term: e.Term, Membership: expected.Snapshot.Membership, Data: []byte(fmt.Sprint("state", step))}
 		expected.Entries = append([]raft.Entry(nil), expected.Entries[cut:]...)
-		s, h := expected.Snapshot, expected.HardState
-		return repl.Write{Snapshot: &s, HardState: &h, Entries: expected.Entries}
+		whole := *expected
+		return repl.Write{Replace: &whole}
 	}
 	// Some writes replace up to two of the last entries, as a new leader does.
 	replaced := uint64(r.IntN(min(3, len(expected.Entries)+1)))
