Raft: a replica checks what its disk and its leader tell it

Cause: stepAppend confirmed every Append below its commit on the assumption that committed entries are the same everywhere, a second leader of a term was followed, an acknowledgement beyond the leader's log counted, and a hard state older than the log was taken as it was.

Change: a node that starts below the term of its newest entry starts in that term, with its vote there used up. A message of a leader that differs from what is committed here, or of a second leader in a term, is not acknowledged. Each is an Event, logged as an error once for each peer and term, and counted in control.violations.

Limits: a vote that such a disk gave in a later term than that of its newest entry can't be known.

--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -100,7 +100,10 @@
 	messages          []Message
 	readyReads        []Read
 	failedReads       []uint64
-	now               time.Time
+	events            []Event
+	// reported holds the events that were queued once.
+	reported map[eventKey]bool
+	now      time.Time
 }
 
 // New returns a node that continues from the state restored from its disk.
@@ -111,9 +114,10 @@
 	if o.ElectionTimeout == 0 {
 		o.ElectionTimeout = DefaultElectionTimeout
 	}
-	n := &Node{opts: o, hardState: restored.HardState, prevHardState: restored.HardState, snapshot: restored.Snapshot, now: now}
+	n := &Node{opts: o, prevHardState: restored.HardState, snapshot: restored.Snapshot, now: now}
 	n.log.reset(restored.Snapshot.Index, restored.Snapshot.Term)
 	n.log.entries = restored.Entries
+	n.hardState = n.restoredHardState(restored.HardState)
 	n.commit = restored.Snapshot.Index
 	n.applied = restored.Snapshot.Index
 	n.stable = n.log.last()
@@ -277,16 +281,15 @@
 		return
 	}
 	if m.Term > n.hardState.Term {
-		leader := ""
-		if m.Type == Append || m.Type == InstallSnapshot {
-			leader = m.From
-		}
-		n.becomeFollower(m.Term, leader)
+		n.becomeFollower(m.Term, "")
 	}
 	if m.Term < n.hardState.Term {
 		n.stepStale(m)
 		return
 	}
+	if m.fromLeader() && n.contradicts(m) {
+		return
+	}
 	switch m.Type {
 	case VoteReply:
 		n.stepVoteReply(m)
@@ -302,15 +305,15 @@
 // stepStale handles a message of an earlier term. A leader of that term gets a
 // rejection, which carries the current term.
 func (n *Node) stepStale(m Message) {
-	if m.Type == Append || m.Type == InstallSnapshot {
+	if m.fromLeader() {
 		n.send(Message{Type: AppendReply, To: m.From, Reject: true, Index: n.log.last(), Round: m.Round})
 	}
 }
 
 // Ready returns the pending work. Each item is returned once.
 func (n *Node) Ready() Ready {
-	r := Ready{Messages: n.messages, Reads: n.readyReads, FailedReads: n.failedReads, Snapshot: n.receivedSnapshot}
-	n.messages, n.readyReads, n.failedReads, n.receivedSnapshot = nil, nil, nil, nil
+	r := Ready{Messages: n.messages, Reads: n.readyReads, FailedReads: n.failedReads, Snapshot: n.receivedSnapshot, Events: n.events}
+	n.messages, n.readyReads, n.failedReads, n.receivedSnapshot, n.events = nil, nil, nil, nil, nil
 	if n.hardState != n.prevHardState {
 		h := n.hardState
 		r.HardState = &h
--- a/fold/raft/replicate.go
+++ b/fold/raft/replicate.go
@@ -116,7 +116,8 @@
 func (n *Node) stepAppend(m Message) {
 	n.acceptLeader(m.From)
 	if m.Index < n.commit {
-		// Committed entries are the same in the leader's log.
+		// Committed entries are the same in the leader's log: contradicts has checked
+		// those in the message.
 		n.send(Message{Type: AppendReply, To: m.From, Index: n.commit, Round: m.Round})
 		return
 	}
@@ -196,6 +197,10 @@
 	if p == nil {
 		return
 	}
+	if !m.Reject && m.Index > n.log.last() {
+		n.report(Event{Kind: AcknowledgedBeyondLog, Peer: m.From, Index: m.Index})
+		return
+	}
 	p.lastContact = n.now
 	p.ackedRound = max(p.ackedRound, m.Round)
 	n.confirmReads()
--- a/fold/raft/types.go
+++ b/fold/raft/types.go
@@ -147,6 +147,9 @@
 	Round uint64
 }
 
+// fromLeader reports whether only a leader sends messages of this type.
+func (m Message) fromLeader() bool { return m.Type == Append || m.Type == InstallSnapshot }
+
 // Read is a confirmed read, which may be answered once Index has been applied.
 type Read struct {
 	ID    uint64
@@ -168,12 +171,13 @@
 	// FailedReads holds the IDs of reads that this replica can't answer because
 	// it is not, or no longer, the leader.
 	FailedReads []uint64
+	Events      []Event
 }
 
 // Empty reports whether there is no work.
 func (r Ready) Empty() bool {
 	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 &&
-		len(r.Committed) == 0 && len(r.Reads) == 0 && len(r.FailedReads) == 0
+		len(r.Committed) == 0 && len(r.Reads) == 0 && len(r.FailedReads) == 0 && len(r.Events) == 0
 }
 
 // Role is the role of a Node in its term.
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -75,6 +75,13 @@
 	Write       Write
 	Messages    []raft.Message
 	Completions []Completion
+	// Events are for the log.
+	Events []raft.Event
+}
+
+// Empty reports whether there is no work.
+func (o Output) Empty() bool {
+	return o.Write.Empty() && len(o.Messages) == 0 && len(o.Completions) == 0 && len(o.Events) == 0
 }
 
 // pendingCommand is a command in the log that has not completed yet.
@@ -205,7 +212,7 @@
 func (p *Replica) Output() Output {
 	p.node.Flush()
 	r := p.node.Ready()
-	out := Output{Messages: r.Messages, Write: Write{HardState: r.HardState, Entries: r.Entries}}
+	out := Output{Messages: r.Messages, Events: r.Events, Write: Write{HardState: r.HardState, Entries: r.Entries}}
 	if r.Snapshot != nil {
 		out.Write = p.replaceAll(*r.Snapshot)
 		p.install(r.Snapshot)
--- a/fold/repl/rig_test.go
+++ b/fold/repl/rig_test.go
@@ -243,9 +243,14 @@
 func (g *group) processOutput(s *server) {
 	for {
 		out := s.replica.Output()
-		if out.Write.Empty() && len(out.Messages) == 0 && len(out.Completions) == 0 {
+		if out.Empty() {
 			return
 		}
+		for _, e := range out.Events {
+			if e.Kind.Violation() {
+				g.t.Errorf("%s: %v: %+v", s.id, e.Kind, e)
+			}
+		}
 		if !out.Write.Empty() && !g.write(s, out.Write) {
 			return
 		}
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -199,9 +199,10 @@
 func (h *Server) processOutput() error {
 	for {
 		out := h.rep.Output()
-		if out.Write.Empty() && len(out.Messages) == 0 && len(out.Completions) == 0 {
+		if out.Empty() {
 			break
 		}
+		h.logEvents(out.Events)
 		if !out.Write.Empty() {
 			if err := h.folder.Write(out.Write); err != nil {
 				return err
@@ -223,6 +224,19 @@
 	return nil
 }
 
+// violationsMetric counts the violations that logEvents has logged.
+const violationsMetric = "control.violations"
+
+// logEvents logs what the replica tells of itself.
+func (h *Server) logEvents(events []raft.Event) {
+	for _, e := range events {
+		h.conf.Count(violationsMetric, 1)
+		h.conf.Log.WithFields(logrus.Fields{
+			"replica": h.identity.ID, "violation": e.Kind.String(), "peer": e.Peer, "term": e.Term, "otherTerm": e.OtherTerm, "index": e.Index,
+		}).Error("control replica found an invariant of its group broken; it acknowledges nothing that depends on it")
+	}
+}
+
 // notifyChanges reports a newly committed configuration and a change of
 // leadership.
 func (h *Server) notifyChanges() {
