Announcements: a text that no message can carry is rejected where it comes in

Cause: an ID comes percent-decoded from the request's path and went into the table of backend servers as it was. The table goes into each exchange between VMs, and a protobuf message with one string that isn't UTF-8 can't be sent at all, so all exchanges of a VM that held the record failed, as caller and as callee, until its lease ended. Each further heartbeat renewed that.

Parts of prompts are rejected in the same case; until now strings.ToLower replaced their bad bytes, which made two IDs one.

--- a/foldd/oper/backend.go
+++ b/foldd/oper/backend.go
@@ -59,16 +59,11 @@
 	LeaseMS int64 `json:"leaseMs"`
 }
 
-const maxIDBytes = 128
-
 func (a *announcement) toBackend() (member.Backend, error) {
 	addr, err := netip.ParseAddrPort(a.Addr)
 	if err != nil {
 		return member.Backend{}, fmt.Errorf("addr: want an IP address and a port: %w", err)
 	}
-	if a.ID == "" || len(a.ID) > maxIDBytes {
-		return member.Backend{}, fmt.Errorf("id: want 1 to %d bytes", maxIDBytes)
-	}
 	if a.Kind != spec.KindEngine && a.Kind != spec.KindPlain {
 		return member.Backend{}, fmt.Errorf("kind: want %q or %q", spec.KindEngine, spec.KindPlain)
 	}
@@ -78,7 +73,7 @@
 	if a.Epoch == 0 || a.Seq == 0 {
 		return member.Backend{}, fmt.Errorf("epoch, seq: want 1 or more")
 	}
-	return member.Backend{
+	b := member.Backend{
 		ID: a.ID, Addr: addr, Kind: a.Kind, Service: a.Service,
 		Model: a.Model, Adapters: a.Adapters, Version: a.Version, Domain: a.Domain,
 		MemoryTokens: a.MemoryTokens, ChecksFencingToken: a.ChecksFencingToken,
@@ -91,7 +86,8 @@
 			StepTime:    time.Duration(a.Load.StepMicros) * time.Microsecond,
 			Lag:         time.Duration(a.Load.LagMS) * time.Millisecond,
 		},
-	}, nil
+	}
+	return b, b.Check()
 }
 
 // BackendHandler returns the handler for announcements of backend servers.
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"fuchsiafold.example/fold/limit"
 )
@@ -171,7 +172,7 @@
 	var ids []string
 	for entry := range strings.SplitSeq(text, ",") {
 		id, tokens, ok := strings.Cut(strings.TrimSpace(entry), ":")
-		if _, err := strconv.ParseUint(tokens, 10, 32); err != nil || !ok || id == "" || len(id) > maxPartID || len(ids) == maxParts {
+		if _, err := strconv.ParseUint(tokens, 10, 32); err != nil || !ok || id == "" || len(id) > maxPartID || !utf8.ValidString(id) || len(ids) == maxParts {
 			return nil
 		}
 		ids = append(ids, strings.ToLower(id))
--- a/foldd/relay/codec_test.go
+++ b/foldd/relay/codec_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"fuchsiafold.example/foldd/relay"
 )
@@ -22,6 +23,7 @@
 		{"5c1e07a2:-1", nil},
 		{strings.Repeat("a", 65) + ":1", nil},
 		{strings.Repeat("a:1,", 32) + "a:1", nil},
+		{"5c1e07a2:800,\xff\xfe:1", nil},
 	}
 	for _, tt := range tests {
 		if got := relay.ParseParts(tt.text); !slices.Equal(got, tt.want) {
@@ -41,7 +43,7 @@
 	f.Add("5c1e07a2:800,91bd3f06:410")
 	f.Fuzz(func(t *testing.T, text string) {
 		for _, id := range relay.ParseParts(text) {
-			if id == "" || len(id) > 64 {
+			if id == "" || len(id) > 64 || !utf8.ValidString(id) {
 				t.Errorf("%q: ID %q", text, id)
 			}
 		}
