Calls: keys and content types that no message can carry no longer lose a call's record

What callers would see: a call with an idempotency key that isn't UTF-8 was tried for its whole timeout and got 503; an answer whose content type isn't UTF-8 was delivered but never recorded, so a resend of its key got "unknown".

Change: such a key is a 400, not run. Such a content type is recorded without the bytes that can't be read.

--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -158,7 +159,8 @@
 	req := &wire.SettleRequest{Workspace: claim.Workspace, Key: claim.Key, Nonce: claim.Nonce}
 	switch s {
 	case entry.SettleAnswered:
-		req.Answer = &wire.Answer{Status: uint32(r.Status), ContentType: r.ContentType, Body: r.Body}
+		// A backend server may send any bytes as its content type, a message only UTF-8.
+		req.Answer = &wire.Answer{Status: uint32(r.Status), ContentType: strings.ToValidUTF8(r.ContentType, ""), Body: r.Body}
 	case entry.SettleReleased:
 		req.Released = true
 	case entry.SettleUnknown:
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -116,8 +117,8 @@
 // runAtMostOnce runs the call at most once per workspace and idempotency key.
 func (c *call) runAtMostOnce(ctx context.Context, w http.ResponseWriter) *fault.Fault {
 	key := c.r.Header.Get(headerIdempotency)
-	if key == "" || len(key) > maxKeyBytes {
-		return fault.NotRun(http.StatusBadRequest, fault.IdempotencyKeyNeeded, fmt.Sprintf("this call may run only once: send an %s of 1 to %d bytes", headerIdempotency, maxKeyBytes))
+	if key == "" || len(key) > maxKeyBytes || !utf8.ValidString(key) {
+		return fault.NotRun(http.StatusBadRequest, fault.IdempotencyKeyNeeded, fmt.Sprintf("this call may run only once: send an %s of 1 to %d bytes of UTF-8", headerIdempotency, maxKeyBytes))
 	}
 	if c.handler.Claims == nil {
 		return noQuorumFault("this deployment has no control VM")
--- a/foldd/entry/call_test.go
+++ b/foldd/entry/call_test.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// TestUnreadableIdempotencyKeyIsRejected guards against a key that no message to the
+// control group can carry.
+func TestUnreadableIdempotencyKeyIsRejected(t *testing.T) {
+	h := newHandler(t, claims{}, 0)
+	if status, outcome, _ := call(h, "Idempotency-Key", "k\xff"); status != http.StatusBadRequest || outcome != "notRun" {
+		t.Errorf("status %d, outcome %q, want 400, notRun", status, outcome)
+	}
+}
+
 // TestCallIsNotHeldPastItsTimeout gives a call a claim that takes most of its timeout,
 // a service that takes longer than the rest, and a claim that can't be settled.
 func TestCallIsNotHeldPastItsTimeout(t *testing.T) {
