Peers: one unreadable record no longer stops an exchange, and failing exchanges are logged

What operators saw: with review/3's record in a VM's table all its exchanges failed and no log had a line about it; only the counter peers.exchangesFailed moved.

Cause: a protobuf message is encoded whole or not at all, and exchangeWith dropped the error of an exchange.

Change: the codec of calls between VMs, and to control VMs, leaves out the elements of lists that can't be encoded, counts and logs them, and encodes the rest; a message whose own text is bad stays an error. What a sound message looks like is unchanged, so older builds read it. The state of the calls to an address, which the control group's links logged already, is package foldd/link now, and exchanges use it: a line when they begin to fail, with the error, and one when they succeed again.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -248,8 +248,8 @@
 // they pass on. It requires the peer token if the settings have one.
 func (a *App) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewPeerServiceHandler(a.peers))
-	mux.Handle(wire.NewControlServiceHandler(&a.controlServer))
+	mux.Handle(wire.NewPeerServiceHandler(a.peers, a.peers.HandlerOptions()))
+	mux.Handle(wire.NewControlServiceHandler(&a.controlServer, a.peers.HandlerOptions()))
 	calls := oper.RequireToken(a.Node.Settings.PeerToken, mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if forwarder := a.forwarder.Load(); forwarder != nil && relay.FromPeer(r) {
--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fuchsiafold.example/fold/raft"
+	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/store"
 	"fuchsiafold.example/wire"
 )
@@ -70,7 +71,7 @@
 func (h *Server) sendLoop(addr netip.AddrPort, outbox chan *wire.LogMessage) {
 	defer h.done.Done()
 	c := wire.NewControlServiceClient(h.conf.HTTP, "http://"+addr.String(), h.conf.Options)
-	link := linkState{log: h.conf.Log.WithField("addr", addr)}
+	state := link.State{Log: h.conf.Log.WithField("addr", addr), Failed: "call to a control replica failed", Regained: "calls to a control replica succeed again"}
 	for {
 		select {
 		case <-h.stop:
@@ -78,7 +79,7 @@
 		case m := <-outbox:
 			req := &wire.StepRequest{Group: h.identity.Group, FromAddr: h.conf.Addr.String()}
 			req.Messages = appendQueued([]*wire.LogMessage{m}, outbox)
-			h.deliver(c, req, &link, len(outbox))
+			h.deliver(c, req, &state, len(outbox))
 		}
 	}
 }
@@ -98,46 +99,17 @@
 
 // deliver sends messages while others are queued. The first attempt may use a pooled
 // connection that broke while it was idle, so a failed call is retried once.
-func (h *Server) deliver(c wire.ControlServiceClient, req *wire.StepRequest, link *linkState, queued int) {
+func (h *Server) deliver(c wire.ControlServiceClient, req *wire.StepRequest, state *link.State, queued int) {
 	for range 2 {
 		begun := time.Now()
 		err := h.send(c, req)
-		link.record(begun, err, len(req.Messages), queued)
+		state.Record(begun, err, logrus.Fields{"messages": len(req.Messages), "queued": queued})
 		if err == nil {
 			return
 		}
 	}
 }
 
-// linkState logs when calls to a control replica begin to fail, and when they succeed
-// again.
-type linkState struct {
-	log *logrus.Entry
-	// failingSince is when the first of the failed calls was sent, zero if the last call
-	// succeeded. failed counts them.
-	failingSince time.Time
-	failed       int
-}
-
-// record records the result of a call that was sent at begun with some messages, while
-// others were queued.
-func (l *linkState) record(begun time.Time, err error, messages, queued int) {
-	now := time.Now()
-	switch {
-	case err != nil && l.failingSince.IsZero():
-		l.failingSince = begun
-		l.failed = 1
-		l.log.WithError(err).WithFields(logrus.Fields{"messages": messages, "queued": queued, "ms": now.Sub(begun).Milliseconds()}).
-			Warn("call to a control replica failed")
-	case err != nil:
-		l.failed++
-	case !l.failingSince.IsZero():
-		l.log.WithFields(logrus.Fields{"failed": l.failed, "ms": now.Sub(l.failingSince).Milliseconds()}).
-			Info("calls to a control replica succeed again")
-		l.failingSince = time.Time{}
-	}
-}
-
 // send returns nil if the peer accepted the messages.
 func (h *Server) send(c wire.ControlServiceClient, req *wire.StepRequest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeoutFor(req))
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,8 +14,11 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/redial"
@@ -39,6 +43,8 @@
 	inFlight map[netip.AddrPort]exchangeKind
 	// outboxes holds the queued calls to each VM, which carry tickets and decisions.
 	outboxes map[netip.AddrPort]chan func(wire.PeerServiceClient)
+	// failing holds the addresses with which exchanges fail.
+	failing map[netip.AddrPort]*link.State
 }
 
 // New returns a service and sets it as the transport of the node. Start begins the
@@ -46,7 +52,7 @@
 func New(n *node.Node) *Service {
 	t := &http.Transport{}
 	configureTransport(t)
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]exchangeKind{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}}
+	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]exchangeKind{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
@@ -76,7 +82,19 @@
 // Options returns the options for clients of other VMs: they send the peer token, and
 // read replies up to a limit.
 func (s *Service) Options() connect.ClientOption {
-	return connect.WithClientOptions(connect.WithInterceptors(tokenInterceptor(s.node.Settings.PeerToken)), connect.WithReadMaxBytes(MaxMessage))
+	return connect.WithClientOptions(connect.WithInterceptors(tokenInterceptor(s.node.Settings.PeerToken)), connect.WithReadMaxBytes(MaxMessage), connect.WithCodec(s.codec()))
+}
+
+// HandlerOptions returns the options for handlers of calls from other VMs.
+func (s *Service) HandlerOptions() connect.HandlerOption {
+	return connect.WithHandlerOptions(connect.WithCodec(s.codec()))
+}
+
+func (s *Service) codec() codec {
+	return codec{onDrop: func(message protoreflect.FullName, records int) {
+		s.node.Count("peers.recordsDropped", int64(records))
+		s.node.Log.WithFields(logrus.Fields{"message": message, "records": records}).Error("records with a text that is not UTF-8 left out of a message to another VM")
+	}}
 }
 
 // tokenInterceptor sets a bearer token on each outgoing call. An empty token sets
@@ -154,10 +172,13 @@
 	s.inFlight[addr] = none
 	s.mu.Unlock()
 	for kind != none {
-		if err := s.exchange(addr, kind); err != nil {
+		begun := time.Now()
+		err := s.exchange(addr, kind)
+		if err != nil {
 			s.node.Count("peers.exchangesFailed", 1)
 		}
 		s.mu.Lock()
+		s.recordResult(addr, begun, err)
 		kind = s.inFlight[addr]
 		s.inFlight[addr] = none
 		if kind == none {
@@ -167,6 +188,28 @@
 	}
 }
 
+// failingKept is how long a VM with which exchanges failed is remembered without another
+// exchange.
+const failingKept = time.Minute
+
+// recordResult logs when exchanges with a VM begin to fail and when they succeed again. The
+// caller holds the lock.
+func (s *Service) recordResult(addr netip.AddrPort, begun time.Time, err error) {
+	state := s.failing[addr]
+	if state == nil && err == nil {
+		return
+	}
+	if state == nil {
+		maps.DeleteFunc(s.failing, func(_ netip.AddrPort, f *link.State) bool { return f.SinceLast(begun) > failingKept })
+		state = &link.State{Log: s.node.Log.WithField("addr", addr), Failed: "exchange with a VM failed", Regained: "exchanges with a VM succeed again"}
+		s.failing[addr] = state
+	}
+	state.Record(begun, err, nil)
+	if !state.Failing() {
+		delete(s.failing, addr)
+	}
+}
+
 // exchange does one exchange with a VM, and fetches its configuration if that is
 // newer. If the VM may not know all VMs that are live here, it gets reports about them in
 // a second call.
