Member: servers of services that the configuration doesn't name are bounded

What operators would see: a writer that announces servers under many IDs takes each VM's processor and links.

Cause: the table kept every record that anybody announced, whether or not the configuration has a use for it, for 21 leases, and told all VMs.

Change: while a configuration is in force, a table holds at most 256 records of services that it doesn't name; further ones get 503, so that a server whose service comes with the next configuration asks another VM, or again. Records that other VMs relay obey the same bound and the bounds of texts.

Limits: a writer that uses the name of a service that exists is not told from its servers.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -112,8 +112,12 @@
 type Table struct {
 	// Lease is how long a backend server counts as live after its last
 	// announcement. Zero means DefaultLease.
-	Lease   time.Duration
-	records map[string]*record
+	Lease time.Duration
+	// NamesService reports whether the configuration names a service. Of servers of other
+	// services the table holds at most maxForeign records, as any writer may announce
+	// them. It is nil while there is no configuration, and must not change a record.
+	NamesService func(service string) bool
+	records      map[string]*record
 	// version counts the changes of the table. The version of every record is at
 	// most this.
 	version uint64
@@ -140,8 +144,15 @@
 	// Unknown means that the update was brief and the table has no full record of
 	// this start of the backend server.
 	Unknown
+	// Foreign means that the update was ignored: the configuration doesn't name the
+	// server's service, and the table holds maxForeign such records.
+	Foreign
 )
 
+// maxForeign is the number of records that the table holds of servers whose service the
+// configuration doesn't name. A configuration may name it soon after.
+const maxForeign = 256
+
 func (t *Table) lease() time.Duration {
 	if t.Lease == 0 {
 		return DefaultLease
@@ -165,6 +176,9 @@
 	if u.Brief {
 		u.Backend = r.withBriefUpdate(u.Backend)
 	}
+	if r == nil && t.foreignFull(u.Service) {
+		return Foreign
+	}
 	if t.addressTaken(u.Backend) {
 		return Stale
 	}
@@ -196,6 +210,21 @@
 	return change
 }
 
+// foreignFull reports whether the configuration doesn't name a service and the table holds
+// maxForeign records of such services.
+func (t *Table) foreignFull(service string) bool {
+	if t.NamesService == nil || t.NamesService(service) {
+		return false
+	}
+	n := 0
+	for _, r := range t.records {
+		if !t.NamesService(r.Service) {
+			n++
+		}
+	}
+	return n >= maxForeign
+}
+
 // addressTaken reports whether a live backend server that started after b has the
 // address of b. The update about b was then delayed until after b's end.
 func (t *Table) addressTaken(b Backend) bool {
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -11,9 +11,26 @@
 	"fuchsiafold.example/fold/spec"
 )
 
-// ReceiveAnnouncement applies a report that a backend server sent about itself.
+// namesService reports whether the configuration in force names a service. Without a
+// configuration, every service counts as named.
+func (n *Node) namesService(service string) bool {
+	x := n.Index()
+	if x == nil {
+		return true
+	}
+	_, ok := x.Service(service)
+	return ok
+}
+
+// ReceiveAnnouncement applies a report that a backend server sent about itself. The result
+// is member.Foreign if it is rejected.
 func (n *Node) ReceiveAnnouncement(b member.Backend) member.Change {
-	return n.merge(member.BackendUpdate{Backend: b}, "")
+	change := n.merge(member.BackendUpdate{Backend: b}, "")
+	if change == member.Foreign {
+		n.Count("announcements.foreign", 1)
+		n.Log.WithFields(logrus.Fields{"backend": b.ID, "service": b.Service}).Warn("too many servers of services that the configuration doesn't name; rejecting the announcement")
+	}
+	return change
 }
 
 // UpdatePrefixCache records that a prefix entered or left the cache of a backend
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -202,6 +202,7 @@
 		HasControlReplica: s.Control != nil,
 	}
 	n.table.Lease = time.Duration(s.Limits.BackendLease)
+	n.table.NamesService = n.namesService
 	n.group.Seeds = slices.Clone(s.Peers)
 	n.controlSeeds = slices.Clone(s.ControlVMs)
 	n.group.MaxDirectPeers = maxDirectPeers
--- a/foldd/oper/backend.go
+++ b/foldd/oper/backend.go
@@ -111,7 +111,10 @@
 		return
 	}
 	n.Count("announcements", 1)
-	n.ReceiveAnnouncement(b)
+	if n.ReceiveAnnouncement(b) == member.Foreign {
+		http.Error(w, "the configuration doesn't name the service", http.StatusServiceUnavailable)
+		return
+	}
 	for _, c := range a.CacheEvents {
 		n.UpdatePrefixCache(b.ID, c.Prefix, c.Stored)
 	}
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -105,16 +105,15 @@
 	}
 }
 
-// FromBackend converts the wire form of an update about a backend server. It
-// returns false if the ID is empty, or if the address cannot be parsed and the
-// update is not brief.
+// FromBackend converts the wire form of an update about a backend server. It returns false
+// if a text is unusable, or if the address cannot be parsed and the update is not brief.
 func FromBackend(b *wire.Backend) (member.BackendUpdate, bool) {
 	addr, err := netip.ParseAddrPort(b.GetAddr())
-	if (err != nil && !b.GetBrief()) || b.GetId() == "" {
+	if err != nil && !b.GetBrief() {
 		return member.BackendUpdate{}, false
 	}
 	l := b.GetLoad()
-	return member.BackendUpdate{
+	u := member.BackendUpdate{
 		Brief: b.GetBrief(),
 		Age:   time.Duration(b.GetAgeMillis()) * time.Millisecond,
 		Backend: member.Backend{
@@ -141,5 +140,6 @@
 				Lag:         time.Duration(l.GetLagMillis()) * time.Millisecond,
 			},
 		},
-	}, true
+	}
+	return u, u.Check() == nil
 }
