Ctrl: an entry VM sends a large document to one control VM at a time

Cause: a round calls the next control VM once a call is unanswered for 100 ms, and a call ends after 500 ms, whatever its size. A link of 10 Mbit/s carries 264 kB in 211 ms, so six copies were under way at once and none arrived in time. The leader that the first answer named had been called already.

Ruled out: the control group (it had a leader from 16.9 s on, and acknowledged small changes and those of 264 kB at VMs with a control replica).

Change: the hedge and the timeout of such a call, and of the operator's call in the adapter, are longer by the time that the document may take at 1 MB/s. What a handler reads is bounded when unpacked as well.

--- a/foldd/ctrl/client.go
+++ b/foldd/ctrl/client.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"fuchsiafold.example/foldd/entry"
 	"fuchsiafold.example/wire"
@@ -22,7 +23,8 @@
 
 // Timing of a Client.
 const (
-	// callTimeout limits one call to one control VM.
+	// callTimeout limits one call to one control VM, besides the time that it takes to be
+	// sent.
 	callTimeout = 500 * time.Millisecond
 	// claimTimeout limits a claim. When it expires, the caller's request is
 	// rejected as not run.
@@ -35,11 +37,18 @@
 	// unreachableTimeout limits an operator's call while no control VM is reachable as far
 	// as this VM knows, so that the operator soon tries another VM.
 	unreachableTimeout = 100 * time.Millisecond
+	// minSendRate is the least rate, in bytes per second, at which a VM is expected to send
+	// a document: entry VMs have links of 10 Mbit/s.
+	minSendRate = 1 << 20
 	// releaseTimeout limits the attempts to release a claim that may have been
 	// granted although no response arrived.
 	releaseTimeout = 30 * time.Second
 )
 
+// TransferTime returns the time that a message of size bytes may take to be sent, by which
+// the timeouts of a call that carries it are longer.
+func TransferTime(size int) time.Duration { return time.Duration(size) * time.Second / minSendRate }
+
 // Client calls the control VMs, the probable leader first. It is returned by
 // NewClient and is safe for concurrent use.
 type Client struct {
@@ -194,7 +203,7 @@
 	}
 	ctx, cancel := c.operatorContext(ctx)
 	defer cancel()
-	return callForOperator(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ApplyResponse], error) {
+	return callForOperator(ctx, c, proto.Size(req), func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ApplyResponse], error) {
 		return s.Apply(ctx, connect.NewRequest(req))
 	})
 }
@@ -204,7 +213,7 @@
 func (c *Client) Latest(ctx context.Context) (*wire.ConfigResponse, error) {
 	ctx, cancel := c.operatorContext(ctx)
 	defer cancel()
-	return callForOperator(ctx, c, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ConfigResponse], error) {
+	return callForOperator(ctx, c, 0, func(ctx context.Context, s wire.ControlServiceClient) (*connect.Response[wire.ConfigResponse], error) {
 		return s.Latest(ctx, connect.NewRequest(&wire.ConfigRequest{}))
 	})
 }
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -35,6 +35,42 @@
 	hanging map[string]bool
 	// minority holds the VMs that are cut off from all others, but not from each other.
 	minority map[string]bool
+	// uplinks holds the VMs whose links bound what they send.
+	uplinks map[string]*uplink
+}
+
+// uplink is a VM's link, over which it sends one thing after the other.
+type uplink struct {
+	// rate is in bytes per second.
+	rate int
+	// free is when all that was sent so far is through.
+	free time.Time
+}
+
+// limitUplink bounds what a VM sends from now on, in bytes per second.
+func (n *network) limitUplink(addr string, rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.uplinks == nil {
+		n.uplinks = map[string]*uplink{}
+	}
+	n.uplinks[addr] = &uplink{rate: rate}
+}
+
+// reserve returns when a number of bytes that a VM sends now are through.
+func (n *network) reserve(addr string, size int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	u := n.uplinks[addr]
+	if u == nil {
+		return now
+	}
+	if u.free.Before(now) {
+		u.free = now
+	}
+	u.free = u.free.Add(time.Duration(size) * time.Second / time.Duration(u.rate))
+	return u.free
 }
 
 // dialFrom opens connections of the VM at caller.
@@ -55,7 +91,7 @@
 		return nil, fmt.Errorf("dial %s: %w", addr, errNoListener)
 	}
 	a, b := net.Pipe()
-	client, server := newMemConn(a, caller, addr), newMemConn(b, caller, addr)
+	client, server := newMemConn(n, a, caller, addr, caller), newMemConn(n, b, caller, addr, addr)
 	n.mu.Lock()
 	n.open = append(n.open, client, server)
 	n.mu.Unlock()
@@ -147,16 +183,18 @@
 // connection is closed, and writes are discarded.
 type memConn struct {
 	net.Conn
-	// caller and server are the addresses of the VMs at its ends.
-	caller, server string
-	silent         chan struct{}
-	silenceOnce    sync.Once
-	closed         chan struct{}
-	closeOnce      sync.Once
+	network *network
+	// caller and server are the addresses of the VMs at its ends, and owner is that of this
+	// end.
+	caller, server, owner string
+	silent                chan struct{}
+	silenceOnce           sync.Once
+	closed                chan struct{}
+	closeOnce             sync.Once
 }
 
-func newMemConn(c net.Conn, caller, server string) *memConn {
-	return &memConn{Conn: c, caller: caller, server: server, silent: make(chan struct{}), closed: make(chan struct{})}
+func newMemConn(n *network, c net.Conn, caller, server, owner string) *memConn {
+	return &memConn{Conn: c, network: n, caller: caller, server: server, owner: owner, silent: make(chan struct{}), closed: make(chan struct{})}
 }
 
 func (c *memConn) Read(b []byte) (int, error) {
@@ -175,7 +213,12 @@
 	case <-c.silent:
 		return len(b), nil
 	default:
+	}
+	select {
+	case <-time.After(time.Until(c.network.reserve(c.owner, len(b)))):
 		return c.Conn.Write(b)
+	case <-c.closed:
+		return 0, net.ErrClosed
 	}
 }
 
--- a/foldd/ctrl/round.go
+++ b/foldd/ctrl/round.go
@@ -54,9 +54,10 @@
 }
 
 // callForOperator is callWithRetry for the call of an operator, who can try another VM: it
-// also ends once this VM seems to be cut off from most control VMs.
-func callForOperator[T any](ctx context.Context, c *Client, call controlCall[T]) (*T, error) {
-	return retryRounds(ctx, &round[T]{client: c, call: call, endsIfCutOff: true})
+// also ends once this VM seems to be cut off from most control VMs. size is the size of the
+// request in bytes.
+func callForOperator[T any](ctx context.Context, c *Client, size int, call controlCall[T]) (*T, error) {
+	return retryRounds(ctx, &round[T]{client: c, call: call, size: size, endsIfCutOff: true})
 }
 
 // retryRounds runs r until it succeeds, a control VM rejects the request itself, ctx ends,
@@ -80,6 +81,10 @@
 	}
 }
 
+// minCompressed is the size in bytes from which a request is compressed: a link of 10 Mbit/s
+// carries it in 13 ms.
+const minCompressed = 16 << 10
+
 // errCutOff is the ErrNoQuorum of a round that has found this VM cut off.
 var errCutOff = fmt.Errorf("%w: most control VMs are silent, and none of the others knows a leader", ErrNoQuorum)
 
@@ -97,6 +102,9 @@
 type round[T any] struct {
 	client *Client
 	call   controlCall[T]
+	// size is the size of the request in bytes, zero if it is small. The link of this VM
+	// may carry one large request in the time of a call, and not several at once.
+	size int
 	// endsIfCutOff ends the round as soon as cutOff holds.
 	endsIfCutOff bool
 	// results has room for the results of all calls of the round.
@@ -114,7 +122,7 @@
 
 // run calls every control VM, each at most once and the probable leader first, until one
 // succeeds or rejects the request itself. The next control VM is called as soon as a call
-// fails, and once a call is unanswered for hedgeDelay. If a control VM's error names the
+// fails, and once a call is unanswered for hedgeDelay after it may have been sent. If a control VM's error names the
 // leader, that address is next. run returns the calls that failed.
 func (r *round[T]) run(ctx context.Context) (*T, []failedCall, error) {
 	// The calls that are still pending at the end of the round are canceled.
@@ -126,7 +134,7 @@
 	var failed []failedCall
 	r.startNext(ctx)
 	for r.pending > 0 {
-		hedge := time.NewTimer(hedgeDelay)
+		hedge := time.NewTimer(hedgeDelay + TransferTime(r.size))
 		select {
 		case <-hedge.C:
 			if r.endsIfCutOff && r.cutOff() {
@@ -192,10 +200,14 @@
 
 // callOne calls the control VM at addr and sends the result.
 func (r *round[T]) callOne(ctx context.Context, addr string, results chan<- callResult[T]) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+TransferTime(r.size))
 	defer cancel()
+	options := r.client.options
+	if r.size >= minCompressed {
+		options = connect.WithClientOptions(options, connect.WithSendGzip())
+	}
 	begun := time.Now()
-	res, err := r.call(ctx, wire.NewControlServiceClient(r.client.http, "http://"+addr, r.client.options))
+	res, err := r.call(ctx, wire.NewControlServiceClient(r.client.http, "http://"+addr, options))
 	result := callResult[T]{addr: addr, took: time.Since(begun), err: err}
 	if err == nil {
 		result.res = res.Msg
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -87,7 +87,7 @@
 
 // HandlerOptions returns the options for handlers of calls from other VMs.
 func (s *Service) HandlerOptions() connect.HandlerOption {
-	return connect.WithHandlerOptions(connect.WithCodec(s.codec()))
+	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(MaxMessage))
 }
 
 func (s *Service) codec() codec {
