Ctrl: a control VM with a new disk asks all others at once, and the leader they name

What operators would see: a control VM that had lost its disk didn't vote again for seconds, or at all, so that the loss of the next disk, allowed a few seconds later, left the group without a quorum for good.

Cause: the VM asked one address after the other, each for up to 2 s, at its start and for each request to join; one silent VM (frozen, cut off) held up all that follow it.

Change: the VM asks all at the same time and follows the leader that a follower names in its rejection, as calls of operators do. When it can't join, a line says what each VM answered.

In the test rig a dial to a VM that hangs ends after the dialer's timeout, as it does in the product; it hung for ever.

--- a/foldd/ctrl/handler.go
+++ b/foldd/ctrl/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -154,6 +155,9 @@
 	if e := h.do(ctx, func(time.Time) { err = h.rep.Join(store.FromMember(req.Msg.GetMember())) }); e != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, e)
 	}
+	if errors.Is(err, repl.ErrNotLeader) {
+		return nil, h.connectError(ctx, err)
+	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	}
--- a/foldd/ctrl/join.go
+++ b/foldd/ctrl/join.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"fuchsiafold.example/fold/raft"
+	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/store"
 	"fuchsiafold.example/wire"
 )
@@ -27,7 +28,7 @@
 // that the replica could join.
 var ErrNoGroup = eris.New("no reachable control VM belongs to a group")
 
-// joinTimeout limits one join request.
+// joinTimeout limits the join requests of one round.
 const joinTimeout = 2 * time.Second
 
 // openFolder opens the replica's data folder. If the folder is empty, it creates
@@ -92,38 +93,87 @@
 // findGroup returns the first group that another control VM reports, or
 // ErrNoGroup.
 func findGroup(c ServerConfig) (string, error) {
-	for _, addr := range c.Peers() {
-		if addr == c.Addr {
-			continue
-		}
-		group, err := requestJoin(c, addr.String(), nil)
-		if err == nil && group != "" {
-			return group, nil
-		}
+	group, err := askPeers(c, nil)
+	if err != nil || group == "" {
+		return "", ErrNoGroup
 	}
-	return "", ErrNoGroup
+	return group, nil
+}
+
+// joinAnswer is a control VM's answer to a join request.
+type joinAnswer struct {
+	group string
+	// leader is the leader's address if the control VM rejects the request and names it.
+	leader string
+	err    error
 }
 
-// requestJoin asks the control VM at addr to add m to its group, and returns the
-// group's name. If m is nil, it only asks for the name.
-func requestJoin(c ServerConfig, addr string, m *wire.Member) (string, error) {
+// askPeers asks all possible control VMs at the same time, and the leaders that they name,
+// to add m to their group, and returns the group's name once one of them does. If m is nil,
+// it only asks for the name. One that is silent delays none of the others.
+func askPeers(c ServerConfig, m *wire.Member) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
+	answers := make(chan joinAnswer)
+	asked := map[string]bool{c.Addr.String(): true, "": true}
+	pending := 0
+	ask := func(addr string) {
+		if asked[addr] {
+			return
+		}
+		asked[addr] = true
+		pending++
+		go func() {
+			answer := requestJoin(ctx, c, addr, m)
+			select {
+			case answers <- answer:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	for _, addr := range c.Peers() {
+		ask(addr.String())
+	}
+	var failed []error
+	for ; pending > 0; pending-- {
+		select {
+		case answer := <-answers:
+			if answer.err == nil {
+				return answer.group, nil
+			}
+			failed = append(failed, answer.err)
+			ask(answer.leader)
+		case <-ctx.Done():
+			return "", errors.Join(append(failed, ctx.Err())...)
+		}
+	}
+	return "", errors.Join(failed...)
+}
+
+// requestJoin asks the control VM at addr to add m to its group. If m is nil, it only asks
+// for the group's name.
+func requestJoin(ctx context.Context, c ServerConfig, addr string, m *wire.Member) joinAnswer {
 	client := wire.NewControlServiceClient(c.HTTP, "http://"+addr, c.Options)
 	res, err := client.Join(ctx, connect.NewRequest(&wire.JoinRequest{Member: m}))
-	if err != nil {
-		return "", fmt.Errorf("join request to %s: %w", addr, err)
+	if err == nil {
+		return joinAnswer{group: res.Msg.GetGroup()}
+	}
+	answer := joinAnswer{err: fmt.Errorf("join request to %s: %w", addr, err)}
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		answer.leader = ce.Meta().Get(headerLeader)
 	}
-	return res.Msg.GetGroup(), nil
+	return answer
 }
 
-// joinLoop asks the peers to add this replica to the group, every joinInterval
-// while needsJoin reports true. The first peer that accepts ends the round.
+// joinLoop asks the other control VMs to add this replica to the group, every joinInterval
+// while needsJoin reports true.
 func (h *Server) joinLoop() {
 	defer h.done.Done()
 	t := time.NewTicker(joinInterval)
 	defer t.Stop()
 	self := store.ToMember(raft.Member{ID: h.identity.ID, VM: h.conf.VM, Addr: h.conf.Addr})
+	state := link.State{Log: h.conf.Log.WithField("replica", h.identity.ID), Failed: "control replica can't join its group", Regained: "control replica's request to join its group was accepted"}
 	for {
 		select {
 		case <-h.stop:
@@ -133,14 +183,9 @@
 		if !h.needsJoin() {
 			continue
 		}
-		for _, addr := range h.conf.Peers() {
-			if addr == h.conf.Addr {
-				continue
-			}
-			if _, err := requestJoin(h.conf, addr.String(), self); err == nil {
-				break
-			}
-		}
+		begun := time.Now()
+		_, err := askPeers(h.conf, self)
+		state.Record(begun, err, nil)
 	}
 }
 
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -73,6 +73,9 @@
 	return u.free
 }
 
+// dialTimeout is that of the VMs' dialers.
+const dialTimeout = time.Second
+
 // dialFrom opens connections of the VM at caller.
 func (n *network) dialFrom(caller string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, caller, addr) }
@@ -84,6 +87,8 @@
 	l, hanging := n.listeners[addr], n.hanging[addr] || n.hanging[caller] || n.minority[addr] != n.minority[caller]
 	n.mu.Unlock()
 	if hanging {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
