Ctrl: a replica tells why its group has no leader

What was missing: when the users' group had no leader, each VM logged "replica is not the leader" for all three control VMs, and nothing told an election under way from one that can't end.

Change: a replica logs when it asks for votes and each vote that it refuses, with its own term, vote and log and the reason, once in a term for each candidate and reason. After 3 s without a leader, and then at times that double, it logs what it knows: its term and vote, the silence of each voter, and the voters that are gone for good. It learns of those from a new header of the answer to Step, which names the replica that got the messages; older builds send and expect none. If half of the voters or more are gone so, the line says that no leader can be elected again.

--- a/fold/raft/election.go
+++ b/fold/raft/election.go
@@ -18,6 +18,7 @@
 		request.Type, request.Term = Vote, n.hardState.Term
 		n.resetElectionTimer()
 	}
+	n.report(Event{Kind: Campaigned, OtherTerm: request.Term, Index: request.Index})
 	for _, m := range n.Membership().Members {
 		if m.Voter && m.ID != n.opts.ID {
 			request.To = m.ID
@@ -33,37 +34,47 @@
 	// replica that returns from a partition could depose a working leader.
 	leaderActive := n.leader != "" && n.now.Sub(n.lastLeaderContact) < n.opts.ElectionTimeout
 	if n.role == Leader || leaderActive {
-		n.rejectVote(m)
+		n.rejectVote(m, ActiveLeader)
 		return
 	}
 	if m.Type == Vote && m.Term > n.hardState.Term {
 		n.becomeFollower(m.Term, "")
 	}
-	grant := m.Term >= n.hardState.Term && n.log.coveredBy(m.Index, m.LogTerm)
+	if refusal := n.refusal(m); refusal != NotRefused {
+		n.rejectVote(m, refusal)
+		return
+	}
 	if m.Type == PreVote {
-		if !grant || m.Term <= n.hardState.Term {
-			n.rejectVote(m)
-			return
-		}
 		n.send(Message{Type: PreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
-	grant = grant && (n.hardState.Vote == "" || n.hardState.Vote == m.From)
-	if grant {
-		n.hardState.Vote = m.From
-		n.resetElectionTimer()
-	}
-	n.send(Message{Type: VoteReply, To: m.From, Reject: !grant})
+	n.hardState.Vote = m.From
+	n.resetElectionTimer()
+	n.send(Message{Type: VoteReply, To: m.From})
+}
+
+// refusal returns why the node does not give a candidate its vote or pre-vote.
+func (n *Node) refusal(m Message) Refusal {
+	switch {
+	case m.Term < n.hardState.Term || (m.Type == PreVote && m.Term == n.hardState.Term):
+		return EarlierTerm
+	case !n.log.coveredBy(m.Index, m.LogTerm):
+		return OutdatedLog
+	case m.Type == Vote && n.hardState.Vote != "" && n.hardState.Vote != m.From:
+		return VotedForOther
+	}
+	return NotRefused
 }
 
 // rejectVote sends a rejection that carries the replica's own term. With the
 // requested term instead, a candidate that can't win would raise its term and
 // then reject a candidate that can win.
-func (n *Node) rejectVote(m Message) {
+func (n *Node) rejectVote(m Message, reason Refusal) {
 	reply := VoteReply
 	if m.Type == PreVote {
 		reply = PreVoteReply
 	}
+	n.report(Event{Kind: VoteRefused, Peer: m.From, Refusal: reason, OtherTerm: m.Term, Index: m.Index})
 	n.send(Message{Type: reply, To: m.From, Reject: true})
 }
 
--- a/fold/raft/event.go
+++ b/fold/raft/event.go
@@ -14,13 +14,41 @@
 	SecondLeader
 	// AcknowledgedBeyondLog: a replica acknowledged an entry that the leader doesn't have.
 	AcknowledgedBeyondLog
+	// Campaigned: the node has asked the other voters for their votes.
+	Campaigned
+	// VoteRefused: the node has refused its vote, or a pre-vote, to a candidate.
+	VoteRefused
 )
 
+// Refusal is why a vote was refused.
+type Refusal uint8
+
+// The reasons of a refusal.
+const (
+	NotRefused Refusal = iota
+	// ActiveLeader: the node leads, or has heard of its leader within an election timeout.
+	ActiveLeader
+	// EarlierTerm: the candidate's term is not above the node's own.
+	EarlierTerm
+	// OutdatedLog: the candidate's log is less up to date than the node's.
+	OutdatedLog
+	// VotedForOther: the node has voted for another candidate of the term.
+	VotedForOther
+)
+
+var refusalNames = [...]string{
+	NotRefused: "", ActiveLeader: "activeLeader", EarlierTerm: "earlierTerm", OutdatedLog: "outdatedLog", VotedForOther: "votedForOther",
+}
+
+func (r Refusal) String() string { return refusalNames[r] }
+
 var eventNames = [...]string{
 	TermBelowLog:          "termBelowLog",
 	CommittedEntryDiffers: "committedEntryDiffers",
 	SecondLeader:          "secondLeader",
 	AcknowledgedBeyondLog: "acknowledgedBeyondLog",
+	Campaigned:            "campaigned",
+	VoteRefused:           "voteRefused",
 }
 
 func (k EventKind) String() string { return eventNames[k] }
@@ -34,30 +62,34 @@
 	Kind EventKind
 	// Peer is the ID of the other replica, empty if the event concerns none.
 	Peer string
+	// Refusal is the reason of VoteRefused.
+	Refusal Refusal
 	// Term is the node's term, and OtherTerm that of what the event is about: of the
-	// newest entry on the disk, or of the message's entry at Index.
+	// newest entry on the disk, of the message's entry at Index, or for which a candidate
+	// wants a vote.
 	Term, OtherTerm uint64
-	Index           uint64
+	// Index is that of the entry, or of the last entry of a candidate's log.
+	Index uint64
 }
 
-// eventKey identifies events that are reported once.
+// eventKey identifies events of one term of the node that are reported once.
 type eventKey struct {
-	kind EventKind
-	peer string
-	term uint64
+	kind    EventKind
+	peer    string
+	refusal Refusal
 }
 
-// report queues an event for the next Ready. Of the events of one kind, peer and term it
-// reports the first.
+// report queues an event for the next Ready. Of the events of one kind, peer and refusal it
+// reports the first in each of the node's terms.
 func (n *Node) report(e Event) {
 	e.Term = n.hardState.Term
-	key := eventKey{e.Kind, e.Peer, e.Term}
+	if n.reported == nil || n.reportedTerm != e.Term {
+		n.reported, n.reportedTerm = map[eventKey]bool{}, e.Term
+	}
+	key := eventKey{e.Kind, e.Peer, e.Refusal}
 	if n.reported[key] {
 		return
 	}
-	if n.reported == nil {
-		n.reported = map[eventKey]bool{}
-	}
 	n.reported[key] = true
 	n.events = append(n.events, e)
 }
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -101,9 +101,10 @@
 	readyReads        []Read
 	failedReads       []uint64
 	events            []Event
-	// reported holds the events that were queued once.
-	reported map[eventKey]bool
-	now      time.Time
+	// reported holds the events that were queued in the term reportedTerm.
+	reported     map[eventKey]bool
+	reportedTerm uint64
+	now          time.Time
 }
 
 // New returns a node that continues from the state restored from its disk.
--- a/foldd/ctrl/handler.go
+++ b/foldd/ctrl/handler.go
@@ -15,8 +15,13 @@
 	"fuchsiafold.example/wire"
 )
 
-// headerLeader is the response header that contains the leader's address.
-const headerLeader = "Fold-Leader"
+const (
+	// headerLeader is the response header that contains the leader's address.
+	headerLeader = "Fold-Leader"
+	// headerReplica is the response header that contains the ID of the replica that got
+	// the messages. Versions before this one send none.
+	headerReplica = "Fold-Replica"
+)
 
 // errOtherGroup is returned for messages from a replica of another group.
 var errOtherGroup = eris.New("the message is of another group of replicas")
@@ -135,13 +140,16 @@
 	err = h.do(ctx, func(now time.Time) {
 		for _, m := range req.Msg.GetMessages() {
 			h.senderAddrs[m.GetFrom()] = from
+			h.watch.hear(now, m.GetFrom())
 			h.rep.Step(now, store.FromMessage(m))
 		}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&wire.StepResponse{}), nil
+	res := connect.NewResponse(&wire.StepResponse{})
+	res.Header().Set(headerReplica, h.identity.ID)
+	return res, nil
 }
 
 // Join implements wire.ControlServiceHandler. It adds the replica in the request
--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -121,9 +121,37 @@
 		case <-ctx.Done():
 		}
 	}()
-	if _, err := c.Step(ctx, connect.NewRequest(req)); err != nil {
+	res, err := c.Step(ctx, connect.NewRequest(req))
+	if err != nil {
 		h.conf.Count("control.sendsFailed", 1)
 		return fmt.Errorf("send messages: %w", err)
 	}
+	h.noteAnswer(req, res.Header().Get(headerReplica))
 	return nil
 }
+
+// noteAnswer records which replicas that messages were sent to are gone, as the one that got
+// them has another ID.
+func (h *Server) noteAnswer(req *wire.StepRequest, replica string) {
+	if replica == "" {
+		return
+	}
+	gone := map[string]bool{}
+	for _, m := range req.GetMessages() {
+		if m.GetTo() != replica {
+			gone[m.GetTo()] = true
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	note := func(time.Time) {
+		for id := range gone {
+			h.watch.noteAnswer(id, replica)
+		}
+	}
+	select {
+	case h.calls <- note:
+	case <-h.stop:
+	}
+}
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -92,6 +92,7 @@
 	notifiedRevision uint64
 	wasLeader        bool
 	loggedGroup      groupView
+	watch            groupWatch
 }
 
 // New opens or creates the data folder and starts the replica. If the folder is
@@ -165,6 +166,7 @@
 			h.conf.Log.WithError(err).Error("control replica stopped: writing to its data folder failed")
 			h.stopOnce.Do(func() { close(h.stop) })
 		}
+		h.reportLeaderless(time.Now())
 		t.Reset(max(0, time.Until(h.rep.Due())))
 	}
 }
@@ -224,19 +226,6 @@
 	return nil
 }
 
-// violationsMetric counts the violations that logEvents has logged.
-const violationsMetric = "control.violations"
-
-// logEvents logs what the replica tells of itself.
-func (h *Server) logEvents(events []raft.Event) {
-	for _, e := range events {
-		h.conf.Count(violationsMetric, 1)
-		h.conf.Log.WithFields(logrus.Fields{
-			"replica": h.identity.ID, "violation": e.Kind.String(), "peer": e.Peer, "term": e.Term, "otherTerm": e.OtherTerm, "index": e.Index,
-		}).Error("control replica found an invariant of its group broken; it acknowledges nothing that depends on it")
-	}
-}
-
 // notifyChanges reports a newly committed configuration and a change of
 // leadership.
 func (h *Server) notifyChanges() {
@@ -253,41 +242,6 @@
 	h.recordGroup()
 }
 
-// recordGroup records and logs the leader, the term and the members that this replica
-// knows when they have changed.
-func (h *Server) recordGroup() {
-	leader, _ := h.rep.Leader()
-	g := groupView{leader: leader.ID, term: h.rep.Term(), membershipIndex: h.rep.MembershipIndex()}
-	if g == h.loggedGroup {
-		return
-	}
-	h.loggedGroup = g
-	h.knownLeader.Store(nil)
-	if leader.ID != "" {
-		h.knownLeader.Store(&leader)
-	}
-	var voters, learners []string
-	for _, m := range h.rep.Membership().Members {
-		if m.Voter {
-			voters = append(voters, m.ID)
-		} else {
-			learners = append(learners, m.ID)
-		}
-	}
-	h.conf.Log.WithFields(logrus.Fields{
-		"replica": h.identity.ID, "leader": g.leader, "term": g.term, "membershipIndex": g.membershipIndex, "lastIndex": h.rep.LastIndex(),
-		"voters": voters, "learners": learners,
-	}).Info("control group changed")
-}
-
-// groupView is the state of the group as this replica knows it.
-type groupView struct {
-	leader string
-	term   uint64
-	// membershipIndex is the log index of the membership in use.
-	membershipIndex uint64
-}
-
 // do runs f on the replica's goroutine and waits until it has run. After an error
 // f may still run later.
 func (h *Server) do(ctx context.Context, f func(now time.Time)) error {
