Relay: a response without the request's ID or the server's signature is not believed

Cause: a response matched a request if either had no ID. Servers of the platform repeat the ID in every response and sign each success, so one that lacks either belongs to no request.

Change: the codec says that servers do so (the default protocol's need not), and one function decides it for first sends, second attempts, streams and resumed runs, before anything in the response is read. Such a response is skipped, as one with another ID was, counted and logged; the true one follows, or the connection ends and what may have run is not sent again unless it may be repeated. A response that ends with its connection is not read on for another. Calls that move a run skip responses with the ID of another request.

--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -71,6 +71,8 @@
 	// ID identifies the request that the response belongs to; empty if the server
 	// does not state it.
 	ID string
+	// Signed is set if the response bears the server's signature.
+	Signed bool
 	// NotRun is set if the server did not begin the request.
 	NotRun bool
 	// WrongInstance is set if the request reached another server than the one it
@@ -100,6 +102,9 @@
 	ParseRequest func(h http.Header) RequestParams
 	WriteForward func(h http.Header, p ForwardParams)
 	ParseReply   func(status int, h http.Header) Reply
+	// SignedReplies states that servers repeat the ID of a request in each response to it
+	// and sign each success. A response that lacks either then belongs to no request.
+	SignedReplies bool
 	// SetTimeout sets how long the sender of a request waits for the response.
 	SetTimeout func(h http.Header, d time.Duration)
 	// RetryAfter formats the value of the Retry-After header. If it is nil, the
--- a/foldd/relay/header.go
+++ b/foldd/relay/header.go
@@ -13,11 +13,31 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// matchesResponse reports whether a response with the header h belongs to the
-// request. A missing ID on either side matches.
-func (q *request) matchesResponse(h http.Header) bool {
-	id := q.relay.Codec.ParseReply(http.StatusOK, h).ID
-	return id == "" || q.params.ID == "" || id == q.params.ID
+// matchesResponse reports whether a response with the status and the header h is a backend
+// server's response to the request. What a response says, such as that the request did not
+// run, may be believed only if it matches.
+func (q *request) matchesResponse(status int, h http.Header) bool {
+	reply := q.relay.Codec.ParseReply(status, h)
+	if !q.hasOwnID(reply) {
+		return false
+	}
+	if !q.relay.Codec.SignedReplies || status < http.StatusOK || q.params.ID == "" {
+		return true
+	}
+	success := status < http.StatusMultipleChoices
+	return reply.ID != "" && (reply.Signed || !success)
+}
+
+// matchesPeerResponse is like matchesResponse for the response of another VM, whose own
+// responses carry no ID.
+func (q *request) matchesPeerResponse(status int, h http.Header) bool {
+	return q.hasOwnID(q.relay.Codec.ParseReply(status, h))
+}
+
+// hasOwnID reports whether a response names no request or this one. A request without an
+// ID accepts every response.
+func (q *request) hasOwnID(r Reply) bool {
+	return r.ID == "" || q.params.ID == "" || r.ID == q.params.ID
 }
 
 // removeHopHeaders removes the hop-by-hop headers, including those named by the
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -168,7 +168,7 @@
 		h.Set(headerPeerToken, token)
 	}
 	q.relay.Codec.SetTimeout(h, time.Until(q.deadline))
-	return &pool.Request{Addr: p.Addr, Method: q.r.Method, URI: q.uri(), Host: q.r.Host, Header: h, Body: q.body, Matches: q.matchesResponse}
+	return &pool.Request{Addr: p.Addr, Method: q.r.Method, URI: q.uri(), Host: q.r.Host, Header: h, Body: q.body, Matches: q.matchesPeerResponse}
 }
 
 // logPassFailure logs that another VM did not take the request.
--- a/foldd/relay/send.go
+++ b/foldd/relay/send.go
@@ -31,11 +31,22 @@
 		return nil, err
 	}
 	q.relay.Node.ServerAnswered(b)
+	q.recordSkipped(b, res)
 	reply = codec.ParseReply(res.Status, res.Header)
 	ObserveResponse(q.relay.Node, b, codec, res.Status, reply, res.Informational)
 	return res, nil
 }
 
+// recordSkipped counts and logs responses of a server that belong to no request or to another
+// one.
+func (q *request) recordSkipped(b backend, res *pool.Response) {
+	if res.Skipped == 0 {
+		return
+	}
+	q.relay.Node.Count("forward.foreignResponses", int64(res.Skipped))
+	q.relay.Node.Log.WithFields(logrus.Fields{"request": q.params.ID, "backend": b.ID, "addr": b.Addr, "responses": res.Skipped}).Warn("backend server sent responses that don't belong to the request; dropped them")
+}
+
 // ObserveResponse records what a response with the given status, and the headers of the
 // informational responses before it, say of their server.
 func ObserveResponse(n *node.Node, b backend, codec *Codec, status int, r Reply, informational []http.Header) {
--- a/foldfake/origin/behaviour.go
+++ b/foldfake/origin/behaviour.go
@@ -24,6 +24,8 @@
 	CleanEnd   bool
 	// ExtraResponse sends a response with a wrong request ID before the correct one.
 	ExtraResponse bool
+	// Before holds bytes that are sent ahead of the response.
+	Before string
 	// RespondEarly sends the response before the request body has been read.
 	// LastRequest doesn't return such a request.
 	RespondEarly bool
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -256,6 +256,9 @@
 		s.countRun(id)
 	}
 	time.Sleep(b.Delay)
+	if _, err := io.WriteString(c, b.Before); err != nil {
+		return false
+	}
 	if b.Events > 0 && !b.NotRun {
 		return s.streamEvents(c, r, id, b)
 	}
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -25,10 +25,10 @@
 	// fields. The pool sets Host and Content-Length itself.
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with the given header belongs to the
-	// request; nil accepts every response. It is needed because a server may
-	// repeat the response to an earlier request.
-	Matches func(http.Header) bool
+	// Matches reports whether a response with the given status and header belongs to
+	// the request; nil accepts every response. It is needed because a server may
+	// repeat the response to an earlier request, or send bytes that belong to none.
+	Matches func(status int, h http.Header) bool
 	// Admit, if not nil, is called once there is a connection, before the first byte is
 	// sent. If it returns an error, nothing is sent.
 	Admit func(context.Context) error
@@ -50,6 +50,8 @@
 	Body    io.ReadCloser
 	// Informational holds the headers of the informational (1xx) responses before it.
 	Informational []http.Header
+	// Skipped is the number of responses before it that did not match the request.
+	Skipped int
 }
 
 // errNoMatchingResponse reports a connection that delivered only responses to
@@ -152,12 +154,13 @@
 // receive reads responses until one matches the request.
 func (x *exchange) receive() (*Response, error) {
 	var informational []http.Header
+	skipped := 0
 	for range maxSkipped {
 		res, err := x.conn.readHead(x.request.Method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		matches := x.request.Matches == nil || x.request.Matches(res.Header)
+		matches := x.request.Matches == nil || x.request.Matches(res.StatusCode, res.Header)
 		if res.StatusCode < http.StatusOK {
 			if matches {
 				informational = append(informational, res.Header)
@@ -168,13 +171,14 @@
 			if err := skip(res); err != nil {
 				return nil, err
 			}
+			skipped++
 			continue
 		}
 		x.responseStarted = true
 		x.body, x.response = res.Body, res
 		x.reuse = !res.Close
 		x.conn.keepAlive = keepAliveTimeout(res.Header)
-		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Framing: framingOf(res), Body: (*body)(x), Informational: informational}, nil
+		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Framing: framingOf(res), Body: (*body)(x), Informational: informational, Skipped: skipped}, nil
 	}
 	return nil, errNoMatchingResponse
 }
@@ -182,11 +186,14 @@
 // skip discards the body of a response to another request. It returns an error
 // if no further response can be read from the connection.
 func skip(res *http.Response) error {
+	if res.Close {
+		return errNoMatchingResponse
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBody))
 	if err != nil {
 		return fmt.Errorf("skip answer: %w", err)
 	}
-	if res.Close || n == maxSkippedBody {
+	if n == maxSkippedBody {
 		return errNoMatchingResponse
 	}
 	return nil
--- a/netio/pool/pool_test.go
+++ b/netio/pool/pool_test.go
@@ -26,7 +26,7 @@
 func newRequest(s *origin.Server, method, id string, body []byte) *pool.Request {
 	return &pool.Request{
 		Addr: s.Addr(), Method: method, URI: "/x?y=1", Host: "h", Body: body, Header: http.Header{"Fold-Request-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("Fold-Request-Id") == id },
+		Matches: func(_ int, h http.Header) bool { return h.Get("Fold-Request-Id") == id },
 	}
 }
 
