Relay, entry: a request counts as in progress before the shutdown is checked

Cause (one of three found): a request was admitted first and counted as in progress after. A shutdown that finds no request in progress once its linger time is over closes all connections; a request between the two steps, such as one that waits for a configuration or whose VM has no processor time just then, was cut off, or even passed on to a server first.

Change: the request counts first. What is not counted when the shutdown looks finds the VM shutting down and is rejected as not run.

--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -78,14 +78,16 @@
 }
 
 func (e *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) *fault.Fault {
-	a, fail := e.admit(r)
-	if fail != nil {
-		return withoutClaim(r, fail)
-	}
+	// The request counts before it is checked whether the VM is shutting down: a shutdown
+	// that finds no request in progress closes the connections.
 	if !e.Node.AcquireStream() {
 		return withoutClaim(r, fault.NotRun(http.StatusTooManyRequests, fault.Overload, "too many requests in progress on this VM").WithRetryAfter(time.Second))
 	}
 	defer e.Node.ReleaseStream()
+	a, fail := e.admit(r)
+	if fail != nil {
+		return withoutClaim(r, fail)
+	}
 	switch {
 	case r.URL.Path == "/v1/models":
 		return e.serveModels(w, a)
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -127,6 +127,12 @@
 // serve serves a request. passedBy is the ID of the VM that passed it on, empty if it came
 // from its caller, and sent the number of servers that the request was sent to before.
 func (x *Relay) serve(w http.ResponseWriter, r *http.Request, passedBy string, sent int) {
+	// The request counts before it is checked whether the VM is shutting down: a shutdown
+	// that finds no request in progress closes the connections.
+	acquired := x.Node.AcquireStream()
+	if acquired {
+		defer x.Node.ReleaseStream()
+	}
 	q, rejection := x.admit(r)
 	q.passedBy, q.sent, q.mayHaveRun = passedBy, sent, sent > 0
 	if x.Node.Draining() {
@@ -136,11 +142,10 @@
 		x.writeFault(w, q, rejection)
 		return
 	}
-	if !x.Node.AcquireStream() {
+	if !acquired {
 		x.writeFault(w, q, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "too many requests in progress on this VM").WithRetryAfter(rejectedRetryAfter))
 		return
 	}
-	defer x.Node.ReleaseStream()
 	q.crashParts = q.newCrashParts()
 	x.awaitBackends(r.Context(), q)
 	if q.passedBy == "" {
