Relay: a VM that shuts down takes no request that runs once and may outlast it

Cause: for 3 s after the signal every plain request was taken, whatever its route's timeout and the time left. And the time since the signal was taken from the wall clock, so that a step backwards during a shutdown let requests in until the end.

Change: a request that may run only once is taken only if its deadline is before the end of the shutdown, less the margin in which the requests left are answered; otherwise it gets 503, not run, with a short Retry-After, and another VM serves it. Streams are measured against the same end. The start of the shutdown keeps its monotonic reading.

--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -125,6 +125,17 @@
 	BackendLease strict.Duration `json:"backendLease,omitempty"`
 }
 
+// endMargin is the time before the end of a shutdown at which requests in progress are ended,
+// so that their callers get an answer.
+const endMargin = 500 * time.Millisecond
+
+// RequestsEnd returns how long after the start of a shutdown requests in progress are ended:
+// some time before DrainTimeout.
+func (l *Limits) RequestsEnd() time.Duration {
+	timeout := time.Duration(l.DrainTimeout)
+	return timeout - min(endMargin, timeout/4)
+}
+
 // Log sets the level and format of the log.
 type Log struct {
 	Level  string `json:"level,omitempty"`
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/limit"
@@ -82,9 +83,12 @@
 	Gossip func(to []netip.AddrPort)
 
 	index atomic.Pointer[spec.Index]
-	// drainedAt is when the drain began, in nanoseconds since the Unix epoch;
-	// zero before.
-	drainedAt atomic.Int64
+	// drainedAt is when the drain began, nil before. The time has a monotonic reading:
+	// a step of the clock doesn't change how long the drain has taken.
+	drainedAt atomic.Pointer[time.Time]
+	// end is canceled by EndRequests.
+	end         context.Context
+	endRequests context.CancelFunc
 	// abandoned is set when the process ends without finishing the requests in
 	// progress.
 	abandoned atomic.Bool
@@ -201,6 +205,7 @@
 		ServesCallers:     s.Listen.Callers.IsValid(),
 		HasControlReplica: s.Control != nil,
 	}
+	n.end, n.endRequests = context.WithCancel(context.Background())
 	n.table.Lease = time.Duration(s.Limits.BackendLease)
 	n.table.NamesService = n.namesService
 	n.group.Seeds = slices.Clone(s.Peers)
@@ -288,7 +293,7 @@
 }
 
 // Draining reports whether the process is shutting down, which Drain starts.
-func (n *Node) Draining() bool { return n.drainedAt.Load() != 0 }
+func (n *Node) Draining() bool { return n.drainedAt.Load() != nil }
 
 // Ready reports whether new callers can be served: a configuration is in force
 // and the process is not shutting down.
@@ -297,7 +302,10 @@
 // DrainingSince returns when the shutdown began, and false before it.
 func (n *Node) DrainingSince() (time.Time, bool) {
 	at := n.drainedAt.Load()
-	return time.Unix(0, at), at != 0
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
 }
 
 // Random returns a random number in [0, 1).
@@ -309,12 +317,32 @@
 
 // Drain starts the shutdown: the VM is no longer ready and rejects new requests.
 func (n *Node) Drain() {
-	if n.drainedAt.CompareAndSwap(0, time.Now().UnixNano()) {
+	now := time.Now()
+	if n.drainedAt.CompareAndSwap(nil, &now) {
 		n.Log.WithField("streams", n.Streams()).Info("draining")
 		n.Gossip(n.urgentTargets(""))
 	}
 }
 
+// ErrEnding is the cancellation cause of requests that are still in progress at the end of
+// the shutdown.
+var ErrEnding = eris.New("this VM is shutting down")
+
+// EndRequests cancels the requests in progress that wait for a backend server, so that their
+// callers get an answer before the process ends.
+func (n *Node) EndRequests() { n.endRequests() }
+
+// UntilEnd returns a context that is canceled, with the cause ErrEnding, by EndRequests. The
+// caller must call the returned function.
+func (n *Node) UntilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(n.end, func() { cancel(ErrEnding) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
 // Abandon records that the process ends without finishing its requests.
 func (n *Node) Abandon() { n.abandoned.Store(true) }
 
--- a/foldd/relay/admit.go
+++ b/foldd/relay/admit.go
@@ -9,6 +9,7 @@
 
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/serve"
 )
 
@@ -55,29 +56,35 @@
 		return q, fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, "the service is not configured").WithRetryAfter(rejectedRetryAfter)
 	}
 	q.deadline = q.arrived.Add(time.Duration(q.forward.Timeout))
-	if !q.endsBeforeShutdown() {
-		return q, fault.NotRun(http.StatusServiceUnavailable, fault.Draining, "this VM is shutting down").WithRetryAfter(otherVMRetryAfter)
-	}
 	if q.params.Timeout > 0 {
 		q.deadline = q.arrived.Add(min(q.params.Timeout, time.Duration(q.forward.Timeout)))
 	}
+	if !q.endsBeforeShutdown() {
+		return q, fault.NotRun(http.StatusServiceUnavailable, fault.Draining, node.ErrEnding.Error()).WithRetryAfter(otherVMRetryAfter)
+	}
 	return q, q.readBody(index)
 }
 
 // endsBeforeShutdown reports whether the request can be accepted. A VM that is
-// shutting down accepts requests only for drainAcceptTime, and streams only if
-// they will probably end before the drain timeout.
+// shutting down accepts requests only for drainAcceptTime: streams if they will probably
+// end before the drain timeout, and requests that run at most once if they surely do.
 func (q *request) endsBeforeShutdown() bool {
 	since, draining := q.relay.Node.DrainingSince()
 	if !draining {
 		return true
 	}
-	sinceDrain := q.arrived.Sub(since)
+	sinceDrain := time.Since(since)
 	if sinceDrain > drainAcceptTime {
 		return false
 	}
-	remaining := time.Duration(q.relay.Node.Settings.Limits.DrainTimeout) - sinceDrain
-	return q.forward.Kind != spec.ForwardStream || q.expectedDuration() < remaining
+	end := since.Add(q.relay.Node.Settings.Limits.RequestsEnd())
+	switch {
+	case q.forward.Kind == spec.ForwardStream:
+		return q.expectedDuration() < time.Until(end)
+	case !q.forward.Idempotent():
+		return q.deadline.Before(end)
+	}
+	return true
 }
 
 // authorize looks up the workspace of the caller's key and reports whether the
