Shutdown: requests still in progress at its end get an answer

Cause: Shutdown waited until its timeout and then closed the connections under the requests. The timeout is the platform's grace period itself, so the kill comes at the same moment.

Change: half a second before the end (a quarter of the timeout if that is less) the requests in progress are canceled. One that was sent to a server gets 502, which says nothing of whether it ran; one that wasn't gets 503, not run. A stream whose events are under way still breaks off as such. Calls of the own interface end in the same way.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -273,13 +273,16 @@
 
 // Shutdown drains the process and closes it. While the process drains, its
 // health check fails, it rejects new requests, and the requests in progress
-// finish. A process that serves callers drains for at least DrainLinger. If ctx
-// ends first, Shutdown closes the process at once. It returns the number of
-// requests aborted, which is above zero only in that case.
+// finish. A process that serves callers drains for at least DrainLinger. Shortly before
+// the drain timeout, the requests that are left are ended with an answer. If ctx ends
+// first, Shutdown closes the process at once. It returns the number of requests aborted,
+// which is above zero only in that case.
 func (a *App) Shutdown(ctx context.Context) int64 {
 	a.Node.Drain()
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
+	end := time.AfterFunc(a.Node.Settings.Limits.RequestsEnd(), a.Node.EndRequests)
+	defer end.Stop()
 	lingerUntil := time.Now()
 	if a.Node.Settings.Listen.Callers.IsValid() {
 		lingerUntil = lingerUntil.Add(time.Duration(a.Node.Settings.Limits.DrainLinger))
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -78,6 +78,8 @@
 	defer func() { e.Node.Answers.Release(c.reserved) }()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(route.Timeout))
 	defer cancel()
+	ctx, stop := e.Node.UntilEnd(ctx)
+	defer stop()
 	if route.Idempotent {
 		return c.runIdempotent(ctx, w)
 	}
--- a/foldd/relay/fault.go
+++ b/foldd/relay/fault.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"net/http"
 
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/fold/retry"
 	"fuchsiafold.example/foldd/fault"
+	"fuchsiafold.example/foldd/node"
 )
 
 // writeFault responds to the request with an error, and logs and counts it.
@@ -37,8 +40,16 @@
 	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, message).WithRetryAfter(c.RetryAfter)
 }
 
-// timeoutFault returns the error for a request that has timed out.
-func (q *request) timeoutFault() *fault.Fault {
+// timeoutFault returns the error for a request that has timed out, or whose VM ends. ctx is
+// the context of the request, which has ended.
+func (q *request) timeoutFault(ctx context.Context) *fault.Fault {
+	ending := errors.Is(context.Cause(ctx), node.ErrEnding)
+	if ending && q.sent == 0 {
+		return fault.NotRun(http.StatusServiceUnavailable, fault.Draining, node.ErrEnding.Error()).WithRetryAfter(otherVMRetryAfter)
+	}
+	if ending {
+		return &fault.Fault{Status: http.StatusBadGateway, Code: fault.UnknownOutcome, Message: node.ErrEnding.Error(), Outcome: retry.Unknown}
+	}
 	if q.sent == 0 {
 		return fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "no backend server took the request in time").WithRetryAfter(rejectedRetryAfter)
 	}
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -39,7 +39,7 @@
 				return res, f
 			}
 		case ctx.Err() != nil:
-			return nil, s.cancelOpen(b, err)
+			return nil, s.cancelOpen(ctx, b, err)
 		case wasSent(err):
 			return nil, s.failOpen(b, err)
 		default:
@@ -97,13 +97,13 @@
 }
 
 // cancelOpen ends an attempt whose request has timed out or whose caller has
-// disconnected.
-func (s *stream) cancelOpen(b backend, err error) *fault.Fault {
+// disconnected, or whose VM ends.
+func (s *stream) cancelOpen(ctx context.Context, b backend, err error) *fault.Fault {
 	s.q.relay.Node.EndPlacement(b.ID, s.placement, place.Cancelled)
 	if wasSent(err) {
 		s.q.sent++
 	}
-	return s.q.timeoutFault()
+	return s.q.timeoutFault(ctx)
 }
 
 // failOpen ends an attempt that may have run and got no response.
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -119,7 +119,7 @@
 		switch {
 		case ctx.Err() != nil && wasSent(err):
 			q.sent++
-			return nil, q.timeoutFault()
+			return nil, q.timeoutFault(ctx)
 		case ctx.Err() != nil:
 			return nil, nil
 		case wasSent(err):
@@ -196,7 +196,7 @@
 	q.reserved += reserved
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return nil, q.timeoutFault()
+		return nil, q.timeoutFault(ctx)
 	case err != nil:
 		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: errPeerLost.Error(), Outcome: retry.Unknown}
 	}
@@ -213,7 +213,7 @@
 	err := s.relayResponse(ctx, res)
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return s.q.timeoutFault()
+		return s.q.timeoutFault(ctx)
 	case err != nil:
 		return s.interruptedFault(err)
 	}
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -49,6 +49,8 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 		defer cancel()
 	}
+	ctx, stop := x.Node.UntilEnd(ctx)
+	defer stop()
 	defer func() { x.Node.Answers.Release(q.reserved) }()
 	a, f := q.sendWithRetries(ctx)
 	if f != nil && q.mayPassOn(f) {
@@ -106,7 +108,7 @@
 		if !a.Sent {
 			unsent++
 			if ctx.Err() != nil {
-				return nil, q.timeoutFault()
+				return nil, q.timeoutFault(ctx)
 			}
 			continue
 		}
@@ -119,7 +121,7 @@
 		last = a
 		switch {
 		case ctx.Err() != nil && a.response == nil:
-			return nil, q.timeoutFault()
+			return nil, q.timeoutFault(ctx)
 		case !q.shouldRetry(a):
 			return q.finalResult(last)
 		}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -76,6 +76,8 @@
 	s := &stream{q: q, w: w, initialRun: q.newRun()}
 	s.initialRun.ID = x.Node.NextRunID()
 	s.placement = place.Request{Run: s.initialRun, PromptTokens: q.params.Prompt.Tokens, Progress: s.generated}
+	ctx, stop := x.Node.UntilEnd(ctx)
+	defer stop()
 	f := s.sendAndRelay(ctx)
 	s.end()
 	q.events, q.firstEvent, q.maxEventGap = s.events, s.firstAt, s.maxEventGap
@@ -117,7 +119,7 @@
 		case err != nil && ctx.Err() != nil:
 			s.detach(place.Cancelled)
 			s.cancelMove(m)
-			return s.q.timeoutFault()
+			return s.q.timeoutFault(ctx)
 		case m != nil && m.handle != "":
 			if res = s.resume(ctx, m); res == nil {
 				return s.interruptedFault(errStreamInterrupted)
