Relay: a plain response whose server is gone at its end is not complete

Cause: a response with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that has ended. Streams were checked for that (the server must still take a connection), plain responses were not, and were passed on with a length.

Change: one function checks it for plain responses and streams. If the server is gone, the response counts as broken off: a request that may be repeated goes to another server, any other gets 502. The connection that the check opens is the next request's.

Limits: a sound server that ends, or is cut off, right after such a response costs a request that may not be repeated its answer.

--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -19,7 +19,7 @@
 	// The server closed the connection too early, though the framing of the response
 	// allows that.
 	errPartialEvent = eris.Wrap(io.ErrUnexpectedEOF, "the stream ended within an event")
-	errEngineGone   = eris.Wrap(io.ErrUnexpectedEOF, "the connection ended and the engine can't be reached")
+	errServerGone   = eris.Wrap(io.ErrUnexpectedEOF, "the connection ended and the server can't be reached")
 	errNoEvents     = eris.Wrap(io.ErrUnexpectedEOF, "the connection ended before the first event")
 )
 
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -187,6 +187,9 @@
 	}
 	body, reserved, err := q.relay.Node.Answers.Read(res.Body, res.Length, q.relay.Node.Settings.Limits.MaxAnswer)
 	q.reserved += reserved
+	if err == nil {
+		err = q.checkServerThere(ctx, b, res)
+	}
 	if err != nil {
 		a.ResponseStarted = true
 		return q.recordFailure(ctx, b, a, err)
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -306,8 +306,18 @@
 	case s.eventCount() == before:
 		return errNoEvents
 	}
-	if err := s.q.relay.Pool.Probe(ctx, s.server.Addr); err != nil {
-		return fmt.Errorf("%w: %w", errEngineGone, err)
+	return s.q.checkServerThere(ctx, s.server, res)
+}
+
+// checkServerThere returns an error if a response that ended with its connection can't count
+// as complete because its server takes no connection any more: one that has crashed closes
+// its connections too.
+func (q *request) checkServerThere(ctx context.Context, b backend, res *pool.Response) error {
+	if res.Framing != pool.CloseDelimited {
+		return nil
+	}
+	if err := q.relay.Pool.Probe(ctx, b.Addr); err != nil {
+		return fmt.Errorf("%w: %w", errServerGone, err)
 	}
 	return nil
 }
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -89,6 +90,30 @@
 	checkTruncated(t, body, err)
 }
 
+// TestPlainResponseOfCrashedServerIsNotComplete guards against a response with neither a length
+// nor chunks that looks complete though its server's process ended halfway.
+func TestPlainResponseOfCrashedServerIsNotComplete(t *testing.T) {
+	for cut := 1; cut <= len("whole answer"); cut += 4 {
+		r := startVM(t)
+		crashing := r.backend("s1", "app", respondWith(origin.Behaviour{Body: "whole answer", TruncateAt: cut, CrashTruncated: true, CloseDelimited: true}))
+		if status, body, _ := r.sendAndRead(http.MethodPost, "/write/x", "1", "b"); status != http.StatusBadGateway || crashing.RunCount("1") != 1 {
+			t.Errorf("cut after %d bytes: status %d, body %q, %d runs; want 502, one", cut, status, body, crashing.RunCount("1"))
+		}
+	}
+}
+
+// TestCloseDelimitedPlainResponseIsComplete is the case beside
+// TestPlainResponseOfCrashedServerIsNotComplete in which the server is still there.
+func TestCloseDelimitedPlainResponseIsComplete(t *testing.T) {
+	r := startVM(t)
+	r.backend("s1", "app", respondWith(origin.Behaviour{Body: "whole answer", CloseDelimited: true}))
+	for i := range 5 {
+		if status, body, err := r.sendAndRead(http.MethodPost, "/write/x", fmt.Sprint(i), "b"); status != http.StatusOK || body != "whole answer" || err != nil {
+			t.Errorf("status %d, body %q, error %v", status, body, err)
+		}
+	}
+}
+
 // TestStreamNeedsChunks checks that a caller whose protocol has no chunks, and who
 // so can't tell a broken stream, gets none.
 func TestStreamNeedsChunks(t *testing.T) {
@@ -106,14 +131,16 @@
 }
 
 // startHeldStream starts a stream that is held after its fifth event at the engine
-// a, and a second engine b that handles requests by atTarget. Once a leaves, the
-// stream's caller sends its body and error on the returned channel.
-func startHeldStream(t *testing.T, atTarget origin.Behaviour) (r *testVM, a, b *origin.Server, result <-chan streamResult) {
+// a, which handles requests by atSource otherwise, and a second engine b that handles them
+// by atTarget. Once a leaves, the stream's caller sends its body and error on the returned
+// channel.
+func startHeldStream(t *testing.T, atSource, atTarget origin.Behaviour) (r *testVM, a, b *origin.Server, result <-chan streamResult) {
 	t.Helper()
 	r = startVM(t)
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
-	a = r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5, CloseDelimited: true}))
+	atSource.Events, atSource.Hold, atSource.HoldAt, atSource.CloseDelimited = streamEvents, release, 5, true
+	a = r.backend("a", "models", respondWith(atSource))
 	results := make(chan streamResult, 1)
 	go func() {
 		_, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "prompt")
@@ -130,7 +157,7 @@
 
 // TestBrokenResumedStreamIsNotComplete breaks a stream off after it was moved.
 func TestBrokenResumedStreamIsNotComplete(t *testing.T) {
-	r, a, b, result := startHeldStream(t, origin.Behaviour{Events: streamEvents, TruncateAt: 12, CloseDelimited: true})
+	r, a, b, result := startHeldStream(t, origin.Behaviour{}, origin.Behaviour{Events: streamEvents, TruncateAt: 12, CloseDelimited: true})
 	r.relay.Mover = newMover(a, b)
 	r.announce(a, "models", true)
 	res := <-result
@@ -140,7 +167,14 @@
 // TestStreamStoppedByFailedMoveIsNotComplete stops a run whose final copy then
 // fails, so that its stream ends without an error.
 func TestStreamStoppedByFailedMoveIsNotComplete(t *testing.T) {
-	r, a, b, result := startHeldStream(t, origin.Behaviour{})
+	stopByFailedMove(t, origin.Behaviour{})
+}
+
+// stopByFailedMove stops the run of a stream for a move whose answer is lost, and checks what
+// its caller gets.
+func stopByFailedMove(t *testing.T, atSource origin.Behaviour) {
+	t.Helper()
+	r, a, b, result := startHeldStream(t, atSource, origin.Behaviour{})
 	inner := newMover(a, b)
 	r.relay.Mover = &relay.Mover{
 		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, relay.Reply, error) {
--- a/foldfake/origin/behaviour.go
+++ b/foldfake/origin/behaviour.go
@@ -42,6 +42,12 @@
 	// Endless, if set, answers with bytes without end in a part of the response, until the
 	// connection is closed.
 	Endless Endless
+	// CrashTruncated closes the server and all its connections at TruncateAt.
+	CrashTruncated bool
+	// LateEvents is the number of events that a run still sends after StopRun has returned,
+	// LateBy later.
+	LateEvents int
+	LateBy     time.Duration
 	// CrashAfter, if positive, closes the server and all its connections after that
 	// many events of a stream.
 	CrashAfter int
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -305,6 +305,9 @@
 	if b.Reset {
 		c.(*net.TCPConn).SetLinger(0)
 	}
+	if b.CrashTruncated {
+		s.Close()
+	}
 	return err == nil && b.TruncateAt == 0 && !b.CloseDelimited
 }
 
@@ -316,12 +319,13 @@
 	s.mu.Lock()
 	s.runs[id] = current
 	s.mu.Unlock()
-	defer func() {
+	end := sync.OnceFunc(func() {
 		s.mu.Lock()
 		delete(s.runs, id)
 		s.mu.Unlock()
 		close(current.done)
-	}()
+	})
+	defer end()
 	out := streamWriter{w: c, chunked: !b.CloseDelimited, behaviour: b}
 	if err := out.writeHead(id); err != nil {
 		return false
@@ -336,6 +340,12 @@
 			return false
 		}
 		if s.isStopped(current) {
+			next := current.sent + 1
+			end()
+			time.Sleep(b.LateBy)
+			for i := range b.LateEvents {
+				_ = out.write(Event(next + i))
+			}
 			if s.CleanStop {
 				_ = out.writeEnd()
 			}
