Relay: an event that was under way does not prove that a stopped run went on

Cause: after a move whose result is unknown, any event that came later counted as proof that the run had not been stopped. Events that the engine had made before it stopped may overtake nothing but still arrive after the lost answer. And whether the engine still takes connections was not asked while a move was noted.

Change: only an event that comes over 400 ms after the failed move is proof; a stream that ends before that is broken off. The engine is asked for after the move too.

Limits: a run that ends by itself within 400 ms after a move whose answer was lost is reported as broken off though it was whole.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -55,10 +55,10 @@
 	// atSource is set if the target rejected the run and the source keeps its
 	// memory.
 	atSource bool
-	// stopUnknown is set if the move failed and the run may have been stopped all
-	// the same. eventsAtEnd is the number of the stream's events at that time.
+	// stopUnknown is set if the move failed, at failedAt, and the run may have been
+	// stopped all the same.
 	stopUnknown bool
-	eventsAtEnd int
+	failedAt    time.Time
 	// firstCopy is how long the copy took while the run continued, and stopCopy how long
 	// the copy of the rest took.
 	firstCopy, stopCopy time.Duration
@@ -192,11 +192,15 @@
 	return m
 }
 
+// overtakeTime is how long events that an engine has made before it stopped a run may be under
+// way.
+const overtakeTime = 400 * time.Millisecond
+
 // mayHaveStopped reports whether a stream that has ended without an error may have
-// been stopped before its end by the move m, which has ended and may be nil. Events
-// after the end of the move show that the run went on.
+// been stopped before its end by the move m, which has ended and may be nil. Only events
+// that come later than any that were under way show that the run went on.
 func (s *stream) mayHaveStopped(m *move) bool {
-	return m != nil && m.stopUnknown && s.events == m.eventsAtEnd
+	return m != nil && m.stopUnknown && s.lastAt.Sub(m.failedAt) <= overtakeTime
 }
 
 // moveRun copies a run's memory to another engine while the run continues, then
@@ -237,7 +241,7 @@
 		m.handle, m.atSource = finalHandle, true
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Rejected)
 	default:
-		m.stopUnknown, m.eventsAtEnd = !errors.Is(err, ErrRunNotFound), s.eventCount()
+		m.stopUnknown, m.failedAt = !errors.Is(err, ErrRunNotFound), time.Now()
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
 		x.free(from, c.handle)
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -115,6 +115,10 @@
 	for {
 		err := s.relayResponse(ctx, res)
 		m := s.awaitMove()
+		if err == nil && m != nil && m.handle == "" {
+			// checkEnd has left it open while the run might have been stopped.
+			err = s.q.checkServerThere(ctx, s.server, res)
+		}
 		switch {
 		case err != nil && ctx.Err() != nil:
 			s.detach(place.Cancelled)
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"fuchsiafold.example/foldd/relay"
 	"fuchsiafold.example/foldfake/origin"
@@ -170,6 +171,12 @@
 	stopByFailedMove(t, origin.Behaviour{})
 }
 
+// TestStoppedStreamWithEventUnderWayIsNotComplete guards against an event that was under way
+// when the run was stopped and that is taken as proof that the run went on.
+func TestStoppedStreamWithEventUnderWayIsNotComplete(t *testing.T) {
+	stopByFailedMove(t, origin.Behaviour{LateEvents: 2, LateBy: 100 * time.Millisecond})
+}
+
 // stopByFailedMove stops the run of a stream for a move whose answer is lost, and checks what
 // its caller gets.
 func stopByFailedMove(t *testing.T, atSource origin.Behaviour) {
