Pool: a server counts as still there only if it keeps a new connection open

Cause: the kernel closes the sockets of a process that ends one after the other, and a connection may be closed before the listener. A connection that was opened in between proved nothing.

--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -320,7 +320,7 @@
 	if res.Framing != pool.CloseDelimited {
 		return nil
 	}
-	if err := q.relay.Pool.Probe(ctx, b.Addr); err != nil {
+	if err := q.relay.Pool.Confirm(ctx, b.Addr); err != nil {
 		return fmt.Errorf("%w: %w", errServerGone, err)
 	}
 	return nil
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -94,9 +94,10 @@
 // TestPlainResponseOfCrashedServerIsNotComplete guards against a response with neither a length
 // nor chunks that looks complete though its server's process ended halfway.
 func TestPlainResponseOfCrashedServerIsNotComplete(t *testing.T) {
-	for cut := 1; cut <= len("whole answer"); cut += 4 {
+	for i, linger := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond} {
+		cut := 1 + 4*i
 		r := startVM(t)
-		crashing := r.backend("s1", "app", respondWith(origin.Behaviour{Body: "whole answer", TruncateAt: cut, CrashTruncated: true, CloseDelimited: true}))
+		crashing := r.backend("s1", "app", respondWith(origin.Behaviour{Body: "whole answer", TruncateAt: cut, CrashTruncated: true, CrashLinger: linger, CloseDelimited: true}))
 		if status, body, _ := r.sendAndRead(http.MethodPost, "/write/x", "1", "b"); status != http.StatusBadGateway || crashing.RunCount("1") != 1 {
 			t.Errorf("cut after %d bytes: status %d, body %q, %d runs; want 502, one", cut, status, body, crashing.RunCount("1"))
 		}
--- a/foldfake/origin/behaviour.go
+++ b/foldfake/origin/behaviour.go
@@ -42,8 +42,10 @@
 	// Endless, if set, answers with bytes without end in a part of the response, until the
 	// connection is closed.
 	Endless Endless
-	// CrashTruncated closes the server and all its connections at TruncateAt.
+	// CrashTruncated closes the server and all its connections at TruncateAt. Listening goes
+	// on for CrashLinger after the connection of the request has been closed.
 	CrashTruncated bool
+	CrashLinger    time.Duration
 	// LateEvents is the number of events that a run still sends after StopRun has returned,
 	// LateBy later.
 	LateEvents int
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -306,6 +306,8 @@
 		c.(*net.TCPConn).SetLinger(0)
 	}
 	if b.CrashTruncated {
+		c.Close()
+		time.Sleep(b.CrashLinger)
 		s.Close()
 	}
 	return err == nil && b.TruncateAt == 0 && !b.CloseDelimited
