Peers: an update that a VM doesn't confirm goes to another VM of its failure domain

Cause: an update goes to one random VM of each other failure domain, which is to pass it on. A VM counts as live for 10 s after its last report. An exchange that failed was counted and nothing else: no other VM of the domain was tried, the next periodic exchange drew among the dead again, and no VM of the domain asked outside, since the one with the lowest ID, its relay, counted as live.

Change: if a VM of another domain has not confirmed an update within 150 ms, others of that domain, up to eight, get it one after the other until one has. A VM with which an exchange failed is drawn last, and relays nothing, until it is heard of again. A VM whose exchange with one of its own domain fails asks one of another domain for news at once. A caller that asks for an exchange while one is in progress now learns the result of the one that follows. Messages keep their form.

Evidence: TestUpdateReachesAllVMsWhileOthersAreDown plays 40, 87, 200 and 330 VMs in virtual time, with the relay of each domain, most of a domain, or a sixth down, without loss and with three messages in ten sent again.

--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -58,6 +58,8 @@
 	acked uint64
 	// have is the version of the VM's table that was applied locally.
 	have uint64
+	// failed is set if an exchange with the VM failed since its last report.
+	failed bool
 	// equal holds the buckets of which the VM knew the same backend servers, by
 	// its last digest.
 	equal EqualBuckets
@@ -123,6 +125,7 @@
 	if !r.indexed || !r.sameMember(p) {
 		g.live = nil
 	}
+	r.failed = r.failed && p.Seq == r.Seq
 	r.Peer = p
 	if now.After(r.lastReport) {
 		r.lastReport = now
@@ -209,6 +212,26 @@
 	}
 }
 
+// InDomain reports whether the VM at addr is of the local failure domain.
+func (g *Group) InDomain(addr netip.AddrPort) bool {
+	for _, r := range g.peers {
+		if r.Addr == addr {
+			return r.Domain == g.Self.Domain
+		}
+	}
+	return false
+}
+
+// RecordFailure records that an exchange with the VM at addr failed. Until it is heard of
+// again, it relays no updates. It still counts as live until its lease ends.
+func (g *Group) RecordFailure(addr netip.AddrPort) {
+	for _, r := range g.peers {
+		if r.Addr == addr {
+			r.failed = true
+		}
+	}
+}
+
 // EqualBuckets returns the buckets of which a VM knew the same backend servers, by
 // its last digest; none if it has sent no digest.
 func (g *Group) EqualBuckets(id string) EqualBuckets {
--- a/fold/member/play_test.go
+++ b/fold/member/play_test.go
@@ -40,6 +40,8 @@
 	byAddr map[netip.AddrPort]*playVM
 	// loss is the share of the messages that are lost.
 	loss float64
+	// retransmits is set if a lost message arrives later instead, as over TCP.
+	retransmits bool
 	// cut reports whether no message passes between two VMs; nil if none is cut.
 	cut func(a, b *playVM) bool
 }
@@ -49,6 +51,8 @@
 	group *Group
 	peer  Peer
 	dead  bool
+	// deadSince is when the VM last died.
+	deadSince time.Time
 	// started is when the process started. bytes counts what it has sent.
 	started time.Time
 	bytes   int
@@ -132,7 +136,12 @@
 func (f *fleet) send(from, to *playVM, bytes int, deliver func()) {
 	from.bytes += bytes
 	delay := time.Duration(1000+f.r.IntN(4000)) * time.Microsecond
-	if f.r.Float64() < f.loss || f.cut != nil && f.cut(from, to) {
+	if f.retransmits {
+		delay += f.retransmission()
+	} else if f.r.Float64() < f.loss {
+		return
+	}
+	if f.cut != nil && f.cut(from, to) {
 		return
 	}
 	f.after(delay, func() {
@@ -150,9 +159,23 @@
 	return n
 }
 
+// minRetransmission is the time after which a lost message is sent again for the first time.
+const minRetransmission = 200 * time.Millisecond
+
+// retransmission returns the delay of a message by losses, each of which doubles the time
+// until it is sent again.
+func (f *fleet) retransmission() time.Duration {
+	total := time.Duration(0)
+	for wait := minRetransmission; f.r.Float64() < f.loss; wait *= 2 {
+		total += wait
+	}
+	return total
+}
+
 // exchange plays one exchange, with a second request if the other VM lacks reports.
 func (f *fleet) exchange(v *playVM, addr netip.AddrPort) {
 	f.request(v, addr, nil, true)
+	f.watch(v, addr)
 }
 
 func (f *fleet) request(v *playVM, addr netip.AddrPort, known []PeerUpdate, again bool) {
@@ -166,6 +189,7 @@
 		g := o.group
 		g.Beat(f.now)
 		g.ReceiveDirect(f.now, self)
+		f.adopt(o, self)
 		for _, u := range known {
 			g.ReceiveRelayed(f.now, u)
 		}
@@ -173,6 +197,7 @@
 		replyDigest, replySelf := g.Leases(f.now), g.Self
 		f.send(o, v, messageBytes+digestBytes(&replyDigest)+recordBytes*len(reply), func() {
 			v.group.ReceiveDirect(f.now, replySelf)
+			f.adopt(v, replySelf)
 			for _, u := range reply {
 				v.group.ReceiveRelayed(f.now, u)
 			}
--- a/fold/member/targets.go
+++ b/fold/member/targets.go
@@ -7,12 +7,19 @@
 	"time"
 )
 
+// FollowUpDelay is how long an urgent exchange with a VM may take until another VM of its
+// failure domain gets the update too.
+const FollowUpDelay = 150 * time.Millisecond
+
+// maxSubstitutes bounds the VMs that get an update in place of one that doesn't respond.
+const maxSubstitutes = 8
+
 // IsRelay reports whether this VM sends its failure domain's summary to the other
-// failure domains. It does unless a live VM of its domain that is not draining has
-// a lower ID.
+// failure domains. It does unless a live VM of its domain that is not draining and
+// with which exchanges don't fail has a lower ID.
 func (g *Group) IsRelay(now time.Time) bool {
 	for _, p := range g.liveAt(now).peers {
-		if p.Domain == g.Self.Domain && p.ID < g.Self.ID && !p.Draining {
+		if p.Domain == g.Self.Domain && p.ID < g.Self.ID && !p.Draining && !p.failed {
 			return false
 		}
 	}
@@ -31,8 +38,8 @@
 		out = append(out, p.Addr)
 	}
 	if g.IsRelay(now) {
-		out = append(out, onePerDomain(sameRegion, r)...)
-		if others := onePerDomain(otherRegions, r); len(others) > 0 {
+		out = append(out, g.onePerDomain(sameRegion, r)...)
+		if others := g.onePerDomain(otherRegions, r); len(others) > 0 {
 			out = append(out, others[r.IntN(len(others))])
 		}
 	}
@@ -64,7 +71,7 @@
 		return out
 	}
 	for _, group := range []map[string][]Peer{sameRegion, otherRegions} {
-		out = append(out, onePerDomain(group, r)...)
+		out = append(out, g.onePerDomain(group, r)...)
 	}
 	return out
 }
@@ -82,12 +89,57 @@
 	return out
 }
 
-// onePerDomain returns the address of one random VM of each failure domain.
-func onePerDomain(byDomain map[string][]Peer, r *rand.Rand) []netip.AddrPort {
+// Substitutes returns the addresses of VMs that can take an update in place of the VM at
+// addr, which doesn't respond, in the order in which to try them: other live VMs of its
+// failure domain. There are none for a VM of the local domain, whose VMs all get an update.
+func (g *Group) Substitutes(now time.Time, addr netip.AddrPort, r *rand.Rand) []netip.AddrPort {
+	live := g.Live(now)
+	at := slices.IndexFunc(live, func(p Peer) bool { return p.Addr == addr })
+	if at < 0 || live[at].Domain == g.Self.Domain {
+		return nil
+	}
+	var out []netip.AddrPort
+	for _, p := range g.inOrderOfContact(live, r) {
+		if p.Domain == live[at].Domain && p.Addr != addr && len(out) < maxSubstitutes {
+			out = append(out, p.Addr)
+		}
+	}
+	return out
+}
+
+// Outside returns the address of a VM of another failure domain of the region, and false if
+// there is none. A VM asks it for news when VMs of its own domain don't respond, one of which
+// may be to pass news on.
+func (g *Group) Outside(now time.Time, r *rand.Rand) (netip.AddrPort, bool) {
+	for _, p := range g.inOrderOfContact(g.Live(now), r) {
+		if p.Domain != g.Self.Domain && p.Region == g.Self.Region {
+			return p.Addr, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// inOrderOfContact returns VMs in a random order, those last with which exchanges fail.
+func (g *Group) inOrderOfContact(list []Peer, r *rand.Rand) []Peer {
+	out := slices.Clone(list)
+	r.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b Peer) int { return failedRank(g.peers[a.ID]) - failedRank(g.peers[b.ID]) })
+	return out
+}
+
+func failedRank(r *peerRecord) int {
+	if r.failed {
+		return 1
+	}
+	return 0
+}
+
+// onePerDomain returns the address of one random VM of each failure domain, if there is
+// one of those with which exchanges don't fail.
+func (g *Group) onePerDomain(byDomain map[string][]Peer, r *rand.Rand) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, domain := range sortedDomains(byDomain) {
-		list := byDomain[domain]
-		out = append(out, list[r.IntN(len(list))].Addr)
+		out = append(out, g.inOrderOfContact(byDomain[domain], r)[0].Addr)
 	}
 	return out
 }
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -83,6 +83,34 @@
 	return n.group.UrgentTargets(time.Now(), from, n.random)
 }
 
+// RecordExchangeFailure records that an exchange with the VM at addr failed.
+func (n *Node) RecordExchangeFailure(addr netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group.RecordFailure(addr)
+}
+
+// SubstitutesFor returns the addresses of VMs that can take an update in place of the VM at
+// addr, in the order in which to try them.
+func (n *Node) SubstitutesFor(addr netip.AddrPort) []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.group.Substitutes(time.Now(), addr, n.random)
+}
+
+// OutsideTarget returns the address of a VM of another failure domain to ask for news after
+// an exchange with the VM at addr has failed. It returns false if that VM is not of the local
+// domain, or no VM of another one is live.
+func (n *Node) OutsideTarget(addr netip.AddrPort) (netip.AddrPort, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if !n.group.InDomain(addr) {
+		return netip.AddrPort{}, false
+	}
+	return n.group.Outside(now, n.random)
+}
+
 // PeersByDomain returns the other live VMs of the local failure domain, and the
 // live VMs of each other failure domain.
 func (n *Node) PeersByDomain() (near []member.Peer, far map[string][]member.Peer) {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -38,9 +38,8 @@
 
 	// mu protects the fields below.
 	mu sync.Mutex
-	// inFlight holds the addresses with an exchange in progress, and the exchange that
-	// follows it.
-	inFlight map[netip.AddrPort]exchangeKind
+	// inFlight holds the exchanges in progress.
+	inFlight map[netip.AddrPort]*flight
 	// outboxes holds the queued calls to each VM, which carry tickets and decisions.
 	outboxes map[netip.AddrPort]chan func(wire.PeerServiceClient)
 	// failing holds the addresses with which exchanges fail.
@@ -52,7 +51,7 @@
 func New(n *node.Node) *Service {
 	t := &http.Transport{}
 	configureTransport(t)
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]exchangeKind{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
@@ -150,7 +149,40 @@
 )
 
 // exchangeUrgently starts an urgent exchange with each address. It does not block.
-func (s *Service) exchangeUrgently(addrs []netip.AddrPort) { s.exchangeAll(addrs, urgent) }
+func (s *Service) exchangeUrgently(addrs []netip.AddrPort) {
+	for _, a := range addrs {
+		go s.spread(a)
+	}
+}
+
+// spread does an urgent exchange with a VM. If that fails or takes long, other VMs of its
+// failure domain, one after the other, get the update in its place until one has it.
+func (s *Service) spread(addr netip.AddrPort) {
+	if s.exchangesSoon(addr) {
+		return
+	}
+	for _, a := range s.node.SubstitutesFor(addr) {
+		s.node.Count("peers.followUps", 1)
+		if s.exchangesSoon(a) {
+			return
+		}
+	}
+}
+
+// exchangesSoon does an urgent exchange with a VM and reports whether it succeeds within
+// member.FollowUpDelay. Otherwise the exchange goes on.
+func (s *Service) exchangesSoon(addr netip.AddrPort) bool {
+	results := make(chan error, 1)
+	go func() { results <- s.exchangeWith(addr, urgent) }()
+	delay := time.NewTimer(member.FollowUpDelay)
+	defer delay.Stop()
+	select {
+	case err := <-results:
+		return err == nil
+	case <-delay.C:
+		return false
+	}
+}
 
 // exchangeAll starts an exchange with each address. It does not block.
 func (s *Service) exchangeAll(addrs []netip.AddrPort, kind exchangeKind) {
@@ -159,32 +191,67 @@
 	}
 }
 
-// exchangeWith exchanges with a VM. If an exchange with it is already in progress,
-// it returns at once and another exchange follows that one, whose request may have
-// been sent before the latest update.
-func (s *Service) exchangeWith(addr netip.AddrPort, kind exchangeKind) {
+// flight is the exchange in progress with a VM.
+type flight struct {
+	// next is the kind of the exchange that follows it, and waiters get the result of that
+	// one: its request may have to carry an update that the current one did not.
+	next    exchangeKind
+	waiters []chan<- error
+}
+
+// exchangeWith exchanges with a VM, after the exchange in progress if there is one, and
+// returns the result.
+func (s *Service) exchangeWith(addr netip.AddrPort, kind exchangeKind) error {
+	result := make(chan error, 1)
 	s.mu.Lock()
-	if next, running := s.inFlight[addr]; running {
-		s.inFlight[addr] = max(next, kind)
-		s.mu.Unlock()
-		return
+	f := s.inFlight[addr]
+	running := f != nil
+	if !running {
+		f = &flight{}
+		s.inFlight[addr] = f
 	}
-	s.inFlight[addr] = none
+	f.next = max(f.next, kind)
+	f.waiters = append(f.waiters, result)
 	s.mu.Unlock()
-	for kind != none {
+	if !running {
+		go s.runFlight(addr, f)
+	}
+	return <-result
+}
+
+// runFlight does exchanges with a VM until no further one is asked for.
+func (s *Service) runFlight(addr netip.AddrPort, f *flight) {
+	for {
+		s.mu.Lock()
+		kind, waiters := f.next, f.waiters
+		f.next, f.waiters = none, nil
+		if kind == none {
+			delete(s.inFlight, addr)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
 		begun := time.Now()
 		err := s.exchange(addr, kind)
 		if err != nil {
-			s.node.Count("peers.exchangesFailed", 1)
+			s.exchangeFailed(addr)
 		}
 		s.mu.Lock()
 		s.recordResult(addr, begun, err)
-		kind = s.inFlight[addr]
-		s.inFlight[addr] = none
-		if kind == none {
-			delete(s.inFlight, addr)
-		}
 		s.mu.Unlock()
+		for _, w := range waiters {
+			w <- err
+		}
+	}
+}
+
+// exchangeFailed records that an exchange with a VM failed. If the VM is of the local failure
+// domain, a VM of another one is asked for news in its place.
+func (s *Service) exchangeFailed(addr netip.AddrPort) {
+	s.node.Count("peers.exchangesFailed", 1)
+	s.node.RecordExchangeFailure(addr)
+	if outside, ok := s.node.OutsideTarget(addr); ok {
+		go s.exchangeWith(outside, urgent)
 	}
 }
 
