Serve: a request whose end is not certain is rejected

Cause: nbhttp takes the first of several lengths, and drops a length beside chunks.

Change: a request with several lengths, with a length beside chunks, or with chunks in HTTP/1.0, gets 400 before it reaches the handler, and what follows on its connection is dropped.

Limits: what nbhttp can't parse at all, such as a list of lengths or a chunk size that overflows, gets no answer, as before, and its connection ends with the idle timeout. Folded lines and a space before the colon are still read leniently.

--- a/netio/serve/caller.go
+++ b/netio/serve/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,6 +79,8 @@
 	// received counts the bytes read since the last request was passed to the
 	// handler. Only the reading goroutine accesses it.
 	received int
+	// rejected is set once a request was rejected whose end is not certain.
+	rejected bool
 
 	// mu protects err, the first write error.
 	mu  sync.Mutex
@@ -89,7 +92,7 @@
 	n, err := c.TCPConn.Read(b)
 	c.received += n
 	if err == nil && c.received > c.maxRequest {
-		c.rejectTooLarge()
+		c.reject(http.StatusRequestEntityTooLarge, "tooLarge", errTooLarge)
 		n, err = 0, errTooLarge
 	}
 	if err != nil {
@@ -100,12 +103,14 @@
 	return n, err
 }
 
-// rejectTooLarge responds with status 413 to a request that exceeds the size
-// limit, and closes the connection for writing.
-func (c *limitedConn) rejectTooLarge() {
-	const body = `{"error":{"code":"tooLarge","message":"request exceeds the size limit","outcome":"notRun"}}` + "\n"
+// reject responds to a request that is not passed to the handler, and closes the connection
+// for writing. Nothing that follows on the connection is a request.
+func (c *limitedConn) reject(status int, code string, reason error) {
+	c.rejected = true
+	defer c.setError(reason)
+	body := fmt.Sprintf(`{"error":{"code":%q,"message":%q,"outcome":"notRun"}}`+"\n", code, reason)
 	res := &http.Response{
-		StatusCode:    http.StatusRequestEntityTooLarge,
+		StatusCode:    status,
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        http.Header{"Content-Type": {"application/json"}},
--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -141,6 +141,9 @@
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	caller := s.newCaller(w)
+	if !caller.acceptsFraming(r) {
+		return
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	caller.cancel = cancel
 	s.add(caller)
