Test: an address that has to refuse connections is held while it does

Cause: unusedAddr closed its listener and returned the address, at which another test or process may listen soon after.

Change: a socket that is bound and doesn't listen holds the address until the end of the test; connections to it are refused as before. The checks are the same.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,15 +48,24 @@
 	return rig
 }
 
-// unusedAddr returns an address that refuses connections.
+// unusedAddr returns an address that refuses connections until the end of the test. A socket
+// that is bound and doesn't listen holds it, so that no one else can listen there.
 func unusedAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(func() { syscall.Close(fd) })
+	loopback := [4]byte{127, 0, 0, 1}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: loopback}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4(loopback), uint16(name.(*syscall.SockaddrInet4).Port))
 }
 
 // apply puts a configuration with a forward of each kind in force.
