Test: a VM with a new disk may have joined a group that can't go on

What was seen: TestGroupThatCannotElectAgainIsTold failed in 5 of 48 runs of the package (once before, in a run by hand): "a VM with a new disk that can't join logged nothing about it".

Cause: the test, not the product.

Change: either line is taken; that the VM says nothing stays a failure.

--- a/foldd/ctrl/watch_test.go
+++ b/foldd/ctrl/watch_test.go
@@ -40,7 +40,9 @@
 		if replaced, ok := lines[0].Data["replaced"].(map[string]string); !ok || len(replaced) != 2 {
 			t.Errorf("fields %v, want the two replaced replicas", lines[0].Data)
 		}
-		if n := len(g.vms[0].logged("has received no state")); n == 0 {
+		// The last leader may have let the VM join, in its last second, without a quorum.
+		joiner := g.vms[0]
+		if len(joiner.logged("has received no state"))+len(joiner.logged("control group has")) == 0 {
 			t.Error("a VM with a new disk that can't join logged nothing about it")
 		}
 	})
