--- a/fold/raft/raft_test.go
+++ b/fold/raft/raft_test.go
@@ -123,3 +123,32 @@
 		t.Errorf("commit index %d after the leader's sync, want 2", n.CommitIndex())
 	}
 }
+
+// TestDelayedSnapshotKeepsAcknowledgedEntries guards against a replica that drops entries
+// which it has acknowledged when a snapshot arrives that was sent before them.
+func TestDelayedSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	n := testNode("a", PersistentState{HardState: HardState{Term: 2}})
+	entries := []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	n.Step(n.now, Message{Type: Append, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Entries: entries, Commit: 2})
+	if r := n.Ready(); len(r.Messages) != 1 || r.Messages[0].Index != 4 {
+		t.Fatalf("replies %+v, want one that acknowledges entry 4", r.Messages)
+	}
+	n.Step(n.now, Message{Type: InstallSnapshot, From: "b", To: "a", Term: 2, Snapshot: &Snapshot{Index: 3, Term: 2, Membership: threeVoters()}})
+	r := n.Ready()
+	if n.LastIndex() != 4 || r.Snapshot != nil {
+		t.Errorf("last entry %d, snapshot to write %+v; want the acknowledged entry 4 and none", n.LastIndex(), r.Snapshot)
+	}
+	if n.CommitIndex() != 3 || len(r.Messages) != 1 || r.Messages[0].Index < 3 {
+		t.Errorf("commit index %d, replies %+v; want what the snapshot covers to be committed and acknowledged", n.CommitIndex(), r.Messages)
+	}
+}
+
+// TestSnapshotReplacesOtherLog is the case beside TestDelayedSnapshotKeepsAcknowledgedEntries in
+// which the log differs from the leader's.
+func TestSnapshotReplacesOtherLog(t *testing.T) {
+	n := testNode("a", PersistentState{HardState: HardState{Term: 2}, Entries: []Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}, {Index: 4, Term: 1}}})
+	n.Step(n.now, Message{Type: InstallSnapshot, From: "b", To: "a", Term: 2, Snapshot: &Snapshot{Index: 3, Term: 2, Membership: threeVoters()}})
+	if r := n.Ready(); n.LastIndex() != 3 || r.Snapshot == nil {
+		t.Errorf("last entry %d, snapshot to write %+v; want the log to end with the snapshot", n.LastIndex(), r.Snapshot)
+	}
+}
--- a/fold/raft/replicate.go
+++ b/fold/raft/replicate.go
@@ -171,7 +171,9 @@
 }
 
 // stepInstall handles a snapshot from the leader. It replaces the log unless the
-// replica has committed at least as much.
+// replica has committed at least as much, or its log has the snapshot's last entry and so
+// all before it. What follows that entry stays: the replica may have acknowledged it, and the
+// snapshot may have been delayed.
 func (n *Node) stepInstall(m Message) {
 	n.acceptLeader(m.From)
 	s := m.Snapshot
@@ -179,6 +181,11 @@
 		n.send(Message{Type: AppendReply, To: m.From, Index: n.commit, Round: m.Round})
 		return
 	}
+	if t, ok := n.log.term(s.Index); ok && t == s.Term {
+		n.commit = s.Index
+		n.send(Message{Type: AppendReply, To: m.From, Index: s.Index, Round: m.Round})
+		return
+	}
 	n.log.reset(s.Index, s.Term)
 	n.snapshot = *s
 	n.receivedSnapshot = s
