Serve: the error body of a rejected request is JSON again

What callers got: a request over the size limit by more than 64 KiB, or one of uncertain end, got its status with a body whose message isn't quoted, so that no JSON reader takes it.

Cause: formats the reason by %q, and errors of eris ignore that verb. Looked for: no other %q, %x or %#v has an error.

Change: the body is marshalled as JSON.

--- a/netio/serve/caller.go
+++ b/netio/serve/caller.go
@@ -1,13 +1,13 @@
 package serve
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -103,18 +103,33 @@
 	return n, err
 }
 
+// rejection is the error of a response to a request that was not passed to the handler.
+type rejection struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+}
+
+func (r rejection) body() []byte {
+	body, err := json.Marshal(map[string]rejection{"error": r})
+	if err != nil {
+		panic(err) // Strings can be marshalled.
+	}
+	return append(body, '\n')
+}
+
 // reject responds to a request that is not passed to the handler, and closes the connection
 // for writing. Nothing that follows on the connection is a request.
 func (c *limitedConn) reject(status int, code string, reason error) {
 	c.rejected = true
 	defer c.setError(reason)
-	body := fmt.Sprintf(`{"error":{"code":%q,"message":%q,"outcome":"notRun"}}`+"\n", code, reason)
+	body := rejection{Code: code, Message: reason.Error(), Outcome: "notRun"}.body()
 	res := &http.Response{
 		StatusCode:    status,
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        http.Header{"Content-Type": {"application/json"}},
-		Body:          io.NopCloser(strings.NewReader(body)),
+		Body:          io.NopCloser(bytes.NewReader(body)),
 		ContentLength: int64(len(body)),
 		Close:         true,
 	}
--- a/netio/serve/framing_test.go
+++ b/netio/serve/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -59,9 +60,9 @@
 	t.Cleanup(func() { s.Close() })
 	for name, format := range uncertainRequests {
 		t.Run(name, func(t *testing.T) {
-			status, err := sendRaw(t, s.Addr(), fmt.Sprintf(format, nested, len(nested)))
-			if err == nil && status != http.StatusBadRequest {
-				t.Errorf("status %d, want 400 or no response", status)
+			status, body, err := sendRaw(t, s.Addr(), fmt.Sprintf(format, nested, len(nested)))
+			if err == nil {
+				checkRejection(t, status, body)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -72,14 +73,31 @@
 		})
 	}
 	certain := strings.Replace(nested, "Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nbody", 1)
-	if status, err := sendRaw(t, s.Addr(), certain); err != nil || status != http.StatusOK || len(handled) != 1 {
+	if status, _, err := sendRaw(t, s.Addr(), certain); err != nil || status != http.StatusOK || len(handled) != 1 {
 		t.Errorf("request of certain end: status %d, error %v, handled %q", status, err, handled)
 	}
 }
 
-// sendRaw sends text and returns the status of the first response, or an error if there is
-// none. It waits for what may be read as a second request.
-func sendRaw(t *testing.T, addr netip.AddrPort, text string) (int, error) {
+// checkRejection checks that a response has status 400 and a JSON error.
+func checkRejection(t *testing.T, status int, body []byte) {
+	t.Helper()
+	if status != http.StatusBadRequest {
+		t.Errorf("status %d, want 400 or no response", status)
+	}
+	var got struct {
+		Error struct{ Code, Message, Outcome string }
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		t.Fatalf("body %q: %v", body, err)
+	}
+	if e := got.Error; e.Code != "badRequest" || e.Message == "" || e.Outcome != "notRun" {
+		t.Errorf("error %+v, want code badRequest, a message and outcome notRun", e)
+	}
+}
+
+// sendRaw sends text and returns the status and the body of the first response, or an error if
+// there is none. It waits for what may be read as a second request.
+func sendRaw(t *testing.T, addr netip.AddrPort, text string) (int, []byte, error) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr.String())
 	if err != nil {
@@ -97,13 +115,16 @@
 	reader := bufio.NewReader(c)
 	res, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, res.Body)
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if res.StatusCode != http.StatusOK {
 		// The connection ends.
 		_, _ = io.Copy(io.Discard, reader)
 	}
-	return res.StatusCode, nil
+	return res.StatusCode, body, nil
 }
