Serve: buffers of large bodies are not used again

What operators could see: memory of a VM that stays far above its level after large bodies, as small requests hold the buffers of large ones.

Cause: nbhttp's pool keeps buffers of up to 1 GiB for later use, whatever is asked for.

Change: its pool keeps buffers of up to 64 KiB. Responses are flushed from 32 KiB on, so theirs are used again as before.

--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
 )
@@ -38,7 +39,17 @@
 // are checked for a disconnect. It is needed for responses that write nothing.
 const watchInterval = 250 * time.Millisecond
 
-func init() { logging.SetLevel(logging.LevelNone) }
+// maxPooled is the size in bytes of the largest buffer that nbhttp uses again. By default it
+// keeps those of the largest bodies, and uses them for small ones.
+const maxPooled = 64 << 10
+
+// minPooled is the size in bytes of the smallest buffer of nbhttp.
+const minPooled = 1 << 10
+
+func init() {
+	logging.SetLevel(logging.LevelNone)
+	mempool.DefaultMemPool = mempool.New(minPooled, maxPooled)
+}
 
 // Config is the configuration of a Server.
 type Config struct {
