Serve: large bodies of callers share a bound

Cause: nothing bounded callers' bodies together, and each was held three times: by the parser, by the handler whose buffer grew by copying, and by the pool that joined head and body.

Change: limits.bodyMemory (maxBody, at least 8 MiB). A request of over 64 KiB takes what its stated length needs, or the most that it may need while chunks come; it waits in order for up to a second, then gets 503 with Retry-After. The memory is given back when the request ends or its connection breaks. A body is read into one buffer of its size, by one function for both interfaces, and the pool copies only its first 64 KiB.

Result: new tests (without the bound: three bodies are held where two may be, no 503 comes, and TestLargeBodiesShareMemory times out).

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -202,18 +202,20 @@
 		a.operators.Control = a.controlClient
 	}
 	listeners := []struct {
-		name      string
-		addr      netip.AddrPort
-		handler   http.Handler
-		maxBody   int
-		boundAddr *netip.AddrPort
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+		maxBody int
+		// bodyMemory is as in serve.Config.
+		bodyMemory int
+		boundAddr  *netip.AddrPort
 	}{
-		{"peers", s.Listen.Peers, a.peerHandler(), peer.MaxMessage, &a.addrs.Peers},
-		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), peer.MaxMessage, &a.addrs.Operators},
-		{"backends", s.Listen.Backends, a.selectHandler(adapter.Backends, oper.BackendHandler(a.Node)), s.Limits.MaxBody, &a.addrs.Backends},
-		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), peer.MaxMessage, &a.addrs.Metrics},
-		{"health", s.Listen.Health, a.selectHandler(adapter.Health, a.entry), 0, &a.addrs.Health},
-		{"callers", s.Listen.Callers, a.callerHandler(adapter.Callers), s.Limits.MaxBody, &a.addrs.Callers},
+		{"peers", s.Listen.Peers, a.peerHandler(), peer.MaxMessage, 0, &a.addrs.Peers},
+		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), peer.MaxMessage, 0, &a.addrs.Operators},
+		{"backends", s.Listen.Backends, a.selectHandler(adapter.Backends, oper.BackendHandler(a.Node)), s.Limits.MaxBody, 0, &a.addrs.Backends},
+		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), peer.MaxMessage, 0, &a.addrs.Metrics},
+		{"health", s.Listen.Health, a.selectHandler(adapter.Health, a.entry), 0, 0, &a.addrs.Health},
+		{"callers", s.Listen.Callers, a.callerHandler(adapter.Callers), s.Limits.MaxBody, s.Limits.BodyMemory, &a.addrs.Callers},
 	}
 	for _, l := range listeners {
 		if !l.addr.IsValid() {
@@ -223,6 +225,7 @@
 			Addr:         l.addr,
 			Handler:      l.handler,
 			MaxBody:      l.maxBody,
+			BodyMemory:   l.bodyMemory,
 			WriteTimeout: time.Duration(s.Limits.WriteTimeout),
 			Log:          a.Node.Log,
 		})
--- a/foldd/app/path_test.go
+++ b/foldd/app/path_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
+
+	"fuchsiafold.example/foldd/conf"
 )
 
 func TestStreamedAnswer(t *testing.T) {
@@ -94,6 +99,30 @@
 	checkCompleteAnswer(t, r.text, r.summary, 5)
 }
 
+// TestLargeBodiesShareMemory guards against bodies of callers that together exceed the memory
+// of the VM: while one is being received, another one finds none, and usual requests go on.
+func TestLargeBodiesShareMemory(t *testing.T) {
+	t.Parallel()
+	a := startEntry(t, "a1", func(s *conf.Settings) { s.Limits.BodyMemory = s.Limits.MaxBody })
+	startEngine(t, "e1", a)
+	size := a.Node.Settings.Limits.MaxBody
+	c, err := net.Dial("tcp", a.Addrs().Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /lookup/1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
+	large := callerRequest{class: "summary", body: strings.Repeat("x", size)}
+	waitFor(t, "a large body to be rejected", func() bool {
+		res := large.send(t, a)
+		return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") != ""
+	})
+	r := readAnswer(generationRequest("summary", 5, true).send(t, a), nil)
+	checkCompleteAnswer(t, r.text, r.summary, 5)
+	c.Close()
+	waitFor(t, "memory to be free again", func() bool { return large.send(t, a).StatusCode == http.StatusBadRequest })
+}
+
 func TestNoEngine(t *testing.T) {
 	t.Parallel()
 	a := startEntry(t, "a1", nil)
--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -95,6 +95,10 @@
 type Limits struct {
 	// MaxBody is the largest request body in bytes.
 	MaxBody int `json:"maxBody,omitempty"`
+	// BodyMemory bounds the memory in bytes of the bodies of all callers' requests in
+	// progress. Requests of at most 64 KiB don't count. The default is MaxBody, and
+	// at least MinBodyMemory.
+	BodyMemory int `json:"bodyMemory,omitempty"`
 	// MaxAnswer is the largest response body of a backend server in bytes. It does
 	// not apply to streams.
 	MaxAnswer int `json:"maxAnswer,omitempty"`
@@ -163,6 +167,7 @@
 // Defaults of optional settings.
 const (
 	DefaultMaxBody        = 1 << 20
+	MinBodyMemory         = 8 << 20
 	DefaultMaxAnswer      = 8 << 20
 	DefaultMaxStreams     = 12_000
 	DefaultDrainTimeout   = 10 * time.Minute
@@ -208,6 +213,7 @@
 func (s *Settings) setDefaults() {
 	l := &s.Limits
 	defaultInt(&l.MaxBody, DefaultMaxBody)
+	defaultInt(&l.BodyMemory, max(l.MaxBody, MinBodyMemory))
 	defaultInt(&l.MaxAnswer, DefaultMaxAnswer)
 	defaultInt(&l.AnswerMemory, 2*l.MaxAnswer)
 	defaultInt(&l.MaxStreams, DefaultMaxStreams)
@@ -335,6 +341,7 @@
 func (s *Settings) checkLimits(errs *strict.Errors) {
 	l := s.Limits
 	checkIntRange("limits.maxBody", l.MaxBody, 1_024, 64<<20, errs)
+	checkIntRange("limits.bodyMemory", l.BodyMemory, l.MaxBody, 4<<30, errs)
 	checkIntRange("limits.maxAnswer", l.MaxAnswer, 1_024, 256<<20, errs)
 	checkIntRange("limits.answerMemory", l.AnswerMemory, l.MaxAnswer, 4<<30, errs)
 	checkIntRange("limits.maxStreams", l.MaxStreams, 1, 100_000, errs)
--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -147,15 +147,7 @@
 
 // readBody reads a request's body. It rejects a body larger than MaxBody bytes.
 func (e *Handler) readBody(r *http.Request) ([]byte, *fault.Fault) {
-	limit := e.Node.Settings.Limits.MaxBody
-	b, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return nil, fault.NotRun(http.StatusBadRequest, fault.BadRequest, "the body can't be read: "+err.Error())
-	}
-	if len(b) > limit {
-		return nil, fault.NotRun(http.StatusRequestEntityTooLarge, fault.TooLarge, "the body exceeds the size limit")
-	}
-	return b, nil
+	return fault.ReadBody(r, e.Node.Settings.Limits.MaxBody)
 }
 
 func (e *Handler) key() handle.Key { return handle.Key(e.Node.Settings.HandleKey) }
--- a/foldd/relay/admit.go
+++ b/foldd/relay/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -107,18 +106,9 @@
 	if configured := index.Document().MaxBody; configured > 0 {
 		limit = min(limit, configured)
 	}
-	if q.r.Body == nil {
-		return nil
-	}
-	b, err := io.ReadAll(io.LimitReader(q.r.Body, int64(limit)+1))
-	if err != nil {
-		return fault.NotRun(http.StatusBadRequest, fault.BadRequest, "the body can't be read: "+err.Error())
-	}
-	if len(b) > limit {
-		return fault.NotRun(http.StatusRequestEntityTooLarge, fault.TooLarge, "the body exceeds the size limit")
-	}
-	q.body = b
-	return nil
+	var f *fault.Fault
+	q.body, f = fault.ReadBody(q.r, limit)
+	return f
 }
 
 // Assumptions about a stream that has not begun.
--- a/netio/bound/bound.go
+++ b/netio/bound/bound.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// ReadAll reads a body of at most limit bytes until io.EOF, without a bound on several bodies
+// together. length is as for Memory.Read.
+func ReadAll(r io.Reader, length int64, limit int) ([]byte, error) {
+	body, _, err := new(Memory).Read(r, length, limit)
+	return body, err
+}
+
 // Release returns memory that Read has reserved.
 func (m *Memory) Release(reserved int64) { m.used.Add(-reserved) }
 
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -63,6 +63,9 @@
 	// the response is read. A longer body is written concurrently, since the
 	// server may respond before it has read all of it.
 	maxInlineBody = 8 << 10
+	// maxJoinedBody is the size in bytes of the part of a body that is written together
+	// with the head.
+	maxJoinedBody = 64 << 10
 	// maxSkipped bounds the number of responses read while waiting for the one
 	// that matches the request. Informational (1xx) responses count too.
 	maxSkipped = 4
@@ -130,13 +133,23 @@
 	} else {
 		x.writeResult = make(chan error, 1)
 		go func() {
-			_, err := x.conn.Write(append(head, x.request.Body...))
-			x.writeResult <- err
+			x.writeResult <- x.writeLong(head)
 		}()
 	}
 	return x.receive()
 }
 
+// writeLong writes a request with a long body, of which it copies only the beginning.
+func (x *exchange) writeLong(head []byte) error {
+	body := x.request.Body
+	n := min(len(body), maxJoinedBody)
+	if _, err := x.conn.Write(append(head, body[:n]...)); err != nil || n == len(body) {
+		return err
+	}
+	_, err := x.conn.Write(body[n:])
+	return err
+}
+
 // head returns the request line and the header fields as sent.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
--- a/netio/pool/pool_test.go
+++ b/netio/pool/pool_test.go
@@ -1,10 +1,13 @@
 package pool_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -215,3 +218,30 @@
 		t.Errorf("error %v, %d connections, the first request ran %d times; want one connection that is used again", err, s.Accepted(), s.RunCount("1"))
 	}
 }
+
+// TestLongBodyIsSentWhole guards against a body that is cut or repeated where its parts meet.
+func TestLongBodyIsSentWhole(t *testing.T) {
+	var got []byte
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, _ = io.ReadAll(r.Body)
+	}))
+	defer s.Close()
+	for _, size := range []int{0, 1, 8 << 10, 8<<10 + 1, 64 << 10, 64<<10 + 1, 3 << 20} {
+		body := make([]byte, size)
+		for i := range body {
+			body[i] = byte(i % 251)
+		}
+		req := &pool.Request{Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: body}
+		res, err := new(pool.Pool).Do(t.Context(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if !bytes.Equal(got, body) {
+			t.Errorf("%d bytes arrived of %d, or others", len(got), size)
+		}
+	}
+}
--- a/netio/serve/caller.go
+++ b/netio/serve/caller.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +17,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 )
 
 // ErrCallerDisconnected is the cancellation cause of the context of a request
@@ -64,10 +67,18 @@
 // beginRequest resets the count of received bytes for the next request.
 func (c *Caller) beginRequest() {
 	if c.conn != nil {
+		c.conn.keepMemory(max(c.conn.received-freeSize, 0))
 		c.conn.received = 0
 	}
 }
 
+// endRequest returns the memory of the request.
+func (c *Caller) endRequest() {
+	if c.conn != nil {
+		c.conn.keepMemory(0)
+	}
+}
+
 // limitedConn wraps the socket that nbhttp uses. It bounds the size of a request
 // and the duration of a write, and keeps the first write error, because nbhttp
 // discards it.
@@ -76,9 +87,17 @@
 	nbConn       *nbhttp.Conn
 	maxRequest   int
 	writeTimeout time.Duration
+	bodies       bodies
+	log          *logrus.Logger
+	// The fields below are used only by the goroutine that reads and runs the handler.
 	// received counts the bytes read since the last request was passed to the
-	// handler. Only the reading goroutine accesses it.
+	// handler.
 	received int
+	// stated is the length that the request being read states, zero if it states none.
+	stated int
+	// held is the memory taken from bodies, for the request being read or in progress. It
+	// is at least received less freeSize.
+	held int
 	// rejected is set once a request was rejected whose end is not certain.
 	rejected bool
 
@@ -90,12 +109,16 @@
 // Read implements net.Conn.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if c.received == 0 {
+		c.stated = statedLength(b[:n])
+	}
 	c.received += n
-	if err == nil && c.received > c.maxRequest {
-		c.reject(http.StatusRequestEntityTooLarge, "tooLarge", errTooLarge)
-		n, err = 0, errTooLarge
+	if err == nil {
+		err = c.checkSize()
 	}
 	if err != nil {
+		n = 0
+		c.keepMemory(0)
 		// After a read error nbhttp looks up its state of the connection by the
 		// unwrapped socket.
 		c.nbConn.Conn = c.TCPConn
@@ -103,6 +126,24 @@
 	return n, err
 }
 
+// checkSize rejects a request that has become larger than the limit, or for which there is no
+// memory, and returns the error that ends its connection.
+func (c *limitedConn) checkSize() error {
+	if c.received > c.maxRequest {
+		c.reject(http.StatusRequestEntityTooLarge, "tooLarge", errTooLarge, 0)
+		return errTooLarge
+	}
+	begun := time.Now()
+	if c.takeMemory() {
+		return nil
+	}
+	c.log.WithFields(logrus.Fields{
+		"caller": c.RemoteAddr(), "stated": c.stated, "received": c.received, "waitMs": time.Since(begun).Milliseconds(),
+	}).Warn("request rejected: no memory for its body beside those of other requests")
+	c.reject(http.StatusServiceUnavailable, "overload", errNoMemory, bodyRetryAfter)
+	return errNoMemory
+}
+
 // rejection is the error of a response to a request that was not passed to the handler.
 type rejection struct {
 	Code    string `json:"code"`
@@ -119,16 +160,21 @@
 }
 
 // reject responds to a request that is not passed to the handler, and closes the connection
-// for writing. Nothing that follows on the connection is a request.
-func (c *limitedConn) reject(status int, code string, reason error) {
+// for writing. Nothing that follows on the connection is a request. A retryAfter of zero is not
+// sent.
+func (c *limitedConn) reject(status int, code string, reason error, retryAfter time.Duration) {
 	c.rejected = true
 	defer c.setError(reason)
 	body := rejection{Code: code, Message: reason.Error(), Outcome: "notRun"}.body()
+	header := http.Header{"Content-Type": {"application/json"}}
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
 	res := &http.Response{
 		StatusCode:    status,
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        http.Header{"Content-Type": {"application/json"}},
+		Header:        header,
 		Body:          io.NopCloser(bytes.NewReader(body)),
 		ContentLength: int64(len(body)),
 		Close:         true,
--- a/netio/serve/framing.go
+++ b/netio/serve/framing.go
@@ -40,7 +40,7 @@
 	}
 	err := checkFraming(r)
 	if err != nil {
-		c.conn.reject(http.StatusBadRequest, "badRequest", err)
+		c.conn.reject(http.StatusBadRequest, "badRequest", err, 0)
 	}
 	return err == nil
 }
--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -57,6 +57,10 @@
 	Handler http.Handler
 	// MaxBody is the largest request body in bytes.
 	MaxBody int
+	// BodyMemory is the memory in bytes for the bodies of all requests in progress, at
+	// least MaxBody. Requests of up to 64 KiB don't count. Others wait for up to a second
+	// if there is none, and then get status 503. Zero means no limit.
+	BodyMemory int
 	// WriteTimeout bounds how long a write may block on a caller that does not
 	// read. Zero means no limit.
 	WriteTimeout time.Duration
@@ -70,6 +74,7 @@
 	addr      netip.AddrPort
 	stop      chan struct{}
 	closeOnce sync.Once
+	bodies    bodies
 
 	mu sync.Mutex
 	// watched holds the callers of the requests in progress; mu protects it.
@@ -84,7 +89,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %v: %w", c.Addr, err)
 	}
-	s := &Server{conf: c, stop: make(chan struct{}), watched: map[*Caller]struct{}{}}
+	s := &Server{conf: c, stop: make(chan struct{}), bodies: newBodies(c.BodyMemory), watched: map[*Caller]struct{}{}}
 	s.addr = l.Addr().(*net.TCPAddr).AddrPort()
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:       "tcp",
@@ -147,11 +152,14 @@
 		nbConn:       nc,
 		maxRequest:   s.conf.MaxBody + maxHeader,
 		writeTimeout: s.conf.WriteTimeout,
+		bodies:       s.bodies,
+		log:          s.conf.Log,
 	}
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	caller := s.newCaller(w)
+	defer caller.endRequest()
 	if !caller.acceptsFraming(r) {
 		return
 	}
@@ -162,9 +170,18 @@
 	defer cancel(nil)
 	defer s.recoverPanic(w, r)
 	caller.beginRequest()
+	stateLength(r)
 	s.conf.Handler.ServeHTTP(&writer{ResponseWriter: w}, r.WithContext(context.WithValue(ctx, callerKey{}, caller)))
 }
 
+// stateLength sets the length of a body that came in chunks: nbhttp passes on no request
+// before all of it has come.
+func stateLength(r *http.Request) {
+	if body, ok := r.Body.(*nbhttp.BodyReader); ok && r.ContentLength < 0 {
+		r.ContentLength = int64(body.Left())
+	}
+}
+
 func (s *Server) recoverPanic(w http.ResponseWriter, r *http.Request) {
 	v := recover()
 	if v == nil {
