--- a/foldd/ctrl/round.go
+++ b/foldd/ctrl/round.go
@@ -122,8 +122,9 @@
 
 // run calls every control VM, each at most once and the probable leader first, until one
 // succeeds or rejects the request itself. The next control VM is called as soon as a call
-// fails, and once a call is unanswered for hedgeDelay after it may have been sent. If a control VM's error names the
-// leader, that address is next. run returns the calls that failed.
+// fails, and once a call is unanswered for hedgeDelay after it may have been sent. If a
+// control VM's error names the leader, that address is next. run returns the calls that
+// failed.
 func (r *round[T]) run(ctx context.Context) (*T, []failedCall, error) {
 	// The calls that are still pending at the end of the round are canceled.
 	ctx, cancel := context.WithCancel(ctx)
