Ctrl tests: a bubble lasts until the servers have closed their connections

The calls that the client cancels after the first acknowledgement now and then leave such a connection. Change: the bubble waits one second (of virtual time) after a test. A test leaves such a connection on purpose.

--- a/foldd/ctrl/large_test.go
+++ b/foldd/ctrl/large_test.go
@@ -1,9 +1,12 @@
 package ctrl
 
 import (
+	"bufio"
 	"context"
 	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -37,6 +40,31 @@
 	}
 }
 
+// TestBubbleOutlastsClosingConnections guards against a bubble that ends, and panics, while
+// a server still waits with the close of a connection whose request it has not read.
+func TestBubbleOutlastsClosingConnections(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 1)
+		conn, err := g.network.dial(t.Context(), "10.0.1.1:7200", g.vms[0].addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		request := fmt.Sprintf("POST /unknown HTTP/1.1\r\nHost: vm\r\nContent-Length: %d\r\n\r\n", 1<<20)
+		if _, err := conn.Write([]byte(request)); err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		if res.StatusCode != http.StatusNotFound {
+			t.Errorf("status %d, wanted %d", res.StatusCode, http.StatusNotFound)
+		}
+	})
+}
+
 // randomDocument returns a document that hardly compresses.
 func randomDocument(seed uint64, size int) []byte {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -410,8 +410,15 @@
 	wg.Wait()
 }
 
-// inBubble runs test in virtual time.
+// serverCloseTime is longer than net/http's server keeps a connection whose request it has
+// not read to its end. Virtual time stands still once a test has returned.
+const serverCloseTime = time.Second
+
+// inBubble runs test in virtual time, and lets the servers close their connections after it.
 func inBubble(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
-	synctest.Test(t, test)
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(serverCloseTime) })
+		test(t)
+	})
 }
