--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -156,10 +156,14 @@
 	p.addDisks(seed)
 	p.addClocks(seed)
 	p.addStatements(seed, servers)
-	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
+	sortByStart(p.faults)
 	return p.faults
 }
 
+func sortByStart(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+}
+
 // addReloads adds reloads of settings. They are drawn by themselves, so that the other
 // faults of a seed do not depend on them.
 func (p *planner) addReloads(seed uint64) {
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -13,6 +13,9 @@
 type Options struct {
 	// Binary is the path of the foldd program.
 	Binary string
+	// Old is the path of an older foldd program, or empty. All VMs start with it and are
+	// upgraded to Binary one after the other.
+	Old string
 	// Folder is where the files of a run go. They are removed if nothing is found.
 	Folder string
 	// Length is how long faults begin, DefaultLength if zero.
@@ -55,9 +58,9 @@
 		o.Length = DefaultLength
 	}
 	folder := filepath.Join(o.Folder, fmt.Sprintf("seed-%d", seed))
-	rep := Report{Seed: seed, Length: o.Length, Faults: NewPlan(seed, o.Length, vmCount, controlCount, len(layout))}
+	rep := Report{Seed: seed, Length: o.Length, Faults: o.plan(seed)}
 	f := &findings{start: time.Now()}
-	w, err := newWorld(o.Binary, folder, f)
+	w, err := newWorld(o, folder, f)
 	defer w.close()
 	if err != nil {
 		return rep, fmt.Errorf("start of seed %d: %w", seed, err)
@@ -83,6 +86,17 @@
 	return rep, nil
 }
 
+// plan returns the faults of a seed, and the steps of its upgrade if there is one.
+func (o Options) plan(seed uint64) []Fault {
+	faults := NewPlan(seed, o.Length, vmCount, controlCount, len(layout))
+	if o.Old == "" {
+		return faults
+	}
+	faults = append(faults, planUpgrade(seed, o.Length, vmCount)...)
+	sortByStart(faults)
+	return faults
+}
+
 // soakRun is a run in progress.
 type soakRun struct {
 	world     *world
--- a/foldfake/soak/vm.go
+++ b/foldfake/soak/vm.go
@@ -34,12 +34,13 @@
 	callers, backends, peers, operators netip.AddrPort
 	// proxy stands before the callers' address.
 	proxy  *Proxy
-	binary string
 	client wire.OperatorServiceClient
 
 	mu sync.Mutex
 	// peerProxy stands before the address for other VMs.
 	peerProxy *Proxy
+	// binary is the path of the program that the next start runs.
+	binary string
 	// settings is what the settings file holds.
 	settings settings
 	process  *exec.Cmd
@@ -314,6 +315,13 @@
 	v.clockStep = step
 }
 
+// setBinary sets the path of the program from the next start on.
+func (v *vm) setBinary(path string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.binary = path
+}
+
 // disturbInterval is the time between two notes that a VM is being disturbed.
 const disturbInterval = 200 * time.Millisecond
 
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -26,6 +27,9 @@
 	vms      []*vm
 	servers  *servers
 	findings *findings
+	// binary and old are the paths of the program and of an older one, the latter empty if
+	// there is no upgrade.
+	binary, old string
 
 	mu sync.Mutex
 	// peers and controls are the addresses of all VMs and of the control VMs, guarded by
@@ -41,10 +45,10 @@
 }
 
 // newWorld starts the VMs and the backend servers.
-func newWorld(binary, folder string, f *findings) (*world, error) {
-	w := &world{findings: f}
+func newWorld(o Options, folder string, f *findings) (*world, error) {
+	w := &world{findings: f, binary: o.Binary, old: o.Old}
 	for i := range vmCount {
-		v, err := newVM(fmt.Sprintf("vm%d", i+1), binary, filepath.Join(folder, fmt.Sprintf("vm%d", i+1)), i < controlCount)
+		v, err := newVM(fmt.Sprintf("vm%d", i+1), cmp.Or(o.Old, o.Binary), filepath.Join(folder, fmt.Sprintf("vm%d", i+1)), i < controlCount)
 		if err != nil {
 			return w, err
 		}
@@ -166,10 +170,10 @@
 
 var serverModes = map[Kind]Mode{DelayServer: Delay, ResetServer: Reset, SilenceServer: Silence}
 
-// restart ends a VM, does what the fault says to its disk, and starts it again.
+// restart ends a VM, does what the fault says to it, and starts it again.
 func (w *world) restart(ctx context.Context, v *vm, f Fault) {
 	s := syscall.SIGKILL
-	if f.Kind == StopVM {
+	if slices.Contains([]Kind{StopVM, UpgradeVM, DowngradeVM}, f.Kind) {
 		s = syscall.SIGTERM
 	}
 	v.stop(s)
@@ -182,6 +186,10 @@
 		w.check(v.tear())
 	case StepClock:
 		v.setClock(f.Step)
+	case UpgradeVM:
+		v.setBinary(w.binary)
+	case DowngradeVM:
+		v.setBinary(w.old)
 	}
 	sleep(ctx, f.For)
 	w.check(v.start())
--- a/foldfake/soakcmd.go
+++ b/foldfake/soakcmd.go
@@ -30,6 +30,7 @@
 		Usage: "run real foldd processes under random faults, and check what callers get",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Required: true, Usage: "path of the foldd program"},
+			&cli.StringFlag{Name: "old", Usage: "path of an older foldd program: all VMs start with it and are upgraded to --binary one after the other"},
 			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "seeds to play, such as 1-50 or 3,8"},
 			&cli.DurationFlag{Name: "for", Usage: "play fresh seeds for this time, in place of --seeds"},
 			&cli.IntFlag{Name: "jobs", Value: 2, Usage: "seeds played at a time; each runs five processes"},
@@ -44,7 +45,7 @@
 			if err != nil {
 				return err
 			}
-			s := &soakSeries{options: soak.Options{Binary: c.String("binary"), Folder: c.String("out"), Length: c.Duration("length")}}
+			s := &soakSeries{options: soak.Options{Binary: c.String("binary"), Old: c.String("old"), Folder: c.String("out"), Length: c.Duration("length")}}
 			if err := os.MkdirAll(s.options.Folder, 0o755); err != nil {
 				return fmt.Errorf("make folder for reports: %w", err)
 			}
