--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -43,8 +43,8 @@
 	waitFor(t, "the VMs to know each other", func() bool {
 		return len(rig.cutOff.Node.Peers()) == 1 && len(rig.other.Node.Peers()) == 1
 	})
-	rig.announce(rig.other, server.Addr())
-	rig.announce(rig.cutOff, unusedAddr(t))
+	rig.announce(rig.other, server.Addr(), 1)
+	rig.announce(rig.cutOff, unusedAddr(t), 1)
 	return rig
 }
 
@@ -83,9 +83,10 @@
 	}
 }
 
-// announce makes the server known to a VM at an address.
-func (r *cutOffRig) announce(a *app.App, addr netip.AddrPort) {
-	a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: addr, Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1})
+// announce makes the server known to a VM at an address. Of two announcements, the one with
+// the higher seq counts.
+func (r *cutOffRig) announce(a *app.App, addr netip.AddrPort, seq uint64) {
+	a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: addr, Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: seq})
 }
 
 // call sends a request of a kind to the VM that is cut off.
@@ -201,7 +202,7 @@
 func TestRequestIsPassedOnOnce(t *testing.T) {
 	t.Parallel()
 	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "answer"} })
-	rig.server.Close()
+	rig.announce(rig.other, unusedAddr(t), 2)
 	for i := range 5 {
 		id := fmt.Sprint("r", i)
 		res, body, err := rig.call(t.Context(), t, spec.ForwardNonIdempotent, id)
@@ -247,7 +248,8 @@
 	if a, b := counter(rig.cutOff, "peer.passed"), counter(rig.other, "peer.received"); a != 1 || b != 1 {
 		t.Fatalf("%d passed, %d received, want one", a, b)
 	}
-	rig.cutOff.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: rig.server.Addr(), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 2})
+	waitFor(t, "the server to be unreachable", func() bool { return counter(rig.cutOff, "reach.lost") == 1 })
+	rig.announce(rig.cutOff, rig.server.Addr(), 2)
 	waitFor(t, "the server to be reachable again", func() bool { return counter(rig.cutOff, "reach.regained") == 1 })
 	if res, _, err := rig.call(t.Context(), t, spec.ForwardIdempotent, "after"); err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("after the cut: %v, %v", err, res)
--- a/foldfake/soak/upgrade_test.go
+++ b/foldfake/soak/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -37,19 +38,33 @@
 // oldVersion is the version that TestUpgrade upgrades from.
 const oldVersion = "b8a7a7c"
 
-// TestUpgrade plays a seed in which VMs of an older version, whose files the new one reads,
-// are upgraded one after the other.
+// upgradeSeeds are the seeds that every test run plays, each with what it catches.
+var upgradeSeeds = []struct {
+	seed    uint64
+	catches string
+}{
+	{1, "exchanges that the other version does not understand"},
+	{2, "messages of the control group that the other version does not understand"},
+}
+
+// TestUpgrade plays seeds in which VMs of an older version are upgraded one after the other.
 func TestUpgrade(t *testing.T) {
 	t.Parallel()
-	o := Options{Binary: buildBinary(t), Old: buildVersion(t, oldVersion), Folder: t.TempDir()}
-	rep, err := Run(t.Context(), o, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range rep.Violations {
-		t.Errorf("%s at %v, request %q: %s", v.Promise, v.At, v.Request, v.Detail)
+	binary, old := buildBinary(t), buildVersion(t, oldVersion)
+	for _, s := range upgradeSeeds {
+		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
+			t.Parallel()
+			t.Logf("catches %s", s.catches)
+			rep, err := Run(t.Context(), Options{Binary: binary, Old: old, Folder: t.TempDir()}, s.seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range rep.Violations {
+				t.Errorf("%s at %v, request %q: %s", v.Promise, v.At, v.Request, v.Detail)
+			}
+			t.Logf("%d faults, %d changes, requests %v", len(rep.Faults), rep.Changes, rep.Counts)
+		})
 	}
-	t.Logf("%d faults, %d changes, requests %v", len(rep.Faults), rep.Changes, rep.Counts)
 }
 
 // buildVersion builds foldd of a commit for the soak, from the repository's history. A
