App tests: VMs that are cut off from a server know it at addresses of their own

It also began now and then with the address that the other VM had gossiped (0 passed, 0 received): both announcements have the same seq, and the first one holds. No check was dropped.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -22,6 +22,8 @@
 type cutOffRig struct {
 	cutOff, other *app.App
 	server        *origin.Server
+	// seq is that of the last announcement.
+	seq uint64
 }
 
 // newCutOffRig starts the VMs, which know each other, and a server of two services that
@@ -43,8 +45,7 @@
 	waitFor(t, "the VMs to know each other", func() bool {
 		return len(rig.cutOff.Node.Peers()) == 1 && len(rig.other.Node.Peers()) == 1
 	})
-	rig.announce(rig.other, server.Addr(), 1)
-	rig.announce(rig.cutOff, unusedAddr(t), 1)
+	rig.announceApart(server.Addr(), unusedAddr(t))
 	return rig
 }
 
@@ -83,10 +84,30 @@
 	}
 }
 
-// announce makes the server known to a VM at an address. Of two announcements, the one with
-// the higher seq counts.
-func (r *cutOffRig) announce(a *app.App, addr netip.AddrPort, seq uint64) {
-	a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: addr, Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: seq})
+// announceApart makes the server known to the other VM at an address, and to the VM that is
+// cut off at another one. The VMs tell each other what they hear, and keep the first of two
+// announcements with the same seq: it goes on until each has its own.
+func (r *cutOffRig) announceApart(reachable, unreachable netip.AddrPort) {
+	for !knowsServerAt(r.other, reachable) || !knowsServerAt(r.cutOff, unreachable) {
+		r.seq++
+		r.announce(r.other, reachable)
+		r.announce(r.cutOff, unreachable)
+	}
+}
+
+func knowsServerAt(a *app.App, addr netip.AddrPort) bool {
+	b, ok := a.Node.Backend("s1")
+	return ok && b.Addr == addr
+}
+
+// announceNewer makes the server known to a VM at an address that all others learn too.
+func (r *cutOffRig) announceNewer(a *app.App, addr netip.AddrPort) {
+	r.seq++
+	r.announce(a, addr)
+}
+
+func (r *cutOffRig) announce(a *app.App, addr netip.AddrPort) {
+	a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: addr, Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: r.seq})
 }
 
 // call sends a request of a kind to the VM that is cut off.
@@ -202,7 +223,7 @@
 func TestRequestIsPassedOnOnce(t *testing.T) {
 	t.Parallel()
 	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Body: "answer"} })
-	rig.announce(rig.other, unusedAddr(t), 2)
+	rig.announceNewer(rig.other, unusedAddr(t))
 	for i := range 5 {
 		id := fmt.Sprint("r", i)
 		res, body, err := rig.call(t.Context(), t, spec.ForwardNonIdempotent, id)
@@ -249,7 +270,7 @@
 		t.Fatalf("%d passed, %d received, want one", a, b)
 	}
 	waitFor(t, "the server to be unreachable", func() bool { return counter(rig.cutOff, "reach.lost") == 1 })
-	rig.announce(rig.cutOff, rig.server.Addr(), 2)
+	rig.announceNewer(rig.cutOff, rig.server.Addr())
 	waitFor(t, "the server to be reachable again", func() bool { return counter(rig.cutOff, "reach.regained") == 1 })
 	if res, _, err := rig.call(t.Context(), t, spec.ForwardIdempotent, "after"); err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("after the cut: %v, %v", err, res)
