Soak: processes inherit no descriptors of the soak

Change: descriptors are marked before a process is started; TestUpgrade runs before the tests that run at the same time. Result: TestVMInheritsNoDescriptors fails without the mark, passes with it.

--- a/foldfake/soak/soak_test.go
+++ b/foldfake/soak/soak_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestVMInheritsNoDescriptors guards against VMs that hold descriptors of the soak itself, and
+// seem to hold more after the load than before.
+func TestVMInheritsNoDescriptors(t *testing.T) {
+	fd, err := syscall.EpollCreate1(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := closeOnExec(); err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command("readlink", fmt.Sprint("/proc/self/fd/", fd))
+	if out, err := child.Output(); err == nil {
+		t.Errorf("a started process holds %s", out)
+	}
+}
+
 // TestSoak plays a few short seeds on real processes.
 func TestSoak(t *testing.T) {
 	t.Parallel()
--- a/foldfake/soak/upgrade_test.go
+++ b/foldfake/soak/upgrade_test.go
@@ -92,7 +92,6 @@
 
 // TestUpgrade plays seeds in which VMs of an older version are upgraded one after the other.
 func TestUpgrade(t *testing.T) {
-	t.Parallel()
 	binary, old := buildBinary(t), buildVersion(t, oldVersion)
 	for _, s := range upgradeSeeds {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
--- a/foldfake/soak/vm.go
+++ b/foldfake/soak/vm.go
@@ -180,6 +180,9 @@
 	p := exec.Command(v.binary, "serve", v.settingsPath())
 	p.Stdout, p.Stderr = log, log
 	p.Env = append(os.Environ(), "FOLD_SOAK_CLOCK="+v.clockStep.String())
+	if err := closeOnExec(); err != nil {
+		return err
+	}
 	if err := p.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", v.id, err)
 	}
@@ -196,6 +199,26 @@
 	return nil
 }
 
+// closeOnExec keeps processes that are started from inheriting descriptors. nbio opens its
+// epoll and event descriptors without that flag, and a process would count those of all
+// backend servers of the soak as its own.
+func closeOnExec() error {
+	fds, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return fmt.Errorf("list descriptors: %w", err)
+	}
+	for _, e := range fds {
+		fd, err := strconv.Atoi(e.Name())
+		if err != nil {
+			return fmt.Errorf("list descriptors: %w", err)
+		}
+		if fd > syscall.Stderr {
+			syscall.CloseOnExec(fd)
+		}
+	}
+	return nil
+}
+
 // signal sends a signal to the process, if there is one. A reload is no disturbance.
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
