Calls between VMs: one that is refused for its size says so, with size and limit

Callers saw: a control VM that does not catch up, and in the leader's log `call to a control replica failed` with `send messages: unknown` and the number of messages. Cause: the server of the other VM refuses a request above its limit before any handler runs, with status 413 and a body that is no error of the protocol; the client makes "unknown" of it, without a text. The line had no size. Change: such a call ends with the code resource_exhausted, its size and the reply, whatever version the other VM has; the reply and a line of the receiver name the size and the limit. The line of the sender has `bytes`. Counters control.bytesSent and control.callsTooLarge.

--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -103,7 +103,7 @@
 	for range 2 {
 		begun := time.Now()
 		err := h.send(c, req)
-		state.Record(begun, err, logrus.Fields{"messages": len(req.Messages), "queued": queued})
+		state.Record(begun, err, logrus.Fields{"messages": len(req.Messages), "bytes": proto.Size(req), "queued": queued})
 		if err == nil {
 			return
 		}
@@ -121,15 +121,24 @@
 		case <-ctx.Done():
 		}
 	}()
+	h.conf.Count("control.bytesSent", int64(proto.Size(req)))
 	res, err := c.Step(ctx, connect.NewRequest(req))
 	if err != nil {
 		h.conf.Count("control.sendsFailed", 1)
+		h.countRefused(err)
 		return fmt.Errorf("send messages: %w", err)
 	}
 	h.noteAnswer(req, res.Header().Get(headerReplica))
 	return nil
 }
 
+// countRefused counts a call that was refused for its size.
+func (h *Server) countRefused(err error) {
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		h.conf.Count("control.callsTooLarge", 1)
+	}
+}
+
 // noteAnswer records which replicas that messages were sent to are gone, as the one that got
 // them has another ID.
 func (h *Server) noteAnswer(req *wire.StepRequest, replica string) {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -51,7 +51,7 @@
 func New(n *node.Node) *Service {
 	t := &http.Transport{}
 	configureTransport(t)
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	s := &Service{node: n, http: &http.Client{Transport: framedTransport{refusalTransport{t}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
@@ -63,7 +63,7 @@
 func (s *Service) ControlClient() *http.Client {
 	t := &redial.Transport{}
 	configureTransport(&t.Transport)
-	return &http.Client{Transport: framedTransport{t}}
+	return &http.Client{Transport: framedTransport{refusalTransport{t}}}
 }
 
 // configureTransport sets up a transport for calls to other VMs.
--- a/netio/serve/caller.go
+++ b/netio/serve/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -130,8 +131,7 @@
 // memory, and returns the error that ends its connection.
 func (c *limitedConn) checkSize() error {
 	if c.received > c.maxRequest {
-		c.reject(http.StatusRequestEntityTooLarge, "tooLarge", errTooLarge, 0)
-		return errTooLarge
+		return c.rejectTooLarge()
 	}
 	begun := time.Now()
 	if c.takeMemory() {
@@ -144,6 +144,17 @@
 	return errNoMemory
 }
 
+// rejectTooLarge rejects a request that is larger than the limit, and returns the error that
+// ends its connection.
+func (c *limitedConn) rejectTooLarge() error {
+	limit := c.maxRequest - maxHeader
+	size := max(c.stated, c.received)
+	err := fmt.Errorf("%w: %d bytes, limit %d", errTooLarge, size, limit)
+	c.log.WithFields(logrus.Fields{"caller": c.RemoteAddr(), "stated": c.stated, "received": c.received, "limit": limit}).Warn("request rejected: larger than the size limit")
+	c.reject(http.StatusRequestEntityTooLarge, "tooLarge", err, 0)
+	return err
+}
+
 // rejection is the error of a response to a request that was not passed to the handler.
 type rejection struct {
 	Code    string `json:"code"`
