Control group: failing tests of a new control VM that never votes

TestNewVMVotesBeforeNextDiskIsLost plays that in virtual time: a log of 360 documents of 190 kB, changes every 0.3 s, links of 1000 Mbit/s, 0.4 of a processor, up to three lost leaders. The rig's server now refuses calls above peer.MaxMessage, as the real one does.

TestReplicaBehindIsSentEntriesOnce counts what a leader sends to a replica that lacks 90 MB, over a link with delays and an outage.

--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -19,6 +19,7 @@
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"fuchsiafold.example/foldd/peer"
 	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
 )
@@ -36,6 +37,47 @@
 	minority map[string]bool
 	// uplinks holds the VMs whose links bound what they send.
 	uplinks map[string]*uplink
+	// shares holds the VMs that have a part of a processor only.
+	shares map[string]share
+}
+
+// share is a part of a processor: of each period, the VM stands still for a time.
+type share struct{ period, still time.Duration }
+
+// until returns for how long a VM with the share still stands still.
+func (s share) until(now time.Time) time.Duration {
+	if s.period == 0 {
+		return 0
+	}
+	return max(0, s.still-time.Duration(now.UnixNano())%s.period)
+}
+
+// hold makes a replica stand still until it is stopped.
+func (s share) hold(server *Server) {
+	stand := func(now time.Time) { time.Sleep(s.until(now)) }
+	for server.do(context.Background(), stand) == nil {
+		time.Sleep(s.period - time.Duration(time.Now().UnixNano())%s.period)
+	}
+}
+
+// limitProcessor makes the connections of a VM wait while it stands still.
+func (n *network) limitProcessor(addr string, s share) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.shares == nil {
+		n.shares = map[string]share{}
+	}
+	n.shares[addr] = s
+}
+
+// awaitProcessor waits while a VM stands still.
+func (n *network) awaitProcessor(addr string) {
+	n.mu.Lock()
+	s := n.shares[addr]
+	n.mu.Unlock()
+	if d := s.until(time.Now()); d > 0 {
+		time.Sleep(d)
+	}
 }
 
 // uplink is a VM's link, over which it sends one thing after the other.
@@ -203,6 +245,7 @@
 
 func (c *memConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.network.awaitProcessor(c.owner)
 	select {
 	case <-c.silent:
 		<-c.closed
@@ -218,6 +261,7 @@
 		return len(b), nil
 	default:
 	}
+	c.network.awaitProcessor(c.owner)
 	select {
 	case <-time.After(time.Until(c.network.reserve(c.owner, len(b)))):
 		return c.Conn.Write(b)
@@ -249,6 +293,8 @@
 	// server is nil on an entry VM, and while the VM is down.
 	server *Server
 	client *Client
+	// share is the VM's part of a processor, all of one if it is zero.
+	share share
 	// checked counts the documents that the VM has checked, each for checkTime, a
 	// time.Duration.
 	checked, checkTime atomic.Int64
@@ -278,6 +324,12 @@
 
 // addControlVM starts a control VM of the group that the VMs at seeds form.
 func (g *groupRig) addControlVM(t *testing.T, addr netip.AddrPort, seeds []netip.AddrPort) {
+	t.Helper()
+	g.start(t, g.newControlVM(t, addr, seeds))
+}
+
+// newControlVM adds a control VM that is down.
+func (g *groupRig) newControlVM(t *testing.T, addr netip.AddrPort, seeds []netip.AddrPort) *rigVM {
 	t.Helper()
 	log, lines := test.NewNullLogger()
 	options := connect.WithClientOptions()
@@ -294,8 +346,8 @@
 		HTTP: client, Options: options, Log: log, Check: check,
 	}
 	g.vms = append(g.vms, vm)
-	g.start(t, vm)
 	t.Cleanup(func() { g.stop(vm) })
+	return vm
 }
 
 // start starts the control replica of a VM that is down.
@@ -306,11 +358,14 @@
 		t.Fatal(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewControlServiceHandler(server.Handler()))
+	mux.Handle(wire.NewControlServiceHandler(server.Handler(), connect.WithReadMaxBytes(peer.MaxMessage)))
 	vm.web = &http.Server{Handler: mux}
 	go vm.web.Serve(g.network.listen(vm.addr.String()))
 	vm.server = server
 	vm.client.LocalLeader = server.Leader
+	if vm.share.period > 0 {
+		go vm.share.hold(server)
+	}
 }
 
 // stop ends the control replica of a VM without warning, if it runs. Its disk stays.
