--- a/fold/raft/log.go
+++ b/fold/raft/log.go
@@ -31,18 +31,18 @@
 	return l.entries[index-l.snapshotIndex-1].Term, true
 }
 
-// slice returns the entries from lo to hi inclusive, or as many of them as fit
-// into one message. It returns nil if it does not hold the entry at lo.
-func (l *raftLog) slice(lo, hi uint64) []Entry {
-	hi = min(hi, l.last())
-	if lo > hi || lo <= l.snapshotIndex {
+// slice returns the entries from lo on, as many of them as fit into one message with
+// maxBytes of data; a larger one is returned alone. It returns nil if it does not hold the
+// entry at lo.
+func (l *raftLog) slice(lo uint64, maxBytes int) []Entry {
+	if lo > l.last() || lo <= l.snapshotIndex {
 		return nil
 	}
-	available := l.entries[lo-l.snapshotIndex-1 : hi-l.snapshotIndex]
+	available := l.entries[lo-l.snapshotIndex-1:]
 	size := 0
 	for i, e := range available {
 		size += len(e.Data)
-		if i > 0 && (i >= maxMessageEntries || size > maxMessageBytes) {
+		if i > 0 && (i >= maxMessageEntries || size > maxBytes) {
 			return available[:i:i]
 		}
 	}
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -35,21 +35,6 @@
 	Entries   []Entry
 }
 
-// progress is the leader's view of a member. The leader also has one for itself,
-// which is not updated.
-type progress struct {
-	// match is the index of the last entry known to be synced at the replica.
-	// next is the index of the next entry to send; it is greater than match.
-	match       uint64
-	next        uint64
-	lastContact time.Time
-	// ackedRound is the last heartbeat round that the replica acknowledged.
-	ackedRound uint64
-	// installSentAt is when a snapshot was last sent. It is reset to zero when
-	// match grows.
-	installSentAt time.Time
-}
-
 // pendingRead is a read whose heartbeat round has no quorum of replies yet.
 type pendingRead struct {
 	id    uint64
@@ -91,6 +76,10 @@
 
 	electionAt  time.Time
 	heartbeatAt time.Time
+	// matched is the index up to which the log is known to match that of the leader of term
+	// matchedTerm.
+	matched     uint64
+	matchedTerm uint64
 	// lastLeaderContact is when the last message from the leader arrived.
 	lastLeaderContact time.Time
 	votes             map[string]bool
--- a/fold/raft/replicate.go
+++ b/fold/raft/replicate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 )
 
 // append adds an entry to the leader's log and returns its index. A change of
@@ -40,21 +39,22 @@
 	}
 }
 
-// replicate sends a replica the entries that it lacks, unless the installation
-// of a snapshot is in progress there.
+// replicate sends a member the entries that it lacks, as far as its window allows.
 func (n *Node) replicate(id string, p *progress) {
-	if p.next <= n.log.last() && !n.installInProgress(p) {
-		n.sendAppend(id, p)
+	if p.state == probing && !p.probed {
+		n.sendProbe(id, p)
+	}
+	for p.state == replicating && p.next <= n.log.last() && p.window.open() {
+		n.sendEntries(id, p)
 	}
 }
 
-// heartbeat starts a new heartbeat round: it sends an Append to every other
-// member.
+// heartbeat starts a new heartbeat round: it sends a message to every other member.
 func (n *Node) heartbeat() {
 	n.heartbeatRound++
 	n.heartbeatAt = n.now.Add(n.opts.HeartbeatInterval)
 	for _, id := range n.peerIDs() {
-		n.sendAppend(id, n.progress[id])
+		n.sendHeartbeat(id, n.progress[id])
 	}
 	n.confirmReads()
 }
@@ -70,46 +70,72 @@
 	return out
 }
 
-// sendAppend sends the entries from p.next on, or the snapshot if the log no
-// longer holds the entry before them. Without new entries, the Append is only a
-// heartbeat.
-func (n *Node) sendAppend(id string, p *progress) {
+// sendHeartbeat sends a member a probe, or an Append without entries, which never waits
+// for what is on its way and does not depend on it.
+func (n *Node) sendHeartbeat(id string, p *progress) {
+	switch {
+	case p.state == replicating && !p.window.empty() && n.overdue(p):
+		n.probeFrom(p, p.match+1)
+	case p.state == installing && n.overdue(p) && p.lastContact.After(p.sentAt):
+		n.probeFrom(p, p.next)
+	}
+	if p.state == probing {
+		n.sendProbe(id, p)
+		return
+	}
+	n.sendAppendAt(id, p.match, nil)
+}
+
+// sendProbe asks a member whether it has the entry before p.next. The first probe carries
+// the entries that follow if they are small. If the log no longer holds that entry, the
+// member is sent the snapshot, once it has answered since it was sent one before.
+func (n *Node) sendProbe(id string, p *progress) {
 	prev := p.next - 1
-	term, ok := n.log.term(prev)
-	if !ok {
+	if _, ok := n.log.term(prev); !ok && p.lastContact.After(p.sentAt) {
 		n.sendSnapshot(id, p)
 		return
 	}
-	entries := n.log.slice(p.next, n.log.last())
-	n.send(Message{Type: Append, To: id, Index: prev, LogTerm: term, Entries: entries, Commit: n.commit, Round: n.heartbeatRound})
-	if len(entries) > 0 {
-		// The entries are not sent again unless the replica rejects a later
-		// Append, such as the next heartbeat, because it lacks them.
-		p.next = entries[len(entries)-1].Index + 1
+	var entries []Entry
+	if next := n.log.slice(p.next, maxProbeBytes); !p.probed && dataSize(next) <= maxProbeBytes {
+		entries = next
 	}
+	p.probed = true
+	n.sendAppendAt(id, prev, entries)
 }
 
-// installRetryTimeouts is the number of election timeouts after which a snapshot
-// that was not acknowledged is sent again.
-const installRetryTimeouts = 4
-
-// sendSnapshot sends the last snapshot, unless its installation is in progress.
-func (n *Node) sendSnapshot(id string, p *progress) {
-	if n.installInProgress(p) {
-		// An empty Append at index 0, which every replica accepts, keeps the
-		// replica from starting an election during the installation.
-		n.send(Message{Type: Append, To: id, Round: n.heartbeatRound})
+// sendEntries sends a member the next entries, or the snapshot if the log no longer holds
+// the entry before them.
+func (n *Node) sendEntries(id string, p *progress) {
+	prev := p.next - 1
+	if _, ok := n.log.term(prev); !ok {
+		n.sendSnapshot(id, p)
 		return
 	}
-	p.installSentAt = n.now
-	s := n.snapshot
-	n.send(Message{Type: InstallSnapshot, To: id, Snapshot: &s, Round: n.heartbeatRound})
+	if p.window.empty() {
+		p.sentAt = n.now
+	}
+	entries := n.log.slice(p.next, maxMessageBytes)
+	n.sendAppendAt(id, prev, entries)
+	p.window.add(entries)
+	p.next = entries[len(entries)-1].Index + 1
 }
 
-// installInProgress reports whether a snapshot was sent to the replica and has
-// been neither acknowledged nor given up.
-func (n *Node) installInProgress(p *progress) bool {
-	return !p.installSentAt.IsZero() && n.now.Sub(p.installSentAt) < installRetryTimeouts*n.opts.ElectionTimeout
+// sendAppendAt sends an Append whose entries follow the entry at prev. If the log no longer
+// holds that entry, it sends an empty one at index 0, which every replica accepts.
+func (n *Node) sendAppendAt(id string, prev uint64, entries []Entry) {
+	m := Message{Type: Append, To: id, Round: n.heartbeatRound}
+	if term, ok := n.log.term(prev); ok {
+		m.Index, m.LogTerm, m.Entries, m.Commit = prev, term, entries, n.commit
+	}
+	n.send(m)
+}
+
+// sendSnapshot sends the last snapshot.
+func (n *Node) sendSnapshot(id string, p *progress) {
+	n.enterState(p, installing)
+	s := n.snapshot
+	p.snapshot, p.snapshotBytes, p.sentAt = s.Index, len(s.Data), n.now
+	n.send(Message{Type: InstallSnapshot, To: id, Snapshot: &s, Round: n.heartbeatRound})
 }
 
 // stepAppend handles an Append from the leader.
@@ -118,7 +144,7 @@
 	if m.Index < n.commit {
 		// Committed entries are the same in the leader's log: contradicts has checked
 		// those in the message.
-		n.send(Message{Type: AppendReply, To: m.From, Index: n.commit, Round: m.Round})
+		n.acknowledge(m, n.commit)
 		return
 	}
 	if t, ok := n.log.term(m.Index); !ok || t != m.LogTerm {
@@ -126,9 +152,18 @@
 		n.send(Message{Type: AppendReply, To: m.From, Reject: true, Index: hint, Round: m.Round})
 		return
 	}
-	last := n.mergeEntries(m.Index, m.Entries)
-	n.commit = max(n.commit, min(m.Commit, last))
-	n.send(Message{Type: AppendReply, To: m.From, Index: last, Round: m.Round})
+	n.acknowledge(m, n.mergeEntries(m.Index, m.Entries))
+	n.commit = max(n.commit, min(m.Commit, n.matched))
+}
+
+// acknowledge replies to the leader that the log matches its own up to index, or to a later
+// one that was found to match before: that reply may have been lost.
+func (n *Node) acknowledge(m Message, index uint64) {
+	if n.matchedTerm != n.hardState.Term {
+		n.matched, n.matchedTerm = 0, n.hardState.Term
+	}
+	n.matched = max(n.matched, index)
+	n.send(Message{Type: AppendReply, To: m.From, Index: n.matched, Round: m.Round})
 }
 
 // acceptLeader makes the node a follower of the leader of the current term, from
@@ -178,12 +213,12 @@
 	n.acceptLeader(m.From)
 	s := m.Snapshot
 	if s.Index <= n.commit {
-		n.send(Message{Type: AppendReply, To: m.From, Index: n.commit, Round: m.Round})
+		n.acknowledge(m, n.commit)
 		return
 	}
 	if t, ok := n.log.term(s.Index); ok && t == s.Term {
 		n.commit = s.Index
-		n.send(Message{Type: AppendReply, To: m.From, Index: s.Index, Round: m.Round})
+		n.acknowledge(m, s.Index)
 		return
 	}
 	n.log.reset(s.Index, s.Term)
@@ -192,7 +227,7 @@
 	n.commit, n.applied = s.Index, s.Index
 	n.stable, n.handedOut = s.Index, s.Index
 	n.rebuildMemberships()
-	n.send(Message{Type: AppendReply, To: m.From, Index: s.Index, Round: m.Round})
+	n.acknowledge(m, s.Index)
 }
 
 // stepAppendReply handles a replica's reply to an Append or InstallSnapshot.
@@ -212,24 +247,49 @@
 	p.ackedRound = max(p.ackedRound, m.Round)
 	n.confirmReads()
 	if m.Reject {
-		p.next = max(p.match+1, min(p.next-1, m.Index+1))
-		n.replicate(m.From, p)
+		n.stepRejection(m, p)
 		return
 	}
 	if m.Index > p.match {
 		p.match = m.Index
-		p.installSentAt = time.Time{}
+		p.sentAt = n.now
+		p.window.acknowledge(m.Index)
 		n.advanceCommit()
 	}
 	if n.role != Leader {
 		return
 	}
-	if p.next <= p.match {
-		p.next = p.match + 1
+	if n.endsState(m, p) {
+		p.state, p.next = replicating, p.match+1
 	}
+	p.next = max(p.next, p.match+1)
 	n.replicate(m.From, p)
 }
 
+// endsState reports whether a reply shows that the member has all that a probe asked for,
+// or the snapshot.
+func (n *Node) endsState(m Message, p *progress) bool {
+	switch p.state {
+	case probing:
+		return m.Round >= p.stateRound && m.Index+1 >= p.next
+	case installing:
+		return m.Index >= p.snapshot
+	}
+	return false
+}
+
+// stepRejection handles the rejection of an Append: the member lacks the entry before those
+// in it.
+func (n *Node) stepRejection(m Message, p *progress) {
+	if m.Round < p.stateRound || p.state == installing {
+		return
+	}
+	rejected := p.next
+	n.probeFrom(p, max(p.match+1, min(p.next-1, m.Index+1)))
+	// A member that rejects the same probe again is asked once a heartbeat.
+	p.probed = p.next == rejected
+}
+
 // advanceCommit commits the entries that a quorum has synced, if the last of
 // them is of the current term.
 func (n *Node) advanceCommit() {
--- a/fold/raft/types.go
+++ b/fold/raft/types.go
@@ -150,6 +150,10 @@
 // fromLeader reports whether only a leader sends messages of this type.
 func (m Message) fromLeader() bool { return m.Type == Append || m.Type == InstallSnapshot }
 
+// Transfer reports whether the message carries entries or a snapshot. All other messages are
+// small, and none of them depends on a transfer that was sent before it.
+func (m Message) Transfer() bool { return len(m.Entries) > 0 || m.Snapshot != nil }
+
 // Read is a confirmed read, which may be answered once Index has been applied.
 type Read struct {
 	ID    uint64
--- a/fold/repl/model_test.go
+++ b/fold/repl/model_test.go
@@ -198,6 +198,25 @@
 	}
 }
 
+// lose takes the i-th message out of flight. Its sender may learn that entries or a snapshot
+// were lost, and may also take them for lost though they arrive.
+func (m *groupModel) lose(i int) {
+	msg := m.inFlight[i]
+	outcome := m.r.IntN(4)
+	if outcome > 0 {
+		m.inFlight = slices.Delete(m.inFlight, i, i+1)
+	}
+	if !msg.Transfer() || outcome > 2 {
+		return
+	}
+	for _, n := range m.nodes {
+		if n.replica != nil && n.id == msg.From {
+			n.replica.DeliveryFailed(msg.To)
+			m.process(n)
+		}
+	}
+}
+
 // tick advances the time of a VM, which may ask another one to let it join.
 func (m *groupModel) tick(n *modelNode) {
 	n.replica.Tick(m.now)
@@ -224,11 +243,11 @@
 	return nil
 }
 
-// whole reports whether the replicas of all VMs vote, and hold what is committed, as the
-// leader knows it: a disk may be lost then.
+// whole reports whether the replicas of all VMs vote by a membership that is committed, and
+// hold what is committed, as the leader knows it: a disk may be lost then.
 func (m *groupModel) whole() bool {
 	lead := m.pick(func(n *modelNode) bool { return n.replica != nil && n.replica.IsLeader() })
-	if lead == nil || len(lead.replica.Membership().Members) != len(m.nodes) {
+	if lead == nil || len(lead.replica.Membership().Members) != len(m.nodes) || lead.replica.Applied() < lead.replica.MembershipIndex() {
 		return false
 	}
 	return !slices.ContainsFunc(m.nodes, func(n *modelNode) bool {
@@ -242,8 +261,7 @@
 	case x < 56 && len(m.inFlight) > 0:
 		m.deliver(m.r.IntN(min(len(m.inFlight), 1+m.r.IntN(6))))
 	case x < 60 && len(m.inFlight) > 0:
-		i := m.r.IntN(len(m.inFlight))
-		m.inFlight = slices.Delete(m.inFlight, i, i+1)
+		m.lose(m.r.IntN(len(m.inFlight)))
 	case x < 62 && len(m.inFlight) > 0:
 		m.inFlight = append(m.inFlight, m.inFlight[m.r.IntN(len(m.inFlight))])
 	case x < 80:
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -176,6 +176,9 @@
 // Step handles a message from another replica.
 func (p *Replica) Step(now time.Time, m raft.Message) { p.node.Step(now, m) }
 
+// DeliveryFailed reports that entries or a snapshot for another replica were lost on the way.
+func (p *Replica) DeliveryFailed(id string) { p.node.DeliveryFailed(id) }
+
 // Submit proposes a command. Output returns its Completion under the given ID,
 // if this replica learns the outcome. There is none for a command whose entry is
 // covered by a snapshot from another leader.
--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -18,20 +18,38 @@
 
 // Limits of sending messages to other replicas.
 const (
-	// outboxSize limits the messages queued for one address.
-	outboxSize = 1024
+	// laneSize limits the messages queued for one address in a lane.
+	laneSize = 1024
+	// maxCallBytes bounds the messages that are joined into one call, besides the last of
+	// them. With the largest entry, a call stays below what a replica reads.
+	maxCallBytes = 1 << 20
 	// stepTimeout limits one call that delivers messages, besides the time that their
-	// size takes. Heartbeats wait behind the call: within an election timeout, one to a
-	// replica and its reply must each be able to fail once on a dead connection.
+	// size takes. Within an election timeout, a heartbeat to a replica and its reply must
+	// each be able to fail once on a dead connection.
 	stepTimeout = 3 * heartbeatInterval / 2
-	// minStepRate is the least rate, in bytes per second, at which a replica is expected
-	// to receive messages.
-	minStepRate = 4 << 20
 )
 
 // stepTimeoutFor returns the timeout of a call with these messages.
 func stepTimeoutFor(req *wire.StepRequest) time.Duration {
-	return stepTimeout + time.Duration(proto.Size(req))*time.Second/minStepRate
+	return stepTimeout + TransferTime(proto.Size(req))
+}
+
+// outbox holds the messages queued for one address. Its two lanes are sent by calls of
+// their own, so that heartbeats and votes don't wait for entries.
+type outbox struct {
+	// transfers takes entries and snapshots, control everything else.
+	control, transfers lane
+}
+
+// lane is a queue of messages that are sent one call after the other.
+type lane chan *wire.LogMessage
+
+// laneFor returns the lane for a message.
+func (o *outbox) laneFor(m raft.Message) lane {
+	if m.Transfer() {
+		return o.transfers
+	}
+	return o.control
 }
 
 // enqueue queues a message for a replica. It drops the message if the replica's
@@ -42,20 +60,29 @@
 	if !ok {
 		return
 	}
-	outbox := h.outboxes[addr]
-	if outbox == nil {
-		outbox = make(chan *wire.LogMessage, outboxSize)
-		h.outboxes[addr] = outbox
-		h.done.Add(1)
-		go h.sendLoop(addr, outbox)
-	}
 	select {
-	case outbox <- store.ToMessage(m):
+	case h.outboxFor(addr).laneFor(m) <- store.ToMessage(m):
 	default:
 		h.conf.Count("control.messagesDropped", 1)
+		if m.Transfer() {
+			h.rep.DeliveryFailed(m.To)
+		}
 	}
 }
 
+// outboxFor returns the outbox of an address, and starts its calls if it is new.
+func (h *Server) outboxFor(addr netip.AddrPort) *outbox {
+	if o := h.outboxes[addr]; o != nil {
+		return o
+	}
+	o := &outbox{control: make(lane, laneSize), transfers: make(lane, laneSize)}
+	h.outboxes[addr] = o
+	h.done.Add(2)
+	go h.sendLoop(addr, o.control, func([]*wire.LogMessage) {})
+	go h.sendLoop(addr, o.transfers, h.reportLost)
+	return o
+}
+
 // replicaAddr returns the address of a replica, from the membership or else from
 // the last message that the replica sent.
 func (h *Server) replicaAddr(id string) (netip.AddrPort, bool) {
@@ -66,9 +93,10 @@
 	return a, ok
 }
 
-// sendLoop sends the messages queued for one address. Each call carries all
-// messages that are queued at that time.
-func (h *Server) sendLoop(addr netip.AddrPort, outbox chan *wire.LogMessage) {
+// sendLoop sends the messages of a lane to one address, and calls lost with those that
+// could not be delivered. Each call carries all messages that are queued at that time, up
+// to maxCallBytes.
+func (h *Server) sendLoop(addr netip.AddrPort, queue lane, lost func([]*wire.LogMessage)) {
 	defer h.done.Done()
 	c := wire.NewControlServiceClient(h.conf.HTTP, "http://"+addr.String(), h.conf.Options)
 	state := link.State{Log: h.conf.Log.WithField("addr", addr), Failed: "call to a control replica failed", Regained: "calls to a control replica succeed again"}
@@ -76,20 +104,24 @@
 		select {
 		case <-h.stop:
 			return
-		case m := <-outbox:
-			req := &wire.StepRequest{Group: h.identity.Group, FromAddr: h.conf.Addr.String()}
-			req.Messages = appendQueued([]*wire.LogMessage{m}, outbox)
-			h.deliver(c, req, &state, len(outbox))
+		case m := <-queue:
+			req := &wire.StepRequest{Group: h.identity.Group, FromAddr: h.conf.Addr.String(), Messages: queue.join(m)}
+			if !h.deliver(c, req, &state, len(queue)) {
+				lost(append(req.Messages, queue.drain()...))
+			}
 		}
 	}
 }
 
-// appendQueued appends the messages that are queued in outbox.
-func appendQueued(messages []*wire.LogMessage, outbox chan *wire.LogMessage) []*wire.LogMessage {
-	for range outboxSize {
+// join returns m and the messages queued behind it that go into the same call.
+func (l lane) join(m *wire.LogMessage) []*wire.LogMessage {
+	messages := []*wire.LogMessage{m}
+	size := proto.Size(m)
+	for size < maxCallBytes {
 		select {
-		case m := <-outbox:
+		case m := <-l:
 			messages = append(messages, m)
+			size += proto.Size(m)
 		default:
 			return messages
 		}
@@ -97,17 +129,49 @@
 	return messages
 }
 
-// deliver sends messages while others are queued. The first attempt may use a pooled
-// connection that broke while it was idle, so a failed call is retried once.
-func (h *Server) deliver(c wire.ControlServiceClient, req *wire.StepRequest, state *link.State, queued int) {
+// drain removes and returns all queued messages.
+func (l lane) drain() []*wire.LogMessage {
+	var messages []*wire.LogMessage
+	for {
+		select {
+		case m := <-l:
+			messages = append(messages, m)
+		default:
+			return messages
+		}
+	}
+}
+
+// reportLost tells the replica that entries or snapshots were not delivered.
+func (h *Server) reportLost(messages []*wire.LogMessage) {
+	h.post(func(time.Time) {
+		for _, m := range messages {
+			h.rep.DeliveryFailed(m.GetTo())
+		}
+	})
+}
+
+// post runs f on the replica's goroutine and does not wait for it.
+func (h *Server) post(f func(now time.Time)) {
+	select {
+	case h.calls <- f:
+	case <-h.stop:
+	}
+}
+
+// deliver sends messages while others are queued, and reports whether the replica has got
+// them. The first attempt may use a pooled connection that broke while it was idle, so a
+// failed call is retried once.
+func (h *Server) deliver(c wire.ControlServiceClient, req *wire.StepRequest, state *link.State, queued int) bool {
 	for range 2 {
 		begun := time.Now()
 		err := h.send(c, req)
 		state.Record(begun, err, logrus.Fields{"messages": len(req.Messages), "bytes": proto.Size(req), "queued": queued})
 		if err == nil {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // send returns nil if the peer accepted the messages.
@@ -154,13 +218,9 @@
 	if len(gone) == 0 {
 		return
 	}
-	note := func(time.Time) {
+	h.post(func(time.Time) {
 		for id := range gone {
 			h.watch.noteAnswer(id, replica)
 		}
-	}
-	select {
-	case h.calls <- note:
-	case <-h.stop:
-	}
+	})
 }
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -24,7 +24,6 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/store"
-	"fuchsiafold.example/wire"
 )
 
 // ErrStopped is returned by the methods of a Server whose replica has stopped.
@@ -85,7 +84,7 @@
 	rep        *repl.Replica
 	lastCallID uint64
 	pending    map[uint64]chan repl.Completion
-	outboxes   map[netip.AddrPort]chan *wire.LogMessage
+	outboxes   map[netip.AddrPort]*outbox
 	// senderAddrs holds the last sender address of each replica that has sent a
 	// message. It is used for replicas that are not in the membership.
 	senderAddrs      map[string]netip.AddrPort
@@ -122,7 +121,7 @@
 		calls:       make(chan func(time.Time), callQueueSize),
 		stop:        make(chan struct{}),
 		pending:     map[uint64]chan repl.Completion{},
-		outboxes:    map[netip.AddrPort]chan *wire.LogMessage{},
+		outboxes:    map[netip.AddrPort]*outbox{},
 		senderAddrs: map[string]netip.AddrPort{},
 	}
 	o := raft.Options{ID: h.identity.ID, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), HeartbeatInterval: heartbeatInterval}
