--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -22,15 +22,28 @@
 // another leader has committed a different entry at its index.
 var ErrReplaced = errors.New("command was replaced by another leader's")
 
-// DefaultSnapshotEvery is the default number of log entries between snapshots.
-const DefaultSnapshotEvery = 4096
+// Defaults of Options.
+const (
+	// DefaultSnapshotEvery is the default number of log entries between snapshots.
+	DefaultSnapshotEvery = 4096
+	// DefaultSnapshotBytes is the default size in bytes of the log between snapshots.
+	DefaultSnapshotBytes = 4 << 20
+)
+
+// recordBytes is an upper bound, in bytes, of what a record of the log takes on the disk
+// besides its entries, and an entry besides its data.
+const recordBytes = 64
 
-// Options configures a Replica.
+// Options configures a Replica. A snapshot is taken once one of its limits is reached.
 type Options struct {
 	Raft raft.Options
 	// SnapshotEvery is the number of log entries between snapshots. Zero means
 	// DefaultSnapshotEvery.
 	SnapshotEvery int
+	// SnapshotBytes is the size in bytes of the log between snapshots, without entries
+	// that are not applied yet. If the last snapshot is larger, its size is the limit.
+	// Zero means DefaultSnapshotBytes.
+	SnapshotBytes int
 }
 
 // Completion reports the result of a command, or that a read may be answered.
@@ -98,6 +111,13 @@
 	machine state.Machine
 	// applied is the index of the last entry applied to the machine.
 	applied uint64
+	// snapshotIndex is the index of the last entry that the snapshot covers, and
+	// snapshotBytes the size of the snapshot in bytes.
+	snapshotIndex uint64
+	snapshotBytes int
+	// logBytes is the size in bytes of the log on the disk without the entries that are
+	// not applied yet, which is what the next snapshot discards.
+	logBytes int
 	// pending holds the commands proposed on this replica, by log index.
 	pending map[uint64]pendingCommand
 	// reads holds the confirmed reads whose index is not applied yet.
@@ -117,11 +137,15 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	p := &Replica{opts: o, node: raft.New(now, o.Raft, restored), pending: map[uint64]pendingCommand{}, lastLeaderSeen: now}
 	if err := p.machine.Restore(restored.Snapshot.Data); err != nil {
 		return nil, fmt.Errorf("restore snapshot: %w", err)
 	}
 	p.applied = restored.Snapshot.Index
+	p.noteSnapshot(restored.Snapshot)
 	return p, nil
 }
 
@@ -217,6 +241,9 @@
 		out.Write = p.replaceAll(*r.Snapshot)
 		p.install(r.Snapshot)
 	}
+	if !out.Write.Empty() {
+		p.logBytes += recordBytes
+	}
 	for _, e := range r.Committed {
 		p.apply(e)
 	}
@@ -243,6 +270,7 @@
 		panic(fmt.Sprintf("repl: restore snapshot %d from the leader: %v", s.Index, err))
 	}
 	p.applied = s.Index
+	p.noteSnapshot(*s)
 	// The snapshot does not show whether pending commands up to its index were
 	// applied, so they get no Completion.
 	for index := range p.pending {
@@ -256,6 +284,7 @@
 // its index, if there is one.
 func (p *Replica) apply(e raft.Entry) {
 	p.applied = e.Index
+	p.logBytes += recordBytes + len(e.Data)
 	var result state.Result
 	if e.Kind == raft.KindCommand {
 		result = p.machine.Apply(e.Data)
@@ -285,10 +314,9 @@
 	p.reads = waiting
 }
 
-// compact replaces the log by a snapshot once it has SnapshotEvery entries, and
-// sets w to write both.
+// compact replaces the log by a snapshot once one is due, and sets w to write both.
 func (p *Replica) compact(w *Write) {
-	if p.node.LogSize() < p.opts.SnapshotEvery {
+	if !p.snapshotDue() {
 		return
 	}
 	data, err := p.machine.Snapshot()
@@ -299,9 +327,24 @@
 	if !ok {
 		return
 	}
+	p.noteSnapshot(s)
 	*w = p.replaceAll(s)
 }
 
+// snapshotDue reports whether the log has reached one of its limits, and a snapshot would
+// shorten it.
+func (p *Replica) snapshotDue() bool {
+	if p.applied <= p.snapshotIndex {
+		return false
+	}
+	return p.node.LogSize() >= p.opts.SnapshotEvery || p.logBytes >= max(p.opts.SnapshotBytes, p.snapshotBytes)
+}
+
+// noteSnapshot records that s is the last snapshot, and that the log begins anew after it.
+func (p *Replica) noteSnapshot(s raft.Snapshot) {
+	p.snapshotIndex, p.snapshotBytes, p.logBytes = s.Index, len(s.Data), 0
+}
+
 // replaceAll returns the Write that replaces the state on the disk by the snapshot s, the
 // log after it and the current hard state.
 func (p *Replica) replaceAll(s raft.Snapshot) Write {
