Control group: a command that no message can hold is not logged

Cause: the leader logged a command of any size. In a message to the other replicas it was larger than what they read (a document is a third larger there), so that it was never committed, nor anything after it. Change: a command of more than 12 MiB is refused before it is logged (repl.ErrTooLarge); callers get invalid argument, with its size and the limit. The largest document that the state takes fits.

--- a/fold/repl/bytes_test.go
+++ b/fold/repl/bytes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +105,26 @@
 		t.Error("no snapshot was taken")
 	}
 }
+
+// TestTooLargeCommandIsNotLogged guards against an entry that no message to another replica
+// can hold: nothing after it would ever be committed.
+func TestTooLargeCommandIsNotLogged(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		size int
+		want error
+	}{
+		{"largest document", state.MaxDocumentBytes, nil},
+		{"larger document", state.MaxDocumentBytes * 3 / 2, repl.ErrTooLarge},
+	} {
+		g := newGroup(t, 1, 3, repl.DefaultSnapshotEvery)
+		var got *repl.Completion
+		document := bytes.Repeat([]byte("x"), tt.size)
+		g.submit(g.leader().vm, state.Command{ApplyConfig: &state.ApplyConfig{Version: 1, Document: document}}, func(_ *server, d repl.Completion) { got = &d })
+		g.runUntil(time.Second, func() bool { return got != nil })
+		if got == nil || !errors.Is(got.Err, tt.want) {
+			t.Errorf("%s: got %+v, want error %v", tt.name, got, tt.want)
+		}
+		g.applyDocument(2, 1000)
+	}
+}
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -22,6 +22,10 @@
 // another leader has committed a different entry at its index.
 var ErrReplaced = errors.New("command was replaced by another leader's")
 
+// ErrTooLarge is returned for a command that is larger than state.MaxCommandBytes. It is
+// not added to the log: a message to the other replicas could not hold it.
+var ErrTooLarge = errors.New("command is too large")
+
 // Defaults of Options.
 const (
 	// DefaultSnapshotEvery is the default number of log entries between snapshots.
@@ -205,7 +209,7 @@
 // covered by a snapshot from another leader.
 func (p *Replica) Submit(now time.Time, id uint64, c state.Command) {
 	p.setElapsed(now, &c)
-	data, err := json.Marshal(c)
+	data, err := encodeCommand(c)
 	if err != nil {
 		p.completions = append(p.completions, Completion{ID: id, Err: fmt.Errorf("encode command: %w", err)})
 		return
@@ -218,6 +222,18 @@
 	p.pending[index] = pendingCommand{id: id, term: term}
 }
 
+// encodeCommand returns an encoded command, or an error that wraps ErrTooLarge.
+func encodeCommand(c state.Command) ([]byte, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > state.MaxCommandBytes {
+		return nil, fmt.Errorf("%d bytes, want at most %d: %w", len(data), state.MaxCommandBytes, ErrTooLarge)
+	}
+	return data, nil
+}
+
 // setElapsed sets c.Elapsed to the time since the previous command proposed on
 // this replica in the same term. It is zero for the first command of a term.
 func (p *Replica) setElapsed(now time.Time, c *state.Command) {
--- a/fold/state/state.go
+++ b/fold/state/state.go
@@ -32,7 +32,10 @@
 	// bytes.
 	MaxTotalAnswerBytes = 48 << 20
 	MaxDocumentBytes    = 8 << 20
-	maxKeyBytes         = 512
+	// MaxCommandBytes is the size in bytes of the largest encoded command that may be
+	// proposed. One with the largest document fits.
+	MaxCommandBytes = 12 << 20
+	maxKeyBytes     = 512
 )
 
 // Command is one change of the state. Exactly one of the pointers is set.
--- a/foldd/ctrl/handler.go
+++ b/foldd/ctrl/handler.go
@@ -29,8 +29,11 @@
 // connectError converts an error of Submit or Latest to a connect error. The code
 // FailedPrecondition tells the client that the command was not committed; its
 // metadata contains the leader's address if it is known. The code Unavailable
-// leaves the outcome open.
+// leaves the outcome open. InvalidArgument tells that no control VM will accept the command.
 func (h *Server) connectError(ctx context.Context, err error) error {
+	if errors.Is(err, repl.ErrTooLarge) {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	if !notCommitted(err) {
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
