--- a/fold/repl/bytes_test.go
+++ b/fold/repl/bytes_test.go
@@ -128,3 +128,35 @@
 		g.applyDocument(2, 1000)
 	}
 }
+
+// TestAnswerThatIsNotKeptIsNotLogged guards against entries with answers that are larger than
+// what the state keeps of a call.
+func TestAnswerThatIsNotKeptIsNotLogged(t *testing.T) {
+	r := newSingleReplica(t)
+	claim := func(nonce string) state.Command {
+		return state.Command{Claim: &state.Claim{Workspace: "w", Key: "k", Nonce: nonce, Timeout: time.Hour}}
+	}
+	answer := &state.Answer{Status: 200, Body: make([]byte, state.MaxDocumentBytes)}
+	var last repl.Completion
+	logged := 0
+	for _, c := range []state.Command{
+		claim("first"),
+		{Settle: &state.Settle{Workspace: "w", Key: "k", Nonce: "first", Answer: answer}},
+		claim("second"),
+	} {
+		r.Submit(time.Unix(3, 0), 1, c)
+		for out := r.Output(); !out.Empty(); out = r.Output() {
+			logged += entryBytes(out.Write.Entries)
+			r.Persisted(out.Write)
+			if n := len(out.Completions); n > 0 {
+				last = out.Completions[n-1]
+			}
+		}
+	}
+	if last.Err != nil || last.Result.Claim != state.ClaimUnknown {
+		t.Errorf("claim after an answer that is not kept: %+v, want an unknown outcome", last)
+	}
+	if logged > state.MaxAnswerBytes {
+		t.Errorf("log of %d bytes, want at most %d", logged, state.MaxAnswerBytes)
+	}
+}
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -224,6 +224,10 @@
 
 // encodeCommand returns an encoded command, or an error that wraps ErrTooLarge.
 func encodeCommand(c state.Command) ([]byte, error) {
+	if s := c.Settle; s != nil && s.Answer != nil && len(s.Answer.Body) > state.MaxAnswerBytes {
+		// The state would not keep the answer.
+		c.Settle = &state.Settle{Workspace: s.Workspace, Key: s.Key, Nonce: s.Nonce, Unknown: true}
+	}
 	data, err := json.Marshal(c)
 	if err != nil {
 		return nil, err
