--- a/fold/state/state.go
+++ b/fold/state/state.go
@@ -35,7 +35,11 @@
 	// MaxCommandBytes is the size in bytes of the largest encoded command that may be
 	// proposed. One with the largest document fits.
 	MaxCommandBytes = 12 << 20
-	maxKeyBytes     = 512
+	// MaxSnapshotBytes is above the size in bytes of a snapshot of the full state, with the
+	// longest idempotency keys that callers may send. What the leases and the IDs of
+	// changes take comes on top, and is small.
+	MaxSnapshotBytes = 176 << 20
+	maxKeyBytes      = 512
 )
 
 // Command is one change of the state. Exactly one of the pointers is set.
--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -210,7 +210,7 @@
 		bodyMemory int
 		boundAddr  *netip.AddrPort
 	}{
-		{"peers", s.Listen.Peers, a.peerHandler(), peer.MaxMessage, 0, &a.addrs.Peers},
+		{"peers", s.Listen.Peers, a.peerHandler(), maxPeerBody(s), 0, &a.addrs.Peers},
 		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), peer.MaxMessage, 0, &a.addrs.Operators},
 		{"backends", s.Listen.Backends, a.selectHandler(adapter.Backends, oper.BackendHandler(a.Node)), s.Limits.MaxBody, 0, &a.addrs.Backends},
 		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), peer.MaxMessage, 0, &a.addrs.Metrics},
@@ -239,6 +239,14 @@
 	return nil
 }
 
+// maxPeerBody returns the largest body in bytes of a request from another VM.
+func maxPeerBody(s *conf.Settings) int {
+	if s.Control == nil {
+		return peer.MaxMessage
+	}
+	return peer.MaxControlMessage
+}
+
 // peerAddr returns the address at which other VMs reach this one.
 func (a *App) peerAddr() netip.AddrPort {
 	if advertised := a.Node.Settings.Advertise; advertised.IsValid() {
@@ -252,7 +260,7 @@
 func (a *App) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewPeerServiceHandler(a.peers, a.peers.HandlerOptions()))
-	mux.Handle(wire.NewControlServiceHandler(&a.controlServer, a.peers.HandlerOptions()))
+	mux.Handle(wire.NewControlServiceHandler(&a.controlServer, a.peers.ControlHandlerOptions()))
 	calls := oper.RequireToken(a.Node.Settings.PeerToken, mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if forwarder := a.forwarder.Load(); forwarder != nil && relay.FromPeer(r) {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/bound"
@@ -78,6 +79,10 @@
 // with 10,000 workspaces takes about 1.5 MB.
 const MaxMessage = 16 << 20
 
+// MaxControlMessage bounds a message to a control VM in bytes. It holds a snapshot of the full
+// state of the control group.
+const MaxControlMessage = state.MaxSnapshotBytes + MaxMessage
+
 // Options returns the options for clients of other VMs: they send the peer token, and
 // read replies up to a limit.
 func (s *Service) Options() connect.ClientOption {
@@ -85,8 +90,16 @@
 }
 
 // HandlerOptions returns the options for handlers of calls from other VMs.
-func (s *Service) HandlerOptions() connect.HandlerOption {
-	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(MaxMessage))
+func (s *Service) HandlerOptions() connect.HandlerOption { return s.handlerOptions(MaxMessage) }
+
+// ControlHandlerOptions returns the options for handlers of calls to the control replica.
+func (s *Service) ControlHandlerOptions() connect.HandlerOption {
+	return s.handlerOptions(MaxControlMessage)
+}
+
+// handlerOptions returns the options for handlers that read messages of at most maxBytes.
+func (s *Service) handlerOptions(maxBytes int) connect.HandlerOption {
+	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(maxBytes))
 }
 
 func (s *Service) codec() codec {
