Store: every operation that a faulty disk may fail goes through one seam

Only writes and syncs of files did. Creating, renaming, removing and truncating files and syncing the folder can fail on a full disk too; tests of other packages need the seam. No change of behaviour.

--- a/foldd/store/disk.go
+++ b/foldd/store/disk.go
@@ -7,17 +7,31 @@
 	"syscall"
 )
 
-// disk holds the operations that may fail or take long on a faulty disk. Only the build
-// for the soak replaces them.
-var disk = struct {
-	Write func(f *os.File, b []byte) error
-	Sync  func(f *os.File) error
-}{
+// Operations holds the operations that may fail or take long on a faulty disk.
+type Operations struct {
+	// Create opens a file for writing. It creates the file, or empties it.
+	Create   func(path string) (*os.File, error)
+	Write    func(f *os.File, b []byte) error
+	Sync     func(f *os.File) error
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
+	Remove   func(path string) error
+}
+
+// Disk holds the operations that this package uses. Only tests and the build for the soak
+// replace them, before they open a folder.
+var Disk = Operations{
+	Create: func(path string) (*os.File, error) {
+		return os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	},
 	Write: func(f *os.File, b []byte) error {
 		_, err := f.Write(b)
 		return err
 	},
-	Sync: (*os.File).Sync,
+	Sync:     (*os.File).Sync,
+	Truncate: (*os.File).Truncate,
+	Rename:   os.Rename,
+	Remove:   os.Remove,
 }
 
 // DiskFailed reports whether an error is one of a disk that is full or fails, which may
--- a/foldd/store/disk_soak.go
+++ b/foldd/store/disk_soak.go
@@ -18,15 +18,15 @@
 const stallPoll = 20 * time.Millisecond
 
 func init() {
-	write, sync := disk.Write, disk.Sync
-	disk.Write = func(f *os.File, b []byte) error {
+	write, sync := Disk.Write, Disk.Sync
+	Disk.Write = func(f *os.File, b []byte) error {
 		awaitDisk(f)
 		if diskFault(f) == "full" {
 			return &os.PathError{Op: "write", Path: f.Name(), Err: syscall.ENOSPC}
 		}
 		return write(f, b)
 	}
-	disk.Sync = func(f *os.File) error {
+	Disk.Sync = func(f *os.File) error {
 		awaitDisk(f)
 		if d, err := time.ParseDuration(diskFault(f)); err == nil {
 			time.Sleep(d)
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -269,13 +269,13 @@
 // truncateLog truncates the log to size bytes, which drops a torn last record,
 // and syncs it.
 func (f *Folder) truncateLog(size int64) error {
-	if err := f.log.Truncate(size); err != nil {
+	if err := Disk.Truncate(f.log, size); err != nil {
 		return fmt.Errorf("truncate torn record: %w", err)
 	}
 	if _, err := f.log.Seek(size, 0); err != nil {
 		return fmt.Errorf("seek log: %w", err)
 	}
-	if err := f.log.Sync(); err != nil {
+	if err := Disk.Sync(f.log); err != nil {
 		return fmt.Errorf("sync log: %w", err)
 	}
 	return nil
@@ -299,7 +299,7 @@
 		if !managed || keep[n.Name()] {
 			continue
 		}
-		if err := os.Remove(filepath.Join(f.path, n.Name())); err != nil {
+		if err := Disk.Remove(filepath.Join(f.path, n.Name())); err != nil {
 			return fmt.Errorf("remove stale file: %w", err)
 		}
 	}
@@ -321,10 +321,10 @@
 
 // writeSynced writes to a file and syncs it.
 func writeSynced(f *os.File, b []byte) error {
-	if err := disk.Write(f, b); err != nil {
+	if err := Disk.Write(f, b); err != nil {
 		return fmt.Errorf("write %s: %w", filepath.Base(f.Name()), err)
 	}
-	if err := disk.Sync(f); err != nil {
+	if err := Disk.Sync(f); err != nil {
 		return fmt.Errorf("sync %s: %w", filepath.Base(f.Name()), err)
 	}
 	return nil
@@ -367,7 +367,7 @@
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
 	generation := f.generation + 1
-	log, err := os.OpenFile(f.filePath(logPrefix, generation), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	log, err := Disk.Create(f.filePath(logPrefix, generation))
 	if err != nil {
 		return fmt.Errorf("create log: %w", err)
 	}
@@ -396,7 +396,7 @@
 // renames it to name and syncs the folder.
 func replaceFile(folder, name, temporary string, data []byte) error {
 	part := filepath.Join(folder, temporary)
-	file, err := os.OpenFile(part, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	file, err := Disk.Create(part)
 	if err != nil {
 		return err
 	}
@@ -407,7 +407,7 @@
 	if err := file.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(part, filepath.Join(folder, name)); err != nil {
+	if err := Disk.Rename(part, filepath.Join(folder, name)); err != nil {
 		return err
 	}
 	return syncDir(folder)
@@ -419,7 +419,7 @@
 		return err
 	}
 	defer d.Close()
-	return d.Sync()
+	return Disk.Sync(d)
 }
 
 // Close closes the folder's files.
