Ctrl: a replica writes and sends nothing after its disk has refused a write

A group could answer no change any more long after its disks, full for some seconds each, had room again, while all processes ran: a control replica never came back after its disk was full ("data folder is damaged"), and foldd does not try that error again.

Cause: after a write that failed, the replica's goroutine closed its stop channel and went on; the next select drew at random between that channel, queued calls and the timer. With a call queued it went on half of the time with a memory ahead of its disk. If the disk had room by then, it wrote a complete record behind the torn one, which Open has to take for damage, or entries with a gap before them; and it could complete commands whose entries were never written.

Change: the goroutine ends at the first write that fails.

--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -249,6 +249,10 @@
 	// server is nil on an entry VM, and while the VM is down.
 	server *Server
 	client *Client
+	// restartAt is when a replica that has stopped by itself is started again.
+	restartAt time.Time
+	// startErr is the error of its last start.
+	startErr error
 	// checked counts the documents that the VM has checked, each for checkTime, a
 	// time.Duration.
 	checked, checkTime atomic.Int64
@@ -301,9 +305,16 @@
 // start starts the control replica of a VM that is down.
 func (g *groupRig) start(t *testing.T, vm *rigVM) {
 	t.Helper()
+	if err := g.tryStart(vm); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// tryStart is like start, and returns the error of a VM that can't start.
+func (g *groupRig) tryStart(vm *rigVM) error {
 	server, err := New(vm.conf)
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewControlServiceHandler(server.Handler()))
@@ -311,6 +322,7 @@
 	go vm.web.Serve(g.network.listen(vm.addr.String()))
 	vm.server = server
 	vm.client.LocalLeader = server.Leader
+	return nil
 }
 
 // stop ends the control replica of a VM without warning, if it runs. Its disk stays.
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -146,15 +146,16 @@
 }
 
 // run is the replica's goroutine. It runs all queued calls and then processes
-// the replica's output, so that many calls share one sync to the disk.
+// the replica's output, so that many calls share one sync to the disk. It ends at the
+// first write that fails.
 func (h *Server) run() {
 	defer h.done.Done()
+	defer h.failPending(ErrStopped)
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
 		case <-h.stop:
-			h.failPending(ErrStopped)
 			return
 		case f := <-h.calls:
 			f(time.Now())
@@ -165,6 +166,8 @@
 		if err := h.processOutput(); err != nil {
 			h.conf.Log.WithError(err).Error("control replica stopped: writing to its data folder failed")
 			h.stopOnce.Do(func() { close(h.stop) })
+			// The replica's memory is ahead of its disk: nothing more may be written or sent.
+			return
 		}
 		h.reportLeaderless(time.Now())
 		t.Reset(max(0, time.Until(h.rep.Due())))
