Store: a log that the disk can't read now is not called damaged

A control VM whose disk failed to read the log once at the start of its replica (EIO, too many open files) would have ended at its start, or stayed without a replica for as long as its process ran, since every error of that read was wrapped as damage, which foldd does not try again.

Change: only a log that is not there is damage. Reads go through the disk's seam.

--- a/foldd/store/disk.go
+++ b/foldd/store/disk.go
@@ -9,6 +9,7 @@
 
 // Operations holds the operations that may fail or take long on a faulty disk.
 type Operations struct {
+	ReadFile func(path string) ([]byte, error)
 	// Create opens a file for writing. It creates the file, or empties it.
 	Create   func(path string) (*os.File, error)
 	Write    func(f *os.File, b []byte) error
@@ -21,6 +22,7 @@
 // Disk holds the operations that this package uses. Only tests and the build for the soak
 // replace them, before they open a folder.
 var Disk = Operations{
+	ReadFile: os.ReadFile,
 	Create: func(path string) (*os.File, error) {
 		return os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	},
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -98,7 +98,7 @@
 }
 
 func readIdentity(path string) (Identity, error) {
-	b, err := os.ReadFile(filepath.Join(path, identityName))
+	b, err := Disk.ReadFile(filepath.Join(path, identityName))
 	if os.IsNotExist(err) {
 		return Identity{}, ErrEmpty
 	}
@@ -170,7 +170,7 @@
 }
 
 func (f *Folder) readSnapshot() (raft.Snapshot, error) {
-	b, err := os.ReadFile(f.filePath(snapshotPrefix, f.generation))
+	b, err := Disk.ReadFile(f.filePath(snapshotPrefix, f.generation))
 	if err != nil {
 		return raft.Snapshot{}, fmt.Errorf("read snapshot: %w", err)
 	}
@@ -192,10 +192,13 @@
 // readLog returns the log's records and the size in bytes of the log up to the
 // end of the last complete record.
 func (f *Folder) readLog() ([]*wire.LogRecord, int64, error) {
-	b, err := os.ReadFile(f.filePath(logPrefix, f.generation))
-	if err != nil {
+	b, err := Disk.ReadFile(f.filePath(logPrefix, f.generation))
+	if os.IsNotExist(err) {
 		return nil, 0, fmt.Errorf("read log: %w: %w", err, ErrCorrupt)
 	}
+	if err != nil {
+		return nil, 0, fmt.Errorf("read log: %w", err)
+	}
 	var out []*wire.LogRecord
 	rest := b
 	for len(rest) > 0 {
