Store: a folder that can't be opened or created leaves no file open

A control VM whose folder can't be opened or created, as a full disk refuses to truncate, sync or remove a file or to write the identity, tries again about three times a second and kept the log open each time: after some 20 minutes it had no descriptor left (4,096) for any connection. Found by reading, not by callers.

Change: Open and Create close the log when they fail.

TestFailedOpenLeavesNoFileOpen before: log-1 still open, from Create and from Open; after: all files closed.

--- a/foldd/store/full_disk_test.go
+++ b/foldd/store/full_disk_test.go
@@ -245,3 +245,44 @@
 		t.Errorf("prompts %+v, error %v; want one loss", u, err)
 	}
 }
+
+// TestFailedOpenLeavesNoFileOpen guards against a control VM that has no descriptors left
+// after its replica could not start for long.
+func TestFailedOpenLeavesNoFileOpen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	var opened []*os.File
+	disk := store.Disk
+	t.Cleanup(func() { store.Disk = disk })
+	store.Disk.Create = func(path string) (*os.File, error) {
+		f, err := disk.Create(path)
+		opened = append(opened, f)
+		return f, err
+	}
+	store.Disk.Sync = func(f *os.File) error {
+		opened = append(opened, f)
+		return disk.Sync(f)
+	}
+	store.Disk.Rename = func(from, to string) error {
+		if filepath.Base(to) != "identity" {
+			return disk.Rename(from, to)
+		}
+		return &os.LinkError{Op: "rename", Old: from, New: to, Err: syscall.ENOSPC}
+	}
+	if f, err := store.Create(path, identity, raft.PersistentState{}); err == nil {
+		t.Error("a folder was created whose identity can't be written", f)
+	}
+	store.Disk.Rename = disk.Rename
+	createFolder(t, path).Close()
+	if err := os.WriteFile(filepath.Join(path, "stale.part"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	store.Disk.Remove = func(path string) error { return &os.PathError{Op: "remove", Path: path, Err: syscall.EIO} }
+	if _, _, err := store.Open(path); err == nil {
+		t.Error("a folder was opened whose stale files can't be removed")
+	}
+	for _, f := range opened {
+		if _, err := f.Stat(); !errors.Is(err, os.ErrClosed) {
+			t.Errorf("%s is still open", filepath.Base(f.Name()))
+		}
+	}
+}
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -72,11 +72,13 @@
 	}
 	f := &Folder{path: path, identity: id}
 	if err := f.Write(repl.Write{Replace: &r}); err != nil {
+		f.Close()
 		return nil, err
 	}
 	// The identity is written last, because Open treats a folder without it as
 	// empty: a crash during Create leaves no half-created replica.
 	if err := f.replaceFile(identityName, []byte(id.Group+"\n"+id.ID+"\n")); err != nil {
+		f.Close()
 		return nil, fmt.Errorf("write identity: %w", err)
 	}
 	return f, nil
@@ -92,6 +94,7 @@
 	f := &Folder{path: path, identity: id}
 	r, err := f.restore()
 	if err != nil {
+		f.Close()
 		return nil, r, fmt.Errorf("open data folder %s: %w", path, err)
 	}
 	return f, r, nil
