Ctrl: a change refused for a full disk says so

Operators saw "control replica has stopped" at a VM whose disk had refused a write, without the file or the reason; only that VM's log had them.

Change: calls that end with the replica, and those after it, name the write that failed.

--- a/foldd/ctrl/full_disk_test.go
+++ b/foldd/ctrl/full_disk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -232,3 +233,22 @@
 	_, err := vm.client.Apply(ctx, &wire.ApplyRequest{Version: version, Document: document})
 	return err == nil
 }
+
+// TestRefusalNamesFullDisk guards against a change that is refused without the reason that the
+// control VM's disk is full.
+func TestRefusalNamesFullDisk(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		disks := newFullDisks(t)
+		g := newGroupRig(t, 1)
+		g.addEntryVMs(t, 1)
+		disks.setFull(g.vms[0], true)
+		for _, attempt := range []string{"during the write", "after it"} {
+			ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+			_, err := g.vms[1].client.Apply(ctx, &wire.ApplyRequest{Version: 10, Document: []byte("{}")})
+			cancel()
+			if err == nil || !strings.Contains(err.Error(), syscall.ENOSPC.Error()) {
+				t.Errorf("%s: error %v, want one that says %q", attempt, err, syscall.ENOSPC)
+			}
+		}
+	})
+}
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -27,8 +27,9 @@
 	"fuchsiafold.example/wire"
 )
 
-// ErrStopped is returned by the methods of a Server whose replica has stopped.
-// The outcome of a command that was pending is unknown.
+// ErrStopped is returned by the methods of a Server whose replica has stopped, wrapped
+// with the write that failed if that was the reason. The outcome of a command that was
+// pending is unknown.
 var ErrStopped = eris.New("control replica has stopped")
 
 // Timing of a replica.
@@ -76,6 +77,9 @@
 	calls    chan func(now time.Time)
 	stop     chan struct{}
 	stopOnce sync.Once
+	// writeErr is why the replica has stopped by itself. It is set before stop is closed
+	// and must be read after that.
+	writeErr error
 	done     sync.WaitGroup
 	// knownLeader is the leader that this replica knows, which may be itself, nil for none.
 	knownLeader atomic.Pointer[raft.Member]
@@ -150,7 +154,7 @@
 // first write that fails.
 func (h *Server) run() {
 	defer h.done.Done()
-	defer h.failPending(ErrStopped)
+	defer func() { h.failPending(h.stoppedError()) }()
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -165,7 +169,10 @@
 		h.rep.Tick(time.Now())
 		if err := h.processOutput(); err != nil {
 			h.conf.Log.WithError(err).Error("control replica stopped: writing to its data folder failed")
-			h.stopOnce.Do(func() { close(h.stop) })
+			h.stopOnce.Do(func() {
+				h.writeErr = err
+				close(h.stop)
+			})
 			// The replica's memory is ahead of its disk: nothing more may be written or sent.
 			return
 		}
@@ -174,6 +181,15 @@
 	}
 }
 
+// stoppedError returns ErrStopped, with the write that failed if there is one. It must be
+// called after stop is closed.
+func (h *Server) stoppedError() error {
+	if h.writeErr != nil {
+		return fmt.Errorf("%w: %w", ErrStopped, h.writeErr)
+	}
+	return ErrStopped
+}
+
 // Stopped returns a channel that is closed when the replica stops, either by
 // Close or because a write to its data folder failed.
 func (h *Server) Stopped() <-chan struct{} { return h.stop }
@@ -256,7 +272,7 @@
 	select {
 	case h.calls <- wrapped:
 	case <-h.stop:
-		return ErrStopped
+		return h.stoppedError()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -264,7 +280,7 @@
 	case <-done:
 		return nil
 	case <-h.stop:
-		return ErrStopped
+		return h.stoppedError()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -286,7 +302,7 @@
 	case d := <-ch:
 		return d, d.Err
 	case <-h.stop:
-		return repl.Completion{}, ErrStopped
+		return repl.Completion{}, h.stoppedError()
 	case <-ctx.Done():
 		return repl.Completion{}, ctx.Err()
 	}
