--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -295,6 +295,10 @@
 	client *Client
 	// share is the VM's part of a processor, all of one if it is zero.
 	share share
+	// restartAt is when a replica that has stopped by itself is started again.
+	restartAt time.Time
+	// startErr is the error of its last start.
+	startErr error
 	// checked counts the documents that the VM has checked, each for checkTime, a
 	// time.Duration.
 	checked, checkTime atomic.Int64
@@ -353,9 +357,16 @@
 // start starts the control replica of a VM that is down.
 func (g *groupRig) start(t *testing.T, vm *rigVM) {
 	t.Helper()
+	if err := g.tryStart(vm); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// tryStart is like start, and returns the error of a VM that can't start.
+func (g *groupRig) tryStart(vm *rigVM) error {
 	server, err := New(vm.conf)
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewControlServiceHandler(server.Handler(), connect.WithReadMaxBytes(peer.MaxMessage)))
@@ -366,6 +377,7 @@
 	if vm.share.period > 0 {
 		go vm.share.hold(server)
 	}
+	return nil
 }
 
 // stop ends the control replica of a VM without warning, if it runs. Its disk stays.
