Control group: the leader tells which members are behind, and whether one more loss ends the group

Callers saw: nothing, until the loss of one more disk ended the group: no line and no metric said that a member had been behind for seconds, or by how much. Cause: the leader keeps what each member has confirmed to itself. Change: repl.Replica.GroupStatus gives it. The leader logs a line when entries take 2 s to reach a member and one when it has caught up, with entries, bytes, silence, voter or learner; and one when the voters that answer are just enough for a quorum, and when they are more again. Gauges control.membersBehind, entriesBehind, bytesBehind and lossEndsGroup. Tests of fold, foldd/ctrl and foldd/node pass. Time and processor use not measured.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -57,6 +57,7 @@
 		Check:          a.checkDocument,
 		OnConfigChange: a.applyConfig,
 		Count:          a.Node.Count,
+		Gauge:          a.Node.Gauge,
 	}
 	if s.Control.FormGroup {
 		conf.InitialMembers = s.ControlVMs
--- /dev/null
+++ b/foldd/ctrl/members.go
@@ -0,0 +1,178 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/repl"
+)
+
+// maxLag is how long entries of the leader's log may take to reach a member before the
+// member counts as behind.
+const maxLag = 2 * time.Second
+
+// Gauges that the leader sets; they are zero on other VMs.
+const (
+	membersBehindMetric = "control.membersBehind"
+	entriesBehindMetric = "control.entriesBehind"
+	bytesBehindMetric   = "control.bytesBehind"
+	lossEndsGroupMetric = "control.lossEndsGroup"
+)
+
+// memberLag tells whether a member is behind. The zero value is ready to use.
+type memberLag struct {
+	// target is the index of the last entry of the leader's log at targetAt.
+	target   uint64
+	targetAt time.Time
+	// behindSince is when the member fell behind, zero if it is not behind.
+	behindSince time.Time
+}
+
+// lagChange is what has changed about a member's lag.
+type lagChange int
+
+const (
+	lagUnchanged lagChange = iota
+	fellBehind
+	caughtUp
+)
+
+// update takes in which entry the member has confirmed, and which is the last of the log. A
+// member is behind once it takes maxLag to reach the end that the log had at some moment,
+// until it reaches such an end in less. For a change, update returns how long the member
+// has been behind.
+func (l *memberLag) update(now time.Time, confirmed, last uint64) (lagChange, time.Duration) {
+	took := now.Sub(l.targetAt)
+	if confirmed < l.target {
+		if took < maxLag || l.behind() {
+			return lagUnchanged, 0
+		}
+		l.behindSince = l.targetAt
+		return fellBehind, took
+	}
+	l.target, l.targetAt = last, now
+	if !l.behind() || took >= maxLag && confirmed < last {
+		return lagUnchanged, 0
+	}
+	behind := now.Sub(l.behindSince)
+	l.behindSince = time.Time{}
+	return caughtUp, behind
+}
+
+func (l *memberLag) behind() bool { return !l.behindSince.IsZero() }
+
+// memberWatch is what the leader knows of the members' progress for the log and the
+// metrics. The zero value is ready to use.
+type memberWatch struct {
+	// dueAt is when the members are looked at next.
+	dueAt time.Time
+	// lags holds the lag of each member, by ID.
+	lags map[string]*memberLag
+	// lossEndsGroup is whether the last line about it says so, and lossSince since when.
+	lossEndsGroup bool
+	lossSince     time.Time
+}
+
+// reportMembers logs which members fall behind and which have caught up, and sets the
+// gauges. It does so once a heartbeat interval.
+func (h *Server) reportMembers(now time.Time) {
+	if now.Before(h.members.dueAt) {
+		return
+	}
+	h.members.dueAt = now.Add(heartbeatInterval)
+	s, leads := h.rep.GroupStatus()
+	if !leads {
+		h.clearMembers()
+		return
+	}
+	h.forgetLags(s)
+	for _, m := range s.Members {
+		h.reportLag(now, s, m)
+	}
+	h.reportLossEndsGroup(now, s)
+	h.setGauges(s)
+}
+
+// clearMembers forgets what was known as the leader.
+func (h *Server) clearMembers() {
+	h.members = memberWatch{dueAt: h.members.dueAt}
+	h.setGauges(repl.GroupStatus{})
+}
+
+// forgetLags removes what is known of replicas that are no members any more.
+func (h *Server) forgetLags(s repl.GroupStatus) {
+	known := map[string]*memberLag{}
+	for _, m := range s.Members {
+		if l := h.members.lags[m.ID]; l != nil {
+			known[m.ID] = l
+		}
+	}
+	h.members.lags = known
+}
+
+// reportLag logs a line if the member m has fallen behind or caught up.
+func (h *Server) reportLag(now time.Time, s repl.GroupStatus, m repl.MemberStatus) {
+	lag := h.members.lags[m.ID]
+	if lag == nil {
+		lag = &memberLag{}
+		h.members.lags[m.ID] = lag
+	}
+	change, behind := lag.update(now, m.Confirmed, s.LastIndex)
+	switch change {
+	case fellBehind:
+		h.memberLog(s, m).WithField("ms", behind.Milliseconds()).Warn("control replica is behind")
+	case caughtUp:
+		h.memberLog(s, m).WithField("ms", behind.Milliseconds()).Info("control replica has caught up")
+	}
+}
+
+// memberLog returns a logger with what the leader knows of a member and of the voters.
+func (h *Server) memberLog(s repl.GroupStatus, m repl.MemberStatus) *logrus.Entry {
+	return h.conf.Log.WithFields(logrus.Fields{
+		"replica": h.identity.ID, "member": m.ID, "vm": m.VM, "voter": m.Voter, "entries": s.EntriesBehind(m), "bytes": m.BytesBehind,
+		"silenceMs": m.Silence.Milliseconds(), "liveVoters": s.LiveVoters, "quorum": s.Quorum,
+	})
+}
+
+// reportLossEndsGroup logs that one live voter more or less decides whether the group goes
+// on, or no longer does.
+func (h *Server) reportLossEndsGroup(now time.Time, s repl.GroupStatus) {
+	ends := s.LossEndsGroup()
+	if ends == h.members.lossEndsGroup {
+		return
+	}
+	h.members.lossEndsGroup = ends
+	silent := []string{}
+	for _, m := range s.Members {
+		if m.Voter && !m.Live {
+			silent = append(silent, m.ID)
+		}
+	}
+	log := h.conf.Log.WithFields(logrus.Fields{"replica": h.identity.ID, "liveVoters": s.LiveVoters, "quorum": s.Quorum, "silent": silent})
+	if ends {
+		h.members.lossSince = now
+		log.Warn("loss of one more control VM would end the control group")
+		return
+	}
+	log.WithField("ms", now.Sub(h.members.lossSince).Milliseconds()).Info("control group can lose a control VM again")
+}
+
+// setGauges sets the gauges, those of the lag to the member that is furthest behind.
+func (h *Server) setGauges(s repl.GroupStatus) {
+	var behind, entries, bytes, lossEndsGroup int64
+	for _, m := range s.Members {
+		entries = max(entries, int64(s.EntriesBehind(m)))
+		bytes = max(bytes, int64(m.BytesBehind))
+		if h.members.lags[m.ID].behind() {
+			behind++
+		}
+	}
+	if h.members.lossEndsGroup {
+		lossEndsGroup = 1
+	}
+	h.conf.Gauge(membersBehindMetric, behind)
+	h.conf.Gauge(entriesBehindMetric, entries)
+	h.conf.Gauge(bytesBehindMetric, bytes)
+	h.conf.Gauge(lossEndsGroupMetric, lossEndsGroup)
+}
--- /dev/null
+++ b/foldd/ctrl/members_test.go
@@ -0,0 +1,121 @@
+package ctrl
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// gauges holds the last value of each gauge of a VM.
+type gauges struct {
+	mu     sync.Mutex
+	values map[string]int64
+}
+
+func (s *gauges) set(name string, value int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values == nil {
+		s.values = map[string]int64{}
+	}
+	s.values[name] = value
+}
+
+func (s *gauges) get(name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[name]
+}
+
+// TestMemberIsBehindByTimeNotByEntries guards against lines about members that are behind by
+// the newest entries only, while changes come in series, and against members that are
+// always behind without a line.
+func TestMemberIsBehindByTimeNotByEntries(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// confirmed returns what the member has confirmed when the log ends at last.
+		confirmed func(last uint64) uint64
+		want      []lagChange
+	}{
+		{"one entry behind", func(last uint64) uint64 { return last - 1 }, nil},
+		{"always 3 s behind", func(last uint64) uint64 { return last - min(last, 30) }, []lagChange{fellBehind}},
+		{"3 s behind, then in step", func(last uint64) uint64 {
+			if last < 100 {
+				return last - min(last, 30)
+			}
+			return last - 1
+		}, []lagChange{fellBehind, caughtUp}},
+		{"stops, then has all", func(last uint64) uint64 {
+			if last < 100 {
+				return min(last, 10)
+			}
+			return last
+		}, []lagChange{fellBehind, caughtUp}},
+	} {
+		var lag memberLag
+		var got []lagChange
+		now := time.Unix(0, 0)
+		for last := uint64(1); last < 200; last++ {
+			now = now.Add(step)
+			if change, _ := lag.update(now, tt.confirmed(last), last); change != lagUnchanged {
+				got = append(got, change)
+			}
+		}
+		if len(got) != len(tt.want) {
+			t.Errorf("%s: changes %v, want %v", tt.name, got, tt.want)
+			continue
+		}
+		for i := range got {
+			if got[i] != tt.want[i] {
+				t.Errorf("%s: changes %v, want %v", tt.name, got, tt.want)
+			}
+		}
+	}
+}
+
+// TestMemberThatIsBehindIsTold guards against a leader that doesn't tell that a member lacks
+// what the others have, or that it has caught up, and that the group bears no further loss.
+func TestMemberThatIsBehindIsTold(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		index := g.leader(t)
+		leader, lost := g.vms[index], g.vms[(index+1)%3]
+		var shown gauges
+		if err := leader.server.do(t.Context(), func(time.Time) { leader.server.conf.Gauge = shown.set }); err != nil {
+			t.Fatal(err)
+		}
+		g.stop(lost)
+		const changes = 10
+		for i := range uint64(changes) {
+			g.apply(t, 10+i)
+		}
+		time.Sleep(maxLag + time.Second)
+		lines := leader.logged("control replica is behind")
+		if len(lines) != 1 || lines[0].Data["vm"] != lost.addr.String() || lines[0].Data["voter"] != true {
+			t.Fatalf("lines %v, want one about the VM %v that votes", lines, lost.addr)
+		}
+		if entries, ok := lines[0].Data["entries"].(uint64); !ok || entries < changes {
+			t.Errorf("%v entries behind, want at least %d", lines[0].Data["entries"], changes)
+		}
+		if shown.get(membersBehindMetric) != 1 || shown.get(lossEndsGroupMetric) != 1 || shown.get(bytesBehindMetric) == 0 {
+			t.Errorf("gauges %v, want one member behind, its bytes, and no further loss", shown.values)
+		}
+		if warned := leader.logged("loss of one more control VM"); len(warned) != 1 || warned[0].Level != logrus.WarnLevel {
+			t.Errorf("lines %v, want a warning that one more loss ends the group", warned)
+		}
+		g.start(t, lost)
+		time.Sleep(maxLag + time.Second)
+		if caught := leader.logged("control replica has caught up"); len(caught) != 1 {
+			t.Errorf("lines %v, want one that the VM has caught up", caught)
+		}
+		if again := leader.logged("can lose a control VM again"); len(again) != 1 {
+			t.Errorf("lines %v, want one that the group can lose a VM again", again)
+		}
+		if shown.get(membersBehindMetric) != 0 || shown.get(lossEndsGroupMetric) != 0 {
+			t.Errorf("gauges %v, want no member behind", shown.values)
+		}
+	})
+}
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -39,7 +39,7 @@
 	callQueueSize = 4096
 )
 
-// ServerConfig configures a Server. Check, OnConfigChange and Count may be nil,
+// ServerConfig configures a Server. Check, OnConfigChange, Count and Gauge may be nil,
 // InitialMembers may be empty and Bootstrap false; the other fields are required.
 type ServerConfig struct {
 	VM         string
@@ -65,6 +65,8 @@
 	OnConfigChange func(revision uint64, document []byte)
 	// Count adds delta to the named counter.
 	Count func(name string, delta int64)
+	// Gauge sets the named gauge.
+	Gauge func(name string, value int64)
 }
 
 // Server runs one control replica. It is returned by New and is safe for
@@ -93,6 +95,7 @@
 	wasLeader        bool
 	loggedGroup      groupView
 	watch            groupWatch
+	members          memberWatch
 }
 
 // New opens or creates the data folder and starts the replica. If the folder is
@@ -102,6 +105,9 @@
 	if c.Count == nil {
 		c.Count = func(string, int64) {}
 	}
+	if c.Gauge == nil {
+		c.Gauge = func(string, int64) {}
+	}
 	if c.Check == nil {
 		c.Check = func(document []byte) error {
 			_, err := spec.Parse(document)
@@ -155,6 +161,7 @@
 		select {
 		case <-h.stop:
 			h.failPending(ErrStopped)
+			h.clearMembers()
 			return
 		case f := <-h.calls:
 			f(time.Now())
@@ -167,6 +174,7 @@
 			h.stopOnce.Do(func() { close(h.stop) })
 		}
 		h.reportLeaderless(time.Now())
+		h.reportMembers(time.Now())
 		t.Reset(max(0, time.Until(h.rep.Due())))
 	}
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -242,6 +242,11 @@
 	metrics.GetOrRegisterCounter(name, n.Metrics).Inc(delta)
 }
 
+// Gauge sets the named gauge.
+func (n *Node) Gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, n.Metrics).Update(value)
+}
+
 // Observe records a duration in the named histogram, in microseconds.
 func (n *Node) Observe(name string, d time.Duration) {
 	h := metrics.GetOrRegister(name, newHistogram).(metrics.Histogram)
