Control group: a line for each replica that joins, is promoted or removed, with the reason

Callers saw: `control group changed` with lists of voters and learners, from which one had to work out who had come or gone; not why, nor how long a new replica took to vote. Cause: repl.Replica told nobody what its repair decided. Change: its Output has the changes that it made as the leader, with the reason and the silence of a member that is removed; the leader logs each with the time since the member's join.

--- a/fold/repl/repair.go
+++ b/fold/repl/repair.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	m.Voter = false
-	return p.node.ChangeMember(m)
+	return p.changeMember(MemberJoined, m)
 }
 
 // repair takes the next step towards a group in which every live replica is a
@@ -45,7 +45,7 @@
 	if removable, ok := p.removableMember(members); ok {
 		// The change fails while an earlier one is in progress. The next tick
 		// retries it.
-		_ = p.node.RemoveMember(removable.ID)
+		_ = p.removeMember(MemberSilent, removable)
 		return
 	}
 	for _, m := range members.Members {
@@ -53,11 +53,11 @@
 			continue
 		}
 		if previous, ok := previousReplica(members, m); ok {
-			_ = p.node.RemoveMember(previous.ID)
+			_ = p.removeMember(MemberReplaced, previous)
 			return
 		}
 		m.Voter = true
-		_ = p.node.ChangeMember(m)
+		_ = p.changeMember(MemberPromoted, m)
 		return
 	}
 }
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -75,13 +75,14 @@
 	Write       Write
 	Messages    []raft.Message
 	Completions []Completion
-	// Events are for the log.
-	Events []raft.Event
+	// Events and Changes are for the log.
+	Events  []raft.Event
+	Changes []MemberChange
 }
 
 // Empty reports whether there is no work.
 func (o Output) Empty() bool {
-	return o.Write.Empty() && len(o.Messages) == 0 && len(o.Completions) == 0 && len(o.Events) == 0
+	return o.Write.Empty() && len(o.Messages) == 0 && len(o.Completions) == 0 && len(o.Events) == 0 && len(o.Changes) == 0
 }
 
 // pendingCommand is a command in the log that has not completed yet.
@@ -103,6 +104,8 @@
 	// reads holds the confirmed reads whose index is not applied yet.
 	reads       []raft.Read
 	completions []Completion
+	// changes holds the changes of the membership that Output has not returned yet.
+	changes []MemberChange
 	// lastSubmit is when the last command was proposed on this replica, in term
 	// lastSubmitTerm.
 	lastSubmit     time.Time
@@ -227,6 +230,7 @@
 	p.completeReads()
 	p.compact(&out.Write)
 	out.Completions, p.completions = p.completions, nil
+	out.Changes, p.changes = p.changes, nil
 	return out
 }
 
--- a/foldd/ctrl/members.go
+++ b/foldd/ctrl/members.go
@@ -176,3 +176,32 @@
 	h.conf.Gauge(bytesBehindMetric, bytes)
 	h.conf.Gauge(lossEndsGroupMetric, lossEndsGroup)
 }
+
+// unknownTime stands in the log for a time that this replica doesn't know.
+const unknownTime = -1
+
+// logChanges logs the changes of the membership that this replica has made as the leader.
+func (h *Server) logChanges(changes []repl.MemberChange) {
+	for _, c := range changes {
+		log := h.conf.Log.WithFields(logrus.Fields{"replica": h.identity.ID, "member": c.Member.ID, "vm": c.Member.VM, "membershipIndex": c.Index})
+		switch c.Kind {
+		case repl.MemberJoined:
+			log.Info("control replica joins its group as a learner")
+		case repl.MemberPromoted:
+			log.WithField("joinedMs", h.sinceJoin(c)).Info("control replica becomes a voter: it has caught up")
+		case repl.MemberReplaced:
+			log.WithField("joinedMs", h.sinceJoin(c)).Info("control replica is removed: another one runs on its VM")
+		case repl.MemberSilent:
+			log.WithFields(logrus.Fields{"joinedMs": h.sinceJoin(c), "silenceMs": c.Silence.Milliseconds()}).Info("control replica is removed: it does not answer")
+		}
+	}
+}
+
+// sinceJoin returns the time in milliseconds since a member has joined the group.
+func (h *Server) sinceJoin(c repl.MemberChange) int64 {
+	joined := h.watch.known[c.Member.ID]
+	if joined.IsZero() {
+		return unknownTime
+	}
+	return time.Since(joined).Milliseconds()
+}
--- a/foldd/ctrl/members_test.go
+++ b/foldd/ctrl/members_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/raft"
 )
 
 // gauges holds the last value of each gauge of a VM.
@@ -119,3 +121,73 @@
 		}
 	})
 }
+
+// memberLine returns the only line of all VMs with a message that contains text about the
+// replica of a VM.
+func (g *groupRig) memberLine(t *testing.T, text, vm string) *logrus.Entry {
+	t.Helper()
+	var found []*logrus.Entry
+	for _, v := range g.vms {
+		for _, line := range v.logged(text) {
+			if line.Data["vm"] == vm {
+				found = append(found, line)
+			}
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d lines %q about %s, want 1", len(found), text, vm)
+	}
+	return found[0]
+}
+
+// TestMembersAreToldWithReasonAndTime guards against members that come and go without a line
+// on why, and on how long a new one took to vote.
+func TestMembersAreToldWithReasonAndTime(t *testing.T) {
+	const founders = 3
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, founders)
+		index := g.leader(t)
+		gone, wiped := g.vms[(index+1)%founders], g.vms[(index+2)%founders]
+		g.stop(gone)
+		g.addControlVM(t, vmAddrs(founders + 1)[founders], vmAddrs(founders))
+		added := g.vms[founders]
+		time.Sleep(10 * time.Second)
+		g.loseDiskAndAwaitVote(t, wiped, founders)
+
+		for _, vm := range []string{added.conf.VM, wiped.conf.VM} {
+			g.memberLine(t, "joins its group as a learner", vm)
+			line := g.memberLine(t, "becomes a voter", vm)
+			if joined, ok := line.Data["joinedMs"].(int64); !ok || joined < 0 || joined > maxRejoin.Milliseconds() {
+				t.Errorf("fields %v, want the time since the join, at most %v", line.Data, maxRejoin)
+			}
+		}
+		for text, vm := range map[string]string{
+			"is removed: it does not answer":         gone.addr.String(),
+			"is removed: another one runs on its VM": wiped.addr.String(),
+		} {
+			if line := g.memberLine(t, text, vm); line.Data["joinedMs"] != int64(unknownTime) {
+				t.Errorf("fields %v, want no time since the join of a member from the start", line.Data)
+			}
+		}
+		if line := g.memberLine(t, "it does not answer", gone.addr.String()); line.Data["silenceMs"] == int64(0) {
+			t.Errorf("fields %v, want how long the replica has been silent", line.Data)
+		}
+	})
+}
+
+// TestTimeOfJoinIsThatOfTheLastOne guards against a new member that counts from its first
+// membership, or from when this replica learned of the group.
+func TestTimeOfJoinIsThatOfTheLastOne(t *testing.T) {
+	var w groupWatch
+	first, second := raft.Member{ID: "a"}, raft.Member{ID: "b"}
+	alone := raft.Membership{Members: []raft.Member{first}}
+	at := func(seconds int64) time.Time { return time.Unix(seconds, 0) }
+	w.noteMembers(at(1), alone)
+	w.noteMembers(at(2), alone.With(second))
+	w.noteMembers(at(3), alone)
+	w.noteMembers(at(4), alone.With(second))
+	w.noteMembers(at(5), alone.With(raft.Member{ID: "b", Voter: true}))
+	if !w.known["a"].IsZero() || !w.known["b"].Equal(at(4)) {
+		t.Errorf("times of the joins %v, want none for a and %v for b", w.known, at(4))
+	}
+}
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -213,6 +213,7 @@
 			break
 		}
 		h.logEvents(out.Events)
+		h.logChanges(out.Changes)
 		if !out.Write.Empty() {
 			if err := h.folder.Write(out.Write); err != nil {
 				return err
--- a/foldd/ctrl/watch.go
+++ b/foldd/ctrl/watch.go
@@ -40,6 +40,7 @@
 	if leader.ID != "" {
 		h.knownLeader.Store(&leader)
 	}
+	h.watch.noteMembers(time.Now(), h.rep.Membership())
 	var voters, learners []string
 	for _, m := range h.rep.Membership().Members {
 		if m.Voter {
@@ -70,6 +71,9 @@
 	// replaced holds the replicas that are gone for good, as another replica answers at
 	// their address, and the ID of that one.
 	replaced map[string]string
+	// known holds when each member of the group joined it, the zero time for those that
+	// were members before this replica knew the group.
+	known map[string]time.Time
 	// since is when the replica last lost its leader, zero while it knows one, and
 	// reportAt when a line about that is due.
 	since, reportAt time.Time
@@ -92,6 +96,19 @@
 	w.replaced[addressee] = answer
 }
 
+// noteMembers records which replicas are members from now on.
+func (w *groupWatch) noteMembers(now time.Time, m raft.Membership) {
+	known := map[string]time.Time{}
+	for _, member := range m.Members {
+		joined, ok := w.known[member.ID]
+		if !ok && len(w.known) > 0 {
+			joined = now
+		}
+		known[member.ID] = joined
+	}
+	w.known = known
+}
+
 // Times of lines about a group without a leader: the first comes after an election that
 // takes unusually long, and the time between two lines doubles up to the longest.
 const (
