Peers: small responses are not compressed

By heap profiles, 37 of 57 MB were gzip writers of connect's pool.

Cause: connect's handlers compress every response whose caller accepts it, an empty one too. Each response in progress at the same time takes a compressor of its own, of 1.2 MB, and the pool keeps it.

Change: responses of less than 16 KiB to other VMs and to operators are sent as they are. A configuration of usual size is still compressed.

--- a/foldd/oper/service.go
+++ b/foldd/oper/service.go
@@ -41,7 +41,7 @@
 // Handler returns the handler of the operators' address.
 func (o *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewOperatorServiceHandler(o))
+	mux.Handle(wire.NewOperatorServiceHandler(o, connect.WithCompressMinBytes(peer.MinCompressed)))
 	mux.HandleFunc("GET /metrics", o.metrics)
 	return RequireToken(o.Node.Settings.OperatorToken, mux)
 }
@@ -50,7 +50,7 @@
 // metrics as text and the status for foldctl. It is read-only.
 func (o *Service) WatchHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewWatchServiceHandler(o))
+	mux.Handle(wire.NewWatchServiceHandler(o, connect.WithCompressMinBytes(peer.MinCompressed)))
 	mux.Handle("/", MetricsHandler(o.Node))
 	return mux
 }
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -78,6 +78,10 @@
 // with 10,000 workspaces takes about 1.5 MB.
 const MaxMessage = 16 << 20
 
+// MinCompressed is the size in bytes from which responses are compressed. A compressor takes
+// about 1 MB of memory.
+const MinCompressed = 16 << 10
+
 // Options returns the options for clients of other VMs: they send the peer token, and
 // read replies up to a limit.
 func (s *Service) Options() connect.ClientOption {
@@ -86,7 +90,7 @@
 
 // HandlerOptions returns the options for handlers of calls from other VMs.
 func (s *Service) HandlerOptions() connect.HandlerOption {
-	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(MaxMessage))
+	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(MaxMessage), connect.WithCompressMinBytes(MinCompressed))
 }
 
 func (s *Service) codec() codec {
