--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -83,6 +83,10 @@
 // state of the control group.
 const MaxControlMessage = state.MaxSnapshotBytes + MaxMessage
 
+// MinCompressed is the size in bytes from which responses are compressed. A compressor takes
+// about 1 MB of memory.
+const MinCompressed = 16 << 10
+
 // Options returns the options for clients of other VMs: they send the peer token, and
 // read replies up to a limit.
 func (s *Service) Options() connect.ClientOption {
@@ -99,7 +103,7 @@
 
 // handlerOptions returns the options for handlers that read messages of at most maxBytes.
 func (s *Service) handlerOptions(maxBytes int) connect.HandlerOption {
-	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(maxBytes))
+	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(maxBytes), connect.WithCompressMinBytes(MinCompressed))
 }
 
 func (s *Service) codec() codec {
