Control group: a lost voter of four is removed after an election timeout

Cause: a group of three whose VM was replaced at another address had four voters with one gone for 2.5 s and more: three of four had to answer, so that the loss of one more disk ended the group for good, though three live replicas had been there. A new leader counted the silence of the one before from its own election on. Change: with an even number of voters an unreachable one is removed after 1 s, since the others survive as many losses without it as if it came back; it joins again by itself. In the test's world the VMs tick independently of each other; with ticks at the same times, two of three voters often stood for election at once.

--- a/fold/raft/member.go
+++ b/fold/raft/member.go
@@ -64,3 +64,9 @@
 	}
 	return n.now.Sub(p.lastContact)
 }
+
+// Answered reports whether a member has replied to this replica since it became the leader.
+func (n *Node) Answered(id string) bool {
+	p := n.progress[id]
+	return p != nil && p.ackedRound > 0
+}
--- a/fold/repl/bootstrap_test.go
+++ b/fold/repl/bootstrap_test.go
@@ -110,6 +110,21 @@
 	}
 }
 
+// TestBrieflySilentVoterOfFourRejoins guards against a voter that is removed because of a short
+// silence, and doesn't vote again.
+func TestBrieflySilentVoterOfFourRejoins(t *testing.T) {
+	for seed := range uint64(50) {
+		g := bootstrapGroup(t, seed, 4, 3, []int{0, 1, 2, 3})
+		silent := g.vms[seed%4]
+		g.servers[silent].frozenUntil = g.now.Add(time.Second + time.Duration(g.random.Int64N(int64(2*time.Second))))
+		g.runUntil(20*time.Second, nil)
+		if g.liveVoters() != 4 {
+			t.Errorf("seed %d: %d live voters 20 s after a short silence, want 4", seed, g.liveVoters())
+		}
+		g.apply(0, "afterwards")
+	}
+}
+
 // TestTwoOfThreeKeepLostVoter checks that a group of three does not remove a voter
 // that is down: the two others alone could not survive another loss.
 func TestTwoOfThreeKeepLostVoter(t *testing.T) {
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -134,6 +134,14 @@
 	// lastLeaderSeen is the last tick at which a leader was known, or the time
 	// of the start.
 	lastLeaderSeen time.Time
+	// previousLeader is the last message from another replica as the leader.
+	previousLeader contact
+}
+
+// contact is when a replica was last heard of.
+type contact struct {
+	id string
+	at time.Time
 }
 
 // New returns a replica that continues from the state restored from its disk.
@@ -187,7 +195,7 @@
 		p.lastLeaderSeen = now
 	}
 	if p.IsLeader() {
-		p.repair()
+		p.repair(now)
 	}
 }
 
@@ -202,7 +210,12 @@
 func (p *Replica) Due() time.Time { return p.node.Due() }
 
 // Step handles a message from another replica.
-func (p *Replica) Step(now time.Time, m raft.Message) { p.node.Step(now, m) }
+func (p *Replica) Step(now time.Time, m raft.Message) {
+	p.node.Step(now, m)
+	if m.From == p.node.Leader() {
+		p.previousLeader = contact{id: m.From, at: now}
+	}
+}
 
 // Submit proposes a command. Output returns its Completion under the given ID,
 // if this replica learns the outcome. There is none for a command whose entry is
--- a/fold/repl/rig_test.go
+++ b/fold/repl/rig_test.go
@@ -32,6 +32,9 @@
 	lastID           uint64
 	newDisks         int
 	snapshotInterval int
+	// spreadTicks makes the VMs tick independently of each other, instead of at the same
+	// times.
+	spreadTicks bool
 	// leaders holds the ID of the replica that led in each term.
 	leaders map[uint64]string
 }
@@ -207,7 +210,11 @@
 // tick delivers the messages that arrived while the VM was frozen, ticks its
 // replica, and schedules the next tick.
 func (g *group) tick(vm string) {
-	g.after(tickInterval, func() { g.tick(vm) })
+	next := tickInterval
+	if g.spreadTicks {
+		next -= time.Duration(g.random.Int64N(int64(tickInterval)))
+	}
+	g.after(next, func() { g.tick(vm) })
 	s := g.servers[vm]
 	if s.replica == nil || g.now.Before(s.frozenUntil) {
 		return
