Ctrl: a stopped follower says why it takes no change, too

An operator's call at a VM whose replica had stopped for a full disk before it led said "replica is not the leader", as if all was well there.

Change: a replica that has stopped refuses a change with the write that failed.

TestRefusalNamesFullDisk before: its third case failed ("failed_precondition: replica is not the leader"); after: 3 of 3.

--- a/foldd/ctrl/full_disk_test.go
+++ b/foldd/ctrl/full_disk_test.go
@@ -242,7 +242,12 @@
 		g := newGroupRig(t, 1)
 		g.addEntryVMs(t, 1)
 		disks.setFull(g.vms[0], true)
-		for _, attempt := range []string{"during the write", "after it"} {
+		for _, attempt := range []string{"leader during the write", "leader after it", "replica started again"} {
+			if attempt == "replica started again" {
+				g.stop(g.vms[0])
+				g.start(t, g.vms[0])
+				<-g.vms[0].server.Stopped()
+			}
 			ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
 			_, err := g.vms[1].client.Apply(ctx, &wire.ApplyRequest{Version: 10, Document: []byte("{}")})
 			cancel()
--- a/foldd/ctrl/handler.go
+++ b/foldd/ctrl/handler.go
@@ -61,6 +61,16 @@
 	return connect.NewResponse(res), nil
 }
 
+// refusal returns why this replica, which doesn't lead, accepts no change.
+func (h *Server) refusal() error {
+	select {
+	case <-h.stop:
+		return h.stoppedError()
+	default:
+		return repl.ErrNotLeader
+	}
+}
+
 var claimStates = map[state.ClaimState]wire.ClaimState{
 	state.ClaimGranted:  wire.ClaimState_CLAIM_STATE_GRANTED,
 	state.ClaimPending:  wire.ClaimState_CLAIM_STATE_PENDING,
@@ -87,7 +97,7 @@
 func (h *Server) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
 	m := req.Msg
 	if !h.leads() {
-		return nil, h.connectError(ctx, repl.ErrNotLeader)
+		return nil, h.connectError(ctx, h.refusal())
 	}
 	if err := h.conf.Check(m.GetDocument()); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
