App: a full data folder is reported with its path, its age and its end

An operator saw a line for each of the tries, three a second, and could not tell since when the disk had been full, whether it still was, or watch it by a metric.

Change: one line when the folder begins to refuse writes, one when it takes them again with the number of tries and the time; control.writesFailed counts them.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiafold.example/foldd/ctrl"
+	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/store"
 )
 
@@ -56,6 +57,7 @@
 		Log:            a.Node.Log,
 		Check:          a.checkDocument,
 		OnConfigChange: a.applyConfig,
+		Written:        a.folderWatch(s.Control.DataFolder),
 		Count:          a.Node.Count,
 	}
 	if s.Control.FormGroup {
@@ -64,6 +66,22 @@
 	return a.startReplica(conf)
 }
 
+// folderWatch returns a function that records the result of each write to a data folder. It
+// logs when the folder begins to refuse writes and when it takes them again.
+func (a *App) folderWatch(folder string) func(begun time.Time, err error) {
+	state := link.State{
+		Log:      a.Node.Log.WithField("path", folder),
+		Failed:   "data folder refuses writes; starting the control replica again until it takes them",
+		Regained: "data folder takes writes again",
+	}
+	return func(begun time.Time, err error) {
+		if err != nil {
+			a.Node.Count("control.writesFailed", 1)
+		}
+		state.Record(begun, err, nil)
+	}
+}
+
 // controlAddrs returns the addresses at which control VMs may be found: those of
 // the VMs known to have a control replica, of this VM if it has one, and those in
 // the settings, which may be out of date.
@@ -94,7 +112,11 @@
 // startReplica starts the control replica. If it finds no control group to join, or its
 // disk fails, it returns nil and keeps retrying in the background.
 func (a *App) startReplica(conf ctrl.ServerConfig) error {
+	begun := time.Now()
 	replica, err := ctrl.New(conf)
+	if store.DiskFailed(err) {
+		conf.Written(begun, err)
+	}
 	if errors.Is(err, ctrl.ErrNoGroup) || store.DiskFailed(err) {
 		a.Node.Log.WithError(err).Warn("control replica can't start now; retrying")
 		a.restartReplica(conf)
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -40,7 +40,7 @@
 	callQueueSize = 4096
 )
 
-// ServerConfig configures a Server. Check, OnConfigChange and Count may be nil,
+// ServerConfig configures a Server. Check, OnConfigChange, Written and Count may be nil,
 // InitialMembers may be empty and Bootstrap false; the other fields are required.
 type ServerConfig struct {
 	VM         string
@@ -64,6 +64,9 @@
 	// OnConfigChange is called on the replica's goroutine when a newer
 	// configuration has been committed. Revisions may be skipped.
 	OnConfigChange func(revision uint64, document []byte)
+	// Written is called on the replica's goroutine after each write to the data folder
+	// that began at the given time, with its error.
+	Written func(begun time.Time, err error)
 	// Count adds delta to the named counter.
 	Count func(name string, delta int64)
 }
@@ -115,6 +118,9 @@
 	if c.OnConfigChange == nil {
 		c.OnConfigChange = func(uint64, []byte) {}
 	}
+	if c.Written == nil {
+		c.Written = func(time.Time, error) {}
+	}
 	folder, restored, err := openFolder(c)
 	if err != nil {
 		return nil, err
@@ -225,7 +231,7 @@
 		}
 		h.logEvents(out.Events)
 		if !out.Write.Empty() {
-			if err := h.folder.Write(out.Write); err != nil {
+			if err := h.write(out.Write); err != nil {
 				return err
 			}
 			h.conf.Count("control.syncs", 1)
@@ -245,6 +251,14 @@
 	return nil
 }
 
+// write writes to the data folder and reports the result.
+func (h *Server) write(w repl.Write) error {
+	begun := time.Now()
+	err := h.folder.Write(w)
+	h.conf.Written(begun, err)
+	return err
+}
+
 // notifyChanges reports a newly committed configuration and a change of
 // leadership.
 func (h *Server) notifyChanges() {
