--- a/foldd/ctrl/full_disk_test.go
+++ b/foldd/ctrl/full_disk_test.go
@@ -150,16 +150,16 @@
 
 // Changes in series while disks are full in turn.
 const (
-	changeInterval = 300 * time.Millisecond
-	changeSize     = 190_000
-	fullFor        = 3 * time.Second
-	roomFor        = time.Second
+	fullDiskInterval = 300 * time.Millisecond
+	fullDiskSize     = 190_000
+	fullFor          = 3 * time.Second
+	roomFor          = time.Second
 )
 
 // TestGroupGoesOnAfterDisksWereFullInTurn guards against a group that confirms no change any
 // more after the disks of its VMs were full for some seconds each.
 func TestGroupGoesOnAfterDisksWereFullInTurn(t *testing.T) {
-	for _, size := range []int{2_000, changeSize} {
+	for _, size := range []int{2_000, fullDiskSize} {
 		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
 			inBubble(t, func(t *testing.T) { fillInTurn(t, size, 2) })
 		})
@@ -174,7 +174,7 @@
 	g.addEntryVMs(t, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	o := operate(ctx, g.vms[3], changeInterval, size)
+	o := operate(ctx, g.vms[3], fullDiskInterval, size)
 	for range rounds {
 		for _, vm := range g.vms[:3] {
 			disks.setFull(vm, true)
