Ctrl: a replica that stops does not wait for answers to its join request

A replica whose disk was full while its group had no leader came back up to two seconds later than it could: Close waited for the join request under way, which silent control VMs do not answer.

Change: the request ends with the replica.

--- a/foldd/ctrl/join.go
+++ b/foldd/ctrl/join.go
@@ -93,7 +93,7 @@
 // findGroup returns the first group that another control VM reports, or
 // ErrNoGroup.
 func findGroup(c ServerConfig) (string, error) {
-	group, err := askPeers(c, nil)
+	group, err := askPeers(context.Background(), c, nil)
 	if err != nil || group == "" {
 		return "", ErrNoGroup
 	}
@@ -111,8 +111,8 @@
 // askPeers asks all possible control VMs at the same time, and the leaders that they name,
 // to add m to their group, and returns the group's name once one of them does. If m is nil,
 // it only asks for the name. One that is silent delays none of the others.
-func askPeers(c ServerConfig, m *wire.Member) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+func askPeers(ctx context.Context, c ServerConfig, m *wire.Member) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	answers := make(chan joinAnswer)
 	asked := map[string]bool{c.Addr.String(): true, "": true}
@@ -172,6 +172,8 @@
 	defer h.done.Done()
 	t := time.NewTicker(joinInterval)
 	defer t.Stop()
+	ctx, cancel := h.untilStopped()
+	defer cancel()
 	self := store.ToMember(raft.Member{ID: h.identity.ID, VM: h.conf.VM, Addr: h.conf.Addr})
 	state := link.State{Log: h.conf.Log.WithField("replica", h.identity.ID), Failed: "control replica can't join its group", Regained: "control replica's request to join its group was accepted"}
 	for {
@@ -184,11 +186,24 @@
 			continue
 		}
 		begun := time.Now()
-		_, err := askPeers(h.conf, self)
+		_, err := askPeers(ctx, h.conf, self)
 		state.Record(begun, err, nil)
 	}
 }
 
+// untilStopped returns a context that ends when the replica stops.
+func (h *Server) untilStopped() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		select {
+		case <-h.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // needsJoin reports whether the replica is not a member, or has received nothing
 // from a leader for so long that it may have been removed.
 func (h *Server) needsJoin() bool {
--- a/foldd/ctrl/join_test.go
+++ b/foldd/ctrl/join_test.go
@@ -58,3 +58,22 @@
 		}
 	})
 }
+
+// TestStoppedReplicaAwaitsNoJoinAnswer guards against a replica that ends, and is started
+// again, only once control VMs that are silent would have answered its join request.
+func TestStoppedReplicaAwaitsNoJoinAnswer(t *testing.T) {
+	for after := 4 * time.Second; after < 6*time.Second; after += 200 * time.Millisecond {
+		inBubble(t, func(t *testing.T) {
+			g := newGroupRig(t, 3)
+			for _, vm := range g.vms[1:] {
+				g.network.hang(vm.addr.String())
+			}
+			time.Sleep(after)
+			begun := time.Now()
+			g.stop(g.vms[0])
+			if took := time.Since(begun); took != 0 {
+				t.Errorf("%v after the others went silent: stopped within %v, want at once", after, took)
+			}
+		})
+	}
+}
