Operations: from "no leader" to its cause; the line says whether the replica votes

Callers saw: `control group has no leader` on each control VM, from which one could not tell that some of those that ran had no vote, nor where to look next.

--- a/fold/repl/status_test.go
+++ b/fold/repl/status_test.go
@@ -22,8 +22,7 @@
 	return s
 }
 
-// TestStatusTellsWhatEndsTheGroup guards against a group that looks whole although the next
-// loss ends it.
+// TestStatusTellsWhatEndsTheGroup guards against a group that only looks whole.
 func TestStatusTellsWhatEndsTheGroup(t *testing.T) {
 	for _, n := range []int{3, 5} {
 		for lost := range (n + 1) / 2 {
@@ -42,8 +41,7 @@
 	}
 }
 
-// TestStatusCountsWhatMemberLacks guards against a member whose lag is not seen, in entries
-// of the log or by a snapshot that has replaced them.
+// TestStatusCountsWhatMemberLacks guards against a lag that a snapshot hides.
 func TestStatusCountsWhatMemberLacks(t *testing.T) {
 	const changes = 10
 	for _, snapshotEvery := range []int{1000, 4} {
--- a/foldd/ctrl/members_test.go
+++ b/foldd/ctrl/members_test.go
@@ -31,9 +31,7 @@
 	return s.values[name]
 }
 
-// TestMemberIsBehindByTimeNotByEntries guards against lines about members that are behind by
-// the newest entries only, while changes come in series, and against members that are
-// always behind without a line.
+// TestMemberIsBehindByTimeNotByEntries guards against members taken as behind during a change.
 func TestMemberIsBehindByTimeNotByEntries(t *testing.T) {
 	const step = 100 * time.Millisecond
 	for _, tt := range []struct {
@@ -78,8 +76,7 @@
 	}
 }
 
-// TestMemberThatIsBehindIsTold guards against a leader that doesn't tell that a member lacks
-// what the others have, or that it has caught up, and that the group bears no further loss.
+// TestMemberThatIsBehindIsTold guards against a member that falls behind unseen.
 func TestMemberThatIsBehindIsTold(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		g := newGroupRig(t, 3)
@@ -140,8 +137,7 @@
 	return found[0]
 }
 
-// TestMembersAreToldWithReasonAndTime guards against members that come and go without a line
-// on why, and on how long a new one took to vote.
+// TestMembersAreToldWithReasonAndTime guards against members that come and go without a reason.
 func TestMembersAreToldWithReasonAndTime(t *testing.T) {
 	const founders = 3
 	inBubble(t, func(t *testing.T) {
@@ -175,8 +171,7 @@
 	})
 }
 
-// TestTimeOfJoinIsThatOfTheLastOne guards against a new member that counts from its first
-// membership, or from when this replica learned of the group.
+// TestTimeOfJoinIsThatOfTheLastOne guards against a time counted from an earlier membership.
 func TestTimeOfJoinIsThatOfTheLastOne(t *testing.T) {
 	var w groupWatch
 	first, second := raft.Member{ID: "a"}, raft.Member{ID: "b"}
--- a/foldd/ctrl/refuse_test.go
+++ b/foldd/ctrl/refuse_test.go
@@ -16,8 +16,7 @@
 	"fuchsiafold.example/wire"
 )
 
-// TestRefusedCallIsLoggedWithItsSize guards against a line about a call that was refused for
-// its size which can't be told from one about a broken link.
+// TestRefusedCallIsLoggedWithItsSize guards against a refusal that looks like a broken link.
 func TestRefusedCallIsLoggedWithItsSize(t *testing.T) {
 	const limit = 1 << 10
 	mux := http.NewServeMux()
--- a/foldd/ctrl/watch.go
+++ b/foldd/ctrl/watch.go
@@ -163,7 +163,7 @@
 	state := h.rep.HardState()
 	log := h.conf.Log.WithFields(logrus.Fields{
 		"replica": h.identity.ID, "ms": now.Sub(h.watch.since).Milliseconds(), "term": state.Term, "vote": state.Vote, "lastIndex": h.rep.LastIndex(),
-		"voters": voters, "voterSilenceMs": silence, "replaced": h.watch.replaced,
+		"voter": h.rep.Membership().Voter(h.identity.ID), "voters": voters, "voterSilenceMs": silence, "replaced": h.watch.replaced,
 	})
 	switch {
 	case voters == 0:
--- a/foldd/ctrl/watch_test.go
+++ b/foldd/ctrl/watch_test.go
@@ -71,3 +71,27 @@
 		g.apply(t, 10)
 	})
 }
+
+// TestReplicaWithoutLeaderTellsWhetherItVotes guards against live replicas taken for voters.
+func TestReplicaWithoutLeaderTellsWhetherItVotes(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const founders = 3
+		g := newGroupRig(t, founders)
+		index := g.leader(t)
+		leader := g.vms[index]
+		g.stop(g.vms[(index+1)%founders])
+		g.addControlVM(t, vmAddrs(founders + 1)[founders], vmAddrs(founders))
+		// The new VM has no time to become a voter.
+		g.stop(g.vms[(index+2)%founders])
+		time.Sleep(10 * time.Second)
+		for vm, votes := range map[*rigVM]bool{leader: true, g.vms[founders]: false} {
+			lines := vm.logged("control group has no leader")
+			if !votes {
+				lines = append(lines, vm.logged("has received no state")...)
+			}
+			if len(lines) == 0 || lines[0].Data["voter"] != votes {
+				t.Errorf("%v: lines %v, want one that says whether it votes: %t", vm.addr, lines, votes)
+			}
+		}
+	})
+}
--- a/foldd/peer/refuse_test.go
+++ b/foldd/peer/refuse_test.go
@@ -17,8 +17,7 @@
 	"fuchsiafold.example/wire"
 )
 
-// TestCallThatIsTooLargeSaysSo guards against a call to a control VM that is refused for its
-// size with an error that gives no reason.
+// TestCallThatIsTooLargeSaysSo guards against a refusal for size without its reason.
 func TestCallThatIsTooLargeSaysSo(t *testing.T) {
 	log, lines := test.NewNullLogger()
 	n := node.New(&conf.Settings{ID: "vm"}, log)
