--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -72,11 +72,13 @@
 	}
 	f := &Folder{path: path, identity: id}
 	if err := f.Write(repl.Write{Replace: &r}); err != nil {
+		f.Close()
 		return nil, err
 	}
 	// The identity is written last, because Open treats a folder without it as
 	// empty: a crash during Create leaves no half-created replica.
 	if err := f.replaceFile(identityName, []byte(id.Group+"\n"+id.ID+"\n")); err != nil {
+		f.Close()
 		return nil, fmt.Errorf("write identity: %w", err)
 	}
 	return f, nil
@@ -92,13 +94,14 @@
 	f := &Folder{path: path, identity: id}
 	r, err := f.restore()
 	if err != nil {
+		f.Close()
 		return nil, r, fmt.Errorf("open data folder %s: %w", path, err)
 	}
 	return f, r, nil
 }
 
 func readIdentity(path string) (Identity, error) {
-	b, err := os.ReadFile(filepath.Join(path, identityName))
+	b, err := Disk.ReadFile(filepath.Join(path, identityName))
 	if os.IsNotExist(err) {
 		return Identity{}, ErrEmpty
 	}
@@ -170,7 +173,7 @@
 }
 
 func (f *Folder) readSnapshot() (raft.Snapshot, error) {
-	b, err := os.ReadFile(f.filePath(snapshotPrefix, f.generation))
+	b, err := Disk.ReadFile(f.filePath(snapshotPrefix, f.generation))
 	if err != nil {
 		return raft.Snapshot{}, fmt.Errorf("read snapshot: %w", err)
 	}
@@ -192,10 +195,13 @@
 // readLog returns the log's records and the size in bytes of the log up to the
 // end of the last complete record.
 func (f *Folder) readLog() ([]*wire.LogRecord, int64, error) {
-	b, err := os.ReadFile(f.filePath(logPrefix, f.generation))
-	if err != nil {
+	b, err := Disk.ReadFile(f.filePath(logPrefix, f.generation))
+	if os.IsNotExist(err) {
 		return nil, 0, fmt.Errorf("read log: %w: %w", err, ErrCorrupt)
 	}
+	if err != nil {
+		return nil, 0, fmt.Errorf("read log: %w", err)
+	}
 	var out []*wire.LogRecord
 	rest := b
 	for len(rest) > 0 {
@@ -269,13 +275,13 @@
 // truncateLog truncates the log to size bytes, which drops a torn last record,
 // and syncs it.
 func (f *Folder) truncateLog(size int64) error {
-	if err := f.log.Truncate(size); err != nil {
+	if err := Disk.Truncate(f.log, size); err != nil {
 		return fmt.Errorf("truncate torn record: %w", err)
 	}
 	if _, err := f.log.Seek(size, 0); err != nil {
 		return fmt.Errorf("seek log: %w", err)
 	}
-	if err := f.log.Sync(); err != nil {
+	if err := Disk.Sync(f.log); err != nil {
 		return fmt.Errorf("sync log: %w", err)
 	}
 	return nil
@@ -299,7 +305,7 @@
 		if !managed || keep[n.Name()] {
 			continue
 		}
-		if err := os.Remove(filepath.Join(f.path, n.Name())); err != nil {
+		if err := Disk.Remove(filepath.Join(f.path, n.Name())); err != nil {
 			return fmt.Errorf("remove stale file: %w", err)
 		}
 	}
@@ -321,10 +327,10 @@
 
 // writeSynced writes to a file and syncs it.
 func writeSynced(f *os.File, b []byte) error {
-	if err := disk.Write(f, b); err != nil {
+	if err := Disk.Write(f, b); err != nil {
 		return fmt.Errorf("write %s: %w", filepath.Base(f.Name()), err)
 	}
-	if err := disk.Sync(f); err != nil {
+	if err := Disk.Sync(f); err != nil {
 		return fmt.Errorf("sync %s: %w", filepath.Base(f.Name()), err)
 	}
 	return nil
@@ -367,7 +373,7 @@
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
 	generation := f.generation + 1
-	log, err := os.OpenFile(f.filePath(logPrefix, generation), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	log, err := Disk.Create(f.filePath(logPrefix, generation))
 	if err != nil {
 		return fmt.Errorf("create log: %w", err)
 	}
@@ -396,7 +402,7 @@
 // renames it to name and syncs the folder.
 func replaceFile(folder, name, temporary string, data []byte) error {
 	part := filepath.Join(folder, temporary)
-	file, err := os.OpenFile(part, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	file, err := Disk.Create(part)
 	if err != nil {
 		return err
 	}
@@ -407,7 +413,7 @@
 	if err := file.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(part, filepath.Join(folder, name)); err != nil {
+	if err := Disk.Rename(part, filepath.Join(folder, name)); err != nil {
 		return err
 	}
 	return syncDir(folder)
@@ -419,7 +425,7 @@
 		return err
 	}
 	defer d.Close()
-	return d.Sync()
+	return Disk.Sync(d)
 }
 
 // Close closes the folder's files.
