Control group: the line about a member that is behind has its state and what is on its way

Cause: the leader's progress had these only since its flow control. Change: raft.Node.Progress gives them; fields `state` and `inFlight` of the line.

--- a/fold/raft/progress.go
+++ b/fold/raft/progress.go
@@ -114,14 +114,18 @@
 	n.enterState(p, probing)
 }
 
+// inFlight returns the size in bytes of what is on its way to the member.
+func (p *progress) inFlight() int {
+	if p.state == installing {
+		return p.snapshotBytes
+	}
+	return p.window.bytes
+}
+
 // overdue reports whether what is on its way to a member has been so for longer than the
 // transfer should take, with two heartbeats in between.
 func (n *Node) overdue(p *progress) bool {
-	size := p.window.bytes
-	if p.state == installing {
-		size = p.snapshotBytes
-	}
-	transfer := time.Duration(size) * time.Second / minTransferRate
+	transfer := time.Duration(p.inFlight()) * time.Second / minTransferRate
 	return n.now.Sub(p.sentAt) >= 2*n.opts.HeartbeatInterval+transfer
 }
 
--- a/fold/raft/status.go
+++ b/fold/raft/status.go
@@ -1,17 +1,29 @@
 package raft
 
-// Confirmed returns the index of the last entry that a member is known to have on its disk.
-// It is that of the leader's own log for the leader, and false on replicas other than the
+var progressNames = [...]string{probing: "probing", replicating: "replicating", installing: "installing"}
+
+func (s progressState) String() string { return progressNames[s] }
+
+// Progress is how far the leader has brought another member up to date.
+type Progress struct {
+	// State is "probing", "replicating" or "installing": the leader looks for the last
+	// entry that the member shares with it, sends those that follow, or sends a snapshot.
+	State string
+	// Confirmed is the index of the last entry that the member is known to have on its
+	// disk.
+	Confirmed uint64
+	// InFlight is the size in bytes of what was sent and is not acknowledged.
+	InFlight int
+}
+
+// Progress returns the progress of another member, and false on replicas other than the
 // leader and for replicas that are not members.
-func (n *Node) Confirmed(id string) (uint64, bool) {
+func (n *Node) Progress(id string) (Progress, bool) {
 	p := n.progress[id]
-	switch {
-	case p == nil || n.role != Leader:
-		return 0, false
-	case id == n.opts.ID:
-		return n.log.last(), true
+	if p == nil || n.role != Leader || id == n.opts.ID {
+		return Progress{}, false
 	}
-	return p.match, true
+	return Progress{State: p.state.String(), Confirmed: p.match, InFlight: p.inFlight()}, true
 }
 
 // BytesAfter returns the size in bytes of the data after the entry at index: of the entries
--- a/fold/repl/status.go
+++ b/fold/repl/status.go
@@ -9,9 +9,9 @@
 // MemberStatus is what the leader knows of a member of the group.
 type MemberStatus struct {
 	raft.Member
-	// Confirmed is the index of the last entry that the member is known to have on its
-	// disk, at most GroupStatus.LastIndex.
-	Confirmed uint64
+	// Progress is that of the leader itself if it has no State. Its Confirmed is at most
+	// GroupStatus.LastIndex.
+	raft.Progress
 	// BytesBehind is the size of the data that the leader has and the member may lack.
 	BytesBehind int
 	// Silence is the time since the member's last reply, zero for the leader.
@@ -58,11 +58,14 @@
 }
 
 func (p *Replica) memberStatus(m raft.Member) MemberStatus {
-	confirmed, _ := p.node.Confirmed(m.ID)
+	progress, ok := p.node.Progress(m.ID)
+	if !ok {
+		progress.Confirmed = p.node.LastIndex()
+	}
 	return MemberStatus{
 		Member:      m,
-		Confirmed:   confirmed,
-		BytesBehind: p.node.BytesAfter(confirmed),
+		Progress:    progress,
+		BytesBehind: p.node.BytesAfter(progress.Confirmed),
 		Silence:     p.node.SinceLastContact(m.ID),
 		Live:        p.node.Live(m.ID),
 	}
--- a/fold/repl/status_test.go
+++ b/fold/repl/status_test.go
@@ -56,6 +56,9 @@
 		s := g.status()
 		for _, m := range s.Members {
 			entries := s.EntriesBehind(m)
+			if (m.State == "") != (m.ID == leader.id) {
+				t.Errorf("%s: state %q, want one for each member but the leader", m.ID, m.State)
+			}
 			if m.ID != lost.id && (entries != 0 || m.BytesBehind != 0) {
 				t.Errorf("%s lacks %d entries and %d bytes, want none", m.ID, entries, m.BytesBehind)
 			}
--- a/foldd/ctrl/members.go
+++ b/foldd/ctrl/members.go
@@ -131,7 +131,7 @@
 func (h *Server) memberLog(s repl.GroupStatus, m repl.MemberStatus) *logrus.Entry {
 	return h.conf.Log.WithFields(logrus.Fields{
 		"replica": h.identity.ID, "member": m.ID, "vm": m.VM, "voter": m.Voter, "entries": s.EntriesBehind(m), "bytes": m.BytesBehind,
-		"silenceMs": m.Silence.Milliseconds(), "liveVoters": s.LiveVoters, "quorum": s.Quorum,
+		"state": m.State, "inFlight": m.InFlight, "silenceMs": m.Silence.Milliseconds(), "liveVoters": s.LiveVoters, "quorum": s.Quorum,
 	})
 }
 
--- a/foldd/ctrl/members_test.go
+++ b/foldd/ctrl/members_test.go
@@ -96,6 +96,9 @@
 		if len(lines) != 1 || lines[0].Data["vm"] != lost.addr.String() || lines[0].Data["voter"] != true {
 			t.Fatalf("lines %v, want one about the VM %v that votes", lines, lost.addr)
 		}
+		if state, ok := lines[0].Data["state"].(string); !ok || state == "" {
+			t.Errorf("fields %v, want what the leader does to bring the member up to date", lines[0].Data)
+		}
 		if entries, ok := lines[0].Data["entries"].(uint64); !ok || entries < changes {
 			t.Errorf("%v entries behind, want at least %d", lines[0].Data["entries"], changes)
 		}
