--- a/fold/repl/status_test.go
+++ b/fold/repl/status_test.go
@@ -22,8 +22,7 @@
 	return s
 }
 
-// TestStatusTellsWhatEndsTheGroup guards against a group that looks whole although the next
-// loss ends it.
+// TestStatusTellsWhatEndsTheGroup guards against a group that only looks whole.
 func TestStatusTellsWhatEndsTheGroup(t *testing.T) {
 	for _, n := range []int{3, 5} {
 		for lost := range (n + 1) / 2 {
@@ -42,8 +41,7 @@
 	}
 }
 
-// TestStatusCountsWhatMemberLacks guards against a member whose lag is not seen, in entries
-// of the log or by a snapshot that has replaced them.
+// TestStatusCountsWhatMemberLacks guards against a lag that a snapshot hides.
 func TestStatusCountsWhatMemberLacks(t *testing.T) {
 	const changes = 10
 	for _, snapshotEvery := range []int{1000, 4} {
@@ -58,6 +56,9 @@
 		s := g.status()
 		for _, m := range s.Members {
 			entries := s.EntriesBehind(m)
+			if (m.State == "") != (m.ID == leader.id) {
+				t.Errorf("%s: state %q, want one for each member but the leader", m.ID, m.State)
+			}
 			if m.ID != lost.id && (entries != 0 || m.BytesBehind != 0) {
 				t.Errorf("%s lacks %d entries and %d bytes, want none", m.ID, entries, m.BytesBehind)
 			}
