Soak: control VMs lost in series while large changes go on

The soak's documents had 1 kB, and a seed replaced one control VM at most, so that it never came up.

--losses plays that: disks lost in turn or VMs replaced at another address, 4 s after the last one is back, up to three leaders lost before, full disks, in half of the seeds 0.48 of a core, and documents of 100 to 200 kB, some up to 1,400 kB, every 0.3 s. It is drawn by its own seed: the plans of other seeds are as before.

In seed 3, the leader's calls to the new VM fail with up to 124 messages in one.

--- a/foldfake/soak/operator.go
+++ b/foldfake/soak/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -30,10 +31,18 @@
 	historyTimeout = 30 * time.Second
 )
 
-// document returns the configuration of a soak. Configurations with different names
-// differ in a class that nobody uses.
-func document(name string) []byte {
-	return fmt.Appendf(nil, `{
+// change is a change of the configuration. Its name is that of a class that nobody uses, and
+// pad the size in bytes of a comment that hardly compresses.
+type change struct {
+	name string
+	pad  int
+}
+
+// document returns the configuration of a soak.
+func (c change) document() []byte {
+	pad := make([]byte, c.pad/2)
+	rand.NewChaCha8(sha256.Sum256([]byte(c.name))).Read(pad)
+	return fmt.Appendf(nil, `{ // %x
 		"classes": [{"name": "summary", "target": {"firstToken": "5s", "tokenGap": "200ms"}}, {"name": %q, "target": {"completion": "1h"}}],
 		"services": [
 			{"name": %q, "kind": "engine", "models": [%q]},
@@ -47,7 +56,7 @@
 			{"name": "write", "host": %q, "prefix": "/write/", "kind": "unsafe", "timeout": "2s", "services": [{"service": %q, "part": 1}]},
 		],
 		"workspaces": [{"name": "w", "keySHA256": %q}],
-	}`, name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceOnce,
+	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceOnce,
 		forwardHost, serviceDrafts, forwardHost, serviceWrites, spec.HashKey(workspaceKey))
 }
 
@@ -118,17 +127,17 @@
 		if err != nil {
 			continue
 		}
-		o.apply(ctx, operator, vm, status.GetSelf().GetConfigRevision(), fmt.Sprintf("op%d-%d", operator, n))
+		o.apply(ctx, operator, vm, status.GetSelf().GetConfigRevision(), change{name: fmt.Sprintf("op%d-%d", operator, n)})
 	}
 }
 
 // apply sends a change to one VM after another until one gives a clear answer, or ctx
-// ends, and adds it to the history.
-func (o *operators) apply(ctx context.Context, operator, vm int, base uint64, name string) {
+// ends, and adds it to the history. It returns the answer.
+func (o *operators) apply(ctx context.Context, operator, vm int, base uint64, c change) applyOutput {
 	op := porcupine.Operation{ClientId: operator, Input: applyInput{base: base}, Call: time.Now().UnixNano(), Return: math.MaxInt64}
 	out := applyOutput{unknown: true}
 	for i := 0; ctx.Err() == nil; i++ {
-		res, err := o.applyAt(ctx, o.world.vms[(vm+i)%len(o.world.vms)], base, name)
+		res, err := o.applyAt(ctx, o.world.vms[(vm+i)%len(o.world.vms)], base, c)
 		if err == nil {
 			out = applyOutput{conflict: res.GetConflict(), revision: res.GetRevision()}
 			op.Return = time.Now().UnixNano()
@@ -143,12 +152,13 @@
 	if !out.unknown && !out.conflict {
 		o.accepted[out.revision] = time.Now()
 	}
+	return out
 }
 
-func (o *operators) applyAt(ctx context.Context, v *vm, base uint64, name string) (*wire.ApplyResponse, error) {
+func (o *operators) applyAt(ctx context.Context, v *vm, base uint64, c change) (*wire.ApplyResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	res, err := v.client.Apply(ctx, connect.NewRequest(&wire.ApplyRequest{BaseRevision: base, ChangeId: name, Document: document(name)}))
+	res, err := v.client.Apply(ctx, connect.NewRequest(&wire.ApplyRequest{BaseRevision: base, ChangeId: c.name, Document: c.document()}))
 	if err != nil {
 		return nil, fmt.Errorf("apply at %s: %w", v.id, err)
 	}
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -19,9 +19,12 @@
 	// Old is the path of an older foldd program, or empty. All VMs start with it and are
 	// upgraded to Binary one after the other.
 	Old string
+	// Losses plays losses of control VMs in series, while large changes go on, in place of the
+	// other faults of VMs. There is no upgrade then.
+	Losses bool
 	// Folder is where the files of a run go. They are removed if nothing is found.
 	Folder string
-	// Length is how long faults begin, DefaultLength if zero.
+	// Length is how long faults begin, DefaultLength or DefaultLossLength if zero.
 	Length time.Duration
 }
 
@@ -59,6 +62,9 @@
 func Run(ctx context.Context, o Options, seed uint64) (Report, error) {
 	if o.Length == 0 {
 		o.Length = DefaultLength
+		if o.Losses {
+			o.Length = DefaultLossLength
+		}
 	}
 	folder := filepath.Join(o.Folder, fmt.Sprintf("seed-%d", seed))
 	rep := Report{Seed: seed, Length: o.Length, Faults: o.plan(seed)}
@@ -68,7 +74,7 @@
 	if err != nil {
 		return rep, fmt.Errorf("start of seed %d: %w", seed, err)
 	}
-	p := &soakRun{world: w, findings: f, callers: &callers{world: w, findings: f}, operators: &operators{world: w, findings: f, accepted: map[uint64]time.Time{}}}
+	p := &soakRun{losses: o.Losses, world: w, findings: f, callers: &callers{world: w, findings: f}, operators: &operators{world: w, findings: f, accepted: map[uint64]time.Time{}}}
 	if err := p.begin(ctx, seed); err != nil {
 		return rep, fmt.Errorf("start of seed %d: %w", seed, err)
 	}
@@ -93,6 +99,9 @@
 // lost in an upgrade: the group tolerates the loss of one while all others are well, and the
 // steps stop them.
 func (o Options) plan(seed uint64) []Fault {
+	if o.Losses {
+		return planLosses(seed, o.Length, vmCount, controlCount, len(layout))
+	}
 	faults := NewPlan(seed, o.Length, vmCount, controlCount, len(layout))
 	if o.Old == "" {
 		return faults
@@ -105,6 +114,8 @@
 
 // soakRun is a run in progress.
 type soakRun struct {
+	// losses is set if large changes go on.
+	losses    bool
 	world     *world
 	findings  *findings
 	callers   *callers
@@ -118,7 +129,7 @@
 func (p *soakRun) begin(ctx context.Context, seed uint64) error {
 	deadline := time.Now().Add(startTimeout)
 	for p.first == 0 && time.Now().Before(deadline) {
-		res, err := p.operators.applyAt(ctx, p.world.vms[0], 0, "first")
+		res, err := p.operators.applyAt(ctx, p.world.vms[0], 0, change{name: "first"})
 		if err == nil {
 			p.first = res.GetRevision()
 		}
@@ -171,11 +182,16 @@
 	for i := range operatorCount {
 		changes.Go(func() { p.operators.change(operatorsCtx, i, rep.Seed) })
 	}
+	if p.losses {
+		changes.Go(func() { p.operators.changeLarge(operatorsCtx, operatorCount, rep.Seed, p.first) })
+	}
 	p.applyPlan(ctx, rep.Faults)
 	if ctx.Err() == nil {
-		p.checkReturn(time.Now())
+		ended := time.Now()
+		p.checkReturn(ended)
+		p.checkAccepts(ended)
 	}
-	if ctx.Err() == nil && p.world.old != "" {
+	if ctx.Err() == nil && (p.losses || p.world.old != "") {
 		p.checkGroup(ctx)
 	}
 	stopOperators()
@@ -219,14 +235,12 @@
 
 // lockOrder returns the locks that a fault takes, in ascending order.
 func lockOrder(f Fault) []int {
-	if f.Kind == KillAll || f.Kind == RollVMs {
-		all := make([]int, vmCount)
-		for i := range all {
-			all[i] = i
-		}
-		return all
-	}
-	if f.Kind == LimitServer || f.Kind == EndlessAnswers {
+	switch f.Kind {
+	case KillAll, RollVMs:
+		return firstLocks(vmCount)
+	case LoseLeader:
+		return firstLocks(controlCount)
+	case LimitServer, EndlessAnswers, ThrottleVM:
 		return nil
 	}
 	if f.Kind.ofServer() {
@@ -240,6 +254,15 @@
 	return []int{f.Target}
 }
 
+// firstLocks returns the locks of the first VMs.
+func firstLocks(vms int) []int {
+	locks := make([]int, vms)
+	for i := range locks {
+		locks[i] = i
+	}
+	return locks
+}
+
 // watchProcess reports a process that ends by itself, and starts it again.
 func (p *soakRun) watchProcess(ctx context.Context, v *vm) {
 	for ctx.Err() == nil {
@@ -270,8 +293,21 @@
 	}
 }
 
-// checkGroup checks that all control VMs take part in their group after an upgrade, whatever
-// versions they run in the end.
+// checkAccepts checks that a change is accepted again after the last fault.
+func (p *soakRun) checkAccepts(since time.Time) {
+	for time.Since(since) < returnBound {
+		if p.operators.acceptsSince(since) {
+			return
+		}
+		time.Sleep(watchInterval)
+	}
+	if !p.operators.acceptsSince(since) {
+		p.findings.add(Returns, "", "no change was accepted within %v after the last fault", returnBound)
+	}
+}
+
+// checkGroup checks that all control VMs take part in their group in the end, whatever
+// versions they run.
 func (p *soakRun) checkGroup(ctx context.Context) {
 	whole := func(i int, v *vm) bool {
 		if i >= controlCount {
--- a/foldfake/soak/soak_test.go
+++ b/foldfake/soak/soak_test.go
@@ -64,7 +64,7 @@
 	}
 	o := &operators{world: w}
 	accepts := func(int, *vm) bool {
-		_, err := o.applyAt(t.Context(), v, 0, "first")
+		_, err := o.applyAt(t.Context(), v, 0, change{name: "first"})
 		return err == nil
 	}
 	if w.awaitAll(startTimeout, accepts) != "" {
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -152,6 +152,14 @@
 		w.replaceVM(ctx, f)
 		return
 	}
+	if f.Kind == LoseLeader {
+		w.loseLeader(ctx, f)
+		return
+	}
+	if f.Kind == ThrottleVM {
+		w.throttle(ctx, v, f.For)
+		return
+	}
 	if f.Kind == PauseVM {
 		v.signal(syscall.SIGSTOP)
 		sleep(ctx, f.For)
--- a/foldfake/soakcmd.go
+++ b/foldfake/soakcmd.go
@@ -31,10 +31,11 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Required: true, Usage: "path of the foldd program"},
 			&cli.StringFlag{Name: "old", Usage: "path of an older foldd program: all VMs start with it and are upgraded to --binary one after the other"},
+			&cli.BoolFlag{Name: "losses", Usage: "lose control VMs in series, while large changes go on"},
 			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "seeds to play, such as 1-50 or 3,8"},
 			&cli.DurationFlag{Name: "for", Usage: "play fresh seeds for this time, in place of --seeds"},
 			&cli.IntFlag{Name: "jobs", Value: 2, Usage: "seeds played at a time; each runs five processes"},
-			&cli.DurationFlag{Name: "length", Value: soak.DefaultLength, Usage: "how long faults begin in a seed"},
+			&cli.DurationFlag{Name: "length", Usage: "how long faults begin in a seed (default: 12s, with --losses 45s)"},
 			&cli.StringFlag{Name: "out", Value: "soak-reports", Usage: "folder for the reports, and for the logs of seeds that fail"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -45,7 +46,7 @@
 			if err != nil {
 				return err
 			}
-			s := &soakSeries{options: soak.Options{Binary: c.String("binary"), Old: c.String("old"), Folder: c.String("out"), Length: c.Duration("length")}}
+			s := &soakSeries{options: soak.Options{Binary: c.String("binary"), Old: c.String("old"), Losses: c.Bool("losses"), Folder: c.String("out"), Length: c.Duration("length")}}
 			if err := os.MkdirAll(s.options.Folder, 0o755); err != nil {
 				return fmt.Errorf("make folder for reports: %w", err)
 			}
