--- a/fold/repl/model_test.go
+++ b/fold/repl/model_test.go
@@ -45,7 +45,9 @@
 	pending, reads map[uint64]uint64
 	lastID         uint64
 	disks          int
-	violation      string
+	// snapshotEvery is the number of entries between snapshots, zero for the default.
+	snapshotEvery int
+	violation     string
 }
 
 // modelNode is a VM of the model.
@@ -58,7 +60,7 @@
 func newModel(seed uint64, size int) *groupModel {
 	m := &groupModel{
 		r: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(0, 0), leaders: map[uint64]string{}, states: map[uint64]string{},
-		pending: map[uint64]uint64{}, reads: map[uint64]uint64{},
+		pending: map[uint64]uint64{}, reads: map[uint64]uint64{}, snapshotEvery: 6,
 	}
 	var members raft.Membership
 	for i := range size {
@@ -90,7 +92,7 @@
 		m.disks++
 		n.id, n.disk, n.promised = fmt.Sprintf("%s#%d", n.vm, m.disks), &disk{}, raft.HardState{}
 	}
-	rep, err := repl.New(m.now, repl.Options{Raft: raft.Options{ID: n.id, Random: rand.New(rand.NewPCG(m.r.Uint64(), 2))}, SnapshotEvery: 6}, n.disk.restore())
+	rep, err := repl.New(m.now, repl.Options{Raft: raft.Options{ID: n.id, Random: rand.New(rand.NewPCG(m.r.Uint64(), 2))}, SnapshotEvery: m.snapshotEvery}, n.disk.restore())
 	if err != nil {
 		m.fail("start of %s: %v", n.id, err)
 		return
