--- a/fold/repl/losses_test.go
+++ b/fold/repl/losses_test.go
@@ -219,13 +219,16 @@
 func (m *linkedModel) loseDisk() {
 	i := m.r.IntN(len(m.nodes))
 	lost := m.nodes[i]
+	what := "lost its disk"
+	if lost == m.lead() {
+		what = "led, lost its disk"
+	}
 	m.kill(lost)
 	lost.disk = nil
-	what := "lost its disk"
 	if m.r.IntN(2) == 0 {
 		m.vms++
 		m.nodes[i] = &modelNode{server: server{vm: fmt.Sprint("vm", m.vms)}}
-		what = "was replaced by " + m.nodes[i].vm
+		what += ", was replaced by " + m.nodes[i].vm
 	}
 	m.advance(time.Duration(m.r.Int64N(int64(maxDown))))
 	m.start(m.nodes[i])
