Control group: a group of one VM is not warned that a loss ends it

Callers saw: `foldd demo` begin with a warning about a loss that a group of its size can't outlast anyway. Cause: the line and the gauge counted any group whose live voters are just a quorum. Change: only groups of three members or more.

--- a/foldd/ctrl/members.go
+++ b/foldd/ctrl/members.go
@@ -135,10 +135,14 @@
 	})
 }
 
+// minRedundantMembers is the number of members from which on a group is meant to outlast
+// the loss of one.
+const minRedundantMembers = 3
+
 // reportLossEndsGroup logs that one live voter more or less decides whether the group goes
 // on, or no longer does.
 func (h *Server) reportLossEndsGroup(now time.Time, s repl.GroupStatus) {
-	ends := s.LossEndsGroup()
+	ends := s.LossEndsGroup() && len(s.Members) >= minRedundantMembers
 	if ends == h.members.lossEndsGroup {
 		return
 	}
--- a/foldd/ctrl/members_test.go
+++ b/foldd/ctrl/members_test.go
@@ -189,3 +189,14 @@
 		t.Errorf("times of the joins %v, want none for a and %v for b", w.known, at(4))
 	}
 }
+
+// TestGroupOfOneIsNotWarned guards against a warning that a group of one VM can't do anything about.
+func TestGroupOfOneIsNotWarned(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 1)
+		time.Sleep(time.Second)
+		if lines := g.vms[0].logged("loss of one more"); len(lines) != 0 {
+			t.Errorf("lines %v, want none", lines)
+		}
+	})
+}
