Store: a folder takes no write after one that failed

The rule stood in a comment only.

Change: after a write that failed, Write returns its error until the folder is opened again.

TestFolderTakesNoWriteAfterFailedWrite before: the second write succeeded, and the folder was damaged; after: it is refused, and the folder opens without either entry.

--- a/foldd/store/full_disk_test.go
+++ b/foldd/store/full_disk_test.go
@@ -286,3 +286,28 @@
 		}
 	}
 }
+
+// TestFolderTakesNoWriteAfterFailedWrite guards against a complete record behind a torn one,
+// which makes the folder unreadable.
+func TestFolderTakesNoWriteAfterFailedWrite(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	f := createFolder(t, path)
+	defer f.Close()
+	d := &fullDisk{first: 1, refusals: 1}
+	d.install(t, false)
+	if err := f.Write(repl.Write{Entries: []raft.Entry{newEntry(2, 1, "refused")}}); err == nil {
+		t.Fatal("a full disk took a write")
+	}
+	err := f.Write(repl.Write{Entries: []raft.Entry{newEntry(2, 1, "next")}})
+	if !errors.Is(err, syscall.ENOSPC) {
+		t.Errorf("write after a failed one: error %v, want that of the failed one", err)
+	}
+	g, state, err := store.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.Close()
+	if len(state.Entries) != 0 {
+		t.Errorf("the folder holds %v, want no entry", state.Entries)
+	}
+}
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -63,6 +63,8 @@
 	generation uint64
 	log        *os.File
 	identity   Identity
+	// failed is the error of the first write that failed, nil before it.
+	failed error
 }
 
 // Create creates a folder for a new replica whose initial state is r.
@@ -312,9 +314,17 @@
 	return nil
 }
 
-// Write writes w and syncs it to the disk. After an error the caller must not
-// write again, because it is unknown how much of w reached the disk.
+// Write writes w and syncs it to the disk. After a write that failed, every further one
+// fails with its error: how much of it reached the disk is unknown until the folder is opened
+// again.
 func (f *Folder) Write(w repl.Write) error {
+	if f.failed == nil {
+		f.failed = f.write(w)
+	}
+	return f.failed
+}
+
+func (f *Folder) write(w repl.Write) error {
 	if w.Replace != nil {
 		return f.startGeneration(w.Replace)
 	}
