Peers: updates of one message are passed on together

Cause: a VM that gets several new updates in one message, as a relay of its failure domain does when updates come in series, passed on each of them by itself. The first one starts an exchange with each VM of the domain, which carries all of them; the others ask for one more exchange after it.

Change: the updates about servers of one message are applied first, and passed on by one exchange with each VM. Two tests call the new function in place of the old one; what they check is the same.

--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -26,7 +26,10 @@
 // is member.Foreign if it is rejected.
 func (n *Node) ReceiveAnnouncement(b member.Backend) member.Change {
 	change := n.merge(member.BackendUpdate{Backend: b}, "")
-	if change == member.Foreign {
+	switch change {
+	case member.Changed:
+		n.Gossip(n.urgentTargets(""))
+	case member.Foreign:
 		n.Count("announcements.foreign", 1)
 		n.Log.WithFields(logrus.Fields{"backend": b.ID, "service": b.Service}).Warn("too many servers of services that the configuration doesn't name; rejecting the announcement")
 	}
@@ -43,14 +46,20 @@
 	n.eachScheduler(func(s *sched.Scheduler) { s.UpdatePrefixCache(now, id, prefix, stored) })
 }
 
-// ReceiveRelayedBackend applies an update about a backend server that the VM
-// from relayed.
-func (n *Node) ReceiveRelayedBackend(u member.BackendUpdate, from string) member.Change {
-	return n.merge(u, from)
+// ReceiveRelayedBackends applies the updates about backend servers that a message of the VM
+// from relays. What has changed by them is gossiped together.
+func (n *Node) ReceiveRelayedBackends(updates []member.BackendUpdate, from string) {
+	changed := false
+	for _, u := range updates {
+		changed = n.merge(u, from) == member.Changed || changed
+	}
+	if changed {
+		n.Gossip(n.urgentTargets(from))
+	}
 }
 
 // merge applies an update about a backend server. from is the VM that relayed
-// it, empty for a direct report.
+// it, empty for a direct report. If the result is member.Changed, the caller gossips it.
 func (n *Node) merge(u member.BackendUpdate, from string) member.Change {
 	n.mu.Lock()
 	now := time.Now()
@@ -92,13 +101,14 @@
 	n.mu.Unlock()
 	if isNew {
 		n.notifyChange(b, "")
+		n.Gossip(n.urgentTargets(""))
 	}
 	return isNew
 }
 
-// notifyChange logs that a backend server is new, has restarted or is leaving,
-// calls BackendChanged and gossips the update to other VMs. from is the VM that
-// relayed the update, empty for a local one. The caller must not hold the lock.
+// notifyChange logs that a backend server is new, has restarted or is leaving, and
+// calls BackendChanged. from is the VM that relayed the update, empty for a local one.
+// The caller must not hold the lock.
 //
 // A VM that learns of the change from another one logs it only if it has requests under
 // way there: the VMs that learned of it first have logged it.
@@ -114,7 +124,6 @@
 		log.Debug("backend server changed")
 	}
 	n.BackendChanged(b)
-	n.Gossip(n.urgentTargets(from))
 }
 
 // hasRequestsAt reports whether this VM has requests under way at a backend server. The
--- a/foldd/node/statement_test.go
+++ b/foldd/node/statement_test.go
@@ -62,7 +62,7 @@
 	b.Leaving = false
 	for _, from := range []string{"", "vm2", "vm3"} {
 		b.Seq += 10
-		n.ReceiveRelayedBackend(member.BackendUpdate{Backend: b}, from)
+		n.ReceiveRelayedBackends([]member.BackendUpdate{{Backend: b}}, from)
 		if got, _ := n.Backend("e"); !got.Leaving {
 			t.Errorf("a report from %q undoes what the server said", from)
 		}
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -65,6 +65,17 @@
 	return out
 }
 
+// fromBackends converts updates about backend servers, without those that are invalid.
+func fromBackends(list []*wire.Backend) []member.BackendUpdate {
+	var out []member.BackendUpdate
+	for _, b := range list {
+		if u, ok := FromBackend(b); ok {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // ToBackend returns the wire form of an update about a backend server. A brief
 // update carries only what identifies the server, its state and its load.
 func ToBackend(u member.BackendUpdate) *wire.Backend {
--- /dev/null
+++ b/foldd/peer/fleet_test.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/wire"
+)
+
+const (
+	// fleetDomains is the number of failure domains of a fleet.
+	fleetDomains = 5
+	// linkDelay is the time that a message takes between two VMs.
+	linkDelay = 2 * time.Millisecond
+)
+
+// fleet is a group of VMs whose messages pass in memory, in virtual time.
+type fleet struct {
+	vms    []*fleetVM
+	byAddr map[string]*fleetVM
+
+	// mu protects the fields below.
+	mu sync.Mutex
+	// calls counts the calls by procedure, and sent their bytes in both directions.
+	calls, sent map[string]int
+}
+
+// fleetVM is one VM of a fleet.
+type fleetVM struct {
+	node    *node.Node
+	service *Service
+	handler http.Handler
+	// delay is the additional time that the VM takes to send or to receive.
+	delay time.Duration
+}
+
+// newFleet returns a fleet whose VMs all know each other. It must run in a synctest bubble.
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{byAddr: map[string]*fleetVM{}, calls: map[string]int{}, sent: map[string]int{}}
+	for i := range size {
+		f.add(t, i)
+	}
+	for _, v := range f.vms {
+		for _, o := range f.vms {
+			v.node.ReceivePeer(o.node.Self())
+		}
+	}
+	return f
+}
+
+func (f *fleet) add(t *testing.T, i int) {
+	t.Helper()
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7200)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := node.New(&conf.Settings{
+		ID: fmt.Sprintf("vm-%03d", i), Domain: fmt.Sprint("d", i%fleetDomains), Listen: conf.Listen{Peers: addr},
+		Limits: conf.Limits{BackendLease: strict.Duration(time.Minute)},
+	}, log)
+	t.Cleanup(n.Clock.Stop)
+	n.Decode = func([]byte) (*spec.Document, error) { return &spec.Document{}, nil }
+	v := &fleetVM{node: n, service: New(n)}
+	v.service.http.Transport = fleetLink{f, v}
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewPeerServiceHandler(v.service, v.service.HandlerOptions()))
+	v.handler = mux
+	f.vms = append(f.vms, v)
+	f.byAddr[addr.String()] = v
+}
+
+func (f *fleet) count(procedure string, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[procedure]++
+	f.sent[procedure] += bytes
+}
+
+// fleetLink carries the calls of one VM to the others.
+type fleetLink struct {
+	fleet *fleet
+	from  *fleetVM
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l fleetLink) RoundTrip(r *http.Request) (*http.Response, error) {
+	to := l.fleet.byAddr[r.URL.Host]
+	delay := linkDelay + l.from.delay + to.delay
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := wait(r.Context(), delay); err != nil {
+		return nil, err
+	}
+	received := r.Clone(r.Context())
+	received.Body = io.NopCloser(bytes.NewReader(body))
+	recorder := httptest.NewRecorder()
+	to.handler.ServeHTTP(recorder, received)
+	l.fleet.count(r.URL.Path, len(body)+recorder.Body.Len())
+	if err := wait(r.Context(), delay); err != nil {
+		return nil, err
+	}
+	res := recorder.Result()
+	res.ContentLength = int64(recorder.Body.Len())
+	return res, nil
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+const (
+	// fleetSize is the number of VMs of a large fleet.
+	fleetSize = 200
+	// restTime is the time after which no exchange of an update goes on.
+	restTime = 10 * time.Second
+)
+
+// server returns a backend server of the first failure domain.
+func server(i int) member.Backend {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 9000)
+	return member.Backend{ID: fmt.Sprint("b", i), Addr: addr, Kind: spec.KindPlain, Service: "s", Domain: "d0", Epoch: 1}
+}
+
+// exchanges returns the number of exchanges so far, and their bytes.
+func (f *fleet) exchanges() (calls, sent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[wire.PeerServiceExchangeProcedure], f.sent[wire.PeerServiceExchangeProcedure]
+}
+
+// TestUpdatesOfOneMessageArePassedOnTogether guards against one exchange with each VM for each update.
+func TestUpdatesOfOneMessageArePassedOnTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, fleetSize)
+		var updates []member.BackendUpdate
+		for i := range 20 {
+			updates = append(updates, member.BackendUpdate{Backend: server(i)})
+		}
+		f.vms[1].node.ReceiveRelayedBackends(updates, f.vms[0].node.Settings.ID)
+		time.Sleep(restTime)
+		calls, _ := f.exchanges()
+		if want := fleetSize/fleetDomains - 1; calls != want {
+			t.Errorf("%d exchanges to pass updates on in a failure domain, want %d", calls, want)
+		}
+	})
+}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -333,11 +333,7 @@
 			Age:  time.Duration(p.GetAgeMillis()) * time.Millisecond,
 		})
 	}
-	for _, b := range backends {
-		if u, ok := FromBackend(b); ok {
-			s.node.ReceiveRelayedBackend(u, from.ID)
-		}
-	}
+	s.node.ReceiveRelayedBackends(fromBackends(backends), from.ID)
 	l := fromLeases(leases)
 	s.node.ReceiveLeases(from.ID, &l)
 }
--- a/foldd/relay/leaving_test.go
+++ b/foldd/relay/leaving_test.go
@@ -74,7 +74,7 @@
 		r.node.ReceiveAnnouncement(member.Backend{ID: "leaving", Addr: leaving.Addr(), Kind: spec.KindPlain, Service: c.service, Domain: "a", Epoch: epoch, Seq: seq})
 	}
 	announce(1, 9)
-	r.node.ReceiveRelayedBackend(member.BackendUpdate{Backend: member.Backend{ID: "leaving", Addr: leaving.Addr(), Kind: spec.KindPlain, Service: c.service, Domain: "a", Epoch: 1, Seq: 12}}, "vm2")
+	r.node.ReceiveRelayedBackends([]member.BackendUpdate{{Backend: member.Backend{ID: "leaving", Addr: leaving.Addr(), Kind: spec.KindPlain, Service: c.service, Domain: "a", Epoch: 1, Seq: 12}}}, "vm2")
 	for range 12 {
 		if status := send(); status != http.StatusOK {
 			t.Errorf("status %d, want 200 of the other server", status)
