Ctrl: lines about calls to a control replica name their lane

Cause: the two lanes to an address logged the same line. Change: the field lane, control or transfers. Result: go vet passes; the line's tests run with the package.

--- a/foldd/ctrl/outbox.go
+++ b/foldd/ctrl/outbox.go
@@ -78,8 +78,9 @@
 	o := &outbox{control: make(lane, laneSize), transfers: make(lane, laneSize)}
 	h.outboxes[addr] = o
 	h.done.Add(2)
-	go h.sendLoop(addr, o.control, func([]*wire.LogMessage) {})
-	go h.sendLoop(addr, o.transfers, h.reportLost)
+	log := h.conf.Log.WithField("addr", addr)
+	go h.sendLoop(addr, o.control, log.WithField("lane", "control"), func([]*wire.LogMessage) {})
+	go h.sendLoop(addr, o.transfers, log.WithField("lane", "transfers"), h.reportLost)
 	return o
 }
 
@@ -96,10 +97,10 @@
 // sendLoop sends the messages of a lane to one address, and calls lost with those that
 // could not be delivered. Each call carries all messages that are queued at that time, up
 // to maxCallBytes.
-func (h *Server) sendLoop(addr netip.AddrPort, queue lane, lost func([]*wire.LogMessage)) {
+func (h *Server) sendLoop(addr netip.AddrPort, queue lane, log *logrus.Entry, lost func([]*wire.LogMessage)) {
 	defer h.done.Done()
 	c := wire.NewControlServiceClient(h.conf.HTTP, "http://"+addr.String(), h.conf.Options)
-	state := link.State{Log: h.conf.Log.WithField("addr", addr), Failed: "call to a control replica failed", Regained: "calls to a control replica succeed again"}
+	state := link.State{Log: log, Failed: "call to a control replica failed", Regained: "calls to a control replica succeed again"}
 	for {
 		select {
 		case <-h.stop:
