Raft: a learner that keeps pace with a series of entries is promoted

Cause: a learner became a voter only at a moment at which it had every committed entry. While 14 entries a second were committed, and replies took 0.3 s and more, some were always on their way: vm2 joined at 16:23:30, was the only learner of two voters from :32 on, and did not vote when the next disk was lost at :34.8 (its log ended at entry 775, the others' at 787). Change: a learner is caught up as well if it has reached the end that the log had at some moment in less than an election timeout, and the next such end isn't due yet. What a voter lacks then it gets like any follower that is an election timeout behind; it can't be elected without it.

--- a/fold/raft/progress.go
+++ b/fold/raft/progress.go
@@ -44,6 +44,11 @@
 	stateRound uint64
 	// probed is set once a probe was sent in the current state.
 	probed bool
+	// goal is the end of the leader's log at goalAt, which the member has not reached yet.
+	// goalTook is how long the goal before took it, zero if there was none.
+	goal     uint64
+	goalAt   time.Time
+	goalTook time.Duration
 	// window holds what is on its way while the state is replicating.
 	window window
 	// snapshot is the index of the snapshot that was sent last, and snapshotBytes its size.
@@ -101,6 +106,26 @@
 	return size
 }
 
+// advanceGoal takes in that the member has the entries up to match.
+func (n *Node) advanceGoal(p *progress) {
+	if p.match < p.goal {
+		return
+	}
+	if !p.goalAt.IsZero() {
+		p.goalTook = n.now.Sub(p.goalAt)
+	}
+	p.goal, p.goalAt = n.log.last(), n.now
+}
+
+// keepsPace reports whether a member lacks no committed entry, or none but those of the last
+// election timeout: while new entries come in series, some are always on their way.
+func (n *Node) keepsPace(p *progress) bool {
+	if p.match >= n.commit {
+		return true
+	}
+	return p.goalTook > 0 && p.goalTook < n.opts.ElectionTimeout && n.now.Sub(p.goalAt) < n.opts.ElectionTimeout
+}
+
 // enterState gives a member's progress another state. Replies to what was sent before no
 // longer end that state.
 func (n *Node) enterState(p *progress, s progressState) {
--- a/fold/raft/replicate.go
+++ b/fold/raft/replicate.go
@@ -254,6 +254,7 @@
 		p.match = m.Index
 		p.sentAt = n.now
 		p.window.acknowledge(m.Index)
+		n.advanceGoal(p)
 		n.advanceCommit()
 	}
 	if n.role != Leader {
