--- a/foldd/store/bytes_test.go
+++ b/foldd/store/bytes_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -65,26 +66,81 @@
 	}
 }
 
+// leadTime is when the replica of a group of one leads.
+var leadTime = time.Unix(3, 0)
+
+// lead returns the only replica of a group, which leads.
+func lead(restored raft.PersistentState) (*repl.Replica, error) {
+	options := raft.Options{ID: identity.ID, Random: rand.New(rand.NewPCG(1, 1))}
+	r, err := repl.New(leadTime, repl.Options{Raft: options}, restored)
+	if err != nil {
+		return nil, err
+	}
+	r.Tick(leadTime)
+	return r, nil
+}
+
+// writeOutput writes what a replica outputs, until there is nothing left.
+func writeOutput(f *store.Folder, r *repl.Replica) error {
+	for out := r.Output(); !out.Empty(); out = r.Output() {
+		if out.Write.Empty() {
+			continue
+		}
+		if err := f.Write(out.Write); err != nil {
+			return err
+		}
+		r.Persisted(out.Write)
+	}
+	return nil
+}
+
+// TestLongLogIsShortenedAfterRestart guards against a folder of a version that let the log
+// grow, or of a replica that was stopped, whose log stays as long as it is.
+func TestLongLogIsShortenedAfterRestart(t *testing.T) {
+	const changes = 200
+	path := filepath.Join(t.TempDir(), "data")
+	f := createFolder(t, path)
+	watchSize(t, path)
+	for i := range uint64(changes) {
+		command := state.Command{ApplyConfig: &state.ApplyConfig{Version: i + 1, Document: make([]byte, 190_000)}}
+		data, err := json.Marshal(command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mustWrite(t, f, repl.Write{Entries: []raft.Entry{{Index: i + 2, Term: 1, Data: data}}})
+	}
+	f.Close()
+	f, restored, err := store.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	r, err := lead(restored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writeOutput(f, r); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.Machine().Revision(); got != changes {
+		t.Errorf("version %d in force, want %d", got, changes)
+	}
+	if size := folderSize(t, path); size > repl.DefaultSnapshotBytes {
+		t.Errorf("folder of %d bytes, want at most %d", size, repl.DefaultSnapshotBytes)
+	}
+}
+
 // applyDocuments puts configurations in force in a group of one replica with folder f.
 func applyDocuments(f *store.Folder, changes, documentSize int) error {
-	now := time.Unix(3, 0)
-	options := raft.Options{ID: identity.ID, Random: rand.New(rand.NewPCG(1, 1))}
-	r, err := repl.New(now, repl.Options{Raft: options}, raft.Bootstrap(raft.Member{ID: identity.ID, VM: "vm1"}))
+	r, err := lead(raft.Bootstrap(raft.Member{ID: identity.ID, VM: "vm1"}))
 	if err != nil {
 		return err
 	}
-	r.Tick(now)
 	document := make([]byte, documentSize)
 	for version := range uint64(changes) {
-		r.Submit(now, version, state.Command{ApplyConfig: &state.ApplyConfig{Version: version + 1, Document: document}})
-		for out := r.Output(); !out.Empty(); out = r.Output() {
-			if out.Write.Empty() {
-				continue
-			}
-			if err := f.Write(out.Write); err != nil {
-				return fmt.Errorf("version %d: %w", version+1, err)
-			}
-			r.Persisted(out.Write)
+		r.Submit(leadTime, version, state.Command{ApplyConfig: &state.ApplyConfig{Version: version + 1, Document: document}})
+		if err := writeOutput(f, r); err != nil {
+			return fmt.Errorf("version %d: %w", version+1, err)
 		}
 	}
 	if got := r.Machine().Revision(); got != uint64(changes) {
