--- a/fold/repl/repair.go
+++ b/fold/repl/repair.go
@@ -81,23 +81,18 @@
 // there are enough live replicas to remove it.
 func (p *Replica) unreachableMember(now time.Time, members raft.Membership, timeout time.Duration) (raft.Member, bool) {
 	live := 0
-	var unreachable []raft.Member
+	var unreachable raft.Member
 	for _, m := range members.Members {
 		switch {
 		case p.silence(now, m.ID) < timeout:
 			if m.Voter || p.node.CaughtUp(m.ID) {
 				live++
 			}
-		case m.Voter:
-			unreachable = append([]raft.Member{m}, unreachable...)
-		default:
-			unreachable = append(unreachable, m)
+		case unreachable.ID == "" || (m.Voter && !unreachable.Voter):
+			unreachable = m
 		}
 	}
-	if live < minLiveReplicas || len(unreachable) == 0 {
-		return raft.Member{}, false
-	}
-	return unreachable[0], true
+	return unreachable, unreachable.ID != "" && live >= minLiveReplicas
 }
 
 // silence returns the time since the last contact with a member. For the previous leader, that
