Peers: follow-ups of updates have a budget

Cause: an update that a VM of another failure domain does not confirm within 150 ms went to up to eight others of that domain, whether the first one was down or slow. Each of them passes the update on to its whole domain. VMs are slow when there is much to do, and so made more of it.

Change: the follow-ups of a VM may cause at most a quarter of the exchanges that its updates need, and 64 more, in any 10 s. A follow-up costs as many as its domain has live VMs.

Evidence: TestSlowVMsDoNotMultiplyUpdates plays 200 VMs with the real service in virtual time, 20 updates 0.1 s apart.

--- a/fold/retry/window.go
+++ b/fold/retry/window.go
@@ -63,15 +63,22 @@
 }
 
 // Deposit counts a request that is sent for the first time.
-func (w *WindowBudget) Deposit(now time.Time) { w.slot(now).requests++ }
+func (w *WindowBudget) Deposit(now time.Time) { w.DepositN(now, 1) }
+
+// DepositN counts n requests that are sent for the first time.
+func (w *WindowBudget) DepositN(now time.Time, n int) { w.slot(now).requests += n }
 
 // Withdraw takes one retry from the budget. It reports false, and counts nothing,
 // if the budget is exhausted.
-func (w *WindowBudget) Withdraw(now time.Time) bool {
-	if _, _, remaining := w.Usage(now); remaining < 1 {
+func (w *WindowBudget) Withdraw(now time.Time) bool { return w.WithdrawN(now, 1) }
+
+// WithdrawN takes n retries from the budget. It reports false, and counts nothing, if the
+// budget allows fewer.
+func (w *WindowBudget) WithdrawN(now time.Time, n int) bool {
+	if _, _, remaining := w.Usage(now); remaining < n {
 		return false
 	}
-	w.slot(now).retries++
+	w.slot(now).retries += n
 	return true
 }
 
--- a/foldd/peer/fleet_test.go
+++ b/foldd/peer/fleet_test.go
@@ -28,6 +28,8 @@
 	fleetDomains = 5
 	// linkDelay is the time that a message takes between two VMs.
 	linkDelay = 2 * time.Millisecond
+	// slowDelay is the additional time that a slow VM takes to send or to receive.
+	slowDelay = 200 * time.Millisecond
 )
 
 // fleet is a group of VMs whose messages pass in memory, in virtual time.
@@ -134,6 +136,11 @@
 const (
 	// fleetSize is the number of VMs of a large fleet.
 	fleetSize = 200
+	// maxSpread is the time within which all VMs are to know an update.
+	maxSpread = 2 * time.Second
+	// maxSentOverNeeded bounds the exchanges that updates take over one for each update
+	// and VM.
+	maxSentOverNeeded = 1.5
 	// restTime is the time after which no exchange of an update goes on.
 	restTime = 10 * time.Second
 )
@@ -167,3 +174,44 @@
 		}
 	})
 }
+
+// TestSlowVMsDoNotMultiplyUpdates guards against follow-ups that add to the load of slow VMs.
+func TestSlowVMsDoNotMultiplyUpdates(t *testing.T) {
+	for _, oneIn := range []int{3, 1} {
+		for _, origins := range []int{2, fleetSize} {
+			t.Run(fmt.Sprintf("one in %d slow, updates from %d", oneIn, origins), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { spreadUpdates(t, oneIn, origins) })
+			})
+		}
+	}
+}
+
+// spreadUpdates lets servers announce themselves one after the other to a number of VMs, which
+// are in different failure domains, while one VM in so many is slow.
+func spreadUpdates(t *testing.T, slowOneIn, origins int) {
+	const (
+		updates  = 20
+		interval = 100 * time.Millisecond
+	)
+	f := newFleet(t, fleetSize)
+	for i := 0; i < fleetSize; i += slowOneIn {
+		f.vms[i].delay = slowDelay
+	}
+	for i := range updates {
+		f.vms[(7*i)%origins].node.ReceiveAnnouncement(server(i))
+		time.Sleep(interval)
+	}
+	time.Sleep(maxSpread - interval)
+	for _, v := range f.vms {
+		if got := len(v.node.Backends()); got != updates {
+			t.Errorf("%s knows %d servers %v after the last update, want %d", v.node.Settings.ID, got, maxSpread, updates)
+		}
+	}
+	time.Sleep(restTime)
+	calls, sent := f.exchanges()
+	ratio := float64(calls) / float64(updates*(fleetSize-1))
+	t.Logf("%d exchanges, %d bytes: %.2f for each update and VM", calls, sent, ratio)
+	if ratio > maxSentOverNeeded {
+		t.Errorf("%.2f exchanges for each update and VM, want at most %.1f", ratio, maxSentOverNeeded)
+	}
+}
