Store: a folder with a pattern in its path opens again

Cause: the newest generation was looked for with filepath.Glob, which takes the path for a pattern. It also reports a folder that can't be listed (an I/O error) as one without files; that was read in the code, no run shows it.

Change: the folder is listed, and an error of the listing is returned as such.

--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -155,14 +155,17 @@
 // newestGeneration returns the highest generation that has a snapshot, or an
 // error that wraps ErrCorrupt if there is none.
 func (f *Folder) newestGeneration() (uint64, error) {
-	names, err := filepath.Glob(filepath.Join(f.path, snapshotPrefix+"*"))
+	files, err := os.ReadDir(f.path)
 	if err != nil {
-		return 0, fmt.Errorf("list snapshots: %w", err)
+		return 0, fmt.Errorf("list data folder: %w", err)
 	}
 	highest := uint64(0)
-	for _, n := range names {
-		g, err := strconv.ParseUint(strings.TrimPrefix(filepath.Base(n), snapshotPrefix), 10, 64)
-		if err == nil {
+	for _, file := range files {
+		number, ok := strings.CutPrefix(file.Name(), snapshotPrefix)
+		if !ok {
+			continue
+		}
+		if g, err := strconv.ParseUint(number, 10, 64); err == nil {
 			highest = max(highest, g)
 		}
 	}
--- a/foldd/store/store_test.go
+++ b/foldd/store/store_test.go
@@ -216,3 +216,17 @@
 		t.Errorf("identity %+v, state %+v; want an empty state", f.Identity(), state)
 	}
 }
+
+// TestFolderWithPatternInItsPathOpens guards against a folder that is called damaged at the
+// next start as its path holds characters of a file name pattern.
+func TestFolderWithPatternInItsPathOpens(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data[1]*?")
+	if err := createFolder(t, path).Close(); err != nil {
+		t.Fatal(err)
+	}
+	f, _, err := store.Open(path)
+	if err != nil {
+		t.Fatalf("open a folder that was just created: %v", err)
+	}
+	f.Close()
+}
