Control group: a voter that led long ago is not removed at once

What callers saw: nothing so far; found by review. A leader that is elected again, without another one in between, removed the replica that had led before it 0.5 s after that replica had voted for it, if it missed the heartbeats from then on: 1 s and 2.5 s are meant.

Cause: the silence of the previous leader is counted from its last message as the leader, however long ago that was and whatever it has sent since.

Change: it is counted from its last message of any kind.

Before, TestVoterThatLedLongAgoIsNotRemovedAtOnce with 4 and 5 voters: "vm1#1 was removed 800ms after it was cut off". Now it passes, with all tests of the package.

--- a/fold/repl/repair.go
+++ b/fold/repl/repair.go
@@ -16,7 +16,7 @@
 	// voter came back.
 	surplusTimeout = raft.DefaultElectionTimeout
 	// answerTimeout is the time for a reply to a new leader, after which the previous leader
-	// counts as silent since it was last heard as such.
+	// counts as silent since its last message.
 	answerTimeout = raft.DefaultElectionTimeout / 2
 	// noLeaderTimeout is the time without a leader after which a member asks to
 	// join again: it may have been removed while it was unreachable.
@@ -101,7 +101,7 @@
 }
 
 // silence returns the time since the last contact with a member. For the previous leader, that
-// is when it was last heard as such, unless it replies to this one.
+// is its last message before the election too, unless it replies to this one.
 func (p *Replica) silence(now time.Time, id string) time.Duration {
 	since := p.node.SinceLastContact(id)
 	if id == p.previousLeader.id && since >= answerTimeout && !p.node.Answered(id) {
--- a/fold/repl/repair_test.go
+++ b/fold/repl/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +123,55 @@
 		t.Errorf("seed %d: version %d in force, want 2", seed, l.replica.Machine().Revision())
 	}
 }
+
+// TestVoterThatLedLongAgoIsNotRemovedAtOnce guards against a replica that led long ago and
+// votes for the next leader, but counts as silent since it led.
+func TestVoterThatLedLongAgoIsNotRemovedAtOnce(t *testing.T) {
+	for _, size := range []int{4, 5} {
+		t.Run(fmt.Sprint(size, " voters"), func(t *testing.T) {
+			g := newGroup(t, 1, size, 50)
+			first := g.leader()
+			g.isolate(first.vm, true, true)
+			g.runUntil(time.Minute, func() bool { return g.otherLeader(first) != nil })
+			second := g.otherLeader(first)
+			g.heal()
+			g.runUntil(time.Minute, nil)
+			if g.leader() != second || g.liveVoters() != size {
+				t.Fatalf("%d live voters, want %s to lead %d", g.liveVoters(), second.vm, size)
+			}
+			g.electAgain(second, first)
+			g.isolate(first.vm, true, true)
+			const missed = 800 * time.Millisecond
+			g.runUntil(missed, nil)
+			if !second.replica.Membership().Voter(first.id) {
+				t.Errorf("%s was removed %v after it was cut off", first.id, missed)
+			}
+		})
+	}
+}
+
+// otherLeader returns a leader other than s, or nil.
+func (g *group) otherLeader(s *server) *server {
+	for _, vm := range g.otherVMs(s.vm) {
+		if o := g.servers[vm]; o.replica != nil && o.replica.IsLeader() {
+			return o
+		}
+	}
+	return nil
+}
+
+// electAgain makes the leader step down and win the next election with the vote of voter:
+// nobody else but one more VM has links to it.
+func (g *group) electAgain(leader, voter *server) {
+	for _, vm := range g.vms {
+		g.isolate(vm, true, true)
+	}
+	g.runUntil(time.Minute, func() bool { return !leader.replica.IsLeader() })
+	third := slices.DeleteFunc(g.otherVMs(leader.vm), func(vm string) bool { return vm == voter.vm })[0]
+	for _, vm := range []string{voter.vm, third} {
+		delete(g.blocked, [2]string{vm, leader.vm})
+		delete(g.blocked, [2]string{leader.vm, vm})
+	}
+	g.runUntil(time.Minute, leader.replica.IsLeader)
+	g.heal()
+}
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -137,7 +137,7 @@
 	// lastLeaderSeen is the last tick at which a leader was known, or the time
 	// of the start.
 	lastLeaderSeen time.Time
-	// previousLeader is the last message from another replica as the leader.
+	// previousLeader is the other replica that led last, as far as this one knows.
 	previousLeader contact
 }
 
@@ -215,7 +215,7 @@
 // Step handles a message from another replica.
 func (p *Replica) Step(now time.Time, m raft.Message) {
 	p.node.Step(now, m)
-	if m.From == p.node.Leader() {
+	if m.From == p.node.Leader() || m.From == p.previousLeader.id {
 		p.previousLeader = contact{id: m.From, at: now}
 	}
 }
