--- a/fold/raft/member.go
+++ b/fold/raft/member.go
@@ -3,13 +3,13 @@
 import "time"
 
 // ChangeMember adds or replaces one member. It returns ErrNotCaughtUp for a
-// voter that is further behind than CaughtUp allows, ErrChangeInProgress while
-// an earlier change is not committed, and ErrNotLeader on other replicas.
+// voter that has not caught up yet, ErrChangeInProgress while an earlier change is not
+// committed, and ErrNotLeader on other replicas.
 func (n *Node) ChangeMember(m Member) error {
 	if err := n.checkMembershipChange(); err != nil {
 		return err
 	}
-	if p := n.progress[m.ID]; m.Voter && (p == nil || !n.keepsPace(p)) {
+	if p := n.progress[m.ID]; m.Voter && (p == nil || !n.upToDate(p)) {
 		return ErrNotCaughtUp
 	}
 	n.changeMembership(n.Membership().With(m))
@@ -46,12 +46,12 @@
 	n.Flush()
 }
 
-// CaughtUp reports whether a member has replied within an election timeout and
-// lacks no committed entry older than that. It is false for the leader itself and on replicas
-// other than the leader.
+// CaughtUp reports whether a member has replied within an election timeout and has
+// every committed entry, or is behind by less than an election timeout. It is false for
+// the leader itself and on replicas other than the leader.
 func (n *Node) CaughtUp(id string) bool {
 	p := n.progress[id]
-	return p != nil && n.keepsPace(p) && p.match > 0 && n.now.Sub(p.lastContact) < n.opts.ElectionTimeout
+	return p != nil && n.upToDate(p) && n.now.Sub(p.lastContact) < n.opts.ElectionTimeout
 }
 
 // SinceLastContact returns the time since the leader last received a reply from
--- a/fold/raft/progress.go
+++ b/fold/raft/progress.go
@@ -37,6 +37,11 @@
 	match       uint64
 	next        uint64
 	lastContact time.Time
+	// target is what was committed at targetAt, when the member last reached the target
+	// before. inTime is set if that took it less than an election timeout.
+	target   uint64
+	targetAt time.Time
+	inTime   bool
 	// ackedRound is the last heartbeat round that the replica acknowledged.
 	ackedRound uint64
 	// stateRound is the first round of the current state if that is not replicating: replies
@@ -44,11 +49,6 @@
 	stateRound uint64
 	// probed is set once a probe was sent in the current state.
 	probed bool
-	// goal is the end of the leader's log at goalAt, which the member has not reached yet.
-	// goalTook is how long the goal before took it, zero if there was none.
-	goal     uint64
-	goalAt   time.Time
-	goalTook time.Duration
 	// window holds what is on its way while the state is replicating.
 	window window
 	// snapshot is the index of the snapshot that was sent last, and snapshotBytes its size.
@@ -106,26 +106,6 @@
 	return size
 }
 
-// advanceGoal takes in that the member has the entries up to match.
-func (n *Node) advanceGoal(p *progress) {
-	if p.match < p.goal {
-		return
-	}
-	if !p.goalAt.IsZero() {
-		p.goalTook = n.now.Sub(p.goalAt)
-	}
-	p.goal, p.goalAt = n.log.last(), n.now
-}
-
-// keepsPace reports whether a member lacks no committed entry, or none but those of the last
-// election timeout: while new entries come in series, some are always on their way.
-func (n *Node) keepsPace(p *progress) bool {
-	if p.match >= n.commit {
-		return true
-	}
-	return p.goalTook > 0 && p.goalTook < n.opts.ElectionTimeout && n.now.Sub(p.goalAt) < n.opts.ElectionTimeout
-}
-
 // enterState gives a member's progress another state. Replies to what was sent before no
 // longer end that state.
 func (n *Node) enterState(p *progress, s progressState) {
@@ -147,6 +127,25 @@
 	return p.window.bytes
 }
 
+// noteTarget gives a member that has reached its target the next one.
+func (n *Node) noteTarget(p *progress) {
+	if p.match < p.target {
+		return
+	}
+	p.inTime = n.now.Sub(p.targetAt) < n.opts.ElectionTimeout
+	p.target, p.targetAt = n.commit, n.now
+}
+
+// upToDate reports whether a member has every committed entry, or keeps having those of less
+// than an election timeout ago: while entries are committed without a pause, one that is
+// slower than a quorum never has them all.
+func (n *Node) upToDate(p *progress) bool {
+	if p.match == 0 {
+		return false
+	}
+	return p.match >= n.commit || (p.inTime && n.now.Sub(p.targetAt) < n.opts.ElectionTimeout)
+}
+
 // overdue reports whether what is on its way to a member has been so for longer than the
 // transfer should take, with two heartbeats in between.
 func (n *Node) overdue(p *progress) bool {
--- a/fold/raft/replicate.go
+++ b/fold/raft/replicate.go
@@ -254,12 +254,12 @@
 		p.match = m.Index
 		p.sentAt = n.now
 		p.window.acknowledge(m.Index)
-		n.advanceGoal(p)
 		n.advanceCommit()
 	}
 	if n.role != Leader {
 		return
 	}
+	n.noteTarget(p)
 	if n.endsState(m, p) {
 		p.state, p.next = replicating, p.match+1
 	}
