--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"fuchsiafold.example/fold/retry"
 )
 
 // Parameters of the gossip exchanges between VMs.
@@ -77,8 +75,6 @@
 	// urgent updates to each peer itself instead of relying on relays.
 	MaxDirectPeers int
 	peers          map[string]*peerRecord
-	// followUps bounds the follow-ups of updates. followUpBudget sets it up.
-	followUps retry.WindowBudget
 	// beatAt is the time of this VM's last heartbeat.
 	beatAt time.Time
 	// live is nil if the set of live VMs, or what a digest covers of them, may have
--- a/fold/member/spread_test.go
+++ b/fold/member/spread_test.go
@@ -62,7 +62,7 @@
 		f.watch(v, tries[0])
 		tries = tries[1:]
 		f.after(FollowUpDelay, func() {
-			if !confirmed && len(tries) > 0 && v.group.TakeFollowUp(f.now, tries[0]) {
+			if !confirmed && len(tries) > 0 {
 				try()
 			}
 		})
--- a/fold/member/targets.go
+++ b/fold/member/targets.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"fuchsiafold.example/fold/retry"
 )
 
 // FollowUpDelay is how long an urgent exchange with a VM may take until another VM of its
@@ -16,39 +14,6 @@
 // maxSubstitutes bounds the VMs that get an update in place of one that doesn't respond.
 const maxSubstitutes = 8
 
-// Exchanges for follow-ups that a VM may cause within PeerLease: for each exchange that its
-// updates need, one with each VM, and besides.
-const (
-	followUpShare   = 0.25
-	followUpReserve = 64
-)
-
-// followUpBudget returns the budget for follow-ups.
-func (g *Group) followUpBudget() *retry.WindowBudget {
-	if g.followUps.Length == 0 {
-		g.followUps = retry.WindowBudget{Share: followUpShare, Length: PeerLease, Reserve: followUpReserve}
-	}
-	return &g.followUps
-}
-
-// TakeFollowUp reports whether an update may go to the VM at addr in place of another one of its
-// failure domain that doesn't respond, and counts it. The VM passes the update on to its whole
-// domain, so that follow-ups without a bound would multiply updates where VMs are slow.
-func (g *Group) TakeFollowUp(now time.Time, addr netip.AddrPort) bool {
-	live := g.Live(now)
-	at := slices.IndexFunc(live, func(p Peer) bool { return p.Addr == addr })
-	if at < 0 {
-		return false
-	}
-	exchanges := 0
-	for _, p := range live {
-		if p.Domain == live[at].Domain {
-			exchanges++
-		}
-	}
-	return g.followUpBudget().WithdrawN(now, exchanges)
-}
-
 // IsRelay reports whether this VM sends its failure domain's summary to the other
 // failure domains. It does unless a live VM of its domain that is not draining and
 // with which exchanges don't fail has a lower ID.
@@ -91,8 +56,7 @@
 // With at most MaxDirectPeers live peers no VM relays updates: a local update is
 // sent to each peer, so that no unresponsive VM in between delays it.
 func (g *Group) UrgentTargets(now time.Time, from string, r *rand.Rand) []netip.AddrPort {
-	live := g.Live(now)
-	if len(live) <= g.MaxDirectPeers {
+	if live := g.Live(now); len(live) <= g.MaxDirectPeers {
 		return g.directTargets(live, from)
 	}
 	sameDomain, sameRegion, otherRegions := g.splitByLocality(now)
@@ -106,7 +70,6 @@
 	if from != "" {
 		return out
 	}
-	g.followUpBudget().DepositN(now, len(live))
 	for _, group := range []map[string][]Peer{sameRegion, otherRegions} {
 		out = append(out, g.onePerDomain(group, r)...)
 	}
--- a/fold/retry/window.go
+++ b/fold/retry/window.go
@@ -63,22 +63,15 @@
 }
 
 // Deposit counts a request that is sent for the first time.
-func (w *WindowBudget) Deposit(now time.Time) { w.DepositN(now, 1) }
-
-// DepositN counts n requests that are sent for the first time.
-func (w *WindowBudget) DepositN(now time.Time, n int) { w.slot(now).requests += n }
+func (w *WindowBudget) Deposit(now time.Time) { w.slot(now).requests++ }
 
 // Withdraw takes one retry from the budget. It reports false, and counts nothing,
 // if the budget is exhausted.
-func (w *WindowBudget) Withdraw(now time.Time) bool { return w.WithdrawN(now, 1) }
-
-// WithdrawN takes n retries from the budget. It reports false, and counts nothing, if the
-// budget allows fewer.
-func (w *WindowBudget) WithdrawN(now time.Time, n int) bool {
-	if _, _, remaining := w.Usage(now); remaining < n {
+func (w *WindowBudget) Withdraw(now time.Time) bool {
+	if _, _, remaining := w.Usage(now); remaining < 1 {
 		return false
 	}
-	w.slot(now).retries += n
+	w.slot(now).retries++
 	return true
 }
 
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -98,14 +98,6 @@
 	return n.group.Substitutes(time.Now(), addr, n.random)
 }
 
-// TakeFollowUp reports whether an update may go to the VM at addr in place of another one that
-// doesn't respond, and counts it.
-func (n *Node) TakeFollowUp(addr netip.AddrPort) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.group.TakeFollowUp(time.Now(), addr)
-}
-
 // OutsideTarget returns the address of a VM of another failure domain to ask for news after
 // an exchange with the VM at addr has failed. It returns false if that VM is not of the local
 // domain, or no VM of another one is live.
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -173,17 +173,12 @@
 }
 
 // spread does an urgent exchange with a VM. If that fails or takes long, other VMs of its
-// failure domain, one after the other, get the update in its place until one has it or the
-// budget for follow-ups is exhausted.
+// failure domain, one after the other, get the update in its place until one has it.
 func (s *Service) spread(addr netip.AddrPort) {
 	if s.exchangesSoon(addr) {
 		return
 	}
 	for _, a := range s.node.SubstitutesFor(addr) {
-		if !s.node.TakeFollowUp(a) {
-			s.node.Count("peers.followUpsDenied", 1)
-			return
-		}
 		s.node.Count("peers.followUps", 1)
 		if s.exchangesSoon(a) {
 			return
