Store: the record of a sync that failed is written again at the next start

What callers saw: nothing so far; found by review. A replica whose log could not be synced (EIO) stops, starts again, reads the record of that write and acknowledges its entries. On Linux a sync that fails marks what it was to write as clean: the next one succeeds and writes nothing of it. A power failure then takes entries, or a vote, that the group counts on.

Cause: Open only synced the log, which is not enough after a sync that failed.

Change: Open writes the last complete record again at its place before it syncs the log. No other record can be concerned, as nothing is written after a write that failed.

--- a/foldd/ctrl/full_disk_test.go
+++ b/foldd/ctrl/full_disk_test.go
@@ -28,7 +28,7 @@
 }
 
 // newFullDisks replaces the disk of all folders until the test ends. A strict disk that is
-// full also refuses to create, rename, truncate, sync and remove files.
+// full also refuses to create, rename, truncate, rewrite, sync and remove files.
 func newFullDisks(t *testing.T, strict bool) *fullDisks {
 	d := &fullDisks{full: map[string]bool{}}
 	disk := store.Disk
@@ -58,6 +58,12 @@
 		}
 		return disk.Create(path)
 	}
+	store.Disk.Rewrite = func(f *os.File, b []byte, offset int64) error {
+		if err := d.refuse("rewrite", f.Name()); err != nil {
+			return err
+		}
+		return disk.Rewrite(f, b, offset)
+	}
 	store.Disk.Sync = func(f *os.File) error {
 		if err := d.refuse("sync", f.Name()); err != nil {
 			return err
--- a/foldd/store/disk.go
+++ b/foldd/store/disk.go
@@ -11,8 +11,11 @@
 type Operations struct {
 	ReadFile func(path string) ([]byte, error)
 	// Create opens a file for writing. It creates the file, or empties it.
-	Create   func(path string) (*os.File, error)
-	Write    func(f *os.File, b []byte) error
+	Create func(path string) (*os.File, error)
+	Write  func(f *os.File, b []byte) error
+	// Rewrite writes bytes that the file holds at an offset to the same place again, for which
+	// a full disk needs no room.
+	Rewrite  func(f *os.File, b []byte, offset int64) error
 	Sync     func(f *os.File) error
 	Truncate func(f *os.File, size int64) error
 	Rename   func(from, to string) error
@@ -30,6 +33,10 @@
 		_, err := f.Write(b)
 		return err
 	},
+	Rewrite: func(f *os.File, b []byte, offset int64) error {
+		_, err := f.WriteAt(b, offset)
+		return err
+	},
 	Sync:     (*os.File).Sync,
 	Truncate: (*os.File).Truncate,
 	Rename:   os.Rename,
--- a/foldd/store/full_disk_test.go
+++ b/foldd/store/full_disk_test.go
@@ -61,6 +61,12 @@
 		}
 		return disk.Create(path)
 	}
+	store.Disk.Rewrite = func(f *os.File, b []byte, offset int64) error {
+		if err := d.refuse("rewrite", f.Name()); err != nil {
+			return err
+		}
+		return disk.Rewrite(f, b, offset)
+	}
 	store.Disk.Sync = func(f *os.File) error {
 		if err := d.refuse("sync", f.Name()); err != nil {
 			return err
@@ -286,3 +292,74 @@
 		}
 	}
 }
+
+// cachedDisk holds what a power failure leaves of each file: what the last Sync that succeeded
+// has written. As on Linux, what a failed Sync was to write stays readable, and the next Sync
+// does not write it.
+type cachedDisk struct {
+	dirty    map[string]bool
+	synced   map[string][]byte
+	failSync bool
+}
+
+// install makes all folders use the disk until the test ends.
+func (d *cachedDisk) install(t *testing.T) {
+	disk := store.Disk
+	t.Cleanup(func() { store.Disk = disk })
+	store.Disk.Write = func(f *os.File, b []byte) error {
+		d.dirty[f.Name()] = true
+		return disk.Write(f, b)
+	}
+	store.Disk.Rewrite = func(f *os.File, b []byte, offset int64) error {
+		d.dirty[f.Name()] = true
+		return disk.Rewrite(f, b, offset)
+	}
+	store.Disk.Sync = func(f *os.File) error {
+		dirty := d.dirty[f.Name()]
+		d.dirty[f.Name()] = false
+		if dirty && d.failSync {
+			d.failSync = false
+			return &os.PathError{Op: "sync", Path: f.Name(), Err: syscall.EIO}
+		}
+		if !dirty {
+			return nil
+		}
+		b, err := os.ReadFile(f.Name())
+		d.synced[f.Name()] = b
+		return err
+	}
+}
+
+// TestEntryOfFailedSyncSurvivesOncePowerFails guards against an entry that a replica reads after
+// a sync has failed, and acknowledges, though it is not on the disk.
+func TestEntryOfFailedSyncSurvivesOncePowerFails(t *testing.T) {
+	d := &cachedDisk{dirty: map[string]bool{}, synced: map[string][]byte{}}
+	d.install(t)
+	path := filepath.Join(t.TempDir(), "data")
+	f := createFolder(t, path)
+	for i := range uint64(3) {
+		d.failSync = i == 2
+		err := f.Write(repl.Write{Entries: []raft.Entry{newEntry(i+2, 1, "entry")}})
+		if failed := i == 2; store.DiskFailed(err) != failed {
+			t.Fatalf("entry %d: error %v, want one of the disk: %v", i+2, err, failed)
+		}
+	}
+	f.Close()
+	f, restored, err := store.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	log := filepath.Join(path, "log-1")
+	if err := os.WriteFile(log, d.synced[log], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, after, err := store.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if len(after.Entries) != len(restored.Entries) {
+		t.Errorf("%d entries after a power failure, and %d were read before", len(after.Entries), len(restored.Entries))
+	}
+}
--- a/foldd/store/store.go
+++ b/foldd/store/store.go
@@ -134,7 +134,7 @@
 	if r.Snapshot, err = f.readSnapshot(); err != nil {
 		return r, err
 	}
-	records, size, err := f.readLog()
+	records, complete, err := f.readLog()
 	if err != nil {
 		return r, err
 	}
@@ -146,7 +146,7 @@
 	if f.log, err = os.OpenFile(f.filePath(logPrefix, generation), os.O_RDWR, fileMode); err != nil {
 		return r, fmt.Errorf("open log: %w", err)
 	}
-	if err := f.truncateLog(size); err != nil {
+	if err := f.repairLog(complete); err != nil {
 		return r, err
 	}
 	return r, f.removeStaleFiles()
@@ -195,17 +195,24 @@
 	return FromSnapshot(&s), nil
 }
 
-// readLog returns the log's records and the size in bytes of the log up to the
-// end of the last complete record.
-func (f *Folder) readLog() ([]*wire.LogRecord, int64, error) {
+// completeLog is the last complete record of a log, and its end in the file in bytes. The
+// zero value stands for a log without one.
+type completeLog struct {
+	lastRecord []byte
+	end        int64
+}
+
+// readLog returns the log's records, and the last complete one as it is in the file.
+func (f *Folder) readLog() ([]*wire.LogRecord, completeLog, error) {
 	b, err := Disk.ReadFile(f.filePath(logPrefix, f.generation))
 	if os.IsNotExist(err) {
-		return nil, 0, fmt.Errorf("read log: %w: %w", err, ErrCorrupt)
+		return nil, completeLog{}, fmt.Errorf("read log: %w: %w", err, ErrCorrupt)
 	}
 	if err != nil {
-		return nil, 0, fmt.Errorf("read log: %w", err)
+		return nil, completeLog{}, fmt.Errorf("read log: %w", err)
 	}
 	var out []*wire.LogRecord
+	var complete completeLog
 	rest := b
 	for len(rest) > 0 {
 		payload, after, ok := splitRecord(rest)
@@ -214,16 +221,17 @@
 		}
 		rec := new(wire.LogRecord)
 		if err := proto.Unmarshal(payload, rec); err != nil {
-			return nil, 0, fmt.Errorf("decode record: %w: %w", err, ErrCorrupt)
+			return nil, completeLog{}, fmt.Errorf("decode record: %w: %w", err, ErrCorrupt)
 		}
 		out = append(out, rec)
+		begin, end := len(b)-len(rest), len(b)-len(after)
+		complete = completeLog{lastRecord: b[begin:end], end: int64(end)}
 		rest = after
 	}
-	offset := int64(len(b) - len(rest))
 	if containsRecord(rest) {
-		return nil, 0, fmt.Errorf("record at byte %d of log %d: %w", offset, f.generation, ErrCorrupt)
+		return nil, completeLog{}, fmt.Errorf("record at byte %d of log %d: %w", complete.end, f.generation, ErrCorrupt)
 	}
-	return out, offset, nil
+	return out, complete, nil
 }
 
 // splitRecord returns the payload of the first record and the bytes after the
@@ -275,13 +283,16 @@
 	return nil
 }
 
-// truncateLog truncates the log to size bytes, which drops a torn last record,
-// and syncs it.
-func (f *Folder) truncateLog(size int64) error {
-	if err := Disk.Truncate(f.log, size); err != nil {
+// repairLog drops a torn record at the end of the log, and writes and syncs the last complete
+// one again: if its sync has failed, it can be read, but need not be on the disk.
+func (f *Folder) repairLog(c completeLog) error {
+	if err := Disk.Truncate(f.log, c.end); err != nil {
 		return fmt.Errorf("truncate torn record: %w", err)
 	}
-	if _, err := f.log.Seek(size, 0); err != nil {
+	if err := Disk.Rewrite(f.log, c.lastRecord, c.end-int64(len(c.lastRecord))); err != nil {
+		return fmt.Errorf("write last record again: %w", err)
+	}
+	if _, err := f.log.Seek(c.end, 0); err != nil {
 		return fmt.Errorf("seek log: %w", err)
 	}
 	if err := Disk.Sync(f.log); err != nil {
