--- a/foldd/ctrl/handler.go
+++ b/foldd/ctrl/handler.go
@@ -29,8 +29,11 @@
 // connectError converts an error of Submit or Latest to a connect error. The code
 // FailedPrecondition tells the client that the command was not committed; its
 // metadata contains the leader's address if it is known. The code Unavailable
-// leaves the outcome open.
+// leaves the outcome open. InvalidArgument tells that no control VM will accept the command.
 func (h *Server) connectError(ctx context.Context, err error) error {
+	if errors.Is(err, repl.ErrTooLarge) {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	if !notCommitted(err) {
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -61,6 +64,16 @@
 	return connect.NewResponse(res), nil
 }
 
+// refusal returns why this replica, which doesn't lead, accepts no change.
+func (h *Server) refusal() error {
+	select {
+	case <-h.stop:
+		return h.stoppedError()
+	default:
+		return repl.ErrNotLeader
+	}
+}
+
 var claimStates = map[state.ClaimState]wire.ClaimState{
 	state.ClaimGranted:  wire.ClaimState_CLAIM_STATE_GRANTED,
 	state.ClaimPending:  wire.ClaimState_CLAIM_STATE_PENDING,
@@ -87,7 +100,7 @@
 func (h *Server) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
 	m := req.Msg
 	if !h.leads() {
-		return nil, h.connectError(ctx, repl.ErrNotLeader)
+		return nil, h.connectError(ctx, h.refusal())
 	}
 	if err := h.conf.Check(m.GetDocument()); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
--- a/foldd/ctrl/replaced_vm_test.go
+++ b/foldd/ctrl/replaced_vm_test.go
@@ -11,7 +11,6 @@
 	"fuchsiafold.example/fold/raft"
 	"fuchsiafold.example/fold/repl"
 	"fuchsiafold.example/fold/state"
-	"fuchsiafold.example/wire"
 )
 
 const (
@@ -164,11 +163,7 @@
 
 // sendDocument sends a large document to a VM once, and reports whether the VM has confirmed it.
 func sendDocument(ctx context.Context, vm *rigVM, version uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
-	defer cancel()
-	req := &wire.ApplyRequest{Version: version, Document: randomDocument(version, documentSize)}
-	res, err := vm.client.Apply(ctx, req)
-	return err == nil && res.GetRevision() >= version
+	return tryApply(ctx, vm, version, randomDocument(version, documentSize))
 }
 
 // confirmDocument sends a large document to one VM after the other until one confirms it.
--- a/foldd/ctrl/server.go
+++ b/foldd/ctrl/server.go
@@ -24,11 +24,11 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/store"
-	"fuchsiafold.example/wire"
 )
 
-// ErrStopped is returned by the methods of a Server whose replica has stopped.
-// The outcome of a command that was pending is unknown.
+// ErrStopped is returned by the methods of a Server whose replica has stopped, wrapped
+// with the write that failed if that was the reason. The outcome of a command that was
+// pending is unknown.
 var ErrStopped = eris.New("control replica has stopped")
 
 // Timing of a replica.
@@ -39,7 +39,7 @@
 	callQueueSize = 4096
 )
 
-// ServerConfig configures a Server. Check, OnConfigChange and Count may be nil,
+// ServerConfig configures a Server. Check, OnConfigChange, Written, Count and Gauge may be nil,
 // InitialMembers may be empty and Bootstrap false; the other fields are required.
 type ServerConfig struct {
 	VM         string
@@ -63,8 +63,13 @@
 	// OnConfigChange is called on the replica's goroutine when a newer
 	// configuration has been committed. Revisions may be skipped.
 	OnConfigChange func(revision uint64, document []byte)
+	// Written is called on the replica's goroutine after each write to the data folder
+	// that began at the given time, with its error.
+	Written func(begun time.Time, err error)
 	// Count adds delta to the named counter.
 	Count func(name string, delta int64)
+	// Gauge sets the named gauge.
+	Gauge func(name string, value int64)
 }
 
 // Server runs one control replica. It is returned by New and is safe for
@@ -76,6 +81,9 @@
 	calls    chan func(now time.Time)
 	stop     chan struct{}
 	stopOnce sync.Once
+	// writeErr is why the replica has stopped by itself. It is set before stop is closed
+	// and must be read after that.
+	writeErr error
 	done     sync.WaitGroup
 	// knownLeader is the leader that this replica knows, which may be itself, nil for none.
 	knownLeader atomic.Pointer[raft.Member]
@@ -85,7 +93,7 @@
 	rep        *repl.Replica
 	lastCallID uint64
 	pending    map[uint64]chan repl.Completion
-	outboxes   map[netip.AddrPort]chan *wire.LogMessage
+	outboxes   map[netip.AddrPort]*outbox
 	// senderAddrs holds the last sender address of each replica that has sent a
 	// message. It is used for replicas that are not in the membership.
 	senderAddrs      map[string]netip.AddrPort
@@ -93,6 +101,7 @@
 	wasLeader        bool
 	loggedGroup      groupView
 	watch            groupWatch
+	members          memberWatch
 }
 
 // New opens or creates the data folder and starts the replica. If the folder is
@@ -102,6 +111,9 @@
 	if c.Count == nil {
 		c.Count = func(string, int64) {}
 	}
+	if c.Gauge == nil {
+		c.Gauge = func(string, int64) {}
+	}
 	if c.Check == nil {
 		c.Check = func(document []byte) error {
 			_, err := spec.Parse(document)
@@ -111,6 +123,9 @@
 	if c.OnConfigChange == nil {
 		c.OnConfigChange = func(uint64, []byte) {}
 	}
+	if c.Written == nil {
+		c.Written = func(time.Time, error) {}
+	}
 	folder, restored, err := openFolder(c)
 	if err != nil {
 		return nil, err
@@ -122,7 +137,7 @@
 		calls:       make(chan func(time.Time), callQueueSize),
 		stop:        make(chan struct{}),
 		pending:     map[uint64]chan repl.Completion{},
-		outboxes:    map[netip.AddrPort]chan *wire.LogMessage{},
+		outboxes:    map[netip.AddrPort]*outbox{},
 		senderAddrs: map[string]netip.AddrPort{},
 	}
 	o := raft.Options{ID: h.identity.ID, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), HeartbeatInterval: heartbeatInterval}
@@ -146,15 +161,16 @@
 }
 
 // run is the replica's goroutine. It runs all queued calls and then processes
-// the replica's output, so that many calls share one sync to the disk.
+// the replica's output, so that many calls share one sync to the disk. It ends at the
+// first write that fails.
 func (h *Server) run() {
 	defer h.done.Done()
+	defer func() { h.failPending(h.stoppedError()) }()
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
 		case <-h.stop:
-			h.failPending(ErrStopped)
 			return
 		case f := <-h.calls:
 			f(time.Now())
@@ -164,13 +180,28 @@
 		h.rep.Tick(time.Now())
 		if err := h.processOutput(); err != nil {
 			h.conf.Log.WithError(err).Error("control replica stopped: writing to its data folder failed")
-			h.stopOnce.Do(func() { close(h.stop) })
+			h.stopOnce.Do(func() {
+				h.writeErr = err
+				close(h.stop)
+			})
+			// The replica's memory is ahead of its disk: nothing more may be written or sent.
+			return
 		}
 		h.reportLeaderless(time.Now())
+		h.reportMembers(time.Now())
 		t.Reset(max(0, time.Until(h.rep.Due())))
 	}
 }
 
+// stoppedError returns ErrStopped, with the write that failed if there is one. It must be
+// called after stop is closed.
+func (h *Server) stoppedError() error {
+	if h.writeErr != nil {
+		return fmt.Errorf("%w: %w", ErrStopped, h.writeErr)
+	}
+	return ErrStopped
+}
+
 // Stopped returns a channel that is closed when the replica stops, either by
 // Close or because a write to its data folder failed.
 func (h *Server) Stopped() <-chan struct{} { return h.stop }
@@ -205,8 +236,9 @@
 			break
 		}
 		h.logEvents(out.Events)
+		h.logChanges(out.Changes)
 		if !out.Write.Empty() {
-			if err := h.folder.Write(out.Write); err != nil {
+			if err := h.write(out.Write); err != nil {
 				return err
 			}
 			h.conf.Count("control.syncs", 1)
@@ -226,6 +258,14 @@
 	return nil
 }
 
+// write writes to the data folder and reports the result.
+func (h *Server) write(w repl.Write) error {
+	begun := time.Now()
+	err := h.folder.Write(w)
+	h.conf.Written(begun, err)
+	return err
+}
+
 // notifyChanges reports a newly committed configuration and a change of
 // leadership.
 func (h *Server) notifyChanges() {
@@ -253,7 +293,7 @@
 	select {
 	case h.calls <- wrapped:
 	case <-h.stop:
-		return ErrStopped
+		return h.stoppedError()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -261,7 +301,7 @@
 	case <-done:
 		return nil
 	case <-h.stop:
-		return ErrStopped
+		return h.stoppedError()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -283,7 +323,7 @@
 	case d := <-ch:
 		return d, d.Err
 	case <-h.stop:
-		return repl.Completion{}, ErrStopped
+		return repl.Completion{}, h.stoppedError()
 	case <-ctx.Done():
 		return repl.Completion{}, ctx.Err()
 	}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/netio/bound"
@@ -51,7 +52,7 @@
 func New(n *node.Node) *Service {
 	t := &http.Transport{}
 	configureTransport(t)
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{t}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	s := &Service{node: n, http: &http.Client{Transport: framedTransport{refusalTransport{t}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
@@ -63,7 +64,7 @@
 func (s *Service) ControlClient() *http.Client {
 	t := &redial.Transport{}
 	configureTransport(&t.Transport)
-	return &http.Client{Transport: framedTransport{t}}
+	return &http.Client{Transport: framedTransport{refusalTransport{t}}}
 }
 
 // configureTransport sets up a transport for calls to other VMs.
@@ -78,6 +79,14 @@
 // with 10,000 workspaces takes about 1.5 MB.
 const MaxMessage = 16 << 20
 
+// MaxControlMessage bounds a message to a control VM in bytes. It holds a snapshot of the full
+// state of the control group.
+const MaxControlMessage = state.MaxSnapshotBytes + MaxMessage
+
+// MinCompressed is the size in bytes from which responses are compressed. A compressor takes
+// about 1 MB of memory.
+const MinCompressed = 16 << 10
+
 // Options returns the options for clients of other VMs: they send the peer token, and
 // read replies up to a limit.
 func (s *Service) Options() connect.ClientOption {
@@ -85,8 +94,16 @@
 }
 
 // HandlerOptions returns the options for handlers of calls from other VMs.
-func (s *Service) HandlerOptions() connect.HandlerOption {
-	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(MaxMessage))
+func (s *Service) HandlerOptions() connect.HandlerOption { return s.handlerOptions(MaxMessage) }
+
+// ControlHandlerOptions returns the options for handlers of calls to the control replica.
+func (s *Service) ControlHandlerOptions() connect.HandlerOption {
+	return s.handlerOptions(MaxControlMessage)
+}
+
+// handlerOptions returns the options for handlers that read messages of at most maxBytes.
+func (s *Service) handlerOptions(maxBytes int) connect.HandlerOption {
+	return connect.WithHandlerOptions(connect.WithCodec(s.codec()), connect.WithReadMaxBytes(maxBytes), connect.WithCompressMinBytes(MinCompressed))
 }
 
 func (s *Service) codec() codec {
