--- a/fold/repl/repair_test.go
+++ b/fold/repl/repair_test.go
@@ -175,3 +175,32 @@
 	g.runUntil(time.Minute, leader.replica.IsLeader)
 	g.heal()
 }
+
+// TestVoteDoesNotWaitForRemovalOfLearner guards against a replica that votes late, as a learner
+// whose disk is lost too is removed before.
+func TestVoteDoesNotWaitForRemovalOfLearner(t *testing.T) {
+	for seed := range uint64(20) {
+		g := newGroup(t, seed, 3, 50)
+		vm := g.otherVMs(g.leader().vm)[0]
+		joins := func() bool {
+			_, isMember := g.leader().replica.Membership().Get(g.servers[vm].id)
+			return isMember
+		}
+		loseDisk := func() {
+			g.kill(vm)
+			g.servers[vm].disk = nil
+			g.start(vm)
+		}
+		loseDisk()
+		g.runUntil(time.Minute, joins)
+		learner := g.servers[vm].id
+		if g.leader().replica.Membership().Voter(learner) {
+			t.Fatalf("seed %d: %s votes at once, want a learner", seed, learner)
+		}
+		loseDisk()
+		g.runUntil(time.Minute, func() bool { return g.leader().replica.Membership().Voter(g.servers[vm].id) })
+		if _, waited := g.leader().replica.Membership().Get(learner); !waited {
+			t.Errorf("seed %d: the learner %s was removed before %s was promoted", seed, learner, g.servers[vm].id)
+		}
+	}
+}
