Control group: of two candidates at once one gives way

Cause, from the lines of a failing play: one voter of three is gone, the leader is back after 0.3 s; both voters that are left time out within the same stretch in which their processors stand still, give each other the pre-vote, each votes for itself, and the next election comes one to two election timeouts later. Change: a pre-candidate that hears another voter's request for a pre-vote which goes before its own (term, log, ID) ends its own, and gives its pre-vote as before. It still stands for election after its next timeout, so that one which hears nobody holds nobody up. Why it works: requests come before replies on a link, so that of two live voters one at most has the other's pre-vote and goes on.

--- a/fold/raft/election.go
+++ b/fold/raft/election.go
@@ -45,6 +45,7 @@
 		return
 	}
 	if m.Type == PreVote {
+		n.yieldTo(m)
 		n.send(Message{Type: PreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
@@ -53,6 +54,26 @@
 	n.send(Message{Type: VoteReply, To: m.From})
 }
 
+// yieldTo ends the node's own pre-vote if a voter that it can vote for goes before it.
+// Two candidates of one term vote for themselves, and with two live voters neither wins.
+func (n *Node) yieldTo(m Message) {
+	if n.role != PreCandidate || !n.Membership().Voter(m.From) || !n.precededBy(m) {
+		return
+	}
+	n.role = Follower
+	n.votes = nil
+	n.report(Event{Kind: Yielded, Peer: m.From, OtherTerm: m.Term, Index: m.Index})
+}
+
+// precededBy reports whether a candidate that the node can vote for goes before the node: by
+// term, then by log, then by ID. Of two candidates, one at most goes before the other.
+func (n *Node) precededBy(m Message) bool {
+	if m.Term != n.hardState.Term+1 || m.LogTerm != n.log.lastTerm() || m.Index != n.log.last() {
+		return true
+	}
+	return m.From > n.opts.ID
+}
+
 // refusal returns why the node does not give a candidate its vote or pre-vote.
 func (n *Node) refusal(m Message) Refusal {
 	switch {
--- a/fold/raft/event.go
+++ b/fold/raft/event.go
@@ -18,6 +18,8 @@
 	Campaigned
 	// VoteRefused: the node has refused its vote, or a pre-vote, to a candidate.
 	VoteRefused
+	// Yielded: the node has ended its own pre-vote, as another candidate goes before it.
+	Yielded
 )
 
 // Refusal is why a vote was refused.
@@ -49,6 +51,7 @@
 	AcknowledgedBeyondLog: "acknowledgedBeyondLog",
 	Campaigned:            "campaigned",
 	VoteRefused:           "voteRefused",
+	Yielded:               "yielded",
 }
 
 func (k EventKind) String() string { return eventNames[k] }
--- a/foldd/ctrl/watch.go
+++ b/foldd/ctrl/watch.go
@@ -20,6 +20,8 @@
 			log.WithField("lastIndex", h.rep.LastIndex()).Info("control replica asks for votes")
 		case raft.VoteRefused:
 			log.WithFields(logrus.Fields{"why": e.Refusal.String(), "vote": h.rep.HardState().Vote}).Info("control replica refuses its vote")
+		case raft.Yielded:
+			log.WithField("lastIndex", h.rep.LastIndex()).Info("control replica gives way to another candidate")
 		default:
 			h.conf.Count(violationsMetric, 1)
 			log.WithField("violation", e.Kind.String()).Error("control replica found an invariant of its group broken; it acknowledges nothing that depends on it")
