--- a/fold/repl/status.go
+++ b/fold/repl/status.go
@@ -18,6 +18,9 @@
 	Silence time.Duration
 	// Live is set if Silence is shorter than an election timeout.
 	Live bool
+	// BehindFor is how long the member has been behind, zero if it is not. GroupStatus
+	// leaves it zero: whoever asks repeatedly sets it.
+	BehindFor time.Duration
 }
 
 // GroupStatus is what the leader knows of the group. The zero value stands for a replica
@@ -32,9 +35,35 @@
 	Quorum, LiveVoters int
 }
 
-// LossEndsGroup reports whether the voters that would be left after the loss of one that is
-// live are too few for a quorum.
-func (s GroupStatus) LossEndsGroup() bool { return s.LiveVoters <= s.Quorum }
+// VoterHealth is what the leader knows of a voter's state.
+type VoterHealth struct {
+	// Live is set if the voter answers, and UpToDate if it is not behind.
+	Live, UpToDate bool
+}
+
+// LossEndsGroup reports whether the loss of one more voter may leave fewer voters than a
+// quorum that are live and up to date. This is so if they are too few already.
+func LossEndsGroup(voters []VoterHealth) bool {
+	quorum := len(voters)/2 + 1
+	sound := 0
+	for _, v := range voters {
+		if v.Live && v.UpToDate {
+			sound++
+		}
+	}
+	return sound <= quorum
+}
+
+// LossEndsGroup reports whether the loss of one more voter may end the group.
+func (s GroupStatus) LossEndsGroup() bool {
+	var voters []VoterHealth
+	for _, m := range s.Members {
+		if m.Voter {
+			voters = append(voters, VoterHealth{Live: m.Live, UpToDate: m.BehindFor == 0})
+		}
+	}
+	return LossEndsGroup(voters)
+}
 
 // EntriesBehind returns how many entries of the leader's log a member may lack.
 func (s GroupStatus) EntriesBehind(m MemberStatus) uint64 { return s.LastIndex - m.Confirmed }
--- a/fold/repl/status_test.go
+++ b/fold/repl/status_test.go
@@ -41,6 +41,69 @@
 	}
 }
 
+// TestLossEndsGroupByVoters guards against voters that answer or vote in name only counted as
+// ones that can replace a lost one.
+func TestLossEndsGroupByVoters(t *testing.T) {
+	sound := repl.VoterHealth{Live: true, UpToDate: true}
+	behind, silent, lost := repl.VoterHealth{Live: true}, repl.VoterHealth{UpToDate: true}, repl.VoterHealth{}
+	for _, tt := range []struct {
+		name string
+		// sound is the number of voters that are live and up to date, and others are the rest.
+		sound  int
+		others []repl.VoterHealth
+		want   bool
+	}{
+		{"no voters", 0, nil, true},
+		{"1 of 1", 1, nil, true},
+		{"2 of 2", 2, nil, true},
+		{"1 of 2, one lost", 1, []repl.VoterHealth{lost}, true},
+		{"3 of 3", 3, nil, false},
+		{"2 of 3, one silent", 2, []repl.VoterHealth{silent}, true},
+		{"2 of 3, one behind", 2, []repl.VoterHealth{behind}, true},
+		{"1 of 3, no quorum", 1, []repl.VoterHealth{lost, lost}, true},
+		{"4 of 4", 4, nil, false},
+		{"3 of 4, one silent", 3, []repl.VoterHealth{silent}, true},
+		{"3 of 4, one behind", 3, []repl.VoterHealth{behind}, true},
+		{"2 of 4, no quorum", 2, []repl.VoterHealth{lost, lost}, true},
+		{"5 of 5", 5, nil, false},
+		{"4 of 5, one lost", 4, []repl.VoterHealth{lost}, false},
+		{"4 of 5, one behind", 4, []repl.VoterHealth{behind}, false},
+		{"3 of 5, two lost", 3, []repl.VoterHealth{lost, lost}, true},
+		{"3 of 5, one behind, one silent", 3, []repl.VoterHealth{behind, silent}, true},
+		{"2 of 5, no quorum", 2, []repl.VoterHealth{lost, lost, behind}, true},
+	} {
+		voters := append([]repl.VoterHealth{}, tt.others...)
+		for range tt.sound {
+			voters = append(voters, sound)
+		}
+		if got := repl.LossEndsGroup(voters); got != tt.want {
+			t.Errorf("%s: one more loss ends the group: %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestStatusOfVoterThatIsBehind guards against a group that looks safe while a voter lacks data,
+// and against learners counted as voters.
+func TestStatusOfVoterThatIsBehind(t *testing.T) {
+	voter := repl.MemberStatus{Member: raft.Member{Voter: true}, Live: true}
+	behind := voter
+	behind.BehindFor = time.Second
+	learner := repl.MemberStatus{Live: true}
+	for _, tt := range []struct {
+		name    string
+		members []repl.MemberStatus
+		want    bool
+	}{
+		{"three voters", []repl.MemberStatus{voter, voter, voter}, false},
+		{"one of three is behind", []repl.MemberStatus{voter, voter, behind}, true},
+		{"two voters and a learner", []repl.MemberStatus{voter, voter, learner}, true},
+	} {
+		if got := (repl.GroupStatus{Members: tt.members}).LossEndsGroup(); got != tt.want {
+			t.Errorf("%s: one more loss ends the group: %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
 // TestStatusCountsWhatMemberLacks guards against a lag that a snapshot hides.
 func TestStatusCountsWhatMemberLacks(t *testing.T) {
 	const changes = 10
--- a/foldd/ctrl/members.go
+++ b/foldd/ctrl/members.go
@@ -90,10 +90,20 @@
 	for _, m := range s.Members {
 		h.reportLag(now, s, m)
 	}
+	h.members.setBehind(now, s)
 	h.reportLossEndsGroup(now, s)
 	h.setGauges(s)
 }
 
+// setBehind sets for how long the members of s have been behind.
+func (w *memberWatch) setBehind(now time.Time, s repl.GroupStatus) {
+	for i, m := range s.Members {
+		if lag := w.lags[m.ID]; lag != nil && lag.behind() {
+			s.Members[i].BehindFor = now.Sub(lag.behindSince)
+		}
+	}
+}
+
 // clearMembers forgets what was known as the leader.
 func (h *Server) clearMembers() {
 	h.members = memberWatch{dueAt: h.members.dueAt}
@@ -147,13 +157,16 @@
 		return
 	}
 	h.members.lossEndsGroup = ends
-	silent := []string{}
+	silent, behind := []string{}, []string{}
 	for _, m := range s.Members {
 		if m.Voter && !m.Live {
 			silent = append(silent, m.ID)
 		}
+		if m.Voter && m.BehindFor > 0 {
+			behind = append(behind, m.ID)
+		}
 	}
-	log := h.conf.Log.WithFields(logrus.Fields{"replica": h.identity.ID, "liveVoters": s.LiveVoters, "quorum": s.Quorum, "silent": silent})
+	log := h.conf.Log.WithFields(logrus.Fields{"replica": h.identity.ID, "liveVoters": s.LiveVoters, "quorum": s.Quorum, "silent": silent, "behind": behind})
 	if ends {
 		h.members.lossSince = now
 		log.Warn("loss of one more control VM would end the control group")
--- a/foldd/ctrl/watch.go
+++ b/foldd/ctrl/watch.go
@@ -132,9 +132,6 @@
 	return true
 }
 
-// neverHeard is the silence in milliseconds of a replica that has sent no message.
-const neverHeard = -1
-
 // reportLeaderless logs that the group has had no leader for long, and what this replica
 // knows of the reason.
 func (h *Server) reportLeaderless(now time.Time) {
@@ -155,10 +152,7 @@
 		if m.ID == h.identity.ID {
 			continue
 		}
-		silence[m.ID] = neverHeard
-		if heard, ok := h.watch.heard[m.ID]; ok {
-			silence[m.ID] = now.Sub(heard).Milliseconds()
-		}
+		silence[m.ID] = h.silence(now, m.ID)
 	}
 	state := h.rep.HardState()
 	log := h.conf.Log.WithFields(logrus.Fields{
