foldctl: status shows what the control group lacks, and what to do

An operator saw who is in the group and who votes, not whether a member had the data, answered, or whether the next VM may be stopped. status now shows for each member what it is behind in entries and bytes, for how long, what is in flight, whether it answers or for how long not, and whether it votes; for the group the leader, the term, whether the loss of one more VM would end it, and lines "do:" with the next steps. Of a VM that knows no leader: which voters are missing, and which disks are gone.

A VM of an earlier version responds with 404 or its metrics as text; foldctl shows the list as before then. An earlier foldctl doesn't ask.

--- a/fold/repl/report.go
+++ b/fold/repl/report.go
@@ -2,6 +2,9 @@
 
 import "fuchsiafold.example/fold/raft"
 
+// ReportPath is where control VMs serve their GroupReport to operators.
+const ReportPath = "/v1/control"
+
 // Contact is whether a replica can reach a member of its group.
 type Contact string
 
--- a/foldctl/status.go
+++ b/foldctl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -12,13 +13,14 @@
 	"github.com/urfave/cli/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"fuchsiafold.example/fold/repl"
 	"fuchsiafold.example/wire"
 )
 
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show VMs, backend servers, classes, services and errors as seen by one or more VMs",
+		Usage: "show VMs, backend servers, classes, services, errors and the control group as seen by one or more VMs",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "watch", Usage: "metrics address of a VM to query instead; may be repeated"},
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON document per VM"},
@@ -28,9 +30,15 @@
 }
 
 func status(ctx context.Context, c *cli.Command) error {
-	write := writeStatus
-	if c.Bool("json") {
-		write = writeJSON
+	show := func(addr string, s *wire.StatusResponse) error {
+		group, err := fetchReport(ctx, addr, c.String("token"))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "foldctl:", err)
+		}
+		if c.Bool("json") {
+			return writeJSON(os.Stdout, s, group)
+		}
+		return writeStatus(os.Stdout, s, group)
 	}
 	watched := c.StringSlice("watch")
 	if len(watched) == 0 {
@@ -38,23 +46,27 @@
 		if err != nil {
 			return fmt.Errorf("status: %w", err)
 		}
-		return write(os.Stdout, res.Msg)
+		return show(c.String("addr"), res.Msg)
 	}
 	for _, addr := range watched {
 		res, err := watchClientAt(c, addr).Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
 		if err != nil {
 			return fmt.Errorf("status of %s: %w", addr, err)
 		}
-		if err := write(os.Stdout, res.Msg); err != nil {
+		if err := show(addr, res.Msg); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// writeJSON writes the status as one line of JSON.
-func writeJSON(w io.Writer, s *wire.StatusResponse) error {
+// writeJSON writes the status as one line of JSON, with the report of the control group as
+// controlGroup unless it is nil.
+func writeJSON(w io.Writer, s *wire.StatusResponse, group *repl.GroupReport) error {
 	b, err := protojson.Marshal(s)
+	if err == nil && group != nil {
+		b, err = addField(b, "controlGroup", group)
+	}
 	if err != nil {
 		return fmt.Errorf("encode status: %w", err)
 	}
@@ -62,7 +74,23 @@
 	return err
 }
 
-func writeStatus(w io.Writer, s *wire.StatusResponse) error {
+// addField returns the JSON object with one more field.
+func addField(object []byte, name string, value any) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(object, &fields); err != nil {
+		return nil, err
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	fields[name] = encoded
+	return json.Marshal(fields)
+}
+
+// writeStatus writes the status as text, with the report of the control group unless it is
+// nil.
+func writeStatus(w io.Writer, s *wire.StatusResponse, group *repl.GroupReport) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	self := s.GetSelf()
 	fmt.Fprintf(t, "VM %s in %s: revision %d, %d requests in progress%s\n\n",
@@ -82,7 +110,10 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\n", c.GetName(), c.GetQueued(), c.GetRunning())
 	}
 	writeServices(t, s)
-	if len(s.GetControls()) > 0 {
+	switch {
+	case group != nil:
+		writeGroup(t, group)
+	case len(s.GetControls()) > 0:
 		fmt.Fprintln(t, "\ncontrol replica\tVM\tvoter\tleader")
 		for _, m := range s.GetControls() {
 			fmt.Fprintf(t, "%s\t%s\t%t\t%s\n", m.GetId(), m.GetVm(), m.GetVoter(), flag(m.GetVm() == s.GetControlLeader(), "leader"))
--- a/foldctl/status_test.go
+++ b/foldctl/status_test.go
@@ -20,7 +20,7 @@
 
 func TestWriteStatus(t *testing.T) {
 	var out bytes.Buffer
-	if err := writeStatus(&out, sampleStatus()); err != nil {
+	if err := writeStatus(&out, sampleStatus(), nil); err != nil {
 		t.Fatal(err)
 	}
 	for _, want := range []string{
@@ -38,7 +38,7 @@
 
 func TestWriteJSON(t *testing.T) {
 	var out bytes.Buffer
-	if err := writeJSON(&out, sampleStatus()); err != nil {
+	if err := writeJSON(&out, sampleStatus(), nil); err != nil {
 		t.Fatal(err)
 	}
 	var got struct {
--- a/foldd/oper/service.go
+++ b/foldd/oper/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/repl"
 	"fuchsiafold.example/foldd/ctrl"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/peer"
@@ -43,6 +45,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewOperatorServiceHandler(o, connect.WithCompressMinBytes(peer.MinCompressed)))
 	mux.HandleFunc("GET /metrics", o.metrics)
+	mux.HandleFunc("GET "+repl.ReportPath, o.controlReport)
 	return RequireToken(o.Node.Settings.OperatorToken, mux)
 }
 
@@ -51,6 +54,7 @@
 func (o *Service) WatchHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewWatchServiceHandler(o, connect.WithCompressMinBytes(peer.MinCompressed)))
+	mux.HandleFunc("GET "+repl.ReportPath, o.controlReport)
 	mux.Handle("/", MetricsHandler(o.Node))
 	return mux
 }
@@ -62,6 +66,23 @@
 	metrics.WriteJSONOnce(o.Node.Metrics, w)
 }
 
+// controlReport writes what the control replica tells of its group, a repl.GroupReport, as
+// JSON. The status is 404 if no replica runs on this VM.
+func (o *Service) controlReport(w http.ResponseWriter, r *http.Request) {
+	server := o.ControlServer.Server()
+	if server == nil {
+		http.Error(w, "no control replica runs on this VM", http.StatusNotFound)
+		return
+	}
+	report, err := server.Report(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(report)
+}
+
 // Status implements wire.OperatorServiceHandler.
 func (o *Service) Status(ctx context.Context, req *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
 	n := o.Node
