foldctl: a VM without its disk starts with form off, too

The advice named bootstrap only. With form on and an empty data folder a control VM takes its old name again and could vote twice in a term.

go test ./foldctl passes.

--- a/foldctl/control.go
+++ b/foldctl/control.go
@@ -143,7 +143,7 @@
 		case m.ReplacedBy != "":
 			lines = append(lines, fmt.Sprintf("wait until %s is removed: VM %s runs with another disk, as %s", m.ID, m.VM, m.ReplacedBy))
 		case m.Contact == repl.Unreachable && m.Voter:
-			lines = append(lines, fmt.Sprintf("start VM %s with its disk; if the disk is gone, with an empty data folder and bootstrap off", m.VM))
+			lines = append(lines, fmt.Sprintf("start VM %s with its disk; if the disk is gone, with an empty data folder and bootstrap and form off", m.VM))
 		case !m.Voter:
 			learners = append(learners, m.VM)
 		case m.Progress != nil && m.Progress.BehindMillis > 0:
@@ -157,7 +157,7 @@
 		lines = append(lines, "wait until these have caught up, and look for failed calls to them in the leader's log: "+strings.Join(behind, ", "))
 	}
 	if r.Voters < minVoters && len(learners) == 0 {
-		lines = append(lines, fmt.Sprintf("start more control VMs, with empty data folders and bootstrap off: %d voters can't lose one", r.Voters))
+		lines = append(lines, fmt.Sprintf("start more control VMs, with empty data folders and bootstrap and form off: %d voters can't lose one", r.Voters))
 	}
 	return append(lines, "until then, stop no VM that votes")
 }
--- a/foldctl/control_test.go
+++ b/foldctl/control_test.go
@@ -40,7 +40,7 @@
 	// b#1              b   yes    reachable             -           0        0         0          replicating
 	// c#1              c   yes    unreachable for 7.3s  7.1s        62       15049722  0          probing
 	// d#1              d   no     reachable             2s          61       15049700  190608     installing
-	// do: start VM c with its disk; if the disk is gone, with an empty data folder and bootstrap off
+	// do: start VM c with its disk; if the disk is gone, with an empty data folder and bootstrap and form off
 	// do: wait until these vote: d
 	// do: until then, stop no VM that votes
 }
