Control group: gauges of what foldctl status shows

Besides the members that are behind, with entries and bytes, and whether one more loss ends the group: whether this VM leads, the term, the number of voters, the members that don't answer, the bytes in flight and the longest time that a member has been behind. They are of the group, not of each member: a gauge whose name holds a member would stay after the member has gone. The lines name the member.

Lines about a member that falls behind for 2 s and that has caught up were there; a test now covers the one about the next loss for a voter that answers and is behind. Without BehindFor in LossEndsGroup's input the case "one of three is behind" can't be told.

--- a/foldd/ctrl/members.go
+++ b/foldd/ctrl/members.go
@@ -12,12 +12,20 @@
 // member counts as behind.
 const maxLag = 2 * time.Second
 
+// termMetric is the gauge of the term that a replica knows.
+const termMetric = "control.term"
+
 // Gauges that the leader sets; they are zero on other VMs.
 const (
-	membersBehindMetric = "control.membersBehind"
-	entriesBehindMetric = "control.entriesBehind"
-	bytesBehindMetric   = "control.bytesBehind"
-	lossEndsGroupMetric = "control.lossEndsGroup"
+	leadsMetric              = "control.leads"
+	votersMetric             = "control.voters"
+	membersBehindMetric      = "control.membersBehind"
+	membersUnreachableMetric = "control.membersUnreachable"
+	entriesBehindMetric      = "control.entriesBehind"
+	bytesBehindMetric        = "control.bytesBehind"
+	behindMillisMetric       = "control.behindMillis"
+	inFlightBytesMetric      = "control.inFlightBytes"
+	lossEndsGroupMetric      = "control.lossEndsGroup"
 )
 
 // memberLag tells whether a member is behind. The zero value is ready to use.
@@ -175,23 +183,40 @@
 	log.WithField("ms", now.Sub(h.members.lossSince).Milliseconds()).Info("control group can lose a control VM again")
 }
 
-// setGauges sets the gauges, those of the lag to the member that is furthest behind.
+// setGauges sets the gauges, those of the lag to the member that is furthest behind in each,
+// and the bytes in flight to those to all members.
 func (h *Server) setGauges(s repl.GroupStatus) {
-	var behind, entries, bytes, lossEndsGroup int64
+	values := map[string]int64{}
+	for _, name := range []string{
+		leadsMetric, votersMetric, membersBehindMetric, membersUnreachableMetric, entriesBehindMetric, bytesBehindMetric,
+		behindMillisMetric, inFlightBytesMetric, lossEndsGroupMetric,
+	} {
+		values[name] = 0
+	}
+	raise := func(name string, value int64) { values[name] = max(values[name], value) }
 	for _, m := range s.Members {
-		entries = max(entries, int64(s.EntriesBehind(m)))
-		bytes = max(bytes, int64(m.BytesBehind))
-		if h.members.lags[m.ID].behind() {
-			behind++
-		}
+		raise(entriesBehindMetric, int64(s.EntriesBehind(m)))
+		raise(bytesBehindMetric, int64(m.BytesBehind))
+		raise(behindMillisMetric, m.BehindFor.Milliseconds())
+		values[inFlightBytesMetric] += int64(m.InFlight)
+		values[votersMetric] += oneIf(m.Voter)
+		values[membersBehindMetric] += oneIf(m.BehindFor > 0)
+		values[membersUnreachableMetric] += oneIf(!m.Live)
+	}
+	values[leadsMetric] = oneIf(len(s.Members) > 0)
+	values[lossEndsGroupMetric] = oneIf(h.members.lossEndsGroup)
+	values[termMetric] = int64(h.rep.Term())
+	for name, value := range values {
+		h.conf.Gauge(name, value)
 	}
-	if h.members.lossEndsGroup {
-		lossEndsGroup = 1
+}
+
+// oneIf returns 1 if set is true, and 0 otherwise.
+func oneIf(set bool) int64 {
+	if set {
+		return 1
 	}
-	h.conf.Gauge(membersBehindMetric, behind)
-	h.conf.Gauge(entriesBehindMetric, entries)
-	h.conf.Gauge(bytesBehindMetric, bytes)
-	h.conf.Gauge(lossEndsGroupMetric, lossEndsGroup)
+	return 0
 }
 
 // unknownTime stands in the log for a time that this replica doesn't know.
--- a/foldd/ctrl/members_test.go
+++ b/foldd/ctrl/members_test.go
@@ -1,13 +1,16 @@
 package ctrl
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"fuchsiafold.example/fold/raft"
+	"fuchsiafold.example/fold/repl"
 )
 
 // gauges holds the last value of each gauge of a VM.
@@ -105,6 +108,12 @@
 		if shown.get(membersBehindMetric) != 1 || shown.get(lossEndsGroupMetric) != 1 || shown.get(bytesBehindMetric) == 0 {
 			t.Errorf("gauges %v, want one member behind, its bytes, and no further loss", shown.values)
 		}
+		if shown.get(membersUnreachableMetric) != 1 || shown.get(behindMillisMetric) < maxLag.Milliseconds() || shown.get(entriesBehindMetric) < changes {
+			t.Errorf("gauges %v, want one member unreachable, and behind for more than %v", shown.values, maxLag)
+		}
+		if shown.get(leadsMetric) != 1 || shown.get(votersMetric) != 3 || shown.get(termMetric) == 0 {
+			t.Errorf("gauges %v, want those of a leader with three voters", shown.values)
+		}
 		if warned := leader.logged("loss of one more control VM"); len(warned) != 1 || warned[0].Level != logrus.WarnLevel {
 			t.Errorf("lines %v, want a warning that one more loss ends the group", warned)
 		}
@@ -119,9 +128,46 @@
 		if shown.get(membersBehindMetric) != 0 || shown.get(lossEndsGroupMetric) != 0 {
 			t.Errorf("gauges %v, want no member behind", shown.values)
 		}
+		if shown.get(membersUnreachableMetric) != 0 || shown.get(behindMillisMetric) != 0 || shown.get(inFlightBytesMetric) != 0 {
+			t.Errorf("gauges %v, want no member unreachable and nothing in flight", shown.values)
+		}
+		for _, vm := range g.vms {
+			if vm != leader {
+				g.stop(vm)
+			}
+		}
+		time.Sleep(maxLag + time.Second)
+		if shown.get(leadsMetric) != 0 || shown.get(votersMetric) != 0 || shown.get(membersUnreachableMetric) != 0 || shown.get(termMetric) == 0 {
+			t.Errorf("gauges %v, want none of a leader without a quorum but the term", shown.values)
+		}
 	})
 }
 
+// TestVoterThatIsBehindCountsForNextLoss guards against a group that is called safe since its
+// voters answer, while one of them lacks data.
+func TestVoterThatIsBehindCountsForNextLoss(t *testing.T) {
+	logger, lines := test.NewNullLogger()
+	h := &Server{conf: ServerConfig{Log: logger}}
+	voter := func(id string, behind time.Duration) repl.MemberStatus {
+		return repl.MemberStatus{Member: raft.Member{ID: id, Voter: true}, Live: true, BehindFor: behind}
+	}
+	status := func(behind time.Duration) repl.GroupStatus {
+		return repl.GroupStatus{Quorum: 2, LiveVoters: 3, Members: []repl.MemberStatus{voter("a", 0), voter("b", 0), voter("c", behind)}}
+	}
+	now := time.Unix(0, 0)
+	for _, behind := range []time.Duration{0, maxLag, 2 * maxLag, 0, 0} {
+		now = now.Add(heartbeatInterval)
+		h.reportLossEndsGroup(now, status(behind))
+	}
+	got := lines.AllEntries()
+	if len(got) != 2 || got[0].Level != logrus.WarnLevel || got[1].Level != logrus.InfoLevel {
+		t.Fatalf("lines %v, want one that one more loss ends the group, and one that it no longer does", got)
+	}
+	if behind, ok := got[0].Data["behind"].([]string); !ok || !slices.Equal(behind, []string{"c"}) {
+		t.Errorf("fields %v, want c as the one that is behind", got[0].Data)
+	}
+}
+
 // memberLine returns the only line of all VMs with a message that contains text about the
 // replica of a VM.
 func (g *groupRig) memberLine(t *testing.T, text, vm string) *logrus.Entry {
