--- a/foldctl/control.go
+++ b/foldctl/control.go
@@ -130,7 +130,7 @@
 	case r.Leads:
 		return nil
 	case r.Leader != "":
-		return []string{"for progress and contact, ask the leader: foldctl --addr OPERATOR_ADDRESS_OF_" + r.Leader + " status"}
+		return []string{fmt.Sprintf("for progress and contact, ask the leader: foldctl --addr OPERATOR_ADDRESS_OF_%[1]s status, or foldctl status --watch METRICS_ADDRESS_OF_%[1]s", r.Leader)}
 	}
 	return leaderlessAdvice(r)
 }
--- a/foldctl/control_test.go
+++ b/foldctl/control_test.go
@@ -67,7 +67,7 @@
 		{"third joins", repl.GroupReport{Leads: true, Leader: "a", Voters: 2, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, learner}}, []string{"vote: c", "stop no VM"}},
 		{"one behind", repl.GroupReport{Leads: true, Leader: "a", Voters: 3, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, cBehind}}, []string{"caught up, and look for failed calls to them in the leader's log: c", "stop no VM"}},
 		{"one with a new disk", repl.GroupReport{Leads: true, Leader: "a", Voters: 3, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, cGone}}, []string{"until c#1 is removed: VM c runs with another disk, as c#2", "stop no VM"}},
-		{"follower", repl.GroupReport{Leader: "a", Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, b}}, []string{"ask the leader: foldctl --addr OPERATOR_ADDRESS_OF_a status"}},
+		{"follower", repl.GroupReport{Leader: "a", Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, b}}, []string{"ask the leader: foldctl --addr OPERATOR_ADDRESS_OF_a status, or foldctl status --watch METRICS_ADDRESS_OF_a"}},
 		{"two stopped", repl.GroupReport{Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, bSilent, cSilent}}, []string{"start 1 or more of these VMs, with their disks, or mend the links to them: b, c"}},
 		{"one stopped, one disk gone", repl.GroupReport{Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, bSilent, cGone}}, []string{"links to them: b"}},
 		{"two disks gone", repl.GroupReport{Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, bGone, cGone}}, []string{"no command forms the group anew"}},
