foldctl: a learner that doesn't answer is to be started, not waited for

The advice was to wait until it votes. A table case that the code before fails (it named it among those to wait for). go test ./foldctl passes.

--- a/foldctl/control.go
+++ b/foldctl/control.go
@@ -142,7 +142,9 @@
 		switch {
 		case m.ReplacedBy != "":
 			lines = append(lines, fmt.Sprintf("wait until %s is removed: VM %s runs with another disk, as %s", m.ID, m.VM, m.ReplacedBy))
-		case m.Contact == repl.Unreachable && m.Voter:
+		case m.Contact == repl.Unreachable && !m.Voter:
+			lines = append(lines, fmt.Sprintf("start VM %s, or mend the links to it: it has joined and doesn't vote yet", m.VM))
+		case m.Contact == repl.Unreachable:
 			lines = append(lines, fmt.Sprintf("start VM %s with its disk; if the disk is gone, with an empty data folder and bootstrap and form off", m.VM))
 		case !m.Voter:
 			learners = append(learners, m.VM)
--- a/foldctl/control_test.go
+++ b/foldctl/control_test.go
@@ -56,6 +56,8 @@
 	cBehind := voter("c", repl.Reachable, "")
 	cBehind.Progress = &repl.ProgressReport{Entries: 9, BehindMillis: 3000}
 	learner := repl.MemberReport{Member: raft.Member{ID: "c#1", VM: "c"}, Contact: repl.Reachable}
+	silentLearner := learner
+	silentLearner.Contact = repl.Unreachable
 	for _, tt := range []struct {
 		name string
 		r    repl.GroupReport
@@ -65,6 +67,7 @@
 		{"whole", repl.GroupReport{Leads: true, Leader: "a", Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, b, voter("c", repl.Reachable, "")}}, nil},
 		{"alone", repl.GroupReport{Leads: true, Leader: "a", Voters: 1, Quorum: 1, LossEndsGroup: true, Members: []repl.MemberReport{a}}, []string{"start more control VMs", "stop no VM"}},
 		{"third joins", repl.GroupReport{Leads: true, Leader: "a", Voters: 2, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, learner}}, []string{"vote: c", "stop no VM"}},
+		{"third has joined and is silent", repl.GroupReport{Leads: true, Leader: "a", Voters: 2, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, silentLearner}}, []string{"start VM c, or mend the links to it", "start more control VMs", "stop no VM"}},
 		{"one behind", repl.GroupReport{Leads: true, Leader: "a", Voters: 3, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, cBehind}}, []string{"caught up, and look for failed calls to them in the leader's log: c", "stop no VM"}},
 		{"one with a new disk", repl.GroupReport{Leads: true, Leader: "a", Voters: 3, Quorum: 2, LossEndsGroup: true, Members: []repl.MemberReport{a, b, cGone}}, []string{"until c#1 is removed: VM c runs with another disk, as c#2", "stop no VM"}},
 		{"follower", repl.GroupReport{Leader: "a", Voters: 3, Quorum: 2, Members: []repl.MemberReport{a, b}}, []string{"ask the leader: foldctl --addr OPERATOR_ADDRESS_OF_a status, or foldctl status --watch METRICS_ADDRESS_OF_a"}},
