Control group: a lost learner's removal waits until its VM's next replica votes

Cause: repair removed every other replica on the VM of a learner that has caught up before it promoted that, also learners whose disks are lost too. Worse, a lost learner counts as caught up until an election timeout after its last reply, and the live one of its VM was removed in its favour. And where few replicas are live, a VM that loses its disk before it has caught up, again and again, left a learner each time for good. Change: voters first (an unreachable one, then the previous one of a learner that has caught up, then the promotion), lost learners last. A learner that is silent for 2.5 s while another replica of its VM is live is removed however few others are: no quorum counts it. Once a replica joins, another one of its VM has caught up only with an answer after that: with the order alone, a live voter was removed for a lost learner.

--- a/fold/raft/progress.go
+++ b/fold/raft/progress.go
@@ -146,6 +146,14 @@
 	return p.match >= n.commit || (p.inTime && n.now.Sub(p.targetAt) < n.opts.ElectionTimeout)
 }
 
+// DoubtCaughtUp makes a member show again that it has caught up: with the entries that the leader
+// has now.
+func (n *Node) DoubtCaughtUp(id string) {
+	if p := n.progress[id]; p != nil {
+		p.target, p.targetAt, p.inTime = n.log.last(), n.now, false
+	}
+}
+
 // overdue reports whether what is on its way to a member has been so for longer than the
 // transfer should take, with two heartbeats in between.
 func (n *Node) overdue(p *progress) bool {
--- a/fold/repl/repair.go
+++ b/fold/repl/repair.go
@@ -28,7 +28,7 @@
 )
 
 // Join adds a replica to the group as a learner. Once it has caught up, the
-// leader removes any previous replica on the same VM and makes the new one a
+// leader removes any voter that was on the same VM before and makes the new one a
 // voter. Join does nothing for a member, and returns ErrNotLeader on replicas
 // other than the leader.
 func (p *Replica) Join(m raft.Member) error {
@@ -39,34 +39,75 @@
 		return nil
 	}
 	m.Voter = false
-	return p.changeMember(MemberJoined, m)
+	if err := p.changeMember(MemberJoined, m); err != nil {
+		return err
+	}
+	for _, o := range p.node.Membership().Members {
+		if sameVM(o, m) {
+			// It may be lost, and must not take the place of m because of what it had before.
+			p.node.DoubtCaughtUp(o.ID)
+		}
+	}
+	return nil
 }
 
 // repair takes the next step towards a group in which every live replica is a
-// voter. It removes an unreachable member that the group can do without. If
-// there is none, it takes the first learner that has caught up: it removes the
-// previous replica on the learner's VM, or promotes the learner if no such
-// replica is left.
+// voter. It removes an unreachable voter that the group can do without. If there
+// is none, it brings in a learner that has caught up. If there is none either, it
+// removes a learner that is lost: it has no vote, so its removal can wait.
 func (p *Replica) repair(now time.Time) {
+	// A change fails while an earlier one is in progress. The next tick retries it.
 	members := p.node.Membership()
-	if removable, ok := p.removableMember(now, members); ok {
-		// The change fails while an earlier one is in progress. The next tick
-		// retries it.
+	removable, ok := p.removableMember(now, members)
+	if ok && removable.Voter {
+		_ = p.removeMember(MemberSilent, removable)
+		return
+	}
+	if p.bringInLearner(members) {
+		return
+	}
+	if ok {
 		_ = p.removeMember(MemberSilent, removable)
 		return
 	}
+	if outlived, ok := p.outlivedLearner(now, members); ok {
+		_ = p.removeMember(MemberReplaced, outlived)
+	}
+}
+
+// bringInLearner takes the first learner that has caught up: it removes the voter that was on
+// the learner's VM before, or promotes the learner if there is none. It reports whether there
+// is such a learner.
+func (p *Replica) bringInLearner(members raft.Membership) bool {
 	for _, m := range members.Members {
 		if m.Voter || !p.node.CaughtUp(m.ID) {
 			continue
 		}
-		if previous, ok := previousReplica(members, m); ok {
+		if previous, ok := previousVoter(members, m); ok {
 			_ = p.removeMember(MemberReplaced, previous)
-			return
+			return true
 		}
 		m.Voter = true
 		_ = p.changeMember(MemberPromoted, m)
-		return
+		return true
 	}
+	return false
+}
+
+// outlivedLearner returns a silent learner on whose VM another replica is live. No quorum
+// counts a learner, so it is removed however few other replicas are live.
+func (p *Replica) outlivedLearner(now time.Time, members raft.Membership) (raft.Member, bool) {
+	for _, m := range members.Members {
+		if m.Voter || p.silence(now, m.ID) < removalTimeout {
+			continue
+		}
+		for _, o := range members.Members {
+			if sameVM(m, o) && p.silence(now, o.ID) < surplusTimeout {
+				return m, true
+			}
+		}
+	}
+	return raft.Member{}, false
 }
 
 // removableMember returns an unreachable member that the group can do without.
@@ -116,12 +157,17 @@
 	return voters%2 == 0
 }
 
-// previousReplica returns another replica with the VM name or address of m.
-func previousReplica(members raft.Membership, m raft.Member) (raft.Member, bool) {
+// previousVoter returns a voter on the VM of m.
+func previousVoter(members raft.Membership, m raft.Member) (raft.Member, bool) {
 	for _, o := range members.Members {
-		if o.ID != m.ID && (o.VM == m.VM || (o.Addr.IsValid() && o.Addr == m.Addr)) {
+		if o.Voter && sameVM(o, m) {
 			return o, true
 		}
 	}
 	return raft.Member{}, false
 }
+
+// sameVM reports whether two replicas have the same VM name or address.
+func sameVM(a, b raft.Member) bool {
+	return a.ID != b.ID && (a.VM == b.VM || (a.Addr.IsValid() && a.Addr == b.Addr))
+}
--- a/fold/repl/repair_test.go
+++ b/fold/repl/repair_test.go
@@ -204,3 +204,81 @@
 		}
 	}
 }
+
+// TestLostLearnersDoNotPileUp guards against a VM that loses its disk again and again, and adds a
+// learner each time that is never removed, as too few other replicas are live.
+func TestLostLearnersDoNotPileUp(t *testing.T) {
+	const (
+		disks   = 20
+		restart = time.Second
+		// maxLearners is as many as join until a silent one is removed after 2.5 s, and two.
+		maxLearners = 5
+	)
+	for _, size := range []int{3, 5, 7} {
+		g := newGroup(t, 1, size, 50)
+		vm := g.otherVMs(g.leader().vm)[0]
+		for range disks {
+			g.kill(vm)
+			g.servers[vm].disk = nil
+			g.runUntil(restart, nil)
+			g.start(vm)
+			g.runUntil(time.Minute, func() bool {
+				_, isMember := g.leader().replica.Membership().Get(g.servers[vm].id)
+				return isMember
+			})
+			members := g.leader().replica.Membership().Members
+			if learners := len(members) - size; learners > maxLearners {
+				t.Fatalf("%d replicas: %d learners, want at most %d", size, learners, maxLearners)
+			}
+		}
+		g.runUntil(nextLoss, nil)
+		if n := len(g.leader().replica.Membership().Members); n != size || g.liveVoters() != size {
+			t.Errorf("%d replicas: %d members and %d live voters %v after the last start", size, n, g.liveVoters(), nextLoss)
+		}
+	}
+}
+
+// TestLiveReplicaOutlivesLostLearner guards against a replica that is removed for a learner of its
+// VM that was lost before it joined.
+func TestLiveReplicaOutlivesLostLearner(t *testing.T) {
+	const (
+		maxLearning = 300 * time.Millisecond
+		// lastInOrder is a number of disks after which the ID of the next one sorts behind that of
+		// the one after it.
+		lastInOrder = 7
+	)
+	for _, size := range []int{3, 5, 7} {
+		for learning := time.Duration(0); learning < maxLearning; learning += time.Millisecond {
+			for _, disks := range []int{size, lastInOrder} {
+				g := newGroup(t, uint64(learning), size, 50)
+				g.newDisks = disks
+				outliveLearner(t, g, learning)
+			}
+		}
+	}
+}
+
+// outliveLearner makes a VM lose its disk twice, the second time soon after the first, and checks
+// that it votes in time, and goes on voting.
+func outliveLearner(t *testing.T, g *group, learning time.Duration) {
+	vm := g.otherVMs(g.leader().vm)[0]
+	loseDisk := func() {
+		g.kill(vm)
+		g.servers[vm].disk = nil
+		g.start(vm)
+		g.join(g.servers[vm])
+	}
+	loseDisk()
+	g.runUntil(learning, nil)
+	loseDisk()
+	voted, removed := false, false
+	g.runUntil(nextLoss, func() bool {
+		votes := g.leader().replica.Membership().Voter(g.servers[vm].id)
+		removed = removed || (voted && !votes)
+		voted = votes
+		return false
+	})
+	if removed || !voted {
+		t.Errorf("%d replicas: the second disk comes %v after the first, its replica votes after %v: %t, was removed: %t", len(g.vms), learning, nextLoss, voted, removed)
+	}
+}
