Soak: what a server says is booked by the VM that sent the request

Cause: checks of a server's statements, its limit and its leaving took the VM from the request's ID, which is the one that the caller chose. If that one can't reach the servers and passes the request on, another VM sends it and gets the answer.

Change: the proxies before the VMs' addresses for each other note which requests are passed on, before they arrive, and the checks book by the VM that was passed the request last. The VM that has passed it on still must know that a server is leaving, since the answer that it gets back says so.

--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -300,7 +300,7 @@
 				if i == 0 {
 					b = tt.first
 				}
-				if p := s.arrive(start.Add(time.Duration(i)*tt.gap), 0, true, &b, func(int, time.Time) bool { return tt.calm }); p != "" {
+				if p := s.arrive(start.Add(time.Duration(i)*tt.gap), 0, 0, true, &b, func(int, time.Time) bool { return tt.calm }); p != "" {
 					f.add(p, "", "")
 					return
 				}
--- a/foldfake/soak/limit.go
+++ b/foldfake/soak/limit.go
@@ -83,7 +83,7 @@
 // checkLimit checks that a request keeps to the limit that its server names.
 func (s *servers) checkLimit(x *instance, r *http.Request) {
 	id := r.Header.Get(headerRequest)
-	if n := x.limited.arrive(time.Now(), vmOf(id), s.calm); n > 0 {
+	if n := x.limited.arrive(time.Now(), s.passes.sender(id), s.calm); n > 0 {
 		s.findings.add(LimitKept, id, "the %d-th request in %v from VMs that were told of a limit of %d a second and left alone; allowed are %d", n, limitSpan, limitRate, limitMost)
 	}
 }
--- a/foldfake/soak/proxy.go
+++ b/foldfake/soak/proxy.go
@@ -40,6 +40,9 @@
 	mu     sync.Mutex
 	target netip.AddrPort
 	mode   Mode
+	// passed is told of each request that a VM passes on, before it reaches the target. It
+	// may be nil.
+	passed func(id string)
 	conns  map[net.Conn]bool
 	closed bool
 }
@@ -71,6 +74,26 @@
 	}
 }
 
+// watch sets what is told of each request that a VM passes on.
+func (p *Proxy) watch(passed func(id string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.passed = passed
+}
+
+// tell tells of the requests that a VM passes on in a piece.
+func (p *Proxy) tell(r *passReader, piece []byte) {
+	p.mu.Lock()
+	passed := p.passed
+	p.mu.Unlock()
+	if passed == nil {
+		return
+	}
+	for _, id := range r.read(piece) {
+		passed(id)
+	}
+}
+
 // Close closes the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -146,8 +169,12 @@
 // forward copies bytes until either side closes, and passes an end or a reset on.
 func (p *Proxy) forward(to, from net.Conn, toCaller bool) {
 	buf := make([]byte, proxyBuffer)
+	var passes passReader
 	for {
 		n, err := from.Read(buf)
+		if !toCaller {
+			p.tell(&passes, buf[:n])
+		}
 		if n > 0 && p.await(toCaller) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				reset(from)
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -79,6 +79,8 @@
 	findings *findings
 	// calm reports whether a VM, by its index, was left alone since a time.
 	calm func(vm int, since time.Time) bool
+	// passes holds the requests that one VM has passed on to another.
+	passes passes
 
 	mu      sync.Mutex
 	current []*instance
@@ -174,7 +176,7 @@
 	leaving, breaking, endless := x.leavingSince, x.breaking, x.endless
 	x.mu.Unlock()
 	s.checkLimit(x, r)
-	if !leaving.IsZero() && time.Since(leaving) > leaveBound && s.calm(vmOf(id), leaving) && r.Header.Get("Fold-Resume") == "" {
+	if !leaving.IsZero() && time.Since(leaving) > leaveBound && s.calm(s.passes.sender(id), leaving) && r.Header.Get("Fold-Resume") == "" {
 		s.findings.add(LeavingIdle, id, "reached a server %v after it announced that it leaves", time.Since(leaving).Round(time.Millisecond))
 	}
 	b := origin.Behaviour{Body: "answer to " + id}
--- a/foldfake/soak/statement.go
+++ b/foldfake/soak/statement.go
@@ -28,7 +28,7 @@
 	// leaving is set if responses say that the server is leaving. It has not announced
 	// that. told holds when each VM was first told.
 	leaving bool
-	told    map[int]time.Time
+	told    map[int]telling
 	// away is set if every request is turned away. since holds when each VM was last
 	// turned away outside an earlier awayTime, and count its requests that count since.
 	away  bool
@@ -36,11 +36,17 @@
 	count map[int]int
 }
 
+// telling is when a VM was told something, and the index of the VM through which.
+type telling struct {
+	at      time.Time
+	through int
+}
+
 // sayLeaving lets the server say that it is leaving, for good.
 func (s *statements) sayLeaving() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving, s.told = true, map[int]time.Time{}
+	s.leaving, s.told = true, map[int]telling{}
 }
 
 // turnAway lets the server turn requests away, or ends that. What it has said still holds.
@@ -53,22 +59,20 @@
 	}
 }
 
-// arrive counts a request of a VM and sets what the response says. It returns the promise
-// that the request breaks, empty if it breaks none.
-func (s *statements) arrive(now time.Time, vm int, isNew bool, b *origin.Behaviour, calm func(vm int, since time.Time) bool) Promise {
+// arrive counts a request that vm sends, for the VM caller if that has passed it on and
+// otherwise for itself, and sets what the response says. It returns the promise that the
+// request breaks, empty if it breaks none.
+func (s *statements) arrive(now time.Time, vm, caller int, isNew bool, b *origin.Behaviour, calm func(vm int, since time.Time) bool) Promise {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var broken Promise
 	if s.leaving {
 		b.Leaving = origin.Head
 		told, known := s.told[vm]
-		// Endless responses have none of the server's header fields.
-		if !known && b.Endless == "" {
-			s.told[vm] = now
-		}
-		if known && isNew && now.Sub(told) > toldTime && calm(vm, told) {
+		if known && isNew && now.Sub(told.at) > toldTime && calm(vm, told.at) && calm(told.through, told.at) {
 			broken = SaidLeaving
 		}
+		s.tellLeaving(now, vm, caller, b)
 	}
 	if since, known := s.since[vm]; known && now.Sub(since) < awayTime {
 		if now.Sub(since) > awaySettled {
@@ -86,11 +90,26 @@
 	return broken
 }
 
+// tellLeaving notes who is told by the response to a request that the server is leaving. The
+// caller holds the lock.
+func (s *statements) tellLeaving(now time.Time, vm, caller int, b *origin.Behaviour) {
+	// Endless responses have none of the server's header fields.
+	if told, known := s.told[vm]; b.Endless == "" && (!known || told.through != vm) {
+		s.told[vm] = telling{at: now, through: vm}
+	}
+	// A VM passes back only a response that it takes for the answer.
+	answer := b.Endless == "" && b.TruncateAt == 0 && !b.Drop && !s.away
+	if _, known := s.told[caller]; answer && !known {
+		s.told[caller] = telling{at: now, through: vm}
+	}
+}
+
 // checkStatements checks that a request obeys what its server has said of itself, and sets
 // what the response says.
 func (s *servers) checkStatements(x *instance, r *http.Request, b *origin.Behaviour) {
 	id := r.Header.Get(headerRequest)
-	if p := x.statements.arrive(time.Now(), vmOf(id), r.Header.Get("Fold-Resume") == "", b, s.calm); p != "" {
-		s.findings.add(p, id, "reached server %s, which has said to VM %d that it wants no such request", x.origin.ID, vmOf(id))
+	vm := s.passes.sender(id)
+	if p := x.statements.arrive(time.Now(), vm, vmOf(id), r.Header.Get("Fold-Resume") == "", b, s.calm); p != "" {
+		s.findings.add(p, id, "reached server %s, which has said to VM %d that it wants no such request", x.origin.ID, vm)
 	}
 }
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -69,12 +69,19 @@
 	w.servers = &servers{findings: f, calm: func(i int, since time.Time) bool {
 		return i >= 0 && i < len(w.vms) && w.vms[i].calmSince(since)
 	}}
-	for _, v := range w.vms {
+	for i, v := range w.vms {
 		w.servers.entries = append(w.servers.entries, v.backends)
+		w.watchPasses(i, v.currentPeerProxy())
 	}
 	return w, w.servers.startAll()
 }
 
+// watchPasses notes the requests that are passed on to a VM, by its index, through its proxy
+// for other VMs.
+func (w *world) watchPasses(vm int, p *Proxy) {
+	p.watch(func(id string) { w.servers.passes.note(id, vm) })
+}
+
 func newVM(id, binary, folder string, control bool) (*vm, error) {
 	v := &vm{id: id, binary: binary, folder: folder}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
@@ -222,6 +229,7 @@
 		w.check(err)
 		return
 	}
+	w.watchPasses(f.Target, proxy)
 	old := v.setPeerProxy(proxy)
 	old.Close()
 	w.mu.Lock()
