Revert "Peers: a VM is followed up only if it is slower than others"

Cause: with a VM that hangs holds an update up until its exchange fails, 1 s, while no exchange of the update has been answered, and the next one that hangs again. Change: follow-ups come after 150 ms again.

--- a/fold/member/targets.go
+++ b/fold/member/targets.go
@@ -7,37 +7,9 @@
 	"time"
 )
 
-// Times after which another VM of the failure domain gets an update too.
-const (
-	// FollowUpDelay is how long an urgent exchange with a VM may take at least.
-	FollowUpDelay = 150 * time.Millisecond
-	// followUpMargin is how much longer it may take than the exchange of the same update
-	// that was answered first.
-	followUpMargin = FollowUpDelay / 2
-)
-
-// Spread judges the exchanges with several VMs by which an update is sent. Its zero value is
-// ready for use.
-type Spread struct {
-	// first is the time that the exchange which was answered first took.
-	first    time.Duration
-	answered bool
-}
-
-// Answered records that an exchange was answered, and the time that it took.
-func (s *Spread) Answered(took time.Duration) {
-	if !s.answered {
-		s.first, s.answered = took, true
-	}
-}
-
-// Allowed returns the time after which an exchange without an answer is to be followed up. It
-// returns false while no exchange has been answered: then nothing shows that one VM is slower
-// than all, and each follow-up, which is passed on to a whole failure domain, would add to the
-// load that makes them slow.
-func (s *Spread) Allowed() (time.Duration, bool) {
-	return max(FollowUpDelay, s.first+followUpMargin), s.answered
-}
+// FollowUpDelay is how long an urgent exchange with a VM may take until another VM of its
+// failure domain gets the update too.
+const FollowUpDelay = 150 * time.Millisecond
 
 // maxSubstitutes bounds the VMs that get an update in place of one that doesn't respond.
 const maxSubstitutes = 8
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -167,78 +167,36 @@
 
 // exchangeUrgently starts an urgent exchange with each address. It does not block.
 func (s *Service) exchangeUrgently(addrs []netip.AddrPort) {
-	u := newUpdate()
 	for _, a := range addrs {
-		go s.spread(u, a)
+		go s.spread(a)
 	}
 }
 
-// update is an update that is being sent to several VMs.
-type update struct {
-	// answered is closed once an exchange has been answered.
-	answered chan struct{}
-
-	// mu protects the field below.
-	mu     sync.Mutex
-	spread member.Spread
-}
-
-func newUpdate() *update { return &update{answered: make(chan struct{})} }
-
-// recordAnswer records that an exchange was answered, and the time that it took.
-func (u *update) recordAnswer(took time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if _, ok := u.spread.Allowed(); !ok {
-		close(u.answered)
-	}
-	u.spread.Answered(took)
-}
-
-// late returns a channel that receives once an exchange begun at a time is to be followed up,
-// after an exchange has been answered.
-func (u *update) late(begun time.Time) <-chan time.Time {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	allowed, _ := u.spread.Allowed()
-	return time.After(time.Until(begun.Add(allowed)))
-}
-
 // spread does an urgent exchange with a VM. If that fails or takes long, other VMs of its
 // failure domain, one after the other, get the update in its place until one has it.
-func (s *Service) spread(u *update, addr netip.AddrPort) {
-	if s.exchangesSoon(u, addr) {
+func (s *Service) spread(addr netip.AddrPort) {
+	if s.exchangesSoon(addr) {
 		return
 	}
 	for _, a := range s.node.SubstitutesFor(addr) {
 		s.node.Count("peers.followUps", 1)
-		if s.exchangesSoon(u, a) {
+		if s.exchangesSoon(a) {
 			return
 		}
 	}
 }
 
-// exchangesSoon does an urgent exchange with a VM and reports whether it succeeds in the time
-// that the first answer to the update allows. Otherwise the exchange goes on.
-func (s *Service) exchangesSoon(u *update, addr netip.AddrPort) bool {
-	begun := time.Now()
+// exchangesSoon does an urgent exchange with a VM and reports whether it succeeds within
+// member.FollowUpDelay. Otherwise the exchange goes on.
+func (s *Service) exchangesSoon(addr netip.AddrPort) bool {
 	results := make(chan error, 1)
-	go func() {
-		err := s.exchangeWith(addr, urgent)
-		if err == nil {
-			u.recordAnswer(time.Since(begun))
-		}
-		results <- err
-	}()
-	select {
-	case err := <-results:
-		return err == nil
-	case <-u.answered:
-	}
+	go func() { results <- s.exchangeWith(addr, urgent) }()
+	delay := time.NewTimer(member.FollowUpDelay)
+	defer delay.Stop()
 	select {
 	case err := <-results:
 		return err == nil
-	case <-u.late(begun):
+	case <-delay.C:
 		return false
 	}
 }
