Control group: a report has a timeout

Cause (found by the review, by reading): a report runs on the replica's goroutine, so that one asked for without a deadline waits for as long as a disk hangs, and the report of a call that has ended could be written while it was copied. Change: 2 s for a report, then 503; no report with an error. Result: TestReportEndsWithItsContext and the tests of reports pass.

--- a/foldd/ctrl/report.go
+++ b/foldd/ctrl/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"fuchsiafold.example/fold/raft"
@@ -11,8 +12,10 @@
 // Report returns what this replica can tell an operator of its group.
 func (h *Server) Report(ctx context.Context) (repl.GroupReport, error) {
 	var r repl.GroupReport
-	err := h.do(ctx, func(now time.Time) { r = h.report(now) })
-	return r, err
+	if err := h.do(ctx, func(now time.Time) { r = h.report(now) }); err != nil {
+		return repl.GroupReport{}, fmt.Errorf("report of the control group: %w", err)
+	}
+	return r, nil
 }
 
 func (h *Server) report(now time.Time) repl.GroupReport {
--- a/foldd/ctrl/report_test.go
+++ b/foldd/ctrl/report_test.go
@@ -1,7 +1,10 @@
 package ctrl
 
 import (
+	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fuchsiafold.example/fold/repl"
@@ -119,3 +122,24 @@
 		}
 	})
 }
+
+// TestReportEndsWithItsContext guards against operators who wait for a replica that stands
+// still, and get what it writes while they read it.
+func TestReportEndsWithItsContext(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 1)
+		vm := g.vms[0]
+		stood := make(chan error)
+		go func() { stood <- vm.server.do(t.Context(), func(time.Time) { time.Sleep(2 * time.Second) }) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r, err := vm.server.Report(ctx)
+		if !errors.Is(err, context.DeadlineExceeded) || r.Replica != "" {
+			t.Errorf("report %+v, error %v; want none and a deadline exceeded", r, err)
+		}
+		if err := <-stood; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/foldd/oper/service.go
+++ b/foldd/oper/service.go
@@ -66,15 +66,21 @@
 	metrics.WriteJSONOnce(o.Node.Metrics, w)
 }
 
+// reportTimeout is how long a report of the control group may take. A replica whose disk hangs
+// doesn't answer.
+const reportTimeout = 2 * time.Second
+
 // controlReport writes what the control replica tells of its group, a repl.GroupReport, as
-// JSON. The status is 404 if no replica runs on this VM.
+// JSON. The status is 404 if no replica runs on this VM, and 503 if it doesn't answer.
 func (o *Service) controlReport(w http.ResponseWriter, r *http.Request) {
 	server := o.ControlServer.Server()
 	if server == nil {
 		http.Error(w, "no control replica runs on this VM", http.StatusNotFound)
 		return
 	}
-	report, err := server.Report(r.Context())
+	ctx, cancel := context.WithTimeout(r.Context(), reportTimeout)
+	defer cancel()
+	report, err := server.Report(ctx)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
