--- a/fold/raft/election_test.go
+++ b/fold/raft/election_test.go
@@ -1,7 +1,6 @@
 package raft
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -9,13 +8,6 @@
 // electionStep is longer than any election timer of a node.
 const electionStep = 2 * DefaultElectionTimeout
 
-// voterNode returns a node of a group of three voters with an empty log after the snapshot.
-func voterNode(id string, seed uint64) *Node {
-	restored := PersistentState{HardState: HardState{Term: 1}}
-	restored.Snapshot = Snapshot{Index: 1, Term: 1, Membership: threeVoters()}
-	return New(time.Unix(0, 0), Options{ID: id, Random: rand.New(rand.NewPCG(seed, seed))}, restored)
-}
-
 // deliverAll delivers what the nodes send, in the order in which it is sent over each link,
 // until they send nothing more. Messages to other nodes, or that drop matches, are lost.
 func deliverAll(nodes map[string]*Node, drop func(Message) bool) {
@@ -47,7 +39,8 @@
 	return out
 }
 
-func lost(Message) bool { return false }
+// nothingLost drops no message.
+func nothingLost(Message) bool { return false }
 
 // TestCandidatesAtOnceElectLeader guards against a group that stays without a leader for a
 // further election timeout, as the two voters that are left vote for themselves.
@@ -74,7 +67,7 @@
 			for _, n := range nodes {
 				n.Tick(time.Unix(0, 0).Add(electionStep))
 			}
-			deliverAll(nodes, lost)
+			deliverAll(nodes, nothingLost)
 			if got := leaders(nodes); len(got) != 1 || got[0] != tt.leader {
 				t.Errorf("leaders %q, want %s alone", got, tt.leader)
 			}
@@ -87,7 +80,10 @@
 func TestCandidateThatHearsNobodyHoldsNobodyUp(t *testing.T) {
 	toDeaf := func(m Message) bool { return m.To == "c" }
 	for seed := range uint64(100) {
-		nodes := map[string]*Node{"a": voterNode("a", seed), "b": voterNode("b", seed+1000), "c": voterNode("c", seed+2000)}
+		nodes := map[string]*Node{}
+		for i, id := range []string{"a", "b", "c"} {
+			nodes[id] = seededNode(id, seed+uint64(i)*1000, PersistentState{HardState: HardState{Term: 1}})
+		}
 		begun := time.Unix(0, 0)
 		for now := begun; len(leaders(nodes)) == 0; now = now.Add(time.Millisecond) {
 			if now.Sub(begun) > electionStep {
--- a/fold/raft/raft_test.go
+++ b/fold/raft/raft_test.go
@@ -17,9 +17,12 @@
 
 // testNode returns a node of a group of three voters whose snapshot ends at
 // index 1.
-func testNode(id string, restored PersistentState) *Node {
+func testNode(id string, restored PersistentState) *Node { return seededNode(id, 1, restored) }
+
+// seededNode is like testNode, with the seed of the node's random times.
+func seededNode(id string, seed uint64, restored PersistentState) *Node {
 	restored.Snapshot.Index, restored.Snapshot.Term, restored.Snapshot.Membership = 1, 1, threeVoters()
-	return New(time.Unix(0, 0), Options{ID: id, Random: rand.New(rand.NewPCG(1, 1))}, restored)
+	return New(time.Unix(0, 0), Options{ID: id, Random: rand.New(rand.NewPCG(seed, seed))}, restored)
 }
 
 // TestEarlierTermsCommitIndirectly checks that a new leader does not commit an
