Interfaces of evacuation, cold servers, resumable streams and mixed prompts

Cause: two deployments need decisions that the system doesn't make yet. The parts are built side by side and have to agree on types and messages first.

The replicated state holds the set of evacuated failure domains (package evac); specification, backend servers, runs and load reports have the fields that the parts need; the schema has their messages. Nothing uses them yet but the control service, which commits an evacuation.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -63,6 +63,8 @@
 	// Leaving means that the server is shutting down and must get no new
 	// requests.
 	Leaving bool
+	// ColdFor is the time for which the server stays cold, as of its last announcement.
+	ColdFor time.Duration
 	Load    Load
 }
 
--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -24,6 +24,13 @@
 	// limit on it, zero if there is none known.
 	Generated int
 	MaxTokens int
+	// GapTarget is the target for the longest pause between events of the run, zero if
+	// there is none, and EventTokens the number of tokens in an event.
+	GapTarget   time.Duration
+	EventTokens int
+	// Late is set if the run has missed one of its targets. Further delay then costs its
+	// caller nothing.
+	Late bool
 }
 
 // Load is what one VM has under way at a server.
@@ -33,6 +40,10 @@
 	// have no first token yet.
 	PrefillTokens int
 	Runs          []Run
+	// MaxGap is the longest pause between two events of a run that ended since the last
+	// load report, and MaxGapAge the time since its end. Both are zero if there was none.
+	MaxGap    time.Duration
+	MaxGapAge time.Duration
 }
 
 // SameRequests reports whether two loads consist of the same requests, whatever
--- a/fold/spec/forward.go
+++ b/fold/spec/forward.go
@@ -48,6 +48,10 @@
 	Attempts int `json:"attempts,omitempty"`
 	// Public admits requests without a workspace key.
 	Public bool `json:"public,omitempty"`
+	// Resumable means that a stream may go on at another backend server after the last
+	// event that its caller has. Its requests may then run more than once. It may only be
+	// set for ForwardStream.
+	Resumable bool `json:"resumable,omitempty"`
 }
 
 // WeightedService is a service that receives a share of a forward's requests.
@@ -76,8 +80,17 @@
 	CanMove bool `json:"moves,omitempty"`
 }
 
+// ColdStart limits the requests to a server that is cold, as it is after each start.
+type ColdStart struct {
+	// Rate is the number of requests a second that a cold server takes from all VMs
+	// together. It is above zero.
+	Rate float64 `json:"rate"`
+	// Duration is how long a server is cold after its start.
+	Duration strict.Duration `json:"duration,omitempty"`
+}
+
 // Idempotent reports whether the forward's requests may run more than once.
-func (f *Forward) Idempotent() bool { return f.Kind == ForwardIdempotent }
+func (f *Forward) Idempotent() bool { return f.Kind == ForwardIdempotent || f.Resumable }
 
 func (d *Document) checkForwards(errs *strict.Errors) {
 	checkCount("forwards", len(d.Forwards), 0, MaxForwards, errs)
@@ -109,6 +122,9 @@
 	if !slices.Contains([]string{ForwardIdempotent, ForwardNonIdempotent, ForwardStream}, f.Kind) {
 		errs.Add(path+".kind", "want %q, %q or %q, got %q", ForwardIdempotent, ForwardNonIdempotent, ForwardStream, f.Kind)
 	}
+	if f.Resumable && f.Kind != ForwardStream {
+		errs.Add(path+".resumable", "want it only with kind %q, got %q", ForwardStream, f.Kind)
+	}
 	checkDuration(path+".timeout", f.Timeout, time.Millisecond, 24*time.Hour, errs)
 	if f.Attempts < 0 {
 		errs.Add(path+".attempts", "want 0 or more, got %d", f.Attempts)
--- a/fold/spec/spec.go
+++ b/fold/spec/spec.go
@@ -102,6 +102,8 @@
 	// Engine describes the backend servers of a KindEngine service to which
 	// requests are forwarded.
 	Engine *Engine `json:"engine,omitempty"`
+	// ColdStart limits the requests to cold servers. Nil means no limit.
+	ColdStart *ColdStart `json:"coldStart,omitempty"`
 }
 
 // Route sends the calls for a path prefix to a plain service.
--- a/fold/state/snapshot.go
+++ b/fold/state/snapshot.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"fuchsiafold.example/fold/evac"
 )
 
 // image is the encoded form of a Machine.
@@ -16,6 +18,7 @@
 	Claims           []*claimRecord    `json:"claims,omitempty"`
 	Leases           map[string]*lease `json:"leases,omitempty"`
 	LastFencingToken uint64            `json:"fences"`
+	Evacuations      evac.Set          `json:"evacuations,omitzero"`
 }
 
 // Snapshot returns the encoded state of the machine.
@@ -28,6 +31,7 @@
 		Order:            m.config.order,
 		Leases:           m.leases,
 		LastFencingToken: m.lastFencingToken,
+		Evacuations:      m.evacuations,
 	}
 	for e := m.claims.byUse.Front(); e != nil; e = e.Next() {
 		img.Claims = append(img.Claims, e.Value.(*claimRecord))
@@ -52,6 +56,7 @@
 		now:              img.Now,
 		leases:           img.Leases,
 		lastFencingToken: img.LastFencingToken,
+		evacuations:      img.Evacuations,
 		config:           config{revision: img.Revision, document: img.Document, changes: img.Changes, order: img.Order},
 	}
 	for _, r := range img.Claims {
--- a/fold/state/state.go
+++ b/fold/state/state.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"fuchsiafold.example/fold/evac"
 )
 
 // Lifetimes in the machine's time.
@@ -52,6 +54,7 @@
 	Claim       *Claim        `json:"claim,omitempty"`
 	Settle      *Settle       `json:"settle,omitempty"`
 	Lease       *Lease        `json:"lease,omitempty"`
+	Evacuate    *Evacuate     `json:"evacuate,omitempty"`
 }
 
 // ApplyConfig puts a configuration in force. If Version is zero, Base must equal the
@@ -110,6 +113,15 @@
 	Release bool `json:"release,omitempty"`
 }
 
+// Evacuate evacuates a failure domain, or ends that. An order that is already in effect
+// changes nothing and is not an error.
+type Evacuate struct {
+	Domain string `json:"domain"`
+	Undo   bool   `json:"undo,omitempty"`
+	// Ordered is the time of the order by the clock of the VM that accepted it.
+	Ordered time.Time `json:"ordered"`
+}
+
 // Result is the result of a command.
 type Result struct {
 	// Error says why the command was rejected; it is empty otherwise.
@@ -125,6 +137,8 @@
 	FencingToken uint64
 	// RetryAfter is the remaining time of another holder's lease.
 	RetryAfter time.Duration
+	// Evacuations is the set of evacuated failure domains after an Evacuate.
+	Evacuations evac.Set
 }
 
 // ClaimState is the result of a claim, and the state of its record.
@@ -157,6 +171,7 @@
 	leases map[string]*lease
 	// lastFencingToken is the highest fencing token that was issued.
 	lastFencingToken uint64
+	evacuations      evac.Set
 }
 
 type config struct {
@@ -184,6 +199,9 @@
 // Document returns the newest configuration.
 func (m *Machine) Document() []byte { return m.config.document }
 
+// Evacuations returns the set of evacuated failure domains.
+func (m *Machine) Evacuations() evac.Set { return m.evacuations }
+
 // ClaimCount returns the number of keys that have a record.
 func (m *Machine) ClaimCount() int { return len(m.claims.byKey) }
 
@@ -204,6 +222,8 @@
 		return m.claims.settle(m.now, c.Settle)
 	case c.Lease != nil:
 		return m.lease(c.Lease)
+	case c.Evacuate != nil:
+		return m.evacuate(c.Evacuate)
 	}
 	return Result{}
 }
@@ -260,6 +280,19 @@
 	return Result{Revision: m.config.revision}
 }
 
+// evacuate changes the set of evacuated failure domains.
+func (m *Machine) evacuate(e *Evacuate) Result {
+	if e.Domain == "" || len(e.Domain) > evac.MaxName {
+		return Result{Error: fmt.Sprintf("failure domain: want 1 to %d bytes", evac.MaxName)}
+	}
+	if e.Undo {
+		m.evacuations = m.evacuations.Remove(e.Domain)
+	} else {
+		m.evacuations = m.evacuations.Add(e.Domain, e.Ordered)
+	}
+	return Result{Evacuations: m.evacuations}
+}
+
 // lease grants a lease that is free, has expired or belongs to the same holder. A
 // grant that does not renew an unexpired lease gets a new fencing token.
 func (m *Machine) lease(l *Lease) Result {
--- a/foldd/ctrl/deferred.go
+++ b/foldd/ctrl/deferred.go
@@ -91,3 +91,10 @@
 		return h.Join(ctx, req)
 	})
 }
+
+// Evacuate implements wire.ControlServiceHandler.
+func (d *DeferredServer) Evacuate(ctx context.Context, req *connect.Request[wire.EvacuateRequest]) (*connect.Response[wire.EvacuateResponse], error) {
+	return delegate(ctx, d, req, func(h wire.ControlServiceHandler) (*connect.Response[wire.EvacuateResponse], error) {
+		return h.Evacuate(ctx, req)
+	})
+}
--- a/foldd/oper/service.go
+++ b/foldd/oper/service.go
@@ -22,9 +22,10 @@
 	"fuchsiafold.example/wire"
 )
 
-// Applier applies the configurations that operators send.
+// Applier applies the configurations and orders that operators send.
 type Applier interface {
 	Apply(ctx context.Context, req *wire.ApplyRequest) (*wire.ApplyResponse, error)
+	Evacuate(ctx context.Context, req *wire.EvacuateRequest) (*wire.EvacuateResponse, error)
 }
 
 // Service implements the operators' API. All fields but Control must be set.
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -61,7 +61,10 @@
 func fromPlaceRequest(m *wire.PlaceRequest) node.PlacementRequest {
 	req := node.PlacementRequest{From: m.GetFrom(), Service: m.GetService(), Loads: map[string]place.Load{}}
 	for _, l := range m.GetLoads() {
-		load := place.Load{Requests: int(l.GetRequests()), PrefillTokens: int(l.GetPrefillTokens())}
+		load := place.Load{
+			Requests: int(l.GetRequests()), PrefillTokens: int(l.GetPrefillTokens()),
+			MaxGap: micros(l.GetMaxGapMicros()), MaxGapAge: micros(l.GetMaxGapAgeMicros()),
+		}
 		for _, r := range l.GetRuns() {
 			load.Runs = append(load.Runs, fromEngineRun(r))
 		}
@@ -86,7 +89,10 @@
 }
 
 func toEngineLoad(backend string, l place.Load) *wire.EngineLoad {
-	m := &wire.EngineLoad{Backend: backend, Requests: uint32(l.Requests), PrefillTokens: uint64(l.PrefillTokens)}
+	m := &wire.EngineLoad{
+		Backend: backend, Requests: uint32(l.Requests), PrefillTokens: uint64(l.PrefillTokens),
+		MaxGapMicros: uint64(l.MaxGap.Microseconds()), MaxGapAgeMicros: uint64(l.MaxGapAge.Microseconds()),
+	}
 	for _, r := range l.Runs {
 		m.Runs = append(m.Runs, toEngineRun(r))
 	}
@@ -113,11 +119,17 @@
 }
 
 func toEngineRun(r place.Run) *wire.EngineRun {
-	return &wire.EngineRun{Id: r.ID, Group: toRunGroup(r.Group), Held: uint64(r.BaseTokens), Made: uint64(r.Generated), Most: uint64(r.MaxTokens)}
+	return &wire.EngineRun{
+		Id: r.ID, Group: toRunGroup(r.Group), Held: uint64(r.BaseTokens), Made: uint64(r.Generated), Most: uint64(r.MaxTokens),
+		GapMicros: uint64(r.GapTarget.Microseconds()), EventTokens: uint32(r.EventTokens), Late: r.Late,
+	}
 }
 
 func fromEngineRun(m *wire.EngineRun) place.Run {
-	return place.Run{ID: m.GetId(), Group: fromRunGroup(m.GetGroup()), BaseTokens: int(m.GetHeld()), Generated: int(m.GetMade()), MaxTokens: int(m.GetMost())}
+	return place.Run{
+		ID: m.GetId(), Group: fromRunGroup(m.GetGroup()), BaseTokens: int(m.GetHeld()), Generated: int(m.GetMade()), MaxTokens: int(m.GetMost()),
+		GapTarget: micros(m.GetGapMicros()), EventTokens: int(m.GetEventTokens()), Late: m.GetLate(),
+	}
 }
 
 func toRunGroup(g learn.Group) *wire.RunGroup {
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -20,6 +20,9 @@
 	// Timeout is how long the caller waits for the response; zero if unknown.
 	Timeout time.Duration
 	Prompt  Prompt
+	// LastEventID is the ID of the last event of the stream that the caller has; empty if
+	// it wants the stream from its beginning.
+	LastEventID string
 }
 
 // Prompt describes a request for a generation. Fields that the caller does not
@@ -54,6 +57,9 @@
 	Priority int
 	// Resume is set if the request continues a run that was moved.
 	Resume *Resume
+	// LastEventID is the ID of the last event of a resumable stream that the caller has;
+	// empty if the stream begins. It is not set with Resume.
+	LastEventID string
 }
 
 // Resume describes the state from which a moved run continues.
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -66,6 +66,8 @@
 	ControlServiceStepProcedure = "/wire.v1.ControlService/Step"
 	// ControlServiceJoinProcedure is the fully-qualified name of the ControlService's Join RPC.
 	ControlServiceJoinProcedure = "/wire.v1.ControlService/Join"
+	// ControlServiceEvacuateProcedure is the fully-qualified name of the ControlService's Evacuate RPC.
+	ControlServiceEvacuateProcedure = "/wire.v1.ControlService/Evacuate"
 	// WatchServiceStatusProcedure is the fully-qualified name of the WatchService's Status RPC.
 	WatchServiceStatusProcedure = "/wire.v1.WatchService/Status"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
@@ -78,6 +80,9 @@
 	OperatorServiceCompareProcedure = "/wire.v1.OperatorService/Compare"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/wire.v1.OperatorService/Drain"
+	// OperatorServiceEvacuateProcedure is the fully-qualified name of the OperatorService's Evacuate
+	// RPC.
+	OperatorServiceEvacuateProcedure = "/wire.v1.OperatorService/Evacuate"
 )
 
 // PeerServiceClient is a client for the wire.v1.PeerService service.
@@ -338,6 +343,9 @@
 	// Join adds a replica to the group. It fails with the code FailedPrecondition at
 	// a replica that is not the leader.
 	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
+	// Evacuate evacuates a failure domain, or ends that. The response is sent once the
+	// order is committed. It fails as Apply does.
+	Evacuate(context.Context, *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error)
 }
 
 // NewControlServiceClient constructs a client for the wire.v1.ControlService service. By default,
@@ -393,18 +401,25 @@
 			connect.WithSchema(controlServiceMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[EvacuateRequest, EvacuateResponse](
+			httpClient,
+			baseURL+ControlServiceEvacuateProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // controlServiceClient implements ControlServiceClient.
 type controlServiceClient struct {
-	claim  *connect.Client[ClaimRequest, ClaimResponse]
-	settle *connect.Client[SettleRequest, SettleResponse]
-	apply  *connect.Client[ApplyRequest, ApplyResponse]
-	lease  *connect.Client[LeaseRequest, LeaseResponse]
-	latest *connect.Client[ConfigRequest, ConfigResponse]
-	step   *connect.Client[StepRequest, StepResponse]
-	join   *connect.Client[JoinRequest, JoinResponse]
+	claim    *connect.Client[ClaimRequest, ClaimResponse]
+	settle   *connect.Client[SettleRequest, SettleResponse]
+	apply    *connect.Client[ApplyRequest, ApplyResponse]
+	lease    *connect.Client[LeaseRequest, LeaseResponse]
+	latest   *connect.Client[ConfigRequest, ConfigResponse]
+	step     *connect.Client[StepRequest, StepResponse]
+	join     *connect.Client[JoinRequest, JoinResponse]
+	evacuate *connect.Client[EvacuateRequest, EvacuateResponse]
 }
 
 // Claim calls wire.v1.ControlService.Claim.
@@ -442,6 +457,11 @@
 	return c.join.CallUnary(ctx, req)
 }
 
+// Evacuate calls wire.v1.ControlService.Evacuate.
+func (c *controlServiceClient) Evacuate(ctx context.Context, req *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error) {
+	return c.evacuate.CallUnary(ctx, req)
+}
+
 // ControlServiceHandler is an implementation of the wire.v1.ControlService service.
 type ControlServiceHandler interface {
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
@@ -456,6 +476,9 @@
 	// Join adds a replica to the group. It fails with the code FailedPrecondition at
 	// a replica that is not the leader.
 	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
+	// Evacuate evacuates a failure domain, or ends that. The response is sent once the
+	// order is committed. It fails as Apply does.
+	Evacuate(context.Context, *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error)
 }
 
 // NewControlServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -507,6 +530,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceEvacuateHandler := connect.NewUnaryHandler(
+		ControlServiceEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(controlServiceMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlServiceClaimProcedure:
@@ -523,6 +552,8 @@
 			controlServiceStepHandler.ServeHTTP(w, r)
 		case ControlServiceJoinProcedure:
 			controlServiceJoinHandler.ServeHTTP(w, r)
+		case ControlServiceEvacuateProcedure:
+			controlServiceEvacuateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -560,6 +591,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Join is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) Evacuate(context.Context, *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.ControlService.Evacuate is not implemented"))
+}
+
 // WatchServiceClient is a client for the wire.v1.WatchService service.
 type WatchServiceClient interface {
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
@@ -643,6 +678,8 @@
 	// requests, but still accepts requests to be forwarded for up to 3 seconds. The
 	// process does not end.
 	Drain(context.Context, *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error)
+	// Evacuate is passed on to the control group.
+	Evacuate(context.Context, *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the wire.v1.OperatorService service. By default,
@@ -686,16 +723,23 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[EvacuateRequest, EvacuateResponse](
+			httpClient,
+			baseURL+OperatorServiceEvacuateProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	status  *connect.Client[StatusRequest, StatusResponse]
-	apply   *connect.Client[ApplyRequest, ApplyResponse]
-	config  *connect.Client[ConfigRequest, ConfigResponse]
-	compare *connect.Client[CompareRequest, CompareResponse]
-	drain   *connect.Client[DrainRequest, DrainResponse]
+	status   *connect.Client[StatusRequest, StatusResponse]
+	apply    *connect.Client[ApplyRequest, ApplyResponse]
+	config   *connect.Client[ConfigRequest, ConfigResponse]
+	compare  *connect.Client[CompareRequest, CompareResponse]
+	drain    *connect.Client[DrainRequest, DrainResponse]
+	evacuate *connect.Client[EvacuateRequest, EvacuateResponse]
 }
 
 // Status calls wire.v1.OperatorService.Status.
@@ -723,6 +767,11 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// Evacuate calls wire.v1.OperatorService.Evacuate.
+func (c *operatorServiceClient) Evacuate(ctx context.Context, req *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error) {
+	return c.evacuate.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the wire.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error)
@@ -736,6 +785,8 @@
 	// requests, but still accepts requests to be forwarded for up to 3 seconds. The
 	// process does not end.
 	Drain(context.Context, *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error)
+	// Evacuate is passed on to the control group.
+	Evacuate(context.Context, *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -775,6 +826,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceEvacuateHandler := connect.NewUnaryHandler(
+		OperatorServiceEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/wire.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceStatusProcedure:
@@ -787,6 +844,8 @@
 			operatorServiceCompareHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorServiceEvacuateProcedure:
+			operatorServiceEvacuateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -815,3 +874,7 @@
 func (UnimplementedOperatorServiceHandler) Drain(context.Context, *connect.Request[DrainRequest]) (*connect.Response[DrainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.OperatorService.Drain is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Evacuate(context.Context, *connect.Request[EvacuateRequest]) (*connect.Response[EvacuateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("wire.v1.OperatorService.Evacuate is not implemented"))
+}
