Prompts: updates hold only what a VM lacks, at most one each 300 ms

Bursts on 10 Mbit/s links delayed the events of streams: by their VMs' own logs 134 drafts were late, by their callers 482.

Change: losses and sound parts carry the number of their last change, and an exchange holds those after the changes that the peer has applied. Urgent updates on prompts are at least 300 ms apart. Only the VM that saw a loss logs it; others count poison.learned.

--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -102,9 +102,22 @@
 	quarantines map[string]Quarantine
 	// trials holds the trials of parts in quarantine.
 	trials map[string]trial
-	// soundChanged holds the parts to name to other VMs as sound, with the time since
-	// when.
-	soundChanged map[string]time.Time
+	// soundChanged holds the parts to name to other VMs as sound.
+	soundChanged map[string]change
+	// changes counts the changes of losses and of soundChanged.
+	changes uint64
+}
+
+// change is the time of a change at this VM, and its number among all changes.
+type change struct {
+	at     time.Time
+	number uint64
+}
+
+// newChange returns the next change.
+func (t *Table) newChange(now time.Time) change {
+	t.changes++
+	return change{at: now, number: t.changes}
 }
 
 // loss is a Loss with its time in place of its age.
@@ -114,9 +127,8 @@
 	begun   bool
 	cleared uint32
 	at      time.Time
-	// changed is when the loss last changed here. Recent changes are sent to other
-	// VMs.
-	changed time.Time
+	// changed is the last change of the loss here. Recent changes are sent to other VMs.
+	changed change
 }
 
 // counts reports whether the loss counts against part i.
@@ -156,18 +168,18 @@
 	known := t.losses[key]
 	if known == nil {
 		t.prune(now)
-		known = &loss{parts: slices.Clone(l.Parts), crash: l.Crash, begun: l.Begun, cleared: t.survivedSince(l.Parts, at), at: at, changed: now}
+		known = &loss{parts: slices.Clone(l.Parts), crash: l.Crash, begun: l.Begun, cleared: t.survivedSince(l.Parts, at), at: at, changed: t.newChange(now)}
 		t.losses[key] = known
 		t.shareSound(now, l.Parts)
 	}
 	before := *known
 	known.begun = known.begun || l.Begun
 	known.cleared |= l.Cleared & (1<<len(l.Parts) - 1)
-	if known.begun != before.begun || known.cleared != before.cleared || known.cleared&^l.Cleared != 0 && now.Sub(known.changed) >= shareTime {
+	if known.begun != before.begun || known.cleared != before.cleared || known.cleared&^l.Cleared != 0 && now.Sub(known.changed.at) >= shareTime {
 		// The last is a VM that has missed what cleared the loss.
-		known.changed = now
+		known.changed = t.newChange(now)
 	}
-	return known.changed.Equal(now)
+	return known.changed.at.Equal(now)
 }
 
 func (t *Table) init() {
@@ -175,7 +187,7 @@
 		t.losses = map[string]*loss{}
 		t.quarantines = map[string]Quarantine{}
 		t.trials = map[string]trial{}
-		t.soundChanged = map[string]time.Time{}
+		t.soundChanged = map[string]change{}
 	}
 }
 
@@ -229,7 +241,7 @@
 		}
 		if cleared := bits(l) &^ l.cleared; cleared != 0 {
 			l.cleared |= cleared
-			l.changed = now
+			l.changed = t.newChange(now)
 			changed = true
 		}
 	}
@@ -244,7 +256,7 @@
 func (t *Table) shareSound(now time.Time, parts []string) {
 	for _, part := range parts {
 		if t.sound(part) {
-			t.soundChanged[part] = now
+			t.soundChanged[part] = t.newChange(now)
 		}
 	}
 }
@@ -306,7 +318,7 @@
 func (t *Table) prune(now time.Time) {
 	oldest := ""
 	for key, l := range t.losses {
-		if now.Sub(l.at) >= retention || l.settled() && now.Sub(l.changed) >= shareTime {
+		if now.Sub(l.at) >= retention || l.settled() && now.Sub(l.changed.at) >= shareTime {
 			delete(t.losses, key)
 			continue
 		}
--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -269,3 +269,32 @@
 		t.Error("losses are not shared newest first")
 	}
 }
+
+// An exchange must not repeat losses that its receiver has applied: while a server breaks off
+// many responses, repeating them filled the links of small VMs.
+func TestShareSinceRepeatsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a, b Table
+	for i := range 40 {
+		a.Lost(now, []string{fmt.Sprintf("request:%d", i)}, Crash{Backend: "s", Epoch: 1}, true)
+	}
+	first := a.ShareSince(now, 0)
+	acked := a.Changes()
+	b.Merge(now, first)
+	if u := a.ShareSince(now.Add(time.Second), acked); !u.Empty() {
+		t.Errorf("update for a VM that has everything holds %d losses", len(u.Losses))
+	}
+	a.Lost(now.Add(time.Second), []string{"request:new"}, Crash{Backend: "s", Epoch: 1}, true)
+	u := a.ShareSince(now.Add(time.Second), acked)
+	if len(u.Losses) != 1 {
+		t.Fatalf("update after one more loss holds %d losses, want 1", len(u.Losses))
+	}
+	acked = a.Changes()
+	a.Answered(now.Add(time.Second), Crash{Backend: "s", Epoch: 1})
+	b.Merge(now.Add(time.Second), a.ShareSince(now.Add(time.Second), acked))
+	for _, l := range b.losses {
+		if l.parts[0] != "request:new" && !l.settled() {
+			t.Errorf("loss of %v is not cleared at the other VM", l.parts)
+		}
+	}
+}
--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -26,22 +26,32 @@
 // Empty reports whether the update holds nothing.
 func (u *Update) Empty() bool { return len(u.Losses) == 0 && len(u.Sound) == 0 }
 
-// Share returns the update for other VMs: recent changes, and the newest losses of
-// the parts in quarantine.
-func (t *Table) Share(now time.Time) Update {
+// Changes returns the number of changes so far, for ShareSince.
+func (t *Table) Changes() uint64 { return t.changes }
+
+// Share returns the update for another VM of which nothing is known: recent changes, and
+// the newest losses of the parts in quarantine.
+func (t *Table) Share(now time.Time) Update { return t.ShareSince(now, 0) }
+
+// ShareSince returns the update for a VM that has applied an earlier one, made when Changes
+// returned since. While a server breaks off many responses, each exchange would otherwise
+// repeat all losses of the last shareTime.
+func (t *Table) ShareSince(now time.Time, since uint64) Update {
 	if len(t.losses) == 0 {
 		return Update{}
 	}
 	var u Update
 	for _, l := range t.lossesToShare(now) {
-		u.Losses = append(u.Losses, l.export(now))
+		if l.changed.number > since {
+			u.Losses = append(u.Losses, l.export(now))
+		}
 	}
 	for part, changed := range t.soundChanged {
-		if now.Sub(changed) >= shareTime {
+		if now.Sub(changed.at) >= shareTime {
 			delete(t.soundChanged, part)
 			continue
 		}
-		if len(u.Sound) < maxShared {
+		if changed.number > since && len(u.Sound) < maxShared {
 			u.Sound = append(u.Sound, part)
 		}
 	}
@@ -89,7 +99,7 @@
 		if len(out) == maxShared {
 			break
 		}
-		keep := now.Sub(l.changed) < shareTime
+		keep := now.Sub(l.changed.at) < shareTime
 		for _, part := range l.parts {
 			if t.inQuarantine(part) && count[part] < lossesPerQuarantine {
 				count[part]++
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -21,8 +21,10 @@
 	Known []member.PeerUpdate
 	// Leases is the digest of the local table.
 	Leases member.Leases
-	// Prompts holds what this VM knows of prompts that crash engines.
-	Prompts poison.Update
+	// Prompts holds what this VM knows of prompts that crash engines and the peer may not,
+	// and PromptChanges the number of changes that the peer has once it has applied them.
+	Prompts       poison.Update
+	PromptChanges uint64
 	// Limits holds the rate limits of backend servers that this VM knows.
 	Limits []limit.Entry
 	// Version is the version of the local table of backend servers that the peer
@@ -181,7 +183,8 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
+	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Limits: n.limits.Share(now)}
+	x.Prompts, x.PromptChanges = n.promptUpdateFor(now, id)
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
@@ -196,13 +199,13 @@
 	return x
 }
 
-// RecordExchange records a successful exchange with the VM id: it has applied
-// version acked of the local table, and version have of its table has been
-// applied here.
-func (n *Node) RecordExchange(id string, acked, have uint64) {
+// RecordExchange records a successful exchange with the VM id: it has applied sent, and
+// version have of its table has been applied here.
+func (n *Node) RecordExchange(id string, sent *Exchange, have uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.group.RecordExchange(id, acked, have)
+	n.group.RecordExchange(id, sent.Version, have)
+	n.recordPromptUpdate(id, sent.PromptChanges)
 }
 
 // ReceiveLeases applies the digest of the leases that a VM knows.
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -164,6 +164,10 @@
 	// parts that were in quarantine when that was last logged.
 	poison      poison.Table
 	quarantined map[string]poison.Quarantine
+	// promptGossip is the state of urgent updates on prompts, and promptAcks what other VMs
+	// have applied of them, by VM ID.
+	promptGossip promptGossip
+	promptAcks   map[string]promptAck
 	// quarantineChanged is called when quarantined has changed; nil if nothing is.
 	quarantineChanged func()
 	// limits keeps requests within the rate limits of backend servers.
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -23,7 +23,7 @@
 		return
 	}
 	n.Count("poison.losses", 1)
-	n.logLoss(poison.Loss{Parts: parts, Crash: crash, Begun: begun}, "")
+	n.logLoss(poison.Loss{Parts: parts, Crash: crash, Begun: begun})
 	n.logQuarantines()
 	n.gossipPromptUpdate("")
 }
@@ -104,9 +104,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	changed := n.poison.Merge(time.Now(), u)
-	for _, l := range changed {
-		n.logLoss(l, from)
-	}
+	n.Count("poison.learned", int64(len(changed)))
 	n.logQuarantines()
 	if len(changed) > 0 {
 		n.gossipPromptUpdate(from)
@@ -128,17 +126,89 @@
 	n.quarantineChanged = f
 }
 
-// gossipPromptUpdate sends what has changed to other VMs at once. from is the VM that
-// the change came from, empty for this one. The caller holds the lock.
+// promptGossipInterval is the least time between two updates on prompts that a VM sends
+// to others at once. A server that breaks off its responses causes many losses a second,
+// and each VM that learns of one passes it on. Quarantine needs three crashes of a server,
+// which takes seconds to be back after each.
+const promptGossipInterval = 300 * time.Millisecond
+
+// gossipPromptUpdate sends what has changed to other VMs, at once or, if such an update was
+// sent within promptGossipInterval, at its end. from is the VM that the change came from,
+// empty for this one. The caller holds the lock.
 func (n *Node) gossipPromptUpdate(from string) {
-	to := n.group.UrgentTargets(time.Now(), from, n.random)
-	go n.Gossip(to)
+	g := &n.promptGossip
+	switch {
+	case !g.pending:
+		g.pending, g.from = true, from
+		n.Clock.At(g.last.Add(promptGossipInterval), n.sendPromptUpdate)
+	case g.from != from:
+		// An update of this VM itself is sent to all that one from another VM is.
+		g.from = ""
+	}
+}
+
+// sendPromptUpdate sends the update that gossipPromptUpdate has asked for.
+func (n *Node) sendPromptUpdate(now time.Time) {
+	n.mu.Lock()
+	g := &n.promptGossip
+	g.pending, g.last = false, now
+	to := n.group.UrgentTargets(now, g.from, n.random)
+	n.mu.Unlock()
+	n.Gossip(to)
 }
 
-// logLoss logs evidence against the parts of a prompt.
-func (n *Node) logLoss(l poison.Loss, from string) {
+// promptGossip is the state of the updates on prompts that are sent to other VMs at once.
+type promptGossip struct {
+	// last is when one was last sent. pending is set if one is due, for a change from the
+	// VM from.
+	last    time.Time
+	pending bool
+	from    string
+}
+
+// promptAck is what another VM has applied of this VM's updates on prompts.
+type promptAck struct {
+	epoch, changes uint64
+}
+
+// promptUpdateFor returns the update on prompts for the VM id, and the number of changes
+// that it has with it. The caller holds the lock.
+func (n *Node) promptUpdateFor(now time.Time, id string) (poison.Update, uint64) {
+	since := uint64(0)
+	if p, ok := n.group.Peer(id); ok {
+		if ack := n.promptAcks[id]; ack.epoch == p.Epoch {
+			since = ack.changes
+		}
+	}
+	return n.poison.ShareSince(now, since), n.poison.Changes()
+}
+
+// recordPromptUpdate records that the VM id has applied the update with the given number of
+// changes. The caller holds the lock.
+func (n *Node) recordPromptUpdate(id string, changes uint64) {
+	p, ok := n.group.Peer(id)
+	if !ok {
+		delete(n.promptAcks, id)
+		return
+	}
+	if ack := n.promptAcks[id]; ack.epoch == p.Epoch && ack.changes >= changes {
+		return
+	}
+	if n.promptAcks == nil || len(n.promptAcks) >= maxPromptAcks {
+		n.promptAcks = map[string]promptAck{}
+	}
+	n.promptAcks[id] = promptAck{epoch: p.Epoch, changes: changes}
+}
+
+// maxPromptAcks bounds the VMs of which it is remembered what they have applied, many of
+// which may be gone. Once they are forgotten, the next update repeats recent changes.
+const maxPromptAcks = 2048
+
+// logLoss logs evidence against the parts of a prompt that this VM has seen itself. What it
+// learns from others is counted: with a line for each, one loss gave a line at every VM.
+func (n *Node) logLoss(l poison.Loss) {
 	n.Log.WithFields(logrus.Fields{
-		"parts": l.Parts, "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun, "cleared": l.Cleared, "ageMs": l.Age.Milliseconds(), "from": from,
+		"parts": l.Parts, "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun, "cleared": l.Cleared, "ageMs": l.Age.Milliseconds(),
 	}).Info("engine crashed under a prompt")
 }
 
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -329,7 +329,7 @@
 	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
 	s.node.ReceivePromptUpdate(fromPromptUpdate(res.Msg.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, res.Msg.GetLimits())
-	s.node.RecordExchange(from.ID, out.Version, res.Msg.GetVersion())
+	s.node.RecordExchange(from.ID, &out, res.Msg.GetVersion())
 	if vms := fromVMs(res.Msg.GetVms()); vms != nil {
 		lacking = s.node.ReceiveVMs(vms)
 	}
