--- a/foldctl/main.go
+++ b/foldctl/main.go
@@ -1,5 +1,5 @@
 // Command foldctl is the command-line tool for operators. It shows the state of a
-// deployment, changes its configuration and drains VMs.
+// deployment, changes its configuration, drains VMs and evacuates failure domains.
 package main
 
 import (
@@ -30,6 +30,7 @@
 			compareCommand(),
 			reportCommand(),
 			drainCommand(),
+			evacuateCommand(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- a/foldctl/status.go
+++ b/foldctl/status.go
@@ -20,7 +20,7 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show VMs, backend servers, classes, services, errors and the control group as seen by one or more VMs",
+		Usage: "show VMs, backend servers, classes, evacuations, services, errors and the control group as seen by one or more VMs",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "watch", Usage: "metrics address of a VM to query instead; may be repeated"},
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON document per VM"},
@@ -109,6 +109,7 @@
 	for _, c := range s.GetClasses() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", c.GetName(), c.GetQueued(), c.GetRunning())
 	}
+	writeEvacuations(t, s)
 	writeServices(t, s)
 	switch {
 	case group != nil:
