--- a/fold/member/evacuate_test.go
+++ b/fold/member/evacuate_test.go
@@ -31,6 +31,11 @@
 	if p, _ := b.Peer("c"); p.EvacuationsVersion != 2 || p.Seq != 7 {
 		t.Errorf("after a report without the field, the other VM knows %+v, want version 2", p)
 	}
+	b.ReceiveDirect(now, Peer{ID: "d", Epoch: 1, Seq: 3})
+	b.ReceiveRelayed(now, PeerUpdate{Peer: Peer{ID: "d", Epoch: 1, Seq: 3, EvacuationsVersion: 2}})
+	if p, _ := b.Peer("d"); p.EvacuationsVersion != 2 {
+		t.Errorf("a report with the same heartbeat leaves version %d, want 2", p.EvacuationsVersion)
+	}
 	before := b.Self.Seq
 	b.SetEvacuationsVersion(now, 3)
 	if b.Self.Seq == before {
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -165,12 +165,27 @@
 // ReceiveRelayed applies a relayed report. It ignores reports that are older than
 // PeerLease or not newer than what is known.
 func (g *Group) ReceiveRelayed(now time.Time, u PeerUpdate) {
-	if u.Age >= PeerLease || g.knowsLater(now, u) {
+	if u.Age >= PeerLease {
+		return
+	}
+	if g.knowsLater(now, u) {
+		g.raiseEvacuationsVersion(u.Peer)
 		return
 	}
 	g.ReceiveDirect(now.Add(-u.Age), u.Peer)
 }
 
+// raiseEvacuationsVersion takes over a higher version from a report that is not newer: one
+// with the same heartbeat may have come without the field by a VM of an earlier version.
+func (g *Group) raiseEvacuationsVersion(p Peer) {
+	r := g.peers[p.ID]
+	if r == nil || p.Epoch != r.Epoch || p.EvacuationsVersion <= r.EvacuationsVersion {
+		return
+	}
+	r.EvacuationsVersion = p.EvacuationsVersion
+	g.live = nil
+}
+
 // knowsLater reports whether a relayed report is not newer than what is known: by its
 // heartbeat, or by its age if it is of another start of the VM.
 func (g *Group) knowsLater(now time.Time, u PeerUpdate) bool {
--- a/foldd/peer/fleet_test.go
+++ b/foldd/peer/fleet_test.go
@@ -50,6 +50,9 @@
 	handler http.Handler
 	// delay is the additional time that the VM takes to send or to receive.
 	delay time.Duration
+	// earlier is set for a VM of a version that ignores evacuations, and cut for one that
+	// no message reaches or leaves.
+	earlier, cut bool
 }
 
 // newFleet returns a fleet whose VMs all know each other. It must run in a synctest bubble.
@@ -111,7 +114,15 @@
 	if err := wait(r.Context(), delay); err != nil {
 		return nil, err
 	}
+	if l.from.cut || to.cut {
+		return nil, errCut
+	}
+	earlier := (l.from.earlier || to.earlier) && r.URL.Path == wire.PeerServiceExchangeProcedure
+	if earlier {
+		body = withoutEvacuations(body, &wire.ExchangeRequest{})
+	}
 	received := r.Clone(r.Context())
+	received.ContentLength = int64(len(body))
 	received.Body = io.NopCloser(bytes.NewReader(body))
 	recorder := httptest.NewRecorder()
 	to.handler.ServeHTTP(recorder, received)
@@ -120,6 +131,10 @@
 		return nil, err
 	}
 	res := recorder.Result()
+	if earlier {
+		recorder.Body = bytes.NewBuffer(withoutEvacuations(recorder.Body.Bytes(), &wire.ExchangeResponse{}))
+		res.Body = io.NopCloser(recorder.Body)
+	}
 	res.ContentLength = int64(recorder.Body.Len())
 	return res, nil
 }
