Gate: a request is checked again once its connection is open

Cause: requests of the own interface are permitted before their connection is opened, which takes up to limits.connectTimeout; an order that came in force meanwhile did not stop them.

Change: gate.New wraps the dial of the transport with the check.

Result: TestOrderWhileConnecting passes, and fails with a Transport that is not made by New.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -101,7 +101,7 @@
 		}
 	}
 	connect := time.Duration(s.Limits.ConnectTimeout)
-	limited := func(t http.RoundTripper) http.RoundTripper { return &gate.Transport{Node: n, Base: t} }
+	limited := func(t http.RoundTripper) http.RoundTripper { return gate.New(n, t) }
 	a.entry = &entry.Handler{
 		Node:                n,
 		Engines:             engine.New(connect, time.Duration(s.Limits.StallTimeout), limited),
--- a/foldd/gate/gate.go
+++ b/foldd/gate/gate.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -27,6 +28,25 @@
 	Base http.RoundTripper
 }
 
+// New returns a Transport over base. If base opens connections with a DialContext, a request
+// is checked again once its connection is open, which may take long.
+func New(n *node.Node, base http.RoundTripper) *Transport {
+	if t, ok := base.(*http.Transport); ok && t.DialContext != nil {
+		dial := t.DialContext
+		t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dial(ctx, network, addr)
+			if to, ok := ctx.Value(targetKey{}).(target); ok && err == nil {
+				if err := n.CheckSend(to.backend, to.purpose); err != nil {
+					c.Close()
+					return nil, err
+				}
+			}
+			return c, err
+		}
+	}
+	return &Transport{Node: n, Base: base}
+}
+
 // target is the backend server of a request, and why the request is sent.
 type target struct {
 	backend member.Backend
--- a/foldd/gate/gate_test.go
+++ b/foldd/gate/gate_test.go
@@ -1,16 +1,21 @@
 package gate_test
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/foldd/conf"
@@ -71,3 +76,36 @@
 		t.Errorf("error %v, want one of a request that names no backend server", err)
 	}
 }
+
+// TestOrderWhileConnecting guards against a request that is sent because the order to evacuate
+// its server came in force while the connection was opened.
+func TestOrderWhileConnecting(t *testing.T) {
+	var received atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer s.Close()
+	n := newNode(t)
+	set := evac.Set{}.Add("b", time.Unix(1, 0))
+	transport := gate.New(n, &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		n.ApplyEvacuations(set, "")
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}})
+	send := func(p node.Purpose) error {
+		b := member.Backend{ID: "e", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Service: "s", Domain: "b", Epoch: 1}
+		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, p), http.MethodGet, s.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := transport.RoundTrip(req)
+		if err == nil {
+			res.Body.Close()
+		}
+		return err
+	}
+	var denied *limit.DeniedError
+	if err := send(node.FirstSend); !errors.As(err, &denied) || denied.Cause != limit.Evacuated || received.Load() != 0 {
+		t.Errorf("error %v, %d requests received; want the evacuation and none", err, received.Load())
+	}
+	if err := send(node.CancelRun); err != nil || received.Load() != 1 {
+		t.Errorf("error %v, %d requests received; want a run to be canceled there", err, received.Load())
+	}
+}
--- a/foldd/node/evacuate.go
+++ b/foldd/node/evacuate.go
@@ -89,10 +89,13 @@
 	return p.begins() && n.evacuations.Has(b.Domain)
 }
 
-// CheckCopyTarget returns a *limit.DeniedError if no run may be copied to a server because
-// the server is evacuated.
-func (n *Node) CheckCopyTarget(b member.Backend) error {
-	if !n.Evacuated(b.Domain) {
+// CheckSend returns a *limit.DeniedError if a request with the purpose must not be sent to a
+// server because the server is evacuated. It needs no permit.
+func (n *Node) CheckSend(b member.Backend, p Purpose) error {
+	n.mu.Lock()
+	barred := n.evacuated(b, p)
+	n.mu.Unlock()
+	if !barred {
 		return nil
 	}
 	n.Count("evacuations.sendsStopped", 1)
--- a/foldd/node/evacuate_test.go
+++ b/foldd/node/evacuate_test.go
@@ -159,7 +159,7 @@
 		if _, err := n.AcquirePermit(t.Context(), member.Backend{ID: b.ID, Addr: b.Addr}, p); (err != nil) != barred {
 			t.Errorf("%s: error %v where only the address is known, want one: %t", p, err, barred)
 		}
-		if near, _ := n.Backend("e-a0"); n.CheckCopyTarget(near) != nil || n.CheckCopyTarget(b) == nil {
+		if near, _ := n.Backend("e-a0"); n.CheckSend(near, Resume) != nil || n.CheckSend(b, Resume) == nil {
 			t.Error("a copy to an evacuated server is allowed, or one to another server is not")
 		}
 	}
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -230,7 +230,7 @@
 // and leaves the run as it is, if the target was evacuated meanwhile.
 func (x *Relay) finishMove(ctx context.Context, s *stream, from backend, c firstCopy) bool {
 	target, began := c.target, time.Now()
-	if err := x.Node.CheckCopyTarget(target); err != nil {
+	if err := x.Node.CheckSend(target, node.Resume); err != nil {
 		x.logMove(s, from, target, "stop", nil, err)
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
 		x.free(from, c.handle)
--- a/foldd/relay/send.go
+++ b/foldd/relay/send.go
@@ -133,7 +133,7 @@
 	if err := x.Node.AwaitPermit(ctx, from, node.CopyRun); err != nil {
 		return "", fmt.Errorf("copy run: %w", err)
 	}
-	if err := x.Node.CheckCopyTarget(target); err != nil {
+	if err := x.Node.CheckSend(target, node.Resume); err != nil {
 		return "", fmt.Errorf("copy run: %w", err)
 	}
 	handle, reply, err := x.Mover.Copy(ctx, from.Addr, s.q.params.ID, target.Addr, stop)
