Relay: a return to an evacuated domain is considered once per interval

Cause: while a VM's own domain is evacuated, each chunk of a stream in another domain took the node's lock.

Change: the check comes after the time of the last one is noted; the line about a new set is no warning.

Result: tests of returns and evacuation in foldd/relay pass.

--- a/foldd/node/evacuate.go
+++ b/foldd/node/evacuate.go
@@ -44,7 +44,7 @@
 	}
 	n.Log.WithFields(logrus.Fields{
 		"version": s.Version, "domains": names, "count": len(s.Domains), "servers": servers, "requests": requests, "from": from,
-	}).Warn("set of evacuated failure domains in force")
+	}).Info("set of evacuated failure domains in force")
 	n.Gossip(to)
 	return true
 }
--- a/foldd/relay/return.go
+++ b/foldd/relay/return.go
@@ -22,10 +22,13 @@
 // between the domains ends its stream.
 func (x *Relay) returnRun(s *stream) {
 	now := time.Now()
-	if s.server.Domain == x.Node.Settings.Domain || now.Sub(s.returnChecked) < returnInterval || x.Mover == nil || x.Node.Evacuated(x.Node.Settings.Domain) {
+	if s.server.Domain == x.Node.Settings.Domain || now.Sub(s.returnChecked) < returnInterval || x.Mover == nil {
 		return
 	}
 	s.returnChecked = now
+	if x.Node.Evacuated(x.Node.Settings.Domain) {
+		return
+	}
 	run := s.initialRun
 	run.Generated = s.generated()
 	if x.Node.MeanRemainingTokens(run) < minReturnTokens || !s.beginMove() {
