Evacuation: tests that fail without each mechanism

Cause: of 16 trials on a scratch copy, each without one mechanism, three in foldd/node passed the tests: the estimate of Retry-After after an order, probes of evacuated servers, the wait of a resumption. A fourth, the check that saves requests for a return, changes no result.

--- a/foldd/node/evacuate_test.go
+++ b/foldd/node/evacuate_test.go
@@ -226,14 +226,60 @@
 	probed := make(chan string, 100)
 	n.ProbeServer = func(b member.Backend) { probed <- b.ID }
 	n.ApplyEvacuations(set, "")
-	b, _ := n.Backend("e-b0")
-	n.SuspectServer(b)
-	n.startProbes(time.Now())
+	far, _ := n.Backend("e-b0")
+	near, _ := n.Backend("e-a0")
+	n.SuspectServer(far)
+	n.SuspectServer(near)
+	if got := <-probed; got != near.ID {
+		t.Fatalf("probed %s, want %s", got, near.ID)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if len(probed) > 0 {
+		t.Errorf("probed %s, which is evacuated", <-probed)
+	}
 	n.ApplyEvacuations(set.Remove("b"), "")
-	n.SuspectServer(b)
-	n.startProbes(time.Now())
-	if got := <-probed; got != "e-b0" || len(probed) > 0 {
-		t.Errorf("probed %s and %d more, want e-b0 once", got, len(probed))
+	n.SuspectServer(far)
+	if got := <-probed; got != far.ID {
+		t.Errorf("probed %s, want %s after the order was revoked", got, far.ID)
+	}
+}
+
+// TestResumptionIsNotWaitedFor guards against a stopped run that waits for a permit which never
+// comes.
+func TestResumptionIsNotWaitedFor(t *testing.T) {
+	n, set := evacuationNode(t)
+	b, _ := n.Backend("e-b0")
+	n.ApplyEvacuations(set, "")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := n.AwaitPermit(ctx, b, Resume); err == nil || ctx.Err() != nil {
+		t.Errorf("error %v, want one before the timeout", err)
+	}
+}
+
+// TestRejectionsAfterOrder guards against a time to retry that counts on the capacity of an
+// evacuated domain.
+func TestRejectionsAfterOrder(t *testing.T) {
+	n, set := evacuationNode(t)
+	full := func() time.Duration {
+		c, ok := n.Place(t.Context(), "models", place.Request{Run: place.Run{ID: n.NextRunID(), BaseTokens: 5000}})
+		if !ok || !c.Full {
+			t.Fatalf("choice %+v, %t; want a rejection", c, ok)
+		}
+		return c.RetryAfter
+	}
+	for range 40 {
+		r := place.Request{Run: place.Run{ID: n.NextRunID(), BaseTokens: 10}, Exclude: []string{"e-a0", "e-a1", "e-a2"}}
+		if c, ok := n.Place(t.Context(), "models", r); !ok || c.Full {
+			t.Fatalf("choice %+v, %t", c, ok)
+		}
+		n.EndPlacement("e-b0", r, place.Answered)
+	}
+	before := full()
+	n.ApplyEvacuations(set, "")
+	// The second rejection alone adds half a second, as long as the 40 placements count.
+	if after := full(); after < before+time.Second {
+		t.Errorf("retry after %v before the order and %v after it, want at least a second more", before, after)
 	}
 }
 
