--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/poison"
@@ -27,6 +28,8 @@
 	PromptChanges uint64
 	// Limits holds the rate limits of backend servers that this VM knows.
 	Limits []limit.Entry
+	// Evacuations is the set of evacuated failure domains that this VM knows.
+	Evacuations evac.Set
 	// Version is the version of the local table of backend servers that the peer
 	// has once it has applied Updates.
 	Version uint64
@@ -183,7 +186,7 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Limits: n.limits.Share(now)}
+	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Limits: n.limits.Share(now), Evacuations: n.evacuations}
 	x.Prompts, x.PromptChanges = n.promptUpdateFor(now, id)
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
