--- a/fold/event/event.go
+++ b/fold/event/event.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 )
 
@@ -65,3 +66,29 @@
 	}
 	return ""
 }
+
+// Follows reports whether an event with the given ID comes after the one with the ID last, or
+// last is empty. IDs increase as numbers; others than numbers only tell whether two events are
+// the same.
+func Follows(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > m
+}
+
+// IsComment reports whether an event carries nothing, as servers send to keep a connection
+// alive.
+func IsComment(e []byte) bool {
+	for line := range strings.Lines(string(e)) {
+		if line = strings.TrimRight(line, "\r\n"); line != "" && !strings.HasPrefix(line, ":") {
+			return false
+		}
+	}
+	return true
+}
--- a/fold/event/event_test.go
+++ b/fold/event/event_test.go
@@ -78,3 +78,34 @@
 		}
 	}
 }
+
+// TestFollows guards against events that a caller gets twice, or never.
+func TestFollows(t *testing.T) {
+	tests := []struct {
+		id, last string
+		want     bool
+	}{
+		{"1", "", true},
+		{"2", "1", true},
+		{"10", "9", true},
+		{"9", "10", false},
+		{"9", "9", false},
+		{"a", "b", true},
+		{"a", "a", false},
+		{"1", "a", true},
+		{"99999999999999999999", "99999999999999999998", true},
+	}
+	for _, tt := range tests {
+		if got := Follows(tt.id, tt.last); got != tt.want {
+			t.Errorf("%q after %q: %v, want %v", tt.id, tt.last, got, tt.want)
+		}
+	}
+}
+
+func TestIsComment(t *testing.T) {
+	for e, want := range map[string]bool{": alive\n\n": true, "\n": true, "data: x\n\n": false, ": a\ndata: x\n\n": false} {
+		if got := IsComment([]byte(e)); got != want {
+			t.Errorf("%q: %v, want %v", e, got, want)
+		}
+	}
+}
