--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -153,6 +153,7 @@
 			MaxTokens: ParseCount(h.Get(headerMaxTokens)),
 			Parts:     ParseParts(h.Get(headerParts)),
 		},
+		LastEventID: h.Get(headerLastEvent),
 	}
 }
 
@@ -201,6 +202,9 @@
 	if p.Priority >= 0 {
 		h.Set(headerPriority, strconv.Itoa(p.Priority))
 	}
+	if p.LastEventID != "" {
+		h.Set(headerLastEvent, p.LastEventID)
+	}
 	if r := p.Resume; r != nil {
 		h.Set(headerResume, r.Source.String()+"/"+r.Handle)
 		h.Set(headerLastEvent, r.LastEventID)
