Streams that may be resumed go on at another backend server

Cause: a stream whose engine crashed, answered 5xx or was cut off ended with an error, also where its forward is resumable.

Change: a resumable stream asks the next engine after a failure before its first event, and goes on after its last event otherwise: one head, whole events only, events that the caller has are dropped. retry.StreamState decides. The connection to the engine before is closed first, each further send is taken from the retry budget, and the engines tried are excluded. An engine that is silent and can't be reached from this VM is left. A move that fails after its run was stopped goes on in the same way; runs that end soon are not moved.

--- a/foldd/node/reach.go
+++ b/foldd/node/reach.go
@@ -61,6 +61,13 @@
 	n.scheduleProbes(now)
 }
 
+// Unreachable reports whether this VM can't open connections to the backend server id.
+func (n *Node) Unreachable(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reach.Unreachable(id)
+}
+
 // logReach returns the fields of a log line about the way to a backend server. The caller
 // holds the lock.
 func (n *Node) logReach(b member.Backend) *logrus.Entry {
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -46,7 +46,7 @@
 // move is the final step of a run's move: the run is stopped, and the rest of
 // its memory is copied.
 type move struct {
-	target backend
+	from, target backend
 	// done is closed when the move has ended. Only then may the fields below be
 	// read. If handle is not empty, the run can be resumed by it, at target or, if
 	// atSource is set, at the source.
@@ -124,12 +124,23 @@
 		return
 	}
 	for _, s := range streams {
-		if s.beginMove() {
+		if !s.endsSoon() && s.beginMove() {
 			go x.moveRun(s, b)
 		}
 	}
 }
 
+// endsSoon reports whether a resumable stream probably ends before its run could be moved. If
+// its engine exits first, the stream goes on at another one without the run's memory.
+func (s *stream) endsSoon() bool {
+	if !s.q.forward.Resumable {
+		return false
+	}
+	run := s.initialRun
+	run.Generated = s.generated()
+	return s.q.relay.Node.MeanRemainingTokens(run) < minReturnTokens
+}
+
 // beginMove marks the stream as being moved. It returns false if the engine can't
 // move runs or if the stream is marked already.
 func (s *stream) beginMove() bool {
@@ -192,6 +203,33 @@
 	return m
 }
 
+// awaitRunMove is awaitMove for the run that the stream has. stale is set if the move was of a run
+// that the stream has left since; such a move is cancelled, and not returned.
+func (s *stream) awaitRunMove() (m *move, stale bool) {
+	m = s.awaitMove()
+	if m == nil || m.from.ID == s.server.ID {
+		return m, false
+	}
+	s.cancelMove(m)
+	return nil, true
+}
+
+// dropMove cancels the move of a run that the stream has left, if there is one.
+func (s *stream) dropMove() {
+	if s.currentMove() != nil {
+		go func() { s.cancelMove(s.awaitMove()) }()
+	}
+}
+
+// countFailedMove counts the engine at which a moved run of a resumable stream could not go on as
+// one that may have got the request.
+func (s *stream) countFailedMove(m *move) {
+	if !m.atSource && s.q.forward.Resumable {
+		s.tried = append(s.tried, m.target.ID)
+		s.q.sent++
+	}
+}
+
 // overtakeTime is how long events that an engine has made before it stopped a run may be under
 // way.
 const overtakeTime = 400 * time.Millisecond
@@ -228,10 +266,12 @@
 // finishMove stops a run that was copied while it ran, and copies the rest.
 func (x *Relay) finishMove(ctx context.Context, s *stream, from backend, c firstCopy) {
 	target, began := c.target, time.Now()
-	m := &move{target: target, done: make(chan struct{}), firstCopy: c.took}
-	s.mu.Lock()
-	s.move = m
-	s.mu.Unlock()
+	m := &move{from: from, target: target, done: make(chan struct{}), firstCopy: c.took}
+	if !s.startStop(m) {
+		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
+		x.free(from, c.handle)
+		return
+	}
 	finalHandle, err := x.copyMemory(ctx, s, from, target, true)
 	m.stopCopy = time.Since(began)
 	switch {
@@ -249,6 +289,19 @@
 	x.logMove(s, from, target, "stop", m, err)
 }
 
+// startStop records that the run is now stopped for the move m. It returns false if the stream has
+// left the run's engine, as a resumable one does when its response ends early.
+func (s *stream) startStop(m *move) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server.ID != m.from.ID {
+		s.moveBegun = false
+		return false
+	}
+	s.move = m
+	return true
+}
+
 // copyRequest returns the placement request for a copy of the run from an
 // engine to another one.
 func (s *stream) copyRequest(from backend) place.Request {
@@ -349,8 +402,8 @@
 	if m == nil || m.handle == "" || m.atSource {
 		return
 	}
-	s.q.relay.Node.EndPlacement(m.target.ID, s.copyRequest(s.server), place.Cancelled)
-	go s.q.relay.free(s.server, m.handle)
+	s.q.relay.Node.EndPlacement(m.target.ID, s.copyRequest(m.from), place.Cancelled)
+	go s.q.relay.free(m.from, m.handle)
 }
 
 // resume sends the request to the engine that holds the run's memory and
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -13,35 +13,40 @@
 )
 
 // open sends the request to a backend server and returns its response. It tries
-// another server only if the request provably did not run. Rejections count
-// against the forward's attempts and the retry budget, unreachable servers only
-// against maxUnsent.
+// another server only if the request provably did not run, or may run more than
+// once. Rejections and failures count against the forward's attempts and the retry
+// budget, unreachable servers only against maxUnsent.
 func (s *stream) open(ctx context.Context) (*pool.Response, *fault.Fault) {
 	q := s.q
-	var tried []string
 	for unsent := 0; unsent < maxUnsent && q.denials < maxDenials; {
-		b, ok, f := s.choose(ctx, tried)
+		b, ok, f := s.choose(ctx, s.tried)
 		if f != nil {
 			return nil, f
 		}
 		if !ok {
 			break
 		}
-		res, err := q.exchange(ctx, b, q.sendPurpose(), nil)
+		res, err := s.exchange(ctx, b)
 		if q.denied(err) {
 			q.relay.Node.EndPlacement(b.ID, s.placement, place.Cancelled)
 			continue
 		}
-		tried = append(tried, b.ID)
+		s.tried = append(s.tried, b.ID)
 		switch {
 		case err == nil:
-			if accepted, f := s.accept(b, res); accepted || f != nil {
-				return res, f
+			accepted, f := s.accept(ctx, b, res)
+			if f != nil {
+				return nil, f
+			}
+			if accepted {
+				return res, nil
 			}
 		case ctx.Err() != nil:
 			return nil, s.cancelOpen(ctx, b, err)
 		case wasSent(err):
-			return nil, s.failOpen(b, err)
+			if f := s.failOpen(ctx, b, err); f != nil {
+				return nil, f
+			}
 		default:
 			q.relay.logAttempt(q, b, err)
 			q.relay.Node.EndPlacement(b.ID, s.placement, place.Unreachable)
@@ -78,19 +83,32 @@
 	return choice.Server, true, nil
 }
 
-// accept handles the header of a response. It returns false if the server rejected the
-// request as not run, and a fault if no further server may be asked then.
-func (s *stream) accept(b backend, res *pool.Response) (bool, *fault.Fault) {
+// accept handles the header of a response. It returns false if the request is sent to
+// another server, as this one rejected it as not run or answered a resumable stream with an
+// error, and a fault if no further server may be asked then.
+func (s *stream) accept(ctx context.Context, b backend, res *pool.Response) (bool, *fault.Fault) {
 	q := s.q
 	q.sent++
+	q.retryGranted = false
 	reply := q.relay.Codec.ParseReply(res.Status, res.Header)
 	if !reply.NotRun && !reply.WrongInstance {
+		q.mayHaveRun = q.mayHaveRun || q.forward.Resumable
+		if s.isServerError(res) {
+			if accepted, f := s.acceptError(ctx, b, res); !accepted {
+				return false, f
+			}
+		}
+		s.recordResumption(b)
 		s.attach(b)
+		s.prefilling, s.eventsBefore = true, s.events
 		return true, nil
 	}
 	res.Body.Close()
 	q.relay.recordRejection(b, s.placement, reply)
-	if q.sent >= max(q.forward.Attempts, 1) || !q.relay.Node.TakeForwardRetry(q.service.Name) {
+	switch step := s.decide(retry.StreamRefused); step.Action {
+	case retry.Restart, retry.GoOn:
+		q.retryGranted = q.forward.Resumable
+	default:
 		return false, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").WithRetryAfter(rejectedRetryAfter)
 	}
 	return false, nil
@@ -102,15 +120,22 @@
 	s.q.relay.Node.EndPlacement(b.ID, s.placement, place.Cancelled)
 	if wasSent(err) {
 		s.q.sent++
+		s.q.retryGranted = false
 	}
 	return s.q.timeoutFault(ctx)
 }
 
-// failOpen ends an attempt that may have run and got no response.
-func (s *stream) failOpen(b backend, err error) *fault.Fault {
+// failOpen ends an attempt that may have run and got no response. It returns nil if the
+// request is sent to another server.
+func (s *stream) failOpen(ctx context.Context, b backend, err error) *fault.Fault {
 	s.recordLoss(b, false, err)
-	s.q.relay.Node.EndPlacement(b.ID, s.placement, place.Failed)
+	s.q.relay.Node.EndPlacement(b.ID, s.placement, lossResult(err))
 	s.q.sent++
+	s.q.retryGranted = false
+	s.q.mayHaveRun = s.q.mayHaveRun || s.q.forward.Resumable
+	if s.goesOn(ctx, b, endOf(err), err) {
+		return nil
+	}
 	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
 }
 
@@ -128,5 +153,9 @@
 	if target == 0 {
 		return 0
 	}
+	if s.resumption != nil {
+		// The target may have passed; the caller still gets its events by the deadline.
+		return max(time.Until(q.deadline), 1)
+	}
 	return max(time.Until(q.arrived.Add(target)), 1)
 }
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -168,6 +168,11 @@
 		h.Set(headerPeerToken, token)
 	}
 	q.relay.Codec.SetTimeout(h, time.Until(q.deadline))
+	if q.position != "" {
+		// Every codec reads the position from this field, which the standard on
+		// server-sent events names.
+		h.Set(headerLastEvent, q.position)
+	}
 	return &pool.Request{Addr: p.Addr, Method: q.r.Method, URI: q.uri(), Host: q.r.Host, Header: h, Body: q.body, Matches: q.matchesPeerResponse}
 }
 
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -115,6 +115,13 @@
 	maxEventGap time.Duration
 	// moves counts how often the run was resumed.
 	moves int
+	// position is the ID of the last event of a resumable stream that the caller has, empty if
+	// it has none.
+	position string
+	// resumes counts how often the stream went on at another server without its run's memory.
+	// resumeCause is why it last did, and resumedFrom the ID of the server that it left.
+	resumes                  int
+	resumeCause, resumedFrom string
 	// framing is that of the last response. partialBytes is the number of bytes
 	// after the last whole event of a stream at the end of its last response.
 	framing      pool.Framing
@@ -197,6 +204,9 @@
 	removeHopHeaders(h)
 	removePeerHeaders(h)
 	p := ForwardParams{Backend: b.ID, Remaining: time.Until(q.deadline), Priority: q.priority(), Resume: resume}
+	if resume == nil {
+		p.LastEventID = q.position
+	}
 	if q.workspace != nil {
 		p.Workspace = q.workspace.Name
 	}
@@ -281,6 +291,9 @@
 	if q.moves > 0 {
 		fields["moves"] = q.moves
 	}
+	if q.resumes > 0 {
+		fields["resumes"], fields["resumeCause"], fields["resumedFrom"] = q.resumes, q.resumeCause, q.resumedFrom
+	}
 	if q.framing != pool.ByLength {
 		fields["framing"] = q.framing.String()
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiafold.example/fold/event"
@@ -64,8 +65,34 @@
 	// move is set from the start of the final copy until awaitMove; move.done is
 	// closed when that copy has ended.
 	move *move
+	// heardAt is when the server of a resumable stream last sent anything.
+	heardAt time.Time
 	// ended is set once no further events will come.
 	ended bool
+
+	// Only the stream's own goroutine uses the fields below, other than prepaid.
+
+	// tried holds the IDs of the servers that the request was sent to, or that can't be
+	// reached.
+	tried []string
+	// excused is as in retry.StreamState.
+	excused int
+	// received counts the events that servers sent, including those that the caller had
+	// already and that were dropped. eventsBefore is the number of events that were sent to
+	// the caller before the run's server was asked without its memory.
+	received, eventsBefore int
+	// unnumbered is set if the last event that was sent to the caller had no ID.
+	unnumbered bool
+	// prefilling is set until the run's first event at a server that reads its prompt.
+	prefilling bool
+	// resumption is set while another server is looked for to go on with the stream.
+	resumption *resumption
+	// attempt is the context of the last send of a resumable stream, nil for others, and
+	// endAttempt ends it. prepaid is set if a retry was taken from the budget when the
+	// attempt was ended.
+	attempt    context.Context
+	endAttempt context.CancelCauseFunc
+	prepaid    atomic.Bool
 	// survived is set once the run's prompt is known not to crash its engine. Only
 	// the stream's own goroutine uses it.
 	survived bool
@@ -73,12 +100,16 @@
 
 // serveStream forwards a request whose response is a stream of events.
 func (x *Relay) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &stream{q: q, w: w, initialRun: q.newRun()}
+	s := &stream{q: q, w: w, initialRun: q.newRun(), endAttempt: func(error) {}}
+	if q.forward.Resumable {
+		s.lastEventID, q.position = q.params.LastEventID, q.params.LastEventID
+	}
 	s.initialRun.ID = x.Node.NextRunID()
 	s.placement = place.Request{Run: s.initialRun, PromptTokens: q.params.Prompt.Tokens, Progress: s.generated}
 	ctx, stop := x.Node.UntilEnd(ctx)
 	defer stop()
 	f := s.sendAndRelay(ctx)
+	s.endAttempt(nil)
 	s.end()
 	q.events, q.firstEvent, q.maxEventGap = s.events, s.firstAt, s.maxEventGap
 	disconnected := q.caller.Disconnected() || errors.Is(context.Cause(ctx), serve.ErrCallerDisconnected)
@@ -98,24 +129,36 @@
 	}
 }
 
-// sendAndRelay sends the request and relays its events until the run ends. It
-// resumes the run when it was moved to another engine.
+// sendAndRelay sends the request and relays its events until the stream ends. A
+// resumable stream goes on at another server if its response ends early.
 func (s *stream) sendAndRelay(ctx context.Context) *fault.Fault {
-	res, f := s.open(ctx)
-	if f != nil && s.q.mayPassOn(f) {
-		passed, lost := s.q.passOn(ctx)
-		if passed != nil {
-			return s.relayPeer(ctx, passed)
+	for {
+		res, f := s.open(ctx)
+		if f != nil && s.q.mayPassOn(f) {
+			passed, lost := s.q.passOn(ctx)
+			if passed != nil {
+				s.recordResumption(backend{ID: s.q.passedTo})
+				return s.relayPeer(ctx, passed)
+			}
+			f = cmp.Or(lost, f)
+		}
+		if f != nil {
+			s.dropMove()
+			return s.afterRun(ctx, f)
+		}
+		if again, f := s.relayRun(ctx, res); !again {
+			return f
 		}
-		f = cmp.Or(lost, f)
-	}
-	if f != nil {
-		return f
 	}
+}
+
+// relayRun relays the events of a run until it ends, also when the run is moved to
+// another engine. It returns true if the stream must go on at another server.
+func (s *stream) relayRun(ctx context.Context, res *pool.Response) (again bool, f *fault.Fault) {
 	for {
-		err := s.relayResponse(ctx, res)
-		m := s.awaitMove()
-		if err == nil && m != nil && m.handle == "" {
+		err := s.attemptError(ctx, s.relayResponse(ctx, res))
+		m, stale := s.awaitRunMove()
+		if err == nil && (stale || m != nil && m.handle == "") {
 			// checkEnd has left it open while the run might have been stopped.
 			err = s.q.checkServerThere(ctx, s.server, res)
 		}
@@ -123,29 +166,45 @@
 		case err != nil && ctx.Err() != nil:
 			s.detach(place.Cancelled)
 			s.cancelMove(m)
-			return s.q.timeoutFault(ctx)
+			return false, s.q.timeoutFault(ctx)
 		case m != nil && m.handle != "":
+			source := s.server
+			s.stopWatching()
 			if res = s.resume(ctx, m); res == nil {
-				return s.interruptedFault(errStreamInterrupted)
+				s.countFailedMove(m)
+				return s.goesOn(ctx, source, retry.StreamServerLeft, errStreamInterrupted), s.interruptedFault(errStreamInterrupted)
 			}
 		case err != nil:
-			s.detach(place.Failed)
+			s.detach(lossResult(err))
 			s.recordLoss(s.server, true, err)
-			return s.interruptedFault(err)
+			end := endOf(err)
+			if s.mayHaveStopped(m) {
+				end = retry.StreamServerLeft
+			}
+			return s.goesOn(ctx, s.server, end, err), s.interruptedFault(err)
 		case s.mayHaveStopped(m):
 			s.detach(place.Cancelled)
-			return s.interruptedFault(errStoppedByMove)
+			return s.goesOn(ctx, s.server, retry.StreamServerLeft, errStoppedByMove), s.interruptedFault(errStoppedByMove)
 		default:
 			// The HTTP server detects a caller that has disconnected.
 			_, _ = s.w.Write(s.splitter.Rest())
 			s.recordLength(true)
 			s.recordSurvival()
 			s.detach(place.Answered)
-			return nil
+			return false, nil
 		}
 	}
 }
 
+// lossResult returns the result of a placement whose response ended with err: a server whose
+// first event is late has not failed.
+func lossResult(err error) place.Result {
+	if errors.Is(err, errFirstEventLate) {
+		return place.Cancelled
+	}
+	return place.Failed
+}
+
 // interruptedFault returns the error for a stream that was lost after it began.
 func (s *stream) interruptedFault(err error) *fault.Fault {
 	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.Interrupted, Message: err.Error(), Outcome: retry.Interrupted}
@@ -175,6 +234,9 @@
 	if !supportedStatus(res.Status) {
 		return errUnsupportedStatus
 	}
+	if s.headerSent && res.Status != http.StatusOK {
+		return errStatusAfterHead
+	}
 	if !s.headerSent {
 		s.headerSent = true
 		s.q.namePeerBackend(res.Header)
@@ -184,11 +246,16 @@
 	if res.Status != http.StatusOK {
 		return s.relayError(res)
 	}
-	before := s.eventCount()
+	before := s.received
 	buf := make([]byte, readChunk)
 	for {
 		n, err := res.Body.Read(buf)
 		s.splitter.Write(buf[:n])
+		if s.attempt != nil && n > 0 {
+			s.mu.Lock()
+			s.heardAt = time.Now()
+			s.mu.Unlock()
+		}
 		s.relayEvents()
 		if err != nil {
 			s.q.partialBytes = len(s.splitter.Rest())
@@ -232,16 +299,22 @@
 	}
 }
 
-// relayEvents sends the complete events in the splitter to the caller.
+// relayEvents sends the complete events in the splitter to the caller, other than
+// those of a resumable stream that the caller has already.
 func (s *stream) relayEvents() {
 	wrote := false
 	for e := s.splitter.Next(); e != nil; e = s.splitter.Next() {
+		s.received++
+		id := event.ID(e)
+		if s.q.forward.Resumable && !s.takes(e, id) {
+			continue
+		}
 		wrote = true
 		// The HTTP server detects a caller that has disconnected.
 		_, _ = s.w.Write(e)
 		s.mu.Lock()
 		s.events++
-		if id := event.ID(e); id != "" {
+		if id != "" {
 			s.lastEventID = id
 		}
 		first := s.events == 1
@@ -254,6 +327,9 @@
 		s.lastAt = now
 		s.mu.Unlock()
 		if first && !s.viaPeer {
+			s.q.relay.Node.Observe("forward.firstEventMicros", sinceArrival(s.q))
+		}
+		if s.prefilling && !s.viaPeer {
 			s.recordPrefilled()
 		}
 	}
@@ -268,7 +344,7 @@
 // recordProgress records what the run has shown so far, and may move it.
 func (s *stream) recordProgress() {
 	s.recordLength(false)
-	if s.events >= survivingEvents {
+	if s.events-s.eventsBefore >= survivingEvents {
 		s.recordSurvival()
 	}
 	s.q.relay.returnRun(s)
@@ -276,9 +352,8 @@
 
 // recordPrefilled records that the engine has read the run's prompt.
 func (s *stream) recordPrefilled() {
-	n := s.q.relay.Node
-	n.Observe("forward.firstEventMicros", sinceArrival(s.q))
-	n.Prefilled(s.server.ID, s.placement)
+	s.prefilling = false
+	s.q.relay.Node.Prefilled(s.server.ID, s.placement)
 	s.placement.PromptTokens = 0
 }
 
@@ -297,8 +372,23 @@
 	s.reportedTokens = generated
 }
 
+// takes reports whether an event of a resumable stream, which has the given ID, is sent to the
+// caller.
+func (s *stream) takes(e []byte, id string) bool {
+	if id == "" {
+		s.unnumbered = s.unnumbered || !event.IsComment(e)
+		return true
+	}
+	if !event.Follows(id, s.lastEventID) {
+		s.q.relay.Node.Count("streams.eventsDropped", 1)
+		return false
+	}
+	s.unnumbered = false
+	return true
+}
+
 // checkEnd returns an error if a response that has ended is not complete. before is
-// the number of events before the response. A stream of events is complete only
+// the number of events received before the response. A stream of events is complete only
 // after a whole event, and without framing only if there is one and its engine is
 // still there: one that has crashed closes its connections too.
 func (s *stream) checkEnd(ctx context.Context, res *pool.Response, before int) error {
@@ -307,7 +397,7 @@
 		return errPartialEvent
 	case res.Framing != pool.CloseDelimited || s.currentMove() != nil || s.viaPeer:
 		return nil
-	case s.eventCount() == before:
+	case s.received == before:
 		return errNoEvents
 	}
 	return s.q.checkServerThere(ctx, s.server, res)
