Tests of resumable streams, each failure once

Cause: nothing showed what callers get when a resumable stream breaks off.

Change: the stand-in server can ignore a position and stop listening while its connections stay open. The tests' configuration has one more forward. A run whose prompt has an unknown size is moved as before.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -138,7 +138,7 @@
 	}
 	run := s.initialRun
 	run.Generated = s.generated()
-	return s.q.relay.Node.MeanRemainingTokens(run) < minReturnTokens
+	return run.BaseTokens > 0 && s.q.relay.Node.MeanRemainingTokens(run) < minReturnTokens
 }
 
 // beginMove marks the stream as being moved. It returns false if the engine can't
--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -62,6 +62,7 @@
 		{"name": "deep", "host": "h.example", "prefix": "/read/deep/", "kind": "safe", "timeout": "2s", "services": [{"service": "app", "part": 1}], "public": true},
 		{"name": "write", "host": "h.example", "prefix": "/write/", "kind": "unsafe", "timeout": "2s", "services": [{"service": "app", "part": 1}]},
 		{"name": "brief", "host": "h.example", "prefix": "/brief/", "kind": "unsafe", "timeout": "150ms", "services": [{"service": "app", "part": 1}]},
+		{"name": "short", "host": "h.example", "prefix": "/short/", "kind": "stream", "timeout": "20s", "target": {"firstToken": "500ms"}, "attempts": 2, "resumable": true, "services": [{"service": "models", "part": 1}]},
 		{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "stream", "timeout": "20s", "services": [{"service": "models", "part": 1}]},
 	],
 	"maxBody": 4096,
--- a/foldfake/origin/behaviour.go
+++ b/foldfake/origin/behaviour.go
@@ -62,6 +62,11 @@
 	// of Gap before each.
 	Events int
 	Gap    time.Duration
+	// IgnorePosition starts a stream with event 1 also if the request has Last-Event-Id.
+	IgnorePosition bool
+	// Unreachable, with Hang or Hold, stops listening, and keeps the connections open: so a
+	// server that was cut off looks.
+	Unreachable bool
 	// Hold, if set, pauses a stream after event HoldAt until the channel is closed
 	// or the run is stopped.
 	Hold   <-chan struct{}
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -133,6 +133,13 @@
 	return s.accepted
 }
 
+// OpenConnections returns the number of connections that are open.
+func (s *Server) OpenConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // LastRequest returns the last request received with the ID, or nil if there is
 // none.
 func (s *Server) LastRequest(id string) *Request {
@@ -246,6 +253,9 @@
 		return false
 	case b.Hang:
 		s.countRun(id)
+		if b.Unreachable {
+			s.listener.Close()
+		}
 		_, _ = io.Copy(io.Discard, c)
 		return false
 	case r.Header.Get(headerBackend) != "" && r.Header.Get(headerBackend) != s.ID:
@@ -317,6 +327,9 @@
 // header. It reports whether the connection stays open.
 func (s *Server) streamEvents(c net.Conn, r *http.Request, id string, b Behaviour) bool {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if b.IgnorePosition {
+		after = 0
+	}
 	current := &run{total: b.Events, sent: after, done: make(chan struct{})}
 	s.mu.Lock()
 	s.runs[id] = current
@@ -335,6 +348,9 @@
 	for current.sent < current.total {
 		time.Sleep(b.Gap)
 		if b.Hold != nil && current.sent == b.HoldAt {
+			if b.Unreachable {
+				s.listener.Close()
+			}
 			s.waitForRelease(current, b.Hold)
 		}
 		if b.CrashAfter > 0 && current.sent == b.CrashAfter {
