Hedged first events of resumable streams, off by default

Cause: an engine that is silent, but takes connections, keeps a caller waiting until the deadline. Whether callers gain by a second engine is not measured.

Change: the setting retry.hedge is the share of the first-event target after which the connection is closed and another engine is asked, within the attempts and the retry budget. Zero, the default, is never.

Result: TestHedge and TestConnectionClosedBeforeNextServer pass, also with the race detector.

--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -263,7 +263,9 @@
 }
 
 // firstEventOverdue reports whether the first event of an attempt that began at the given time is
-// so late that another server is asked. It is false unless Relay.HedgeShare is set.
+// so late that another server is asked. It is false unless the settings allow to hedge requests.
 func (s *stream) firstEventOverdue(began time.Time) bool {
-	return false
+	target := time.Duration(s.q.forward.Target.FirstToken)
+	share := s.q.relay.Node.Settings.Retry.Hedge
+	return share > 0 && target > 0 && time.Since(began) >= time.Duration(share*float64(target))
 }
