Streams that go on through another VM keep their position

Cause: a VM that passed a broken stream to another VM sent no position if it had not asked a further server itself since. The other VM's events that the caller had were dropped, but its engine had made them again.

Change: the position is set as soon as the stream is to go on. Tests of a caller's position and of a broken stream that another VM goes on with.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -76,6 +76,7 @@
 	for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
 		d.Forwards = append(d.Forwards, spec.Forward{Name: kind, Host: "h.example", Prefix: "/" + kind + "/", Kind: kind, Timeout: 5e9, Attempts: 2, Services: []spec.WeightedService{{Service: "booking-app", Weight: 1}}})
 	}
+	d.Forwards = append(d.Forwards, spec.Forward{Name: "resumable", Host: "h.example", Prefix: "/resumable/", Kind: spec.ForwardStream, Resumable: true, Timeout: 5e9, Attempts: 2, Services: []spec.WeightedService{{Service: "booking-app", Weight: 1}}})
 	if err := d.Validate(); err != nil {
 		t.Fatal(err)
 	}
@@ -110,8 +111,9 @@
 	a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: addr, Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: r.seq})
 }
 
-// call sends a request of a kind to the VM that is cut off.
-func (r *cutOffRig) call(ctx context.Context, t *testing.T, kind, id string) (*http.Response, string, error) {
+// call sends a request of a kind to the VM that is cut off, with pairs of names and values
+// in its header.
+func (r *cutOffRig) call(ctx context.Context, t *testing.T, kind, id string, header ...string) (*http.Response, string, error) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.cutOff.Addrs().Callers.String()+"/"+kind+"/x?q=1", strings.NewReader("body of "+id))
 	if err != nil {
@@ -121,6 +123,9 @@
 	req.Header.Set("Authorization", "Bearer "+alphaKey)
 	req.Header.Set("Fold-Request-Id", id)
 	req.Header.Set("Fold-Deadline-Ms", "4000")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, "", err
@@ -172,6 +177,46 @@
 	}
 }
 
+// TestPositionIsPassedOn guards against callers that get events twice because the VM that serves
+// them does not know their position.
+func TestPositionIsPassedOn(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 4} })
+	for path, want := range map[string]string{
+		"resumable":        origin.Event(3) + origin.Event(4),
+		spec.ForwardStream: origin.Event(1) + origin.Event(2) + origin.Event(3) + origin.Event(4),
+	} {
+		if _, body, err := rig.call(t.Context(), t, path, path, "Last-Event-Id", "2"); err != nil || body != want {
+			t.Errorf("%s: error %v, body %q; want %q", path, err, body, want)
+		}
+	}
+}
+
+// TestStreamGoesOnThroughOtherVM guards against a resumable stream that breaks off because its VM
+// can't reach a server to go on at, though another VM can.
+func TestStreamGoesOnThroughOtherVM(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 5} })
+	crashing, err := origin.New("s1", func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 5, CrashAfter: 2} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(crashing.Close)
+	rig.announceApart(rig.server.Addr(), crashing.Addr())
+	rig.cutOff.Node.ReceiveAnnouncement(member.Backend{ID: "s2", Addr: unusedAddr(t), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1})
+	for range 20 {
+		// Earlier requests that the budget for retries is a share of.
+		rig.cutOff.Node.CountForward("booking-app")
+	}
+	_, body, err := rig.call(t.Context(), t, "resumable", "1")
+	if want := origin.Event(1) + origin.Event(2) + origin.Event(3) + origin.Event(4) + origin.Event(5); err != nil || body != want {
+		t.Errorf("error %v, body %q; want %q", err, body, want)
+	}
+	if got := rig.server.LastRequest("1"); got == nil || got.Header.Get("Last-Event-Id") != "2" {
+		t.Errorf("the other VM's server got %+v, want position 2", got)
+	}
+}
+
 // TestRequestPassedOnOutcomes checks what callers of a VM that is cut off are told when the
 // server or the other VM fails, and how often the request runs.
 func TestRequestPassedOnOutcomes(t *testing.T) {
--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -89,7 +89,7 @@
 	if !again {
 		return false
 	}
-	q.retryGranted = true
+	q.retryGranted, q.position = true, s.lastEventID
 	s.resumption = &resumption{from: b.ID, cause: end, since: time.Now()}
 	s.placement = place.Request{Run: s.initialRun, PromptTokens: q.params.Prompt.Tokens, Progress: s.generated}
 	q.relay.Node.Count("streams.ended."+end.String(), 1)
@@ -203,7 +203,6 @@
 	if !q.forward.Resumable {
 		return q.exchange(ctx, b, q.sendPurpose(), nil)
 	}
-	q.position = s.lastEventID
 	s.endAttempt(nil)
 	s.attempt, s.endAttempt = context.WithCancelCause(ctx)
 	go s.watchAttempt(s.attempt, s.endAttempt, b, q.sent-s.excused+1 < q.forward.Attempts)
