Tests of moves of resumable streams, and of loads after their ends

Cause: no test showed that a move that outlives its run at an engine leaves the stream alone, that a short run is not copied, or that loads return to zero.

--- a/foldd/relay/resume_test.go
+++ b/foldd/relay/resume_test.go
@@ -46,6 +46,13 @@
 	return n
 }
 
+// checkIdle checks that no load remains recorded at any server.
+func (r *testVM) checkIdle() {
+	r.t.Helper()
+	waitFor(r.t, "all requests to end", func() bool { return r.node.Streams() == 0 })
+	waitFor(r.t, "the loads of all servers to be zero", func() bool { return len(r.node.Loads("models")) == 0 })
+}
+
 // TestResumableStreamGoesOn breaks streams off in every way. It guards against callers of
 // resumable streams that get an error, an event twice or part of one, and against a second
 // run that starts anew.
@@ -94,6 +101,7 @@
 			if got := second.Header.Get("Last-Event-Id"); got != want || second.Body != "prompt" || first.Header.Get("Last-Event-Id") != "" {
 				t.Errorf("second request with position %q and body %q, first with %q; want %q", got, second.Body, first.Header.Get("Last-Event-Id"), want)
 			}
+			r.checkIdle()
 		})
 	}
 }
@@ -276,6 +284,7 @@
 		if n := runs("1", servers...); n != 2 {
 			t.Errorf("%d runs, want 2", n)
 		}
+		r.checkIdle()
 	}
 }
 
@@ -299,7 +308,7 @@
 	waitFor(t, "the stream to go on", running)
 	res.Body.Close()
 	waitFor(t, "the engine to stop", func() bool { return !servers[0].Running("1") && !servers[1].Running("1") })
-	waitFor(t, "the request to end", func() bool { return r.node.Streams() == 0 })
+	r.checkIdle()
 }
 
 // TestFailedMoveOfResumableStream stops a run for a move that fails, and moves one to an engine
@@ -338,5 +347,72 @@
 		if n := b.RunCount("1") + c.RunCount("1"); n != 1 {
 			t.Errorf("lost=%v: went on at %d engines, want 1", lost, n)
 		}
+		r.checkIdle()
+	}
+}
+
+// TestMoveOfRunThatWasLeft guards against a run that is stopped, or resumed with its memory, for a
+// move that began before its stream went on at another engine.
+func TestMoveOfRunThatWasLeft(t *testing.T) {
+	r := startVM(t)
+	release, copied, freed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5, CrashAfter: 5}))
+	results := make(chan streamResult, 1)
+	go func() {
+		_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt")
+		results <- streamResult{body, err}
+	}()
+	waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+	hold := make(chan struct{})
+	b := r.backend("b", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: hold, HoldAt: 10}))
+	var stops atomic.Int64
+	r.relay.Mover = &relay.Mover{
+		Copy: func(_ context.Context, _ netip.AddrPort, _ string, _ netip.AddrPort, stop bool) (string, relay.Reply, error) {
+			if stop {
+				stops.Add(1)
+			}
+			close(release)
+			<-copied
+			return "copy", relay.Reply{}, nil
+		},
+		Free: func(context.Context, netip.AddrPort, string) (relay.Reply, error) {
+			close(freed)
+			return relay.Reply{}, nil
+		},
+	}
+	r.announce(a, "models", true)
+	waitFor(t, "the stream to go on", func() bool { return b.EventsSent("1") == 10 })
+	close(copied)
+	<-freed
+	close(hold)
+	if res := <-results; res.err != nil || res.body != allEvents() || stops.Load() != 0 {
+		t.Errorf("error %v, body %q, stopped %d times; want each event once and no stop", res.err, res.body, stops.Load())
+	}
+	r.checkIdle()
+}
+
+// TestShortRunIsNotMoved guards against copies that take longer than the rest of a run whose stream
+// could go on without one.
+func TestShortRunIsNotMoved(t *testing.T) {
+	r := startVM(t)
+	release := make(chan struct{})
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: 6, Hold: release, HoldAt: 5}))
+	results := make(chan streamResult, 1)
+	go func() {
+		_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt", "Fold-Prompt-Tokens", "2550", "Fold-Max-Tokens", "24")
+		results <- streamResult{body, err}
+	}()
+	waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+	r.backend("b", "models", respondWith(origin.Behaviour{Events: 6}))
+	r.relay.Mover = &relay.Mover{
+		Copy: func(context.Context, netip.AddrPort, string, netip.AddrPort, bool) (string, relay.Reply, error) {
+			t.Error("the run was copied")
+			return "", relay.Reply{}, relay.ErrNoRoom
+		},
+	}
+	r.announce(a, "models", true)
+	close(release)
+	if res := <-results; res.err != nil || strings.Count(res.body, "id: ") != 6 {
+		t.Errorf("error %v, body %q; want 6 events", res.err, res.body)
 	}
 }
