Test of closed connections: a server error without hedging

Cause: with hedging on, the first attempt's watch closed its connection, so the test passed without the two closes that it guards.

--- a/foldd/relay/hedge_test.go
+++ b/foldd/relay/hedge_test.go
@@ -17,7 +17,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := startVM(t)
-			r.node.Settings.Retry.Hedge = 0.2
+			if first.Hang {
+				r.node.Settings.Retry.Hedge = 0.2
+			}
 			var servers []*origin.Server
 			failing := failsFirst(first)
 			behave := func(q *http.Request) origin.Behaviour {
