A stream that goes on elsewhere leaves its engine for moves, too

Cause: between the end of a response and the next engine's answer, a move still under way could stop the run that the stream had left (its result was cancelled); an engine that a run had been moved to could be asked again after the stream broke off there.

Change: the stream has no engine meanwhile, and every engine that it leaves is excluded.

--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -90,6 +91,14 @@
 	if !again {
 		return false
 	}
+	// A move of the run that was left must not stop it any more.
+	s.mu.Lock()
+	s.server = backend{}
+	s.mu.Unlock()
+	if !slices.Contains(s.tried, b.ID) {
+		// The run was moved there.
+		s.tried = append(s.tried, b.ID)
+	}
 	q.retryGranted, q.position = true, s.lastEventID
 	s.resumption = &resumption{from: b.ID, cause: end, since: time.Now()}
 	s.placement = place.Request{Run: s.initialRun, PromptTokens: q.params.Prompt.Tokens, Progress: s.generated}
--- a/foldd/relay/resume_test.go
+++ b/foldd/relay/resume_test.go
@@ -370,6 +370,7 @@
 		Copy: func(_ context.Context, _ netip.AddrPort, _ string, _ netip.AddrPort, stop bool) (string, relay.Reply, error) {
 			if stop {
 				stops.Add(1)
+				return "last", relay.Reply{}, nil
 			}
 			close(release)
 			<-copied
@@ -416,3 +417,40 @@
 		t.Errorf("error %v, body %q; want 6 events", res.err, res.body)
 	}
 }
+
+// TestMovedRunGoesOnElsewhere guards against a stream that breaks off after a move and goes on at
+// the engine that it was moved to.
+func TestMovedRunGoesOnElsewhere(t *testing.T) {
+	r := startVM(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5}))
+	results := make(chan streamResult, 1)
+	go func() {
+		_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt")
+		results <- streamResult{body, err}
+	}()
+	waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+	breaksResumed := func(q *http.Request) origin.Behaviour {
+		if q.Header.Get("Fold-Resume") != "" {
+			return origin.Behaviour{Events: streamEvents, TruncateAt: 12}
+		}
+		return origin.Behaviour{Events: streamEvents}
+	}
+	b, c := r.backend("b", "models", breaksResumed), r.backend("c", "models", breaksResumed)
+	r.relay.Mover = newMover(a, b, c)
+	r.announce(a, "models", true)
+	if res := <-results; res.err != nil || res.body != allEvents() {
+		t.Errorf("error %v, body %q; want each event once", res.err, res.body)
+	}
+	for _, e := range []*origin.Server{b, c} {
+		q := e.LastRequest("1")
+		if q == nil {
+			t.Fatalf("%s was not asked", e.ID)
+		}
+		if resumed := q.Header.Get("Fold-Resume") != ""; !resumed && (q.Header.Get("Last-Event-Id") != "11" || e.RunCount("1") != 1) {
+			t.Errorf("%s was asked with position %q, %d times; want 11, once", e.ID, q.Header.Get("Last-Event-Id"), e.RunCount("1"))
+		}
+	}
+	r.checkIdle()
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -42,7 +42,8 @@
 	// so it reads them without the lock; it alone uses placement, reportedTokens,
 	// maxEventGap and returnChecked.
 	mu sync.Mutex
-	// server is the backend server of the run. placement is the request with
+	// server is the backend server of the run, without an ID while another one is looked for
+	// to go on with the stream. placement is the request with
 	// which the run was placed there and with which the placement must be ended.
 	server    backend
 	placement place.Request
