Streams that may be resumed: watch, excuses and refusals

Cause: the watch on an attempt without a response went on while another VM served the stream, and could take a retry from the budget; an engine that had left the table of servers counted as one that the request may have crashed.

Change: the watch ends with the attempt, and such engines don't count.

--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -154,7 +154,8 @@
 		return 0
 	}
 	if s.resumption != nil {
-		// The target may have passed; the caller still gets its events by the deadline.
+		// Placement rejects a request whose first event would come after the budget. Past the
+		// target, the caller still gets its events by the deadline.
 		return max(time.Until(q.deadline), 1)
 	}
 	return max(time.Until(q.arrived.Add(target)), 1)
--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -107,12 +107,12 @@
 }
 
 // excuses reports whether the failure at server b says nothing of the request: the server is
-// leaving or was cut off, or the request is known not to crash servers.
+// leaving, has left or was cut off, or the request is known not to crash servers.
 func (s *stream) excuses(b backend, end retry.StreamEnd, err error) bool {
 	if end == retry.StreamServerLeft || s.survived {
 		return true
 	}
-	if current, ok := s.q.relay.Node.Backend(b.ID); ok && current.Leaving {
+	if current, ok := s.q.relay.Node.Backend(b.ID); !ok || current.Leaving {
 		return true
 	}
 	for _, cause := range []error{errUnreachable, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
@@ -219,7 +219,7 @@
 	return q.exchange(s.attempt, b, q.sendPurpose(), nil)
 }
 
-// stopWatching ends the watch on an attempt whose run is moved.
+// stopWatching ends the watch on the last attempt, whose run was moved or which has no response.
 func (s *stream) stopWatching() {
 	s.endAttempt(nil)
 	s.attempt = nil
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -135,6 +135,9 @@
 func (s *stream) sendAndRelay(ctx context.Context) *fault.Fault {
 	for {
 		res, f := s.open(ctx)
+		if f != nil {
+			s.stopWatching()
+		}
 		if f != nil && s.q.mayPassOn(f) {
 			passed, lost := s.q.passOn(ctx)
 			if passed != nil {
