Cold servers: configuration, announcements, and what VMs tell each other of them

Cause: nothing read or kept for how long a backend server is cold.

Becoming cold, or cold for longer, is a change that is spread urgently. Summaries for other failure domains contain all cold servers.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"fuchsiafold.example/fold/spec"
 )
 
 // DefaultLease is how long a backend server counts as live after its last
@@ -64,6 +66,7 @@
 	// requests.
 	Leaving bool
 	// ColdFor is the time for which the server stays cold, as of its last announcement.
+	// Zero means that it has not stated any, or that the time has passed.
 	ColdFor time.Duration
 	Load    Load
 }
@@ -87,7 +90,7 @@
 	// Direct means that the sending VM has the update from the backend server
 	// itself and not from another VM.
 	Direct bool
-	// Brief means that only ID, Epoch, Seq, Leaving and Load are set. The
+	// Brief means that only ID, Epoch, Seq, Leaving, ColdFor and Load are set. The
 	// receiver has the other fields from an earlier update.
 	Brief bool
 }
@@ -98,6 +101,10 @@
 	// firstReport is the time of the first report of this epoch. It is not after
 	// lastReport.
 	firstReport time.Time
+	// startColdUntil is when the server stops being cold after its start, by the
+	// configuration. It is zero if the server was known to have started before, and once
+	// the server itself has stated for how long it is cold.
+	startColdUntil time.Time
 	// version is the table's change counter at the record's last change.
 	version uint64
 	// identityVersion is the version of the last update that was Changed rather
@@ -119,7 +126,14 @@
 	// services the table holds at most maxForeign records, as any writer may announce
 	// them. It is nil while there is no configuration, and must not change a record.
 	NamesService func(service string) bool
-	records      map[string]*record
+	// ColdStart returns what the configuration says of cold servers of a service, nil if
+	// their requests are not limited. It may be nil.
+	ColdStart func(service string) *spec.ColdStart
+	// Starting is set while this VM may learn of a server long after the server's start.
+	Starting func() bool
+	records  map[string]*record
+	// coldUntil is not before the time at which the last server stops being cold.
+	coldUntil time.Time
 	// version counts the changes of the table. The version of every record is at
 	// most this.
 	version uint64
@@ -141,7 +155,8 @@
 	// load have changed.
 	Refreshed
 	// Changed means that the backend server is new, has restarted, is leaving, is
-	// live again after its removal, or has another address or model.
+	// live again after its removal, has another address or model, or is cold for longer
+	// than was known.
 	Changed
 	// Unknown means that the update was brief and the table has no full record of
 	// this start of the backend server.
@@ -192,6 +207,14 @@
 			change = Refreshed
 		}
 	}
+	next := &record{Backend: u.Backend, lastReport: now.Add(-u.Age), firstReport: now.Add(-u.Age), from: from}
+	if r != nil && r.Epoch == u.Epoch {
+		next.firstReport = r.firstReport
+	}
+	t.setCold(next, r)
+	if change == Refreshed && t.colder(now, r, next) {
+		change = Changed
+	}
 	if t.records == nil {
 		t.records = map[string]*record{}
 	}
@@ -204,11 +227,9 @@
 	if change == Refreshed {
 		identityVersion = r.identityVersion
 	}
-	firstReport := now.Add(-u.Age)
-	if r != nil && r.Epoch == u.Epoch {
-		firstReport = r.firstReport
-	}
-	t.records[u.ID] = &record{Backend: u.Backend, lastReport: now.Add(-u.Age), firstReport: firstReport, version: t.version, identityVersion: identityVersion, from: from}
+	next.version, next.identityVersion = t.version, identityVersion
+	t.records[u.ID] = next
+	t.noteCold(next)
 	return change
 }
 
@@ -276,7 +297,7 @@
 // brief update sets.
 func (r *record) withBriefUpdate(brief Backend) Backend {
 	b := r.Backend
-	b.Seq, b.Leaving, b.Load = brief.Seq, brief.Leaving, brief.Load
+	b.Seq, b.Leaving, b.Load, b.ColdFor = brief.Seq, brief.Leaving, brief.Load, brief.ColdFor
 	return b
 }
 
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -266,7 +266,7 @@
 
 // Summary selects the updates to send to another failure domain: the
 // SummaryPerModel least loaded backend servers of each model in the local domain,
-// the leaving servers of the local domain, and all direct updates, since no other
+// the leaving and the cold servers of the local domain, and all direct updates, since no other
 // VM may have received them.
 func Summary(updates []BackendUpdate, domain string) []BackendUpdate {
 	byLoad := slices.Clone(updates)
@@ -281,10 +281,11 @@
 			continue
 		}
 		group := u.Service + "/" + u.Model
-		if u.Domain != domain || (!u.Leaving && count[group] >= SummaryPerModel) {
+		always := u.Leaving || u.ColdFor > u.Age
+		if u.Domain != domain || (!always && count[group] >= SummaryPerModel) {
 			continue
 		}
-		if !u.Leaving {
+		if !always {
 			count[group]++
 		}
 		// Earlier summaries were selected by the loads at that time, so the
--- a/fold/member/lease.go
+++ b/fold/member/lease.go
@@ -93,6 +93,8 @@
 		return
 	}
 	r.Seq += lead
+	stated := r.statedColdUntil()
 	r.lastReport = now.Add(-l.Age)
+	r.keepStatement(stated)
 	r.version = t.version
 }
--- a/fold/spec/forward.go
+++ b/fold/spec/forward.go
@@ -85,10 +85,31 @@
 	// Rate is the number of requests a second that a cold server takes from all VMs
 	// together. It is above zero.
 	Rate float64 `json:"rate"`
-	// Duration is how long a server is cold after its start.
+	// Duration is how long a server is cold after its start. If it is zero, a server is
+	// cold only for the time that its announcements state.
 	Duration strict.Duration `json:"duration,omitempty"`
 }
 
+// Limits of a ColdStart.
+const (
+	// MaxStartRate bounds the rate: a server for which more is right needs no limit.
+	MaxStartRate = 100_000
+	// MaxCold bounds the time for which a server is cold. Longer ones are more likely a
+	// mistake of the unit.
+	MaxCold = time.Hour
+)
+
+// check adds an error to errs for each invalid field. c may be nil.
+func (c *ColdStart) check(path string, errs *strict.Errors) {
+	if c == nil {
+		return
+	}
+	if !(c.Rate > 0 && c.Rate <= MaxStartRate) {
+		errs.Add(path+".rate", "want more than 0 and at most %d, got %v", MaxStartRate, c.Rate)
+	}
+	checkDuration(path+".duration", c.Duration, 0, MaxCold, errs)
+}
+
 // Idempotent reports whether the forward's requests may run more than once.
 func (f *Forward) Idempotent() bool { return f.Kind == ForwardIdempotent || f.Resumable }
 
--- a/fold/spec/spec.go
+++ b/fold/spec/spec.go
@@ -279,6 +279,7 @@
 		default:
 			errs.Add(path+".kind", "want %q or %q", KindEngine, KindPlain)
 		}
+		s.ColdStart.check(path+".coldStart", errs)
 		for j, m := range s.Models {
 			checkName(fmt.Sprintf("%s.models[%d]", path, j), m, models, errs)
 		}
--- a/foldd/peer/convert.go
+++ b/foldd/peer/convert.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/wire"
 )
 
@@ -83,6 +84,7 @@
 		return &wire.Backend{
 			Id: u.ID, Epoch: u.Epoch, Seq: u.Seq, Leaving: u.Leaving, Brief: true,
 			AgeMillis: uint64(u.Age.Milliseconds()), Load: toLoad(u.Load),
+			ColdMillis: toColdMillis(u.ColdFor),
 		}
 	}
 	return &wire.Backend{
@@ -102,9 +104,20 @@
 		Leaving:      u.Leaving,
 		AgeMillis:    uint64(u.Age.Milliseconds()),
 		Load:         toLoad(u.Load),
+		ColdMillis:   toColdMillis(u.ColdFor),
 	}
 }
 
+// toColdMillis rounds up, so that a server that is cold for less than a millisecond stays so.
+func toColdMillis(d time.Duration) uint64 {
+	return uint64((max(d, 0) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// fromColdMillis bounds the value, whose sender may be faulty.
+func fromColdMillis(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(spec.MaxCold.Milliseconds()))) * time.Millisecond
+}
+
 func toLoad(l member.Load) *wire.Load {
 	return &wire.Load{
 		Running:          uint32(l.Running),
@@ -138,6 +151,7 @@
 			Domain:             b.GetDomain(),
 			MemoryTokens:       int(b.GetMemoryTokens()),
 			ChecksFencingToken: b.GetChecksFence(),
+			ColdFor:            fromColdMillis(b.GetColdMillis()),
 			Slots:              int(b.GetSlots()),
 			Epoch:              b.GetEpoch(),
 			Seq:                b.GetSeq(),
