Limiter: the start rate of cold servers as a second source of a rate

Cause: cold servers crash well above their start rate, and the VMs together have to keep below it in any one second, cut off or not.

Change: fold/limit issues permits for cold servers with the same messages and roles as for rate limits that servers name. An issuer that doesn't know yet that a server is cold takes that from the request.

Result: go test ./fold/limit passes, with the plays of named limits unchanged.

--- a/fold/limit/bucket.go
+++ b/fold/limit/bucket.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// burstTime is the time for which unused permits accumulate.
@@ -26,6 +29,23 @@
 	b.tokens = min(b.tokens, burst(rate))
 }
 
+// coldBurst is the time for which permits for a cold server accumulate. The bound is for any
+// one second, and has to hold with the permits that wait at the issuers and at each VM.
+const coldBurst = 200 * time.Millisecond
+
+// refillCold is refill for a cold server. A token that isn't taken within coldBurst is lost,
+// and the bucket keeps the fraction of the next one. The many VMs that each have a small share
+// then never all hold a token at the same moment, as they would with a bucket that stays full.
+func (b *bucket) refillCold(now time.Time, rate Rate) {
+	if now.After(b.at) {
+		b.tokens += float64(rate) * now.Sub(b.at).Seconds()
+		b.at = now
+	}
+	if over := b.tokens - 1 - float64(rate)*coldBurst.Seconds(); over >= 0 {
+		b.tokens -= math.Floor(over) + 1
+	}
+}
+
 // burst returns the size of a bucket in tokens.
 func burst(rate Rate) float64 { return max(float64(rate)*burstTime.Seconds(), 1) }
 
--- a/fold/limit/issuer.go
+++ b/fold/limit/issuer.go
@@ -54,11 +54,8 @@
 
 // debit takes permits for requests that a VM has sent by its own share.
 func (i *issuer) debit(now time.Time, s Server, rate Rate, used int) {
-	if used <= 0 {
-		return
-	}
-	l := i.ledgerOf(now, s)
-	if now.Sub(l.since) < debtGrace {
+	l := i.ledgers[s.ID]
+	if used <= 0 || l == nil || l.epoch != s.Epoch || now.Sub(l.since) < debtGrace {
 		return
 	}
 	l.refill(now, rate)
--- a/fold/limit/limiter.go
+++ b/fold/limit/limiter.go
@@ -36,6 +36,13 @@
 	Live, Lost int
 	// Starting is set on a VM that may not know the others yet. It issues no permits.
 	Starting bool
+	// Isolated is set on a VM that may not know most others although it is no longer
+	// Starting. It issues no permits for cold servers.
+	Isolated bool
+	// Service is the service, and StartRate the rate of its cold servers, zero if the
+	// configuration sets none.
+	Service   string
+	StartRate Rate
 }
 
 // sharers returns the number of VMs among which a limit is shared.
@@ -137,6 +144,9 @@
 	Table
 	// Random returns a random number in [0, 1). Nil means 0.
 	Random func() float64
+	// ColdRate returns the start rate of a server, zero if it isn't cold or its service
+	// sets none. It may be nil.
+	ColdRate func(now time.Time, s Server) Rate
 
 	issuer     issuer
 	departures departures
@@ -147,6 +157,8 @@
 	lostIssuers map[string]lostIssuer
 	// shares holds this VM's own share of the limits, by server ID.
 	shares map[string]*ownShare
+	// roles holds which VM issues permits, by service, for services with a start rate.
+	roles map[string]*role
 	// lastTick is when Tick was last called, and resumedAt when the VM last went on
 	// after a pause.
 	lastTick, resumedAt time.Time
@@ -191,32 +203,55 @@
 // Check decides on a request to a server. After Ask, the caller asks the issuer and calls
 // Resolve or Fail.
 func (l *Limiter) Check(now time.Time, s Server, v View) Decision {
-	rate, limited := l.Rate(s)
-	if !limited {
+	b := l.boundOf(now, s)
+	if !b.limited {
 		return Decision{Verdict: Free}
 	}
 	if until := l.deniedUntil[s.ID]; now.Before(until) {
-		return Decision{Verdict: Denied, Rate: rate, RetryAfter: until.Sub(now)}
+		return Decision{Verdict: Denied, Rate: b.rate, RetryAfter: until.Sub(now)}
 	}
 	if v.Issuer == v.Self {
-		return l.decideSelf(now, s, rate, v)
+		return l.decideSelf(now, s, b, v)
 	}
 	if lost, ok := l.lostIssuers[v.Issuer]; ok && now.Before(lost.until) {
-		return l.useShare(now, s, rate, v, lost.since)
+		return l.useShare(now, s, b, v, lost.since)
 	}
-	return Decision{Verdict: Ask, Issuer: v.Issuer, Rate: rate}
+	return Decision{Verdict: Ask, Issuer: v.Issuer, Rate: b.rate}
 }
 
 // decideSelf decides on a request of the issuer itself.
-func (l *Limiter) decideSelf(now time.Time, s Server, rate Rate, v View) Decision {
-	if v.Starting || !l.settled(now) {
-		return l.useShare(now, s, rate, v, l.resumedAt)
+func (l *Limiter) decideSelf(now time.Time, s Server, b bound, v View) Decision {
+	if !l.issues(now, b, v) {
+		return l.useShare(now, s, b, v, l.resumedAt)
 	}
-	g := l.issuer.issue(now, v.Self, s, v.issuable(rate), v.sharers())
+	g := l.issue(now, v.Self, s, b, v)
 	if !g.ok {
-		return Decision{Verdict: Denied, Rate: rate, RetryAfter: g.wait}
+		return Decision{Verdict: Denied, Rate: b.rate, RetryAfter: g.wait}
 	}
-	return Decision{Verdict: Granted, Rate: rate}
+	return Decision{Verdict: Granted, Rate: b.rate}
+}
+
+// issues reports whether this VM issues permits for a server.
+func (l *Limiter) issues(now time.Time, b bound, v View) bool {
+	if v.Issuer != v.Self || v.Starting || !l.settled(now) {
+		return false
+	}
+	return !b.cold || l.issuesCold(now, v)
+}
+
+// issue answers the request of a VM for a permit.
+func (l *Limiter) issue(now time.Time, vm string, s Server, b bound, v View) grant {
+	if b.cold {
+		return l.issuer.issueCold(now, s, l.coldIssuable(b, v), reservedPart/Rate(l.coldSharers(v)), l.random())
+	}
+	return l.issuer.issue(now, vm, s, v.issuable(b.rate), v.sharers())
+}
+
+func (l *Limiter) random() float64 {
+	if l.Random == nil {
+		return 0
+	}
+	return l.Random()
 }
 
 // Request returns the request for a permit that follows an Ask.
@@ -241,17 +276,17 @@
 	s := q.Entry.Server
 	change := l.Merge(now, q.Entry)
 	r := Reply{Issuer: v.Issuer, Entry: l.Entry(s)}
-	if v.Issuer != v.Self || v.Starting || !l.settled(now) {
+	b := l.boundAsked(now, q, v)
+	if !l.issues(now, b, v) {
 		r.NotIssuer = true
 		return r, change
 	}
-	rate, limited := l.Rate(s)
-	if !limited {
+	if !b.limited {
 		r.Granted = true
 		return r, change
 	}
-	l.issuer.debit(now, s, v.issuable(rate), q.Used)
-	g := l.issuer.issue(now, q.From, s, v.issuable(rate), v.sharers())
+	l.issuer.debit(now, s, l.issuableOf(b, v), q.Used)
+	g := l.issue(now, q.From, s, b, v)
 	r.Granted, r.RetryAfter, r.Share = g.ok, g.wait, g.share
 	return r, change
 }
@@ -262,24 +297,29 @@
 func (l *Limiter) Resolve(now, askedAt time.Time, asked string, q Request, r Reply, redirected bool, v View) (Decision, Change) {
 	s := q.Entry.Server
 	change := l.Merge(now, r.Entry)
-	rate, limited := l.Rate(s)
-	delete(l.lostIssuers, asked)
+	b := l.boundOf(now, s)
+	// An issuer of an older version, or without the configuration that sets the start rate,
+	// grants each request and states no share.
+	unaware := b.cold && r.Granted && r.Share == 0
+	if !unaware {
+		delete(l.lostIssuers, asked)
+	}
 	switch {
-	case !limited:
+	case !b.limited:
 		return Decision{Verdict: Free}, change
 	case r.NotIssuer && !redirected && r.Issuer != asked && r.Issuer != v.Self && r.Issuer != "":
 		l.keepUsed(q)
-		return Decision{Verdict: Ask, Issuer: r.Issuer, Rate: rate}, change
-	case r.NotIssuer:
+		return Decision{Verdict: Ask, Issuer: r.Issuer, Rate: b.rate}, change
+	case r.NotIssuer || unaware:
 		l.keepUsed(q)
-		return l.useShare(now, s, rate, v, l.loseIssuer(now, asked)), change
+		return l.useShare(now, s, b, v, l.loseIssuer(now, asked)), change
 	}
 	l.stateShare(now, s, r.Share)
 	if !r.Granted || elapsed(askedAt, now) > permitLifetime {
 		wait := l.deny(now, s, r.RetryAfter)
-		return Decision{Verdict: Denied, Issuer: asked, Rate: rate, RetryAfter: wait}, change
+		return Decision{Verdict: Denied, Issuer: asked, Rate: b.rate, RetryAfter: wait}, change
 	}
-	return Decision{Verdict: Granted, Issuer: asked, Rate: rate}, change
+	return Decision{Verdict: Granted, Issuer: asked, Rate: b.rate}, change
 }
 
 // Fail decides on a request to a server after the issuer asked has not answered the
@@ -287,11 +327,11 @@
 func (l *Limiter) Fail(now time.Time, asked string, q Request, v View) Decision {
 	s := q.Entry.Server
 	l.keepUsed(q)
-	rate, limited := l.Rate(s)
-	if !limited {
+	b := l.boundOf(now, s)
+	if !b.limited {
 		return Decision{Verdict: Free}
 	}
-	return l.useShare(now, s, rate, v, l.loseIssuer(now, asked))
+	return l.useShare(now, s, b, v, l.loseIssuer(now, asked))
 }
 
 // loseIssuer records that an issuer has not answered, and returns since when it has not.
@@ -310,10 +350,12 @@
 
 // useShare decides on a request by this VM's own share of a limit. since is when the VM
 // began to use it.
-func (l *Limiter) useShare(now time.Time, s Server, rate Rate, v View, since time.Time) Decision {
+func (l *Limiter) useShare(now time.Time, s Server, b bound, v View, since time.Time) Decision {
 	own := l.shareOf(now, s)
 	part := own.part
 	switch {
+	case b.cold:
+		part = reservedPart / float64(l.coldSharers(v))
 	case v.Starting:
 		part = 1 / float64(v.sharers())
 	case own.statedAt.IsZero() || elapsed(own.statedAt, now) > shareLifetime:
@@ -322,8 +364,12 @@
 	if own.at.Before(since) {
 		own.at = since
 	}
-	rate = max(rate, minRate)
-	own.refill(now, rate*Rate(part))
+	rate := max(b.rate, minRate)
+	if b.cold {
+		own.refillCold(now, rate*Rate(part))
+	} else {
+		own.refill(now, rate*Rate(part))
+	}
 	d := Decision{Verdict: Granted, Rate: rate, OwnShare: true}
 	if wait, ok := own.take(rate * Rate(part)); !ok {
 		d.Verdict, d.RetryAfter = Denied, l.deny(now, s, min(wait, issuerBackoff))
@@ -342,10 +388,7 @@
 		if l.shares == nil {
 			l.shares = map[string]*ownShare{}
 		}
-		own = &ownShare{bucket: bucket{at: now}}
-		if l.Random != nil {
-			own.tokens = l.Random()
-		}
+		own = &ownShare{bucket: bucket{at: now, tokens: l.random()}}
 		l.shares[s.ID] = own
 	}
 	return own
@@ -373,17 +416,19 @@
 // Exhausted reports whether no request may be sent to a server for now, as far as this
 // VM knows without asking, and for how long.
 func (l *Limiter) Exhausted(now time.Time, s Server, v View) (time.Duration, bool) {
-	rate, limited := l.Rate(s)
+	b := l.boundOf(now, s)
 	until := l.deniedUntil[s.ID]
 	switch {
-	case !limited:
+	case !b.limited:
 		return 0, false
 	case now.Before(until):
 		return until.Sub(now), true
-	case v.Issuer != v.Self || v.Starting:
+	case v.Issuer != v.Self || v.Starting || b.cold && !l.issues(now, b, v):
 		return 0, false
+	case b.cold:
+		return l.issuer.exhaustedCold(now, s, l.coldIssuable(b, v), l.random())
 	}
-	return l.issuer.exhausted(now, s, v.issuable(rate))
+	return l.issuer.exhausted(now, s, v.issuable(b.rate))
 }
 
 // Forget drops what is known of a server.
--- a/fold/limit/withhold.go
+++ b/fold/limit/withhold.go
@@ -76,5 +76,5 @@
 	}
 }
 
-// Idle reports whether no server has a rate limit or a cooldown.
+// Idle reports whether no server has named a rate limit or has a cooldown.
 func (l *Limiter) Idle() bool { return l.Empty() && len(l.cooldowns) == 0 }
