--- /dev/null
+++ b/fold/member/cold_test.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
+)
+
+var coldNow = time.Date(2026, 12, 6, 0, 0, 0, 0, time.UTC)
+
+// coldTable returns a table of a VM that has known its servers for long.
+func coldTable() *Table {
+	return &Table{ColdStart: func(service string) *spec.ColdStart {
+		if service != "m" {
+			return nil
+		}
+		return &spec.ColdStart{Rate: 25, Duration: strict.Duration(time.Second)}
+	}}
+}
+
+func coldBackend(epoch, seq uint64, coldFor time.Duration) Backend {
+	return Backend{ID: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Kind: spec.KindPlain, Service: "m", Epoch: epoch, Seq: seq, ColdFor: coldFor}
+}
+
+// checkCold checks for how long a server is cold.
+func checkCold(t *testing.T, table *Table, now time.Time, epoch uint64, want time.Duration) {
+	t.Helper()
+	rate, left := table.Cold(now, "s", epoch)
+	if left != want || (rate > 0) != (want > 0) {
+		t.Errorf("cold for %v at %v/s, want %v", left, rate, want)
+	}
+}
+
+// TestStatedCold guards against a cold server that counts as warm, or a warm one as cold:
+// statements count from the time of the report, the latest holds, and a report without one
+// leaves it in force.
+func TestStatedCold(t *testing.T) {
+	table := coldTable()
+	table.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 1, 3*time.Second), Age: 500 * time.Millisecond}, "vm2")
+	checkCold(t, table, coldNow, 1, 2500*time.Millisecond)
+	checkCold(t, table, coldNow, 2, 0)
+	brief := BackendUpdate{Backend: Backend{ID: "s", Epoch: 1, Seq: 2}, Brief: true}
+	if change := table.Merge(coldNow.Add(time.Second), brief, "vm2"); change != Refreshed {
+		t.Errorf("change %v, want a refresh", change)
+	}
+	checkCold(t, table, coldNow.Add(time.Second), 1, 1500*time.Millisecond)
+	table.Merge(coldNow.Add(2*time.Second), BackendUpdate{Backend: coldBackend(1, 3, 100*time.Millisecond)}, "")
+	checkCold(t, table, coldNow.Add(2*time.Second), 1, 100*time.Millisecond)
+	checkCold(t, table, coldNow.Add(2100*time.Millisecond), 1, 0)
+}
+
+// TestDigestKeepsCold guards against digests that make a server warm, or cold for longer: they
+// renew its lease, and with it the time that the statement is relative to.
+func TestDigestKeepsCold(t *testing.T) {
+	a, b := coldTable(), coldTable()
+	for _, table := range []*Table{a, b} {
+		table.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 1, 3*time.Second)}, "")
+	}
+	later := coldNow.Add(time.Second)
+	a.Merge(later, BackendUpdate{Backend: coldBackend(1, 2, 0)}, "")
+	leases := a.Leases(later)
+	if equal := b.RenewLeases(later, &leases); !equal.All() {
+		t.Fatal("the tables differ")
+	}
+	checkCold(t, b, later, 1, 2*time.Second)
+	updates, _ := b.Since(later, 0, "")
+	if len(updates) != 1 || updates[0].Seq != 2 || updates[0].ColdFor-updates[0].Age != 2*time.Second {
+		t.Errorf("updates %+v, want one that says that the server is cold for 2 s", updates)
+	}
+}
+
+// TestBecomingColdIsSpread guards against VMs that learn too late that a server is cold: that
+// is a change, which they are sent at once and in full, and whatever digests cover.
+func TestBecomingColdIsSpread(t *testing.T) {
+	table := coldTable()
+	merge := func(at time.Duration, seq uint64, coldFor time.Duration) Change {
+		return table.Merge(coldNow.Add(at), BackendUpdate{Backend: coldBackend(1, seq, coldFor)}, "")
+	}
+	merge(0, 1, time.Second)
+	_, version := table.Since(coldNow, 0, "")
+	if change := merge(500*time.Millisecond, 2, 510*time.Millisecond); change != Refreshed {
+		t.Errorf("cold as before: change %v, want a refresh", change)
+	}
+	if updates, _ := table.Since(coldNow, version, ""); len(updates) != 1 || !updates[0].Brief {
+		t.Errorf("cold as before: updates %+v, want a brief one", updates)
+	}
+	for i, coldFor := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		if change := merge(10*time.Second, uint64(3+i), coldFor); change != Changed {
+			t.Errorf("cold for %v: change %v, want one that is spread", coldFor, change)
+		}
+		if updates, _ := table.Since(coldNow, version, ""); len(updates) != 1 || updates[0].Brief {
+			t.Errorf("cold for %v: updates %+v, want one in full", coldFor, updates)
+		}
+	}
+}
+
+// TestNewStartIsCold guards against requests at the full rate to a server that has restarted
+// under the same ID and address and doesn't say that it is cold.
+func TestNewStartIsCold(t *testing.T) {
+	starting := true
+	table := coldTable()
+	table.Starting = func() bool { return starting }
+	table.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 40, 0)}, "")
+	checkCold(t, table, coldNow, 1, 0)
+	table.Merge(coldNow, BackendUpdate{Backend: coldBackend(2, 1, 0), Age: 200 * time.Millisecond}, "vm2")
+	checkCold(t, table, coldNow, 2, 800*time.Millisecond)
+	table.Merge(coldNow, BackendUpdate{Backend: coldBackend(2, 2, 0)}, "")
+	checkCold(t, table, coldNow.Add(500*time.Millisecond), 2, 300*time.Millisecond)
+	checkCold(t, table, coldNow.Add(time.Second), 2, 0)
+	starting = false
+	other := coldBackend(7, 1, 0)
+	other.ID, other.Addr = "t", netip.MustParseAddrPort("10.0.0.2:80")
+	table.Merge(coldNow, BackendUpdate{Backend: other}, "")
+	if _, left := table.Cold(coldNow, "t", 7); left != time.Second {
+		t.Errorf("a server that is new is cold for %v, want 1 s", left)
+	}
+}
+
+// TestColdWithoutLimit guards against costs for services that don't limit cold servers:
+// that they become cold is no change.
+func TestColdWithoutLimit(t *testing.T) {
+	table := coldTable()
+	b := coldBackend(1, 1, 0)
+	b.Service = "other"
+	table.Merge(coldNow, BackendUpdate{Backend: b}, "")
+	b.Seq, b.ColdFor = 2, time.Minute
+	if change := table.Merge(coldNow, BackendUpdate{Backend: b}, ""); change != Refreshed {
+		t.Errorf("change %v, want a refresh", change)
+	}
+	checkCold(t, table, coldNow, 1, 0)
+}
+
+// TestSummaryHasColdServers guards against a summary for another failure domain that leaves
+// out cold servers because others are less loaded.
+func TestSummaryHasColdServers(t *testing.T) {
+	var updates []BackendUpdate
+	for i := range 3 * SummaryPerModel {
+		b := coldBackend(1, 1, time.Second)
+		b.Domain, b.ID, b.Load.Running = "a", string(rune('a'+i)), i
+		updates = append(updates, BackendUpdate{Backend: b})
+	}
+	if got := len(Summary(updates, "a")); got != len(updates) {
+		t.Errorf("summary has %d of %d cold servers", got, len(updates))
+	}
+}
