--- a/fold/spec/spec_test.go
+++ b/fold/spec/spec_test.go
@@ -24,6 +24,8 @@
 		{"unknown field", `"kind": "plain"`, `"kind": "plain", "weight": 3`, "services[1].weight: unknown field"},
 		{"unknown kind", `"plain"`, `"other"`, "services[1].kind"},
 		{"plain service with models", `"kind": "plain"`, `"kind": "plain", "models": ["x"]`, "services[1].models"},
+		{"start rate of zero", `"kind": "plain"`, `"kind": "plain", "coldStart": {"rate": 0, "duration": "1s"}`, "services[1].coldStart.rate"},
+		{"cold for too long", `"kind": "plain"`, `"kind": "plain", "coldStart": {"rate": 1, "duration": "2h"}`, "services[1].coldStart.duration"},
 		{"route to an engine service", `"service": "app"`, `"service": "models"`, "routes[0].service"},
 		{"route below /v1/", `"/a"`, `"/v1/x"`, "routes[0].path"},
 		{"unknown method", `["GET"]`, `["FETCH"]`, "routes[0].methods[0]"},
--- a/foldctl/status_test.go
+++ b/foldctl/status_test.go
@@ -54,3 +54,14 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// TestColdServerInStatus guards against a status without what slows a server down.
+func TestColdServerInStatus(t *testing.T) {
+	b := &wire.BackendView{Backend: "e1", ColdMillis: 800, StartRate: 25}
+	if got, want := backendState(b), "cold for 800 ms at 25/s"; got != want {
+		t.Errorf("state %q, want %q", got, want)
+	}
+	if got := backendState(&wire.BackendView{Backend: "e1"}); got != "" {
+		t.Errorf("state %q of a warm server, want none", got)
+	}
+}
