Limiter: an issuer of a large part keeps a permit that nobody has asked for

Cause: with a start rate below one request a second, permits were lost after 200 ms and the rate could hardly be used.

Change: issuers of at least a third of the VMs, of which there are at most three, keep up to one permit and those of 200 ms. The others drop them, since 22 VMs on their own could each send one at the same moment.

--- a/fold/limit/bucket.go
+++ b/fold/limit/bucket.go
@@ -33,15 +33,21 @@
 // one second, and has to hold with the permits that wait at the issuers and at each VM.
 const coldBurst = 200 * time.Millisecond
 
-// refillCold is refill for a cold server. A token that isn't taken within coldBurst is lost,
-// and the bucket keeps the fraction of the next one. The many VMs that each have a small share
-// then never all hold a token at the same moment, as they would with a bucket that stays full.
-func (b *bucket) refillCold(now time.Time, rate Rate) {
+// refillCold is refill for a cold server. Unless keep is set, a token that isn't taken within
+// coldBurst is lost, and the bucket keeps the fraction of the next one. The many VMs that each
+// have a small share then never all hold a token at the same moment, as they would with a
+// bucket that stays full.
+func (b *bucket) refillCold(now time.Time, rate Rate, keep bool) {
 	if now.After(b.at) {
 		b.tokens += float64(rate) * now.Sub(b.at).Seconds()
 		b.at = now
 	}
-	if over := b.tokens - 1 - float64(rate)*coldBurst.Seconds(); over >= 0 {
+	over := b.tokens - 1 - float64(rate)*coldBurst.Seconds()
+	switch {
+	case over <= 0:
+	case keep:
+		b.tokens -= over
+	default:
 		b.tokens -= math.Floor(over) + 1
 	}
 }
--- a/fold/limit/cold.go
+++ b/fold/limit/cold.go
@@ -14,6 +14,9 @@
 	// unknownPopulation is the number of VMs that a VM assumes while it does not know them.
 	// The largest deployment has 77 entry VMs.
 	unknownPopulation = 128
+	// maxLargeParts is the number of issuers, on the sides of cuts, that may keep a permit.
+	// The bound leaves 5 requests in a second beside the rate.
+	maxLargeParts = 3
 )
 
 // bound is what limits the requests to a server.
@@ -111,45 +114,53 @@
 
 // coldIssuable returns the part of a rate for which an issuer issues permits for a cold
 // server: that of the live VMs. The others may have an issuer of their own.
-func (l *Limiter) coldIssuable(b bound, v View) Rate {
+func (l *Limiter) coldIssuable(b bound, v View) coldPart {
 	known := v.Live + v.Lost
 	if r := l.roles[v.Service]; r != nil {
 		known = max(known, r.population)
 	}
-	return max(b.rate, minRate) * Rate(v.Live) / Rate(known)
+	return coldPart{rate: max(b.rate, minRate) * Rate(v.Live) / Rate(known), large: maxLargeParts*v.Live >= known}
+}
+
+// coldPart is the part of a start rate for which an issuer issues permits. large is set for one
+// of the at most maxLargeParts issuers that may keep a permit that nobody has asked for: a
+// start rate of less than one request a second could hardly be used otherwise.
+type coldPart struct {
+	rate  Rate
+	large bool
 }
 
 // issuableOf returns the part of a limit for which an issuer issues permits.
 func (l *Limiter) issuableOf(b bound, v View) Rate {
 	if b.cold {
-		return l.coldIssuable(b, v)
+		return l.coldIssuable(b, v).rate
 	}
 	return v.issuable(b.rate)
 }
 
-// issueCold answers a request for a permit for a cold server. rate is the part of the start
-// rate that the issuer may give away, part that of each VM that can't reach the issuer, and
+// issueCold answers a request for a permit for a cold server. part is the part of the start
+// rate that the issuer may give away, share that of each VM that can't reach the issuer, and
 // random a random number in [0, 1).
-func (i *issuer) issueCold(now time.Time, s Server, rate, part Rate, random float64) grant {
-	l := i.coldLedger(now, s, rate, random)
-	wait, ok := l.take(rate)
-	return grant{ok: ok, wait: wait, share: float64(part)}
+func (i *issuer) issueCold(now time.Time, s Server, part coldPart, share Rate, random float64) grant {
+	l := i.coldLedger(now, s, part, random)
+	wait, ok := l.take(part.rate)
+	return grant{ok: ok, wait: wait, share: float64(share)}
 }
 
 // exhaustedCold is exhausted for a cold server.
-func (i *issuer) exhaustedCold(now time.Time, s Server, rate Rate, random float64) (time.Duration, bool) {
-	l := i.coldLedger(now, s, rate, random)
-	return l.wait(rate), l.tokens < 1
+func (i *issuer) exhaustedCold(now time.Time, s Server, part coldPart, random float64) (time.Duration, bool) {
+	l := i.coldLedger(now, s, part, random)
+	return l.wait(part.rate), l.tokens < 1
 }
 
 // coldLedger returns the ledger of a cold server, refilled. A new one has a random part of a
 // permit: VMs that are cut off from all others are issuers with a small part each.
-func (i *issuer) coldLedger(now time.Time, s Server, rate Rate, random float64) *ledger {
+func (i *issuer) coldLedger(now time.Time, s Server, part coldPart, random float64) *ledger {
 	known := i.ledgers[s.ID]
 	l := i.ledgerOf(now, s)
 	if l != known {
 		l.tokens = random
 	}
-	l.refillCold(now, rate)
+	l.refillCold(now, part.rate, part.large)
 	return l
 }
--- a/fold/limit/coldshare_test.go
+++ b/fold/limit/coldshare_test.go
@@ -197,3 +197,16 @@
 		t.Errorf("warm: %+v, want no limit", d)
 	}
 }
+
+// TestLowStartRateIsUsed guards against a start rate of less than one request a second whose
+// permits are lost because callers come seldom.
+func TestLowStartRateIsUsed(t *testing.T) {
+	issuer, v := coldPair()
+	issuer.ColdRate = func(time.Time, limit.Server) limit.Rate { return 0.5 }
+	for i := range 10 {
+		now := playStart.Add(time.Minute + time.Duration(i)*2700*time.Millisecond)
+		if d := issuer.Check(now, server, v); i > 0 && d.Verdict != limit.Granted {
+			t.Errorf("request %d, 2.7 s after the one before: %+v, want a permit", i, d)
+		}
+	}
+}
--- a/fold/limit/limiter.go
+++ b/fold/limit/limiter.go
@@ -366,7 +366,7 @@
 	}
 	rate := max(b.rate, minRate)
 	if b.cold {
-		own.refillCold(now, rate*Rate(part))
+		own.refillCold(now, rate*Rate(part), false)
 	} else {
 		own.refill(now, rate*Rate(part))
 	}
