Cold servers: a request chosen for an earlier start counts as one to the latest

Cause: a request that was placed before a server restarted under the same ID and address found no limit, though it would reach the cold server. Requests for permits with an earlier start replaced the issuer's ledger.

Change: the table limits requests for earlier starts too, and a ledger is replaced by that of a later start only.

Result: go test ./fold/member ./fold/limit ./foldd/node -run 'Cold|NewStart|Limit|Play' passes.

--- a/fold/limit/issuer.go
+++ b/fold/limit/issuer.go
@@ -55,7 +55,7 @@
 // debit takes permits for requests that a VM has sent by its own share.
 func (i *issuer) debit(now time.Time, s Server, rate Rate, used int) {
 	l := i.ledgers[s.ID]
-	if used <= 0 || l == nil || l.epoch != s.Epoch || now.Sub(l.since) < debtGrace {
+	if used <= 0 || l == nil || l.epoch < s.Epoch || now.Sub(l.since) < debtGrace {
 		return
 	}
 	l.refill(now, rate)
@@ -69,11 +69,11 @@
 	return l.wait(rate), l.tokens < 1
 }
 
-// ledgerOf returns the ledger of a server. A new one has no permits, as another VM may
-// have issued some just before.
+// ledgerOf returns the ledger of a server, of its latest start that is known. A new one has no
+// permits, as another VM may have issued some just before.
 func (i *issuer) ledgerOf(now time.Time, s Server) *ledger {
 	l := i.ledgers[s.ID]
-	if l == nil || l.epoch != s.Epoch {
+	if l == nil || l.epoch < s.Epoch {
 		if i.ledgers == nil {
 			i.ledgers = map[string]*ledger{}
 		}
--- a/fold/member/cold.go
+++ b/fold/member/cold.go
@@ -68,13 +68,14 @@
 func (t *Table) AnyCold(now time.Time) bool { return t.coldUntil.After(now) }
 
 // Cold returns the start rate of a server and the time for which it is cold. The rate is
-// zero if the server isn't cold, or its service doesn't limit requests to cold servers.
+// zero if the server isn't cold, or its service doesn't limit requests to cold servers. A
+// request that was chosen for an earlier start of the server would reach the latest one.
 func (t *Table) Cold(now time.Time, id string, epoch uint64) (rate float64, left time.Duration) {
 	if !t.AnyCold(now) {
 		return 0, 0
 	}
 	r := t.records[id]
-	if r == nil || r.removed || r.Epoch != epoch || !r.coldUntil().After(now) {
+	if r == nil || r.removed || r.Epoch < epoch || !r.coldUntil().After(now) {
 		return 0, 0
 	}
 	c := t.coldStart(r.Service)
--- a/fold/member/cold_test.go
+++ b/fold/member/cold_test.go
@@ -107,6 +107,7 @@
 	checkCold(t, table, coldNow, 1, 0)
 	table.Merge(coldNow, BackendUpdate{Backend: coldBackend(2, 1, 0), Age: 200 * time.Millisecond}, "vm2")
 	checkCold(t, table, coldNow, 2, 800*time.Millisecond)
+	checkCold(t, table, coldNow, 1, 800*time.Millisecond)
 	table.Merge(coldNow, BackendUpdate{Backend: coldBackend(2, 2, 0)}, "")
 	checkCold(t, table, coldNow.Add(500*time.Millisecond), 2, 300*time.Millisecond)
 	checkCold(t, table, coldNow.Add(time.Second), 2, 0)
