Limiter: VMs without a permit for a cold server ask again by the number of them

Cause: where placement VMs don't know the issuer's buckets, as those of failure domains in a large group, each VM asked again at the time of the next permit: 65 to 71 permits were asked for by request sent to cold servers.

Change: the issuer's answer states the wait times the requests that got none lately (Backlog), at most a second. Plays with placement apart from permits, and a bound of 5 in all plays.

--- a/fold/limit/cold.go
+++ b/fold/limit/cold.go
@@ -14,6 +14,10 @@
 	// unknownPopulation is the number of VMs that a VM assumes while it does not know them.
 	// The largest deployment has 77 entry VMs.
 	unknownPopulation = 128
+	// maxColdWait bounds the time for which a VM asks for no permit for a cold server after it
+	// got none. That time grows with the number of VMs that got none: if each asked again at
+	// the time of the next permit, 67 VMs would ask 70 times for each request that is sent.
+	maxColdWait = time.Second
 	// maxLargeParts is the number of issuers, on the sides of cuts, that may keep a permit.
 	// The bound leaves 5 requests in a second beside the rate.
 	maxLargeParts = 3
@@ -144,6 +148,9 @@
 func (i *issuer) issueCold(now time.Time, s Server, part coldPart, share Rate, random float64) grant {
 	l := i.coldLedger(now, s, part, random)
 	wait, ok := l.take(part.rate)
+	if !ok {
+		wait = min(l.denials.Reject(now, wait), maxColdWait)
+	}
 	return grant{ok: ok, wait: wait, share: float64(share)}
 }
 
--- a/fold/limit/cold_test.go
+++ b/fold/limit/cold_test.go
@@ -25,6 +25,9 @@
 	// lossSpread is the time in which the VMs notice that another one is lost.
 	lossSpread = 3 * time.Second
 	viewTime   = 100 * time.Millisecond
+	// maxCalls bounds the permits asked for by request sent. An entry VM with a seventh of a
+	// core can't answer the 70 that VMs ask for if each asks again at the next permit.
+	maxCalls = 5
 )
 
 // coldCase is a play of VMs whose servers all return cold at the same time.
@@ -43,6 +46,9 @@
 	startAt time.Duration
 	// quiet is a time without callers.
 	quiet span
+	// blind has each VM choose servers without what the issuer knows, as where placement VMs
+	// of failure domains do.
+	blind bool
 	// wantUse is the part of the start rate that must be used at least, from useFrom after
 	// the return on.
 	wantUse float64
@@ -229,7 +235,7 @@
 func (p *coldPlay) place(c *coldCaller) {
 	v := p.view(c.vm)
 	by := p.byName(v.Issuer)
-	if by == c.vm || !p.up(by.id) || !p.connected(by.id, c.vm.id) {
+	if p.c.blind || by == c.vm || !p.up(by.id) || !p.connected(by.id, c.vm.id) {
 		p.choose(c, nil)
 		return
 	}
@@ -364,6 +370,16 @@
 	return most
 }
 
+// sentCold returns the number of requests that the servers got while they were cold.
+func (p *coldPlay) sentCold() int {
+	n := 0
+	for _, arrivals := range p.arrivals {
+		i, _ := slices.BinarySearch(arrivals, p.coldUntil())
+		n += i
+	}
+	return n
+}
+
 // use returns the part of the start rate that was used.
 func (p *coldPlay) use() float64 {
 	from, n := p.c.returnAt+p.c.useFrom, 0
@@ -407,6 +423,8 @@
 		{name: "no fault, cold for a second", returnAt: at, cold: seconds, wantUse: 0.8, useFrom: 100 * time.Millisecond},
 		{name: "no fault", returnAt: at, cold: cold, wantUse: 0.8},
 		{name: "a third cut off for half a minute, cold for a second", returnAt: at, cold: seconds, side: lastThird, cutAt: at - 30*seconds, wantUse: 0.8, useFrom: 100 * time.Millisecond},
+		{name: "placement apart from permits", returnAt: at, cold: cold, blind: true, wantUse: 0.8},
+		{name: "placement apart from permits, a third cut off", returnAt: at, cold: cold, side: lastThird, cutAt: at - 30*seconds, blind: true, wantUse: 0.8},
 		{name: "a third cut off for half a minute", returnAt: at, cold: cold, side: lastThird, cutAt: at - 30*seconds, wantUse: 0.8},
 		{name: "a third cut off for two minutes", returnAt: at, cold: cold, side: lastThird, cutAt: at - 120*seconds, wantUse: 0.8},
 		{name: "a third cut off at the return", returnAt: at, cold: cold, side: lastThird, cutAt: at, wantUse: 0.8},
@@ -454,14 +472,17 @@
 				p := newColdPlay(c, seed)
 				p.run()
 				most, use := p.most(), p.use()
-				t.Logf("at most %d in a second, %.2f used; decided p50 %v p99 %v; served p50 %v p99 %v; %d of %d callers not served; %d permits asked for",
-					most, use, quantile(p.decided, 0.5), quantile(p.decided, 0.99), quantile(p.served, 0.5), quantile(p.served, 0.99), p.gone, p.callers, p.asked)
+				t.Logf("at most %d in a second, %.2f used; decided p50 %v p99 %v; served p50 %v p99 %v; %d of %d callers not served; %.2f permits asked for by request sent",
+					most, use, quantile(p.decided, 0.5), quantile(p.decided, 0.99), quantile(p.served, 0.5), quantile(p.served, 0.99), p.gone, p.callers, float64(p.asked)/float64(p.sentCold()))
 				if bound := 1.5*startRate + 5; float64(most) > bound {
 					t.Errorf("seed %d: %d requests in a second, allowed are %.1f", seed, most, bound)
 				}
 				if use < c.wantUse {
 					t.Errorf("seed %d: %.2f of the start rate used, want %.2f", seed, use, c.wantUse)
 				}
+				if calls := float64(p.asked) / float64(p.sentCold()); calls > maxCalls {
+					t.Errorf("seed %d: %.2f permits asked for by request sent, want at most %d", seed, calls, maxCalls)
+				}
 				if p.askedWarm > 0 {
 					t.Errorf("seed %d: %d permits asked for after the servers were warm", seed, p.askedWarm)
 				}
--- a/fold/limit/issuer.go
+++ b/fold/limit/issuer.go
@@ -32,6 +32,8 @@
 	bucket
 	// demand holds the recent requests for permits of each VM, by VM ID.
 	demand map[string]*decaying
+	// denials holds the recent requests for permits of a cold server that got none.
+	denials Backlog
 }
 
 // grant is the answer to a request for a permit.
