Cold servers: Retry-After ends with the cold time

Cause: callers that were rejected for lack of a permit were told to come back up to 5 s later, though the server was warm long before.

Change: the time is at most that until the first of the servers is warm.

--- a/foldd/node/cold.go
+++ b/foldd/node/cold.go
@@ -38,6 +38,16 @@
 	return limit.Rate(rate)
 }
 
+// coldLeft returns the time until a server is no longer limited because it is cold, zero if it
+// isn't or has named a rate limit besides. The caller holds the lock.
+func (n *Node) coldLeft(now time.Time, b member.Backend) time.Duration {
+	if _, named := n.limits.Rate(serverOf(b)); named {
+		return 0
+	}
+	_, left := n.table.Cold(now, b.ID, b.Epoch)
+	return left
+}
+
 // mayBeCold reports whether servers of a service may be cold and limited for it. The caller
 // holds the lock.
 func (n *Node) mayBeCold(now time.Time, service string) bool {
--- a/foldd/node/cold_test.go
+++ b/foldd/node/cold_test.go
@@ -136,3 +136,18 @@
 		t.Errorf("view %+v of a VM that has reached a control VM", v)
 	}
 }
+
+// TestRetryAfterEndsWithColdTime guards against callers that are told to come back long after
+// the server is warm, as many were rejected before them.
+func TestRetryAfterEndsWithColdTime(t *testing.T) {
+	n := coldNode(t)
+	b := coldServer()
+	b.Seq, b.ColdFor = 2, 2*time.Second
+	n.ReceiveAnnouncement(b)
+	usePermits(t, n)
+	for range 200 {
+		if wait, limited := n.RejectLimited("models", []string{"e"}); !limited || wait <= 0 || wait > 2*time.Second {
+			t.Fatalf("limited %t for %v, want it within the 2 s for which the server is cold", limited, wait)
+		}
+	}
+}
--- a/foldd/node/withheld.go
+++ b/foldd/node/withheld.go
@@ -15,6 +15,9 @@
 	// wait is the time until the first of them gets one. cause is why it gets none yet.
 	wait  time.Duration
 	cause limit.Cause
+	// warmIn is the time until the first of them is no longer limited because it is cold,
+	// zero if none is.
+	warmIn time.Duration
 }
 
 func (w *withheld) add(id string, wait time.Duration, cause limit.Cause) {
@@ -24,6 +27,14 @@
 	w.ids = append(w.ids, id)
 }
 
+// noteWarm records the time until a server is no longer limited because it is cold, zero if it
+// isn't limited for that alone.
+func (w *withheld) noteWarm(left time.Duration) {
+	if left > 0 && (w.warmIn == 0 || left < w.warmIn) {
+		w.warmIn = left
+	}
+}
+
 // withheldServers returns the servers of a service, other than stay, that get no request
 // for now: those without a permit, and, for the requests of this VM, those in a cooldown.
 // The caller holds the lock.
@@ -44,6 +55,7 @@
 		}
 		if wait, exhausted := n.limits.Exhausted(now, serverOf(b), v); exhausted {
 			out.add(b.ID, wait, limit.RateLimit)
+			out.noteWarm(n.coldLeft(now, b))
 		}
 	}
 	return out
@@ -60,7 +72,11 @@
 		b = &limit.Backlog{}
 		n.limits.backlogs[service] = b
 	}
-	return place.Choice{Limited: true, RetryAfter: b.Reject(now, w.wait)}
+	retryAfter := b.Reject(now, w.wait)
+	if w.warmIn > 0 {
+		retryAfter = min(retryAfter, w.warmIn)
+	}
+	return place.Choice{Limited: true, RetryAfter: retryAfter}
 }
 
 // RejectLimited reports whether all servers of a service, other than those excluded, take
@@ -111,6 +127,7 @@
 		rate, left := n.table.Cold(now, b.ID, b.Epoch)
 		if rate > 0 && b.ID != stay && !slices.Contains(w.ids, b.ID) {
 			w.add(b.ID, left, limit.RateLimit)
+			w.noteWarm(left)
 		}
 	}
 }
