--- a/foldd/node/cold_test.go
+++ b/foldd/node/cold_test.go
@@ -15,7 +15,7 @@
 
 // coldNode returns a node that knows the warm engine "e" and the cold engine "c" of a service
 // with a start rate of 25.
-func coldNode(t *testing.T) *Node {
+func coldNode(t testing.TB) *Node {
 	t.Helper()
 	n := testNode(t)
 	d, err := spec.Parse([]byte(`{
--- a/foldd/node/place_test.go
+++ b/foldd/node/place_test.go
@@ -18,7 +18,7 @@
 )
 
 // testNode returns a node that knows one engine of the service "models".
-func testNode(t *testing.T) *Node {
+func testNode(t testing.TB) *Node {
 	t.Helper()
 	s, err := conf.Parse([]byte(`{"id": "vm", "domain": "a", "handleKey": "0123456789abcdef", "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}`))
 	if err != nil {
