--- a/fold/limit/issuer.go
+++ b/fold/limit/issuer.go
@@ -32,6 +32,8 @@
 	bucket
 	// demand holds the recent requests for permits of each VM, by VM ID.
 	demand map[string]*decaying
+	// denials holds the recent requests for permits of a cold server that got none.
+	denials Backlog
 }
 
 // grant is the answer to a request for a permit.
@@ -54,11 +56,8 @@
 
 // debit takes permits for requests that a VM has sent by its own share.
 func (i *issuer) debit(now time.Time, s Server, rate Rate, used int) {
-	if used <= 0 {
-		return
-	}
-	l := i.ledgerOf(now, s)
-	if now.Sub(l.since) < debtGrace {
+	l := i.ledgers[s.ID]
+	if used <= 0 || l == nil || l.epoch < s.Epoch || now.Sub(l.since) < debtGrace {
 		return
 	}
 	l.refill(now, rate)
@@ -72,11 +71,11 @@
 	return l.wait(rate), l.tokens < 1
 }
 
-// ledgerOf returns the ledger of a server. A new one has no permits, as another VM may
-// have issued some just before.
+// ledgerOf returns the ledger of a server, of its latest start that is known. A new one has no
+// permits, as another VM may have issued some just before.
 func (i *issuer) ledgerOf(now time.Time, s Server) *ledger {
 	l := i.ledgers[s.ID]
-	if l == nil || l.epoch != s.Epoch {
+	if l == nil || l.epoch < s.Epoch {
 		if i.ledgers == nil {
 			i.ledgers = map[string]*ledger{}
 		}
