Placement: weigh gap targets of runs against prompts

Cause: a prompt that a slow engine reads in a slow period makes the runs beside it late by one gap over their target. Neither the cost of a prompt nor that of a run knew gap targets.

Change: fold/place learns at which engines prompts make runs late, from the runs that became late; the cost of a placement has the prompt's risk to the runs on time there and the risk of other prompts to the run itself.

--- a/fold/place/cost.go
+++ b/fold/place/cost.go
@@ -58,6 +58,8 @@
 	// full is set if the engine has no capacity for the request or would begin
 	// it too late. It is not set for an engine in back-off.
 	full bool
+	// gaps is the risk of gaps that is part of delay.
+	gaps GapRisk
 }
 
 // demand is what the run of a request will probably need at an engine.
@@ -73,8 +75,9 @@
 	return demand{memory: p.runForecast(req), tokens: p.MeanRemaining(r)}
 }
 
-// cost returns the cost of placing req at s. pace is the pace of s.
-func (p *Placer) cost(now time.Time, s *member.Backend, req Request, need demand, pace enginePace) cost {
+// cost returns the cost of placing req at s. pace is the pace of s, and gaps the risk of
+// gaps there.
+func (p *Placer) cost(now time.Time, s *member.Backend, req Request, need demand, pace enginePace, gaps engineGaps) cost {
 	requests, prefill := p.counts(now, s.ID)
 	var c cost
 	switch {
@@ -92,7 +95,9 @@
 		used := p.forecast(now, s.ID).Peak(need.memory, float64(s.MemoryTokens), marginStdDevs)
 		due := budgetShare(pace.firstToken(prefill+req.PromptTokens), req.FirstTokenBudget)
 		c.full = used > maxMemoryShare || due > 1
-		c.delay += promptCost(requests, prefill, req.PromptTokens, pace) + lateCost(due) + loadCost(requests, used)
+		c.gaps = p.gapRisk(now, s, req, need, pace, gaps)
+		due += budgetShare(gaps.slowLeft, req.FirstTokenBudget)
+		c.delay += promptCost(requests, prefill, req.PromptTokens, pace) + lateCost(due) + loadCost(requests, used) + c.gaps.cost()
 		if c.full || used > targetMemoryShare {
 			c.delay += costFull * used
 		}
--- a/fold/place/forecast.go
+++ b/fold/place/forecast.go
@@ -12,6 +12,8 @@
 type cachedForecast struct {
 	usage.Forecast
 	createdAt time.Time
+	// exposed holds the runs that a gap would make late.
+	exposed []exposedRun
 }
 
 // forecastTTL is how long a forecast is reused. Runs that are placed meanwhile
@@ -39,6 +41,7 @@
 func (p *Placer) addToForecast(id string, req Request) {
 	if f := p.forecasts[id]; f != nil {
 		f.Merge(p.runForecast(req))
+		f.addExposed(p, req.currentRun())
 	}
 }
 
@@ -49,7 +52,10 @@
 		return &f.Forecast
 	}
 	f := &cachedForecast{createdAt: now}
-	p.forEachRun(now, id, func(r Run) { p.addRun(&f.Forecast, r) })
+	p.forEachRun(now, id, func(r Run) {
+		p.addRun(&f.Forecast, r)
+		f.addExposed(p, r)
+	})
 	if p.forecasts == nil {
 		p.forecasts = map[string]*cachedForecast{}
 	}
--- a/fold/place/load.go
+++ b/fold/place/load.go
@@ -40,8 +40,8 @@
 	// have no first token yet.
 	PrefillTokens int
 	Runs          []Run
-	// MaxGap is the longest pause between two events of a run that ended since the last
-	// load report, and MaxGapAge the time since its end. Both are zero if there was none.
+	// MaxGap is the longest pause between two events of a run in the last quarter of a
+	// second, and MaxGapAge the time since its end. Both are zero if there was none.
 	MaxGap    time.Duration
 	MaxGapAge time.Duration
 }
@@ -72,12 +72,18 @@
 	runs map[uint64]Request
 	// Pause is the back-off from the server.
 	retry.Pause
+	// maxGap is the longest recent gap between two events of a run, and maxGapAt its end.
+	maxGap   time.Duration
+	maxGapAt time.Time
 }
 
 // load returns the load with the current progress of its runs, in the order of
 // their IDs.
-func (s *backendState) load() Load {
+func (s *backendState) load(now time.Time) Load {
 	l := Load{Requests: s.requests, PrefillTokens: s.prefill}
+	if age := now.Sub(s.maxGapAt); s.maxGap > 0 && age <= maxGapAge {
+		l.MaxGap, l.MaxGapAge = s.maxGap, age
+	}
 	for _, req := range s.runs {
 		l.Runs = append(l.Runs, req.currentRun())
 	}
@@ -182,6 +188,8 @@
 	peer := p.peerLoadOf(vm)
 	for id, l := range loads {
 		p.observeGrowth(now, id, peer.loads[id], l, now.Sub(peer.reportedAt))
+		p.observeLate(now, id, peer.loads[id], l)
+		p.observeReportedGap(now, id, l)
 		p.observeFirstTokens(now, id, peer, l)
 	}
 	for id := range peer.loads {
@@ -219,6 +227,7 @@
 	if req.ID != 0 && req.PromptTokens > 0 {
 		peer.prefills.begin(req.ID, p.newPrefill(now, server, req))
 	}
+	p.observePrompt(now, server, req)
 	peer.lastSeen = now
 	p.addUser(server, vm, peer)
 	peer.reservations = append(peer.reservations, reservation{at: now, server: server, run: req.currentRun(), promptTokens: req.PromptTokens})
@@ -240,11 +249,11 @@
 
 // LocalLoad returns the load that this VM has at those of the given servers
 // where it has requests under way, by server ID.
-func (p *Placer) LocalLoad(servers []member.Backend) map[string]Load {
+func (p *Placer) LocalLoad(now time.Time, servers []member.Backend) map[string]Load {
 	out := map[string]Load{}
 	for _, s := range servers {
 		if b := p.backends[s.ID]; b != nil && b.requests > 0 {
-			out[s.ID] = b.load()
+			out[s.ID] = b.load(now)
 		}
 	}
 	return out
@@ -275,6 +284,7 @@
 	if req.ID != 0 && req.PromptTokens > 0 {
 		p.localPrefills.begin(req.ID, p.newPrefill(now, id, req))
 	}
+	p.observePrompt(now, id, req)
 	b := p.backend(id)
 	b.requests++
 	b.prefill += req.PromptTokens
@@ -317,6 +327,7 @@
 	delete(p.forecasts, id)
 	delete(p.paces, id)
 	delete(p.prefillPaces, id)
+	delete(p.gaps, id)
 	delete(p.localReports, id)
 	if len(p.users[id]) == 0 {
 		delete(p.users, id)
--- a/fold/place/pace.go
+++ b/fold/place/pace.go
@@ -66,6 +66,7 @@
 	for id, l := range loads {
 		last := p.localReports[id]
 		p.observeGrowth(now, id, last.load, l, now.Sub(last.at))
+		p.observeLate(now, id, last.load, l)
 		p.localReports[id] = localReport{load: l, at: now}
 	}
 }
--- a/fold/place/pace_test.go
+++ b/fold/place/pace_test.go
@@ -174,7 +174,7 @@
 	p.Begin(now, "1", Request{Run: Run{ID: 1, BaseTokens: 1000}, Progress: func() int { return generated }})
 	for i := range 40 {
 		generated = 1 + 10*i
-		p.ObserveLocal(now.Add(time.Duration(i)*200*time.Millisecond), p.LocalLoad(threeEngines()))
+		p.ObserveLocal(now.Add(time.Duration(i)*200*time.Millisecond), p.LocalLoad(now, threeEngines()))
 	}
 	if d := tokenTimes(&p, now.Add(8*time.Second), threeEngines())[0]; d < 18*time.Millisecond || d > 22*time.Millisecond {
 		t.Errorf("got %v a token, want about 20ms", d)
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -97,6 +97,9 @@
 	// Load is the load of Server that the choice was based on, without the
 	// request itself. It is zero if another VM made the choice.
 	Load ServerLoad
+	// Gaps is the risk of gaps that the choice was based on. It is zero if another VM made
+	// the choice or no run has a gap target.
+	Gaps GapRisk
 }
 
 // Rejects reports whether no server takes the request for now.
@@ -177,6 +180,8 @@
 	paces map[string]*pace
 	// prefillPaces holds the observed pace at which each engine reads prompts.
 	prefillPaces map[string]*pace
+	// gaps holds what was observed of gaps at each engine, nil until a run has a gap target.
+	gaps map[string]*gapStats
 	// localPrefills holds the prompts of this VM's runs that have no token yet.
 	localPrefills prefills
 	// localReports holds the load of this VM at each engine at the last call of
@@ -194,6 +199,7 @@
 	var lowest cost
 	need := p.demand(req)
 	paces := p.enginePaces(now, servers)
+	gaps := p.engineGaps(now, servers)
 	start := int(req.Random * float64(len(servers)))
 	for i := range servers {
 		i = (i + start) % len(servers)
@@ -201,14 +207,14 @@
 		if s.Leaving || slices.Contains(req.Exclude, s.ID) || !req.inScope(s) {
 			continue
 		}
-		if c := p.cost(now, s, req, need, paces[i]); best < 0 || c.delay < lowest.delay {
+		if c := p.cost(now, s, req, need, paces[i], gaps[i]); best < 0 || c.delay < lowest.delay {
 			best, lowest = i, c
 		}
 	}
 	if best < 0 {
 		return Choice{}, false
 	}
-	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Crowded: lowest.delay >= costFull*targetMemoryShare, Load: p.serverLoad(now, &servers[best])}
+	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Crowded: lowest.delay >= costFull*targetMemoryShare, Load: p.serverLoad(now, &servers[best]), Gaps: lowest.gaps}
 	switch {
 	case req.Stays(c.Server.ID):
 		// Nothing is copied.
--- a/foldd/node/place.go
+++ b/foldd/node/place.go
@@ -114,6 +114,7 @@
 	if c.RetryAfter > 0 {
 		fields["retryAfterMs"] = c.RetryAfter.Milliseconds()
 	}
+	n.addGapRisk(fields, c.Gaps)
 	n.Log.WithFields(fields).Info("server chosen")
 }
 
--- a/foldd/node/report.go
+++ b/foldd/node/report.go
@@ -33,7 +33,7 @@
 // the pending length samples, which are sent once and lost if the message is lost. The
 // caller holds the lock.
 func (n *Node) newLoadReport(service, domain string) PlacementRequest {
-	req := PlacementRequest{From: n.Settings.ID, Service: service, Loads: n.placer.LocalLoad(n.enginesIn(service, domain))}
+	req := PlacementRequest{From: n.Settings.ID, Service: service, Loads: n.placer.LocalLoad(time.Now(), n.enginesIn(service, domain))}
 	if domain == "" || domain == n.Settings.Domain {
 		req.LengthSamples = n.lengthSamples[service]
 		delete(n.lengthSamples, service)
@@ -78,7 +78,7 @@
 	var sends []func()
 	busy := false
 	for service := range n.forwardBudgets {
-		n.placer.ObserveLocal(now, n.placer.LocalLoad(n.table.OfService(service)))
+		n.placer.ObserveLocal(now, n.placer.LocalLoad(now, n.table.OfService(service)))
 		for _, key := range n.reportKeys(now, service) {
 			send, active := n.dueReport(now, key)
 			busy = busy || active
@@ -118,7 +118,7 @@
 // whether this VM has requests in progress there or its last report showed some. The caller
 // holds the lock.
 func (n *Node) dueReport(now time.Time, key reportKey) (send func(), active bool) {
-	loads := n.placer.LocalLoad(n.enginesIn(key.service, key.domain))
+	loads := n.placer.LocalLoad(now, n.enginesIn(key.service, key.domain))
 	last := n.sentReports[key]
 	if len(loads) == 0 && len(last.loads) == 0 {
 		return nil, false
@@ -163,5 +163,5 @@
 func (n *Node) Loads(service string) map[string]place.Load {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.placer.LocalLoad(n.table.OfService(service))
+	return n.placer.LocalLoad(time.Now(), n.table.OfService(service))
 }
--- a/foldd/node/view.go
+++ b/foldd/node/view.go
@@ -76,7 +76,7 @@
 	}
 	v.Requests, v.Retries, v.RetriesRemaining = n.forwardBudget(now, service).Usage(now)
 	servers := n.table.OfService(service)
-	loads := n.placer.LocalLoad(servers)
+	loads := n.placer.LocalLoad(time.Now(), servers)
 	for _, b := range servers {
 		age, _ := n.table.Age(now, b.ID)
 		_, cooling := n.limits.Cooldown(now, serverOf(b))
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -253,6 +253,7 @@
 // engine to another one.
 func (s *stream) copyRequest(from backend) place.Request {
 	req := place.Request{Run: s.initialRun, Progress: s.generated, Exclude: []string{from.ID}, Domain: from.Domain, Copy: &place.Copy{Source: from.ID, Domain: from.Domain}}
+	req.Late = s.late.Load()
 	if e := s.q.service.Engine; e.LinkMbps > 0 {
 		bits := float64(s.memoryTokens()) * float64(e.TokenBytes) * 8
 		req.Copy.Duration = time.Duration(bits / e.LinkMbps * float64(time.Microsecond))
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -173,7 +173,7 @@
 	if q.workspace != nil {
 		r.Group.Workspace = q.workspace.Name
 	}
-	return r
+	return q.targetRun(r)
 }
 
 // limitBand returns a power of four that is greater than maxTokens. It is part of
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiafold.example/fold/event"
@@ -36,6 +37,9 @@
 	// initialRun describes the run at its start, without generated tokens.
 	initialRun place.Run
 
+	// late is set once the run has missed one of its targets.
+	late atomic.Bool
+
 	// mu protects the fields below, which the goroutine of a move also uses. Only the
 	// stream's own goroutine writes server, events, lastEventID, firstAt and lastAt,
 	// so it reads them without the lock; it alone uses placement, reportedTokens,
@@ -245,14 +249,16 @@
 			s.lastEventID = id
 		}
 		first := s.events == 1
-		now := time.Now()
+		now, gap := time.Now(), time.Duration(0)
 		if first {
 			s.firstAt = now
 		} else {
-			s.maxEventGap = max(s.maxEventGap, now.Sub(s.lastAt))
+			gap = max(now.Sub(s.lastAt), 1)
+			s.maxEventGap = max(s.maxEventGap, gap)
 		}
 		s.lastAt = now
 		s.mu.Unlock()
+		s.observeEvent(now, gap)
 		if first && !s.viaPeer {
 			s.recordPrefilled()
 		}
--- a/foldfake/load/load.go
+++ b/foldfake/load/load.go
@@ -23,6 +23,9 @@
 	// Slots is the number of requests at once that the engine announces; zero
 	// means that it announces none.
 	Slots int
+	// StepFactor returns the factor by which a step that begins at a time from the start of
+	// the play takes longer than Params say. If it is nil, the factor is 1.
+	StepFactor func(at time.Duration) float64
 }
 
 // Request is one generation that a caller asks for.
@@ -38,9 +41,14 @@
 	// the policy, and MaxTokens the limit that the caller states.
 	Length    int
 	MaxTokens int
+	// EventTokens is the number of tokens in an event, 1 if it is zero. The caller gets
+	// tokens in whole events.
+	EventTokens int
 	// FirstToken is the time from the sending of the request within which the
-	// first token is due.
+	// first event is due. GapTarget is the target for the longest gap between two events,
+	// zero if there is none.
 	FirstToken time.Duration
+	GapTarget  time.Duration
 	// Retries is how often the caller sends the request again after a rejection.
 	// It honours a Retry-After of up to a third of the time left until Deadline,
 	// which counts from At.
@@ -55,21 +63,31 @@
 	Rejections int
 	// SentAt is when the request was last sent.
 	SentAt time.Duration
-	// FirstTokenAt and EndedAt are times from the start of the play, zero if
-	// there was none.
+	// FirstTokenAt and EndedAt are the times of the first event and of the end from the
+	// start of the play, zero if there was none.
 	FirstTokenAt time.Duration
 	EndedAt      time.Duration
+	// MaxGap is the longest gap between two events.
+	MaxGap time.Duration
+	// Engine is the ID of the engine that ran the request, empty if none did.
+	Engine string
 	// EngineDomain is the failure domain of the engine that ran the request, empty
 	// if none did.
 	EngineDomain string
 }
 
-// OnTime reports whether the first token came within its target and the generation
-// ended before the deadline.
+// OnTime reports whether the first event came within its target, no gap exceeded its
+// target, and the generation ended before the deadline.
 func (o *Outcome) OnTime() bool {
-	return o.EndedAt > 0 && o.EndedAt-o.At <= o.Deadline && o.FirstTokenAt-o.SentAt <= o.FirstToken
+	return o.EndedAt > 0 && o.EndedAt-o.At <= o.Deadline && !o.FirstLate() && !o.GapLate()
 }
 
+// FirstLate reports whether the first event came after its target.
+func (o *Outcome) FirstLate() bool { return o.FirstTokenAt-o.SentAt > o.FirstToken }
+
+// GapLate reports whether a gap between two events exceeded its target.
+func (o *Outcome) GapLate() bool { return o.GapTarget > 0 && o.MaxGap > o.GapTarget }
+
 // Duration returns how long the generation ran at its engine after the first
 // token, zero if it did not end.
 func (o *Outcome) Duration() time.Duration {
@@ -85,9 +103,10 @@
 	Pick(now time.Time, servers []member.Backend, req place.Request) (place.Choice, bool)
 	Begin(now time.Time, id string, req place.Request)
 	Prefilled(now time.Time, id string, req place.Request)
+	ObserveEvent(now time.Time, id string, run uint64, gap time.Duration, late bool) bool
 	End(now time.Time, id string, req place.Request, result place.Result)
 	ObserveLocal(now time.Time, loads map[string]place.Load)
-	LocalLoad(servers []member.Backend) map[string]place.Load
+	LocalLoad(now time.Time, servers []member.Backend) map[string]place.Load
 	Learn(sample place.LengthSample)
 }
 
@@ -148,7 +167,10 @@
 type run struct {
 	index     int
 	placement place.Request
-	generated int
+	// generated is the number of tokens in the events so far, and lastEventAt the time of
+	// the last event.
+	generated   int
+	lastEventAt time.Duration
 }
 
 func (p *player) addEngine(i int, e Engine) {
@@ -162,7 +184,7 @@
 
 // observe lets the policy observe the pace of the engines.
 func (p *player) observe() {
-	p.policy.ObserveLocal(p.time(), p.policy.LocalLoad(p.servers))
+	p.policy.ObserveLocal(p.time(), p.policy.LocalLoad(p.time(), p.servers))
 	p.at(p.now+observeInterval, p.observe)
 }
 
@@ -173,7 +195,7 @@
 	o.SentAt = p.now
 	r := &run{index: int(id - 1)}
 	r.placement = place.Request{
-		Run:              place.Run{ID: id, Group: groupOf(o), BaseTokens: o.PromptTokens, MaxTokens: o.MaxTokens},
+		Run:              place.Run{ID: id, Group: groupOf(o), BaseTokens: o.PromptTokens, MaxTokens: o.MaxTokens, GapTarget: o.GapTarget, EventTokens: o.EventTokens},
 		PromptTokens:     o.PromptTokens,
 		Progress:         func() int { return r.generated },
 		Domain:           o.Domain,
@@ -205,7 +227,7 @@
 func (p *player) start(r *run, id string) {
 	e := p.engine(id)
 	o := &p.outcomes[r.index]
-	o.EngineDomain = e.Domain
+	o.Engine, o.EngineDomain = e.id, e.Domain
 	runID := strconv.Itoa(r.index)
 	if e.sim.Submit(model.Request{ID: runID, PromptTokens: o.PromptTokens, Length: o.Length}) != nil {
 		p.policy.End(p.time(), e.id, r.placement, place.Rejected)
@@ -226,6 +248,9 @@
 		e.stepping = false
 		return
 	}
+	if e.StepFactor != nil {
+		d = time.Duration(e.StepFactor(p.now) * float64(d))
+	}
 	p.at(p.now+d, func() {
 		for _, t := range tokens {
 			p.deliver(e, t)
@@ -234,15 +259,12 @@
 	})
 }
 
-// deliver records one token.
+// deliver records one token, and the event that it completes.
 func (p *player) deliver(e *engine, t model.Token) {
 	r := e.runs[t.ID]
 	o := &p.outcomes[r.index]
-	r.generated = t.Offset
-	if t.Offset == 1 {
-		o.FirstTokenAt = p.now
-		p.policy.Prefilled(p.time(), e.id, r.placement)
-		r.placement.PromptTokens = 0
+	if t.Offset%max(o.EventTokens, 1) == 0 || t.Last {
+		p.deliverEvent(e, r, t.Offset)
 	}
 	if !t.Last {
 		return
@@ -254,6 +276,26 @@
 	p.policy.End(p.time(), e.id, r.placement, place.Answered)
 }
 
+// deliverEvent records an event after which the run has generated the given number of
+// tokens.
+func (p *player) deliverEvent(e *engine, r *run, generated int) {
+	o := &p.outcomes[r.index]
+	r.generated = generated
+	gap := time.Duration(0)
+	if o.FirstTokenAt == 0 {
+		o.FirstTokenAt = p.now
+		p.policy.Prefilled(p.time(), e.id, r.placement)
+		r.placement.PromptTokens = 0
+	} else {
+		gap = p.now - r.lastEventAt
+		o.MaxGap = max(o.MaxGap, gap)
+	}
+	r.lastEventAt = p.now
+	if o.GapTarget > 0 {
+		p.policy.ObserveEvent(p.time(), e.id, r.placement.ID, gap, o.FirstLate() || o.GapLate())
+	}
+}
+
 // groupOf returns the group whose lengths are learned together with the
 // request's.
 func groupOf(o *Outcome) learn.Group { return learn.Group{Class: o.Class} }
--- a/foldfake/load/load_test.go
+++ b/foldfake/load/load_test.go
@@ -18,7 +18,7 @@
 
 func (p *leastRequests) Pick(now time.Time, servers []member.Backend, req place.Request) (place.Choice, bool) {
 	best := 0
-	loads := p.LocalLoad(servers)
+	loads := p.LocalLoad(now, servers)
 	for i, s := range servers {
 		if loads[s.ID].Requests < loads[servers[best].ID].Requests {
 			best = i
