--- a/fold/place/gap.go
+++ b/fold/place/gap.go
@@ -27,8 +27,8 @@
 	exposedGaps = 3
 
 	// slowGap is the factor by which a gap exceeds the typical one of its engine in a slow
-	// period. Reading a prompt doubles a gap, so a gap while prompts are read has to exceed
-	// it by slowPrefillGap.
+	// period, and slowPrefillGap that of a gap in which prompts are read all the time: that
+	// about doubles a gap.
 	slowGap        = 1.5
 	slowPrefillGap = 3
 	// slowPeriod is the time for which an engine is expected to stay slow after a gap that
@@ -194,11 +194,13 @@
 // observeGap records a gap of a run at an engine that ended at the given time, if it shows a
 // slow period.
 func (p *Placer) observeGap(at time.Time, id string, gap time.Duration, eventTokens int) {
-	typical := p.typicalGap(id, eventTokens)
-	if typical == 0 || float64(gap) <= slowGap*float64(typical) {
+	typical := float64(p.typicalGap(id, eventTokens))
+	if typical == 0 || float64(gap) <= slowGap*typical {
 		return
 	}
-	if _, prefill := p.counts(at, id); prefill > 0 && float64(gap) <= slowPrefillGap*float64(typical) {
+	_, prefill := p.counts(at, id)
+	read := float64(prefill) * float64(paceAt(p.prefillPaces, id).estimate(defaultPromptTokenTime, 1))
+	if float64(gap) <= slowGap*typical+min(read/2, (slowPrefillGap-slowGap)*typical) {
 		return
 	}
 	if g := p.gapStatsOf(at, id); at.After(g.slowAt) {
