--- a/foldd/node/evacuate.go
+++ b/foldd/node/evacuate.go
@@ -59,7 +59,7 @@
 			requests += n.calls[b.ID]
 		}
 	}
-	for _, l := range n.placer.LocalLoad(list) {
+	for _, l := range n.placer.LocalLoad(time.Now(), list) {
 		requests += l.Requests
 	}
 	return len(list), requests
--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -102,6 +102,7 @@
 	q.retryGranted, q.position = true, s.lastEventID
 	s.resumption = &resumption{from: b.ID, cause: end, since: time.Now()}
 	s.placement = place.Request{Run: s.initialRun, PromptTokens: q.params.Prompt.Tokens, Progress: s.generated}
+	s.placement.Late = s.late.Load()
 	q.relay.Node.Count("streams.ended."+end.String(), 1)
 	return true
 }
