--- a/foldd/gate/gate_test.go
+++ b/foldd/gate/gate_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,3 +110,62 @@
 		t.Errorf("error %v, %d requests received; want a run to be canceled there", err, received.Load())
 	}
 }
+
+// TestOrderWhileResending guards against a request that the HTTP transport sends again over
+// another idle connection, because the server closed the first one without a response, after
+// the order to evacuate the server came in force.
+func TestOrderWhileResending(t *testing.T) {
+	var received atomic.Int64
+	var both sync.WaitGroup
+	both.Add(2)
+	n := newNode(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/idle":
+			both.Done()
+			both.Wait()
+		case "/lost":
+			if received.Add(1) > 1 {
+				return
+			}
+			n.ApplyEvacuations(evac.Set{}.Add("b", time.Unix(1, 0)), "")
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			c.Close()
+		}
+	}))
+	defer s.Close()
+	b := member.Backend{ID: "e", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Service: "s", Domain: "b", Epoch: 1}
+	base := &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 2}
+	defer base.CloseIdleConnections()
+	transport := gate.New(n, base)
+	send := func(path string) error {
+		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, node.FirstSend), http.MethodGet, s.URL+path, nil)
+		if err != nil {
+			return err
+		}
+		res, err := transport.RoundTrip(req)
+		if err != nil {
+			return err
+		}
+		defer res.Body.Close()
+		_, err = io.Copy(io.Discard, res.Body)
+		return err
+	}
+	// Two requests at once leave two idle connections.
+	var idle sync.WaitGroup
+	for range 2 {
+		idle.Go(func() {
+			if err := send("/idle"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	idle.Wait()
+	if err := send("/lost"); err == nil || received.Load() != 1 {
+		t.Errorf("error %v, %d requests received; want an error, and none after the order", err, received.Load())
+	}
+}
