Evacuation: no request to a server that is no longer known

Cause: a generation of the own interface keeps only the ID and the address of its engine if this VM has removed the engine since the scheduler chose it. The check before the send then found no failure domain, and permitted the request, also to an engine of an evacuated domain.

Change: while a domain is evacuated, requests that bring work to a server that this VM doesn't know are denied, and placed anew. Without an evacuation the check returns before it looks at the table.

Measured: TestServerThatIsNoLongerKnown failed before. Tests of foldd/node pass.

--- a/foldd/node/evacuate.go
+++ b/foldd/node/evacuate.go
@@ -82,11 +82,18 @@
 // evacuated reports whether a request must not be sent to a server because the server is
 // evacuated. The caller holds the lock.
 func (n *Node) evacuated(b member.Backend, p Purpose) bool {
+	if !p.begins() || len(n.evacuations.Domains) == 0 {
+		return false
+	}
 	if b.Domain == "" {
 		// The caller may have kept no more than the address.
-		b, _ = n.table.Get(b.ID)
+		known := false
+		if b, known = n.table.Get(b.ID); !known {
+			// The server was removed meanwhile, and its domain is not known any more.
+			return true
+		}
 	}
-	return p.begins() && n.evacuations.Has(b.Domain)
+	return n.evacuations.Has(b.Domain)
 }
 
 // CheckSend returns a *limit.DeniedError if a request with the purpose must not be sent to a
--- a/foldd/node/evacuate_test.go
+++ b/foldd/node/evacuate_test.go
@@ -165,6 +165,32 @@
 	}
 }
 
+// TestServerThatIsNoLongerKnown guards against a request to an evacuated server that this VM
+// has removed since it was chosen, and of which the request has kept only the address.
+func TestServerThatIsNoLongerKnown(t *testing.T) {
+	n, set := evacuationNode(t)
+	gone := member.Backend{ID: "gone", Addr: netip.MustParseAddrPort("127.0.0.1:9")}
+	if _, err := n.AcquirePermit(t.Context(), gone, FirstSend); err != nil {
+		t.Errorf("without an evacuation: %v", err)
+	}
+	n.ApplyEvacuations(set, "")
+	var denied *limit.DeniedError
+	if _, err := n.AcquirePermit(t.Context(), gone, FirstSend); !errors.As(err, &denied) || denied.Cause != limit.Evacuated {
+		t.Errorf("error %v, want the evacuation", err)
+	}
+	if _, err := n.AcquirePermit(t.Context(), gone, CancelRun); err != nil {
+		t.Errorf("a run there can't be canceled: %v", err)
+	}
+	n.ReceiveAnnouncement(member.Backend{ID: "none", Addr: gone.Addr, Kind: spec.KindPlain, Service: "models", Epoch: 1, Seq: 1})
+	if _, err := n.AcquirePermit(t.Context(), member.Backend{ID: "none", Addr: gone.Addr}, FirstSend); err != nil {
+		t.Errorf("a server that names no domain: %v", err)
+	}
+	n.ApplyEvacuations(set.Remove("b"), "")
+	if _, err := n.AcquirePermit(t.Context(), gone, FirstSend); err != nil {
+		t.Errorf("after the order was revoked: %v", err)
+	}
+}
+
 // TestOrderWhilePermitIsAskedFor guards against a request that is sent because the order came
 // in force after the first check.
 func TestOrderWhilePermitIsAskedFor(t *testing.T) {
