Evacuation: the version stays a count; a test of replicas that skipped orders

Would a version taken from the log index of the order, which always grows, be better than the count of changes?

Decision: no. With the index, such a replica gives the same version to another set, or a higher one to a set without the domains that it skipped. With the count it can do neither: it stays behind by each order that it skipped and that had an effect, until later orders have settled the same domains. The replicas with all orders apply each later order as well, so VMs follow them.

--- a/fold/state/evacuate_test.go
+++ b/fold/state/evacuate_test.go
@@ -1,8 +1,12 @@
 package state
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"fuchsiafold.example/fold/evac"
 )
 
 // earlierSnapshot is a snapshot that was written by the version before evacuations (341b5a2).
@@ -66,3 +70,28 @@
 		}
 	}
 }
+
+// TestReplicaThatSkippedOrders guards against a replica that has skipped orders, as one of a
+// version without them did before its upgrade, and whose set overtakes that of the replicas
+// with all orders: VMs keep the set with the highest version, and the first of two with the
+// same one.
+func TestReplicaThatSkippedOrders(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		var whole, skipped Machine
+		skip := 1 + random.IntN(6)
+		for i := range skip + random.IntN(12) {
+			c := Command{Evacuate: &Evacuate{Domain: string('a' + rune(random.IntN(3))), Undo: random.IntN(2) == 0}}
+			applyCommand(t, &whole, c)
+			if i < skip && random.IntN(2) == 0 {
+				continue
+			}
+			applyCommand(t, &skipped, c)
+			w, s := whole.Evacuations(), skipped.Evacuations()
+			same := func(a, b evac.Domain) bool { return a.Name == b.Name }
+			if s.Version > w.Version || s.Version == w.Version && !slices.EqualFunc(s.Domains, w.Domains, same) {
+				t.Fatalf("after %d orders, the replica that skipped some has %+v, the others %+v", i+1, s, w)
+			}
+		}
+	}
+}
