Prompts: sound parts beyond one update follow in the next

Cause: an update names at most 128 sound parts, in random order, but the VM that applied it counted as one that has all changes. The parts that were left out were never sent to it by that VM (before, each exchange chose anew). A VM that does not know that a part is sound may quarantine it.

Change: an update states the changes that its receiver has with it. If there are more sound parts than fit, those that changed first are sent, and the others count as not sent.

--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -298,3 +298,33 @@
 		}
 	}
 }
+
+// TestSoundPartsBeyondOneUpdate guards against sound parts that another VM never learns of,
+// because there were more than one update holds.
+func TestSoundPartsBeyondOneUpdate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a, b Table
+	for i := range 3 * maxShared {
+		part := []string{fmt.Sprintf("request:%d", i)}
+		a.Survived(now, part)
+		a.Lost(now.Add(time.Second), part, Crash{Backend: "s", Epoch: 1}, true)
+	}
+	now = now.Add(time.Second)
+	acked := uint64(0)
+	for range 3 {
+		u := a.ShareSince(now, acked)
+		if len(u.Losses) > maxShared || len(u.Sound) > maxShared {
+			t.Errorf("an update holds %d losses and %d sound parts, want at most %d", len(u.Losses), len(u.Sound), maxShared)
+		}
+		b.Merge(now, u)
+		acked = u.Changes
+	}
+	for i := range 3 * maxShared {
+		if part := fmt.Sprintf("request:%d", i); !b.sound(part) {
+			t.Fatalf("%s is not sound at the other VM", part)
+		}
+	}
+	if u := a.ShareSince(now, acked); !u.Empty() || u.Changes != a.Changes() {
+		t.Errorf("a further update holds %d losses and %d sound parts", len(u.Losses), len(u.Sound))
+	}
+}
--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -21,41 +22,53 @@
 	Losses []Loss
 	// Sound holds parts of losses with which runs survived before.
 	Sound []string
+	// Changes is the number of changes, as ShareSince counts them, that a VM has once it
+	// has applied the update. It is not sent.
+	Changes uint64
 }
 
 // Empty reports whether the update holds nothing.
 func (u *Update) Empty() bool { return len(u.Losses) == 0 && len(u.Sound) == 0 }
 
-// Changes returns the number of changes so far, for ShareSince.
+// Changes returns the number of changes so far.
 func (t *Table) Changes() uint64 { return t.changes }
 
 // Share returns the update for another VM of which nothing is known: recent changes, and
 // the newest losses of the parts in quarantine.
 func (t *Table) Share(now time.Time) Update { return t.ShareSince(now, 0) }
 
-// ShareSince returns the update for a VM that has applied an earlier one, made when Changes
-// returned since. While a server breaks off many responses, each exchange would otherwise
+// ShareSince returns the update for a VM that has applied an earlier one, whose Changes is
+// since. While a server breaks off many responses, each exchange would otherwise
 // repeat all losses of the last shareTime.
 func (t *Table) ShareSince(now time.Time, since uint64) Update {
 	if len(t.losses) == 0 {
-		return Update{}
+		return Update{Changes: t.changes}
 	}
-	var u Update
+	u := Update{Changes: t.changes}
 	for _, l := range t.lossesToShare(now) {
 		if l.changed.number > since {
 			u.Losses = append(u.Losses, l.export(now))
 		}
 	}
+	var sound []string
 	for part, changed := range t.soundChanged {
 		if now.Sub(changed.at) >= shareTime {
 			delete(t.soundChanged, part)
 			continue
 		}
-		if changed.number > since && len(u.Sound) < maxShared {
-			u.Sound = append(u.Sound, part)
+		if changed.number > since {
+			sound = append(sound, part)
 		}
 	}
-	slices.Sort(u.Sound)
+	if len(sound) > maxShared {
+		// The rest follows in later updates, in the order of the changes.
+		slices.SortFunc(sound, func(a, b string) int {
+			return cmp.Compare(t.soundChanged[a].number, t.soundChanged[b].number)
+		})
+		sound = sound[:maxShared]
+		u.Changes = t.soundChanged[sound[maxShared-1]].number
+	}
+	u.Sound = sound
 	return u
 }
 
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -22,10 +22,8 @@
 	Known []member.PeerUpdate
 	// Leases is the digest of the local table.
 	Leases member.Leases
-	// Prompts holds what this VM knows of prompts that crash engines and the peer may not,
-	// and PromptChanges the number of changes that the peer has once it has applied them.
-	Prompts       poison.Update
-	PromptChanges uint64
+	// Prompts holds what this VM knows of prompts that crash engines and the peer may not.
+	Prompts poison.Update
 	// Limits holds the rate limits of backend servers that this VM knows.
 	Limits []limit.Entry
 	// Evacuations is the set of evacuated failure domains that this VM knows.
@@ -187,7 +185,7 @@
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
 	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Limits: n.limits.Share(now), Evacuations: n.evacuations}
-	x.Prompts, x.PromptChanges = n.promptUpdateFor(now, id)
+	x.Prompts = n.promptUpdateFor(now, id)
 	x.Updates, x.Version = n.table.Since(now, since, id)
 	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
 	p, ok := n.group.Peer(id)
@@ -208,7 +206,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.group.RecordExchange(id, sent.Version, have)
-	n.recordPromptUpdate(id, sent.PromptChanges)
+	n.recordPromptUpdate(id, sent.Prompts.Changes)
 }
 
 // ReceiveLeases applies the digest of the leases that a VM knows.
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -171,16 +171,15 @@
 	epoch, changes uint64
 }
 
-// promptUpdateFor returns the update on prompts for the VM id, and the number of changes
-// that it has with it. The caller holds the lock.
-func (n *Node) promptUpdateFor(now time.Time, id string) (poison.Update, uint64) {
+// promptUpdateFor returns the update on prompts for the VM id. The caller holds the lock.
+func (n *Node) promptUpdateFor(now time.Time, id string) poison.Update {
 	since := uint64(0)
 	if p, ok := n.group.Peer(id); ok {
 		if ack := n.promptAcks[id]; ack.epoch == p.Epoch {
 			since = ack.changes
 		}
 	}
-	return n.poison.ShareSince(now, since), n.poison.Changes()
+	return n.poison.ShareSince(now, since)
 }
 
 // recordPromptUpdate records that the VM id has applied the update with the given number of
