Evacuation: a start during an election waits its whole second

Cause: the first query of a VM that starts gives up as soon as half of the control VMs are silent and no other knows a leader, as during an election or while other control VMs start. Requests to servers were released then, after 0.3 s with two control VMs, without the set of evacuated domains. A control VM sends by the configuration on its disk at that time.

Change: the query is repeated, 50 ms apart, for the second that requests may wait. Later queries are single ones, as before.

--- a/foldd/app/control.go
+++ b/foldd/app/control.go
@@ -20,6 +20,8 @@
 	// configFetchTimeout bounds the time that the start of a VM waits for the newest
 	// configuration and evacuations.
 	configFetchTimeout = time.Second
+	// configFetchPause is the pause before the control group is asked again within that time.
+	configFetchPause = 50 * time.Millisecond
 	// configRetryDelay is the delay before the fetch is repeated.
 	configRetryDelay = time.Second
 )
@@ -188,7 +190,18 @@
 // the fetch fails, the VM starts with what other VMs know, and the fetch is repeated.
 func (a *App) fetchConfig() {
 	defer a.Node.ReleaseSends()
-	if !a.tryFetchConfig() {
+	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
+	defer cancel()
+	fetched := a.tryFetchConfig(ctx)
+	for !fetched && ctx.Err() == nil {
+		// An attempt ends early if this VM seems to be cut off, as it does during an election.
+		select {
+		case <-time.After(configFetchPause):
+		case <-ctx.Done():
+		}
+		fetched = a.tryFetchConfig(ctx)
+	}
+	if !fetched {
 		a.Node.Log.Warn("control group not reached at the start; using the configuration and evacuations that other VMs know")
 		a.Node.Clock.At(time.Now().Add(configRetryDelay), func(time.Time) { go a.refetchConfig() })
 	}
@@ -196,16 +209,16 @@
 
 // refetchConfig repeats the fetch of fetchConfig until it succeeds or the process ends.
 func (a *App) refetchConfig() {
-	if a.Node.Abandoned() || a.tryFetchConfig() {
+	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
+	defer cancel()
+	if a.Node.Abandoned() || a.tryFetchConfig(ctx) {
 		return
 	}
 	a.Node.Clock.At(time.Now().Add(configRetryDelay), func(time.Time) { go a.refetchConfig() })
 }
 
 // tryFetchConfig reports whether the control group has responded.
-func (a *App) tryFetchConfig() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
-	defer cancel()
+func (a *App) tryFetchConfig(ctx context.Context) bool {
 	res, err := a.controlClient.Latest(ctx)
 	if err != nil {
 		return false
--- a/foldd/app/evacuate_test.go
+++ b/foldd/app/evacuate_test.go
@@ -1,15 +1,22 @@
 package app_test
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/foldd/app"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldd/oper"
+	"fuchsiafold.example/wire"
 )
 
 // orderEvacuation gives an order at a VM until it is acknowledged.
@@ -105,3 +112,38 @@
 		t.Error("an older set was applied")
 	}
 }
+
+// leaderlessControl is a control VM that knows no leader until the time in ready.
+type leaderlessControl struct {
+	wire.UnimplementedControlServiceHandler
+	ready time.Time
+}
+
+// Latest implements wire.ControlServiceHandler.
+func (c *leaderlessControl) Latest(context.Context, *connect.Request[wire.ConfigRequest]) (*connect.Response[wire.ConfigResponse], error) {
+	if time.Now().Before(c.ready) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("no leader"))
+	}
+	return connect.NewResponse(&wire.ConfigResponse{Evacuations: &wire.Evacuations{Version: 1, Domains: []*wire.Evacuation{{Domain: "b", Since: 1}}}}), nil
+}
+
+// TestStartDuringElection guards against a VM that sends requests right after its start because
+// its first query ended early: one control VM knew no leader yet, and the other was silent.
+func TestStartDuringElection(t *testing.T) {
+	t.Parallel()
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewControlServiceHandler(&leaderlessControl{ready: time.Now().Add(500 * time.Millisecond)}))
+	control := httptest.NewServer(mux)
+	t.Cleanup(control.Close)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { silent.Close() })
+	vm := startEntry(t, "vm", func(s *conf.Settings) {
+		s.ControlVMs = []netip.AddrPort{netip.MustParseAddrPort(control.Listener.Addr().String()), netip.MustParseAddrPort(silent.Addr().String())}
+	})
+	if !vm.Node.Evacuated("b") {
+		t.Error("the VM has started without the order")
+	}
+}
