Entry: requests wait for the first query of a start before they are placed

Cause: the wait was part of the send. A generation that waited longer than the connect timeout counted as a failed start at its engine, took retries and backed engines off, and a call that timed out meanwhile was reported as one that may have run, also to the store of claims.

Change: generations and calls of the own interface wait before a server is chosen. A call that ends meanwhile has not run. The wait in AcquirePermit stays.

--- a/foldd/app/evacuate_test.go
+++ b/foldd/app/evacuate_test.go
@@ -147,3 +147,34 @@
 		t.Error("the VM has started without the order")
 	}
 }
+
+// TestOwnInterfaceWaitsForFirstQuery guards against generations that count as failed at their
+// engines, and calls whose outcome is reported as unknown, because they waited for the first
+// query of a VM that has just started longer than an engine may take to respond, or than the
+// call may take.
+func TestOwnInterfaceWaitsForFirstQuery(t *testing.T) {
+	t.Parallel()
+	vm := startEntry(t, "vm", nil)
+	startEngine(t, "e1", vm)
+	startService(t, "s1", vm)
+	vm.Node.HoldSends()
+	generation := make(chan *answer, 1)
+	go func() {
+		res := generationRequest("summary", 3, true).send(t, vm)
+		defer res.Body.Close()
+		generation <- readAnswer(res, nil)
+	}()
+	// The call may take 2 s.
+	call := callerRequest{method: http.MethodGet, path: "/lookup"}.send(t, vm)
+	call.Body.Close()
+	if call.StatusCode != http.StatusServiceUnavailable || call.Header.Get("Fold-Outcome") != "notRun" {
+		t.Errorf("call: status %d, %v; want 503, not run", call.StatusCode, call.Header)
+	}
+	vm.Node.ReleaseSends()
+	if a := <-generation; a.err != nil || a.summary == nil || a.summary.Outcome != "done" {
+		t.Errorf("the generation ended with %+v, error %v", a.summary, a.err)
+	}
+	if n := counter(vm, "engine.failedStarts"); n != 0 {
+		t.Errorf("%d failed starts of generations, want none", n)
+	}
+}
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -232,6 +232,9 @@
 	if q, ok := n.Quarantine(c.route.Service, c.crashParts); ok {
 		return RecordedAnswer{}, retry.Attempt{}, fault.FromQuarantine(q)
 	}
+	if n.AwaitSends(ctx) != nil {
+		return RecordedAnswer{}, retry.Attempt{}, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the call ended before this VM, which has just started, sent it").WithRetryAfter(time.Second)
+	}
 	for {
 		b, ok := n.AcquireBackend(c.route.Service, c.triedBackends)
 		if !ok {
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -80,6 +80,9 @@
 // run requests engines and delivers generations until the answer ends.
 func (g *generation) run(ctx context.Context) *fault.Fault {
 	defer g.recordRequest()
+	if g.handler.Node.AwaitSends(ctx) != nil {
+		return errCallerDisconnected
+	}
 	for {
 		fail := g.checkQuarantine()
 		var decision node.Decision
--- a/foldd/node/evacuate.go
+++ b/foldd/node/evacuate.go
@@ -181,10 +181,19 @@
 	}
 }
 
-// awaitSends waits until a request with the purpose may be sent: a VM that has just started
-// may not know of an evacuation.
+// awaitSends is AwaitSends for a request with the purpose.
 func (n *Node) awaitSends(ctx context.Context, p Purpose) error {
-	if n.sendsHeld == nil || !p.begins() {
+	if !p.begins() {
+		return nil
+	}
+	return n.AwaitSends(ctx)
+}
+
+// AwaitSends waits until requests may be sent to backend servers: a VM that has just started
+// may not know of an evacuation. AcquirePermit waits, too, but that counts as time of the
+// server.
+func (n *Node) AwaitSends(ctx context.Context) error {
+	if n.sendsHeld == nil {
 		return nil
 	}
 	select {
