Cold servers: runs may be moved there within their rate

Cause: where engines are replaced all the time, the new ones are empty, and cold for a second. Barred as targets, drafts stayed on engines that left.

Change: a cold server is a target of copies while it has permits; the resumed run takes one, as any request.

--- a/foldd/node/withheld.go
+++ b/foldd/node/withheld.go
@@ -109,22 +109,6 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	w := n.withheldServers(now, service, stay, own)
-	if r.Copy != nil && n.mayBeCold(now, service) {
-		n.withholdColdTargets(now, service, stay, &w)
-	}
 	r.Exclude = slices.Concat(r.Exclude, w.ids)
 	return w
 }
-
-// withholdColdTargets adds the cold servers, other than stay, that are not withheld yet: they
-// are no targets of a copy. The permits for them are left to requests that run nowhere yet.
-// The caller holds the lock.
-func (n *Node) withholdColdTargets(now time.Time, service, stay string, w *withheld) {
-	for _, b := range n.table.OfService(service) {
-		rate, left := n.table.Cold(now, b.ID, b.Epoch)
-		if rate > 0 && b.ID != stay && !slices.Contains(w.ids, b.ID) {
-			w.add(b.ID, left, limit.RateLimit)
-			w.noteWarm(left)
-		}
-	}
-}
