Streams through another VM: drop the partial event of the server before

A resumable stream that broke off within an event and went on through another VM kept the bytes of that event, as only a send to a server reset the splitter. With no server left to send to, they were joined with the first event from the other VM: "id: 1id: 1".

The splitter is reset before the response of another VM is read.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -217,6 +217,33 @@
 	}
 }
 
+// TestPartialEventIsDroppedBeforeOtherVM guards against a stream that goes on through another VM
+// and joins part of an event of the first server with that VM's events.
+func TestPartialEventIsDroppedBeforeOtherVM(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 3} })
+	crashing, err := origin.New("s1", func(*http.Request) origin.Behaviour { return origin.Behaviour{Crash: true} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(crashing.Close)
+	rig.announceApart(rig.server.Addr(), crashing.Addr())
+	lost := member.Backend{ID: "s2", Addr: unusedAddr(t), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1}
+	rig.cutOff.Node.ReceiveAnnouncement(lost)
+	for range 2 {
+		// No server is left to send the request to.
+		rig.cutOff.Node.ConnectFailed(lost, syscall.ECONNREFUSED)
+	}
+	for range 20 {
+		// Earlier requests that the budget for retries is a share of.
+		rig.cutOff.Node.CountForward("booking-app")
+	}
+	_, body, err := rig.call(t.Context(), t, "resumable", "1")
+	if want := origin.Event(1) + origin.Event(2) + origin.Event(3); err != nil || body != want {
+		t.Errorf("error %v, body %q; want %q", err, body, want)
+	}
+}
+
 // TestRequestPassedOnOutcomes checks what callers of a VM that is cut off are told when the
 // server or the other VM fails, and how often the request runs.
 func TestRequestPassedOnOutcomes(t *testing.T) {
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -214,6 +214,8 @@
 func (s *stream) relayPeer(ctx context.Context, res *pool.Response) *fault.Fault {
 	defer s.q.endPass()
 	s.viaPeer = true
+	// The rest of the response before may be part of an event.
+	s.splitter.Reset()
 	s.q.peerOutcome = res.Header.Get(fault.HeaderOutcome)
 	err := s.relayResponse(ctx, res)
 	switch {
