Streams: an error response that breaks off is not filled up with events

A response such as 404 to the request of a resumable stream was passed on with its head. If its body then broke off, the request went to another server, whose events followed the part of the body: "not id: 1", with an end that looked complete.

Once the caller has the head of a response that is no stream of events, no other server is asked, and the connection is aborted.

--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -70,7 +70,7 @@
 // b, which has been closed, ended with err. If so, the retry is taken from the budget.
 func (s *stream) goesOn(ctx context.Context, b backend, end retry.StreamEnd, err error) bool {
 	q := s.q
-	if !q.forward.Resumable {
+	if !q.forward.Resumable || s.errorSent {
 		return false
 	}
 	switch {
--- a/foldd/relay/resume_test.go
+++ b/foldd/relay/resume_test.go
@@ -186,6 +186,19 @@
 	})
 }
 
+// TestBrokenErrorResponseIsNotGoneOnWith guards against a response with status 404 whose body
+// breaks off and is filled up with the events of another server.
+func TestBrokenErrorResponseIsNotGoneOnWith(t *testing.T) {
+	r := startVM(t)
+	behave := failsFirst(origin.Behaviour{Status: http.StatusNotFound, Body: "not found", TruncateAt: 4})
+	servers := []*origin.Server{r.backend("e1", "models", behave), r.backend("e2", "models", behave)}
+	_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt")
+	if err == nil || strings.Contains(body, "id: ") || runs("1", servers...) != 1 {
+		t.Errorf("error %v, body %q, %d runs; want a broken response of one server", err, body, runs("1", servers...))
+	}
+	r.checkIdle()
+}
+
 // TestStreamThatCrashesEnginesIsNotSentOn guards against a request that crashes engine after
 // engine, and checks that it counts as one that does.
 func TestStreamThatCrashesEnginesIsNotSentOn(t *testing.T) {
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -29,7 +29,9 @@
 	w http.ResponseWriter
 	// headerSent is set once the response header was written to the caller.
 	headerSent bool
-	splitter   event.Splitter
+	// errorSent is set if that header was the one of a response that is no stream of events.
+	errorSent bool
+	splitter  event.Splitter
 
 	// viaPeer is set if another VM serves the stream, and has its run.
 	viaPeer bool
@@ -245,7 +247,7 @@
 		return errStatusAfterHead
 	}
 	if !s.headerSent {
-		s.headerSent = true
+		s.headerSent, s.errorSent = true, res.Status != http.StatusOK
 		s.q.namePeerBackend(res.Header)
 		copyHeader(s.w, res.Header)
 		s.w.WriteHeader(res.Status)
