Streams: watch the server that a resumable stream's run was moved to

The watch for silent servers ended with the move of a run, so a stream whose run was moved to a server that was then cut off waited for its deadline (8 s in the test).

The send that resumes a run begins a watched attempt as other sends do.

--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -211,13 +211,20 @@
 func (s *stream) exchange(ctx context.Context, b backend) (*pool.Response, error) {
 	q := s.q
 	s.splitter.Reset()
-	if !q.forward.Resumable {
-		return q.exchange(ctx, b, q.sendPurpose(), nil)
+	return q.exchange(s.beginAttempt(ctx, b, q.sent-s.excused+1 < q.forward.Attempts), b, q.sendPurpose(), nil)
+}
+
+// beginAttempt returns the context of an attempt at server b. It is ctx itself unless the stream
+// is resumable; otherwise it ends once the server is found to be silent, with mayRetry as in
+// watchAttempt.
+func (s *stream) beginAttempt(ctx context.Context, b backend, mayRetry bool) context.Context {
+	if !s.q.forward.Resumable {
+		return ctx
 	}
 	s.endAttempt(nil)
 	s.attempt, s.endAttempt = context.WithCancelCause(ctx)
-	go s.watchAttempt(s.attempt, s.endAttempt, b, q.sent-s.excused+1 < q.forward.Attempts)
-	return q.exchange(s.attempt, b, q.sendPurpose(), nil)
+	go s.watchAttempt(s.attempt, s.endAttempt, b, mayRetry)
+	return s.attempt
 }
 
 // stopWatching ends the watch on the last attempt, whose run was moved or which has no response.
--- a/foldd/relay/resume_test.go
+++ b/foldd/relay/resume_test.go
@@ -467,3 +467,32 @@
 	}
 	r.checkIdle()
 }
+
+// TestSilentServerAfterMoveIsLeft guards against a stream that waits until its deadline for a
+// server that its run was moved to and that was then cut off.
+func TestSilentServerAfterMoveIsLeft(t *testing.T) {
+	r := startVM(t)
+	r.node.ProbeServer = r.relay.ProbeServer
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5}))
+	results := make(chan streamResult, 1)
+	go func() {
+		_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt", "Fold-Deadline-Ms", "8000")
+		results <- streamResult{body, err}
+	}()
+	waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+	cutOffResumed := func(q *http.Request) origin.Behaviour {
+		if q.Header.Get("Fold-Resume") != "" {
+			return origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 8, Unreachable: true}
+		}
+		return origin.Behaviour{Events: streamEvents}
+	}
+	b, c := r.backend("b", "models", cutOffResumed), r.backend("c", "models", cutOffResumed)
+	r.relay.Mover = newMover(a, b, c)
+	r.announce(a, "models", true)
+	if res := <-results; res.err != nil || res.body != allEvents() {
+		t.Errorf("error %v, body %q; want each event once", res.err, res.body)
+	}
+	r.checkIdle()
+}
