Moves: a run whose stream has ended is not stopped, and its placement ends

A move whose first copy ended after the stream still stopped the run. If the engine had not noticed the end yet, the result had no receiver: the placement at the target was never ended, so that server looked busy for ever, and the copy was not freed. The same was possible between the last check for a move and the end of a stream, and for one that went on through another VM.

A move does not begin its last step once the stream has ended, and the one in progress then is cancelled.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -189,7 +189,8 @@
 }
 
 // awaitMove waits for the end of the move in progress, clears it, so that the
-// stream can be moved again, and returns it. It returns nil if there is none.
+// stream can be moved again, and returns it. It returns nil if there is none, or if another
+// call has returned it.
 func (s *stream) awaitMove() *move {
 	m := s.currentMove()
 	if m == nil {
@@ -197,9 +198,11 @@
 	}
 	<-m.done
 	s.mu.Lock()
-	s.move = nil
-	s.moveBegun = false
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if s.move != m {
+		return nil
+	}
+	s.move, s.moveBegun = nil, false
 	return m
 }
 
@@ -214,7 +217,8 @@
 	return nil, true
 }
 
-// dropMove cancels the move of a run that the stream has left, if there is one.
+// dropMove cancels the move of a run that the stream has left, if there is one. It must be called
+// once the stream has ended: nothing else ends the placement at the target then.
 func (s *stream) dropMove() {
 	if s.currentMove() != nil {
 		go func() { s.cancelMove(s.awaitMove()) }()
@@ -300,11 +304,11 @@
 }
 
 // startStop records that the run is now stopped for the move m. It returns false if the stream has
-// left the run's engine, as a resumable one does when its response ends early.
+// ended, or has left the run's engine, as a resumable one does when its response ends early.
 func (s *stream) startStop(m *move) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.server.ID != m.from.ID {
+	if s.ended || s.server.ID != m.from.ID {
 		s.moveBegun = false
 		return false
 	}
--- a/foldd/relay/move_test.go
+++ b/foldd/relay/move_test.go
@@ -298,3 +298,47 @@
 		t.Errorf("%d copies were ordered after the run had ended", more)
 	}
 }
+
+// TestMoveOfRunThatHasEnded guards against a move that stops a run after its stream has ended, and
+// whose placement at the target is then never ended: the target would look busy for ever.
+func TestMoveOfRunThatHasEnded(t *testing.T) {
+	for _, path := range []string{"/draft/x", "/short/x"} {
+		r := startVM(t)
+		release, copied, freed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		t.Cleanup(func() { close(release) })
+		a := r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5}))
+		ended := make(chan struct{})
+		go func() {
+			_, _, _ = r.sendAndRead(http.MethodPost, path, "1", "prompt", "Fold-Deadline-Ms", "700")
+			close(ended)
+		}()
+		waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+		r.backend("b", "models", respondWith(origin.Behaviour{Events: streamEvents}))
+		r.relay.Mover = &relay.Mover{
+			Copy: func(_ context.Context, _ netip.AddrPort, _ string, _ netip.AddrPort, stop bool) (string, relay.Reply, error) {
+				if stop {
+					return "last", relay.Reply{}, nil
+				}
+				<-copied
+				return "copy", relay.Reply{}, nil
+			},
+			Free: func(context.Context, netip.AddrPort, string) (relay.Reply, error) {
+				close(freed)
+				return relay.Reply{}, nil
+			},
+		}
+		r.announce(a, "models", true)
+		<-ended
+		waitFor(t, "the request to end", func() bool { return r.node.Streams() == 0 })
+		close(copied)
+		select {
+		case <-freed:
+		case <-time.After(2 * time.Second):
+			t.Errorf("%s: the copy was not freed", path)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if loads := r.node.Loads("models"); len(loads) != 0 {
+			t.Errorf("%s: loads %+v after the end, want none", path, loads)
+		}
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -117,6 +117,7 @@
 	f := s.sendAndRelay(ctx)
 	s.endAttempt(nil)
 	s.end()
+	s.dropMove()
 	q.events, q.firstEvent, q.maxEventGap = s.events, s.firstAt, s.maxEventGap
 	disconnected := q.caller.Disconnected() || errors.Is(context.Cause(ctx), serve.ErrCallerDisconnected)
 	switch {
@@ -152,7 +153,6 @@
 			f = cmp.Or(lost, f)
 		}
 		if f != nil {
-			s.dropMove()
 			return s.afterRun(ctx, f)
 		}
 		if again, f := s.relayRun(ctx, res); !again {
