Quarantine: a request that crashes servers is not passed to another VM

A stream whose last loss put it in quarantine had a retry granted, and crashed servers count as servers that the VM can't reach, so it was passed to another VM. That one learns of the quarantine only by later exchanges, and may crash one more server. Plain requests were passed on in the same way.

A request found in quarantine is not passed on.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/foldd/app"
@@ -244,6 +246,40 @@
 	}
 }
 
+// TestQuarantinedStreamIsNotPassedOn guards against a request that crashes servers, and that is
+// passed to a VM that may not know of its quarantine yet.
+func TestQuarantinedStreamIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 3} })
+	crashing, err := origin.New("s1", func(*http.Request) origin.Behaviour { return origin.Behaviour{CrashUnanswered: true} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(crashing.Close)
+	rig.announceApart(rig.server.Addr(), crashing.Addr())
+	lost := member.Backend{ID: "s2", Addr: unusedAddr(t), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1}
+	rig.cutOff.Node.ReceiveAnnouncement(lost)
+	for i := range 2 {
+		rig.cutOff.Node.ConnectFailed(lost, syscall.ECONNREFUSED)
+		rig.cutOff.Node.PromptLost([]string{"bad"}, member.Backend{ID: fmt.Sprint("crashed", i), Epoch: 1}, true)
+		time.Sleep(600 * time.Millisecond)
+	}
+	for range 20 {
+		// Earlier requests that the budget for retries is a share of.
+		rig.cutOff.Node.CountForward("booking-app")
+	}
+	res, body, err := rig.call(t.Context(), t, "resumable", "1", "Fold-Prompt-Parts", "bad:10,own:10")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Fold-Outcome") != "unknown" || rig.server.RunCount("1") != 0 || crashing.RunCount("1") != 1 {
+		t.Errorf("status %d, outcome %q, body %q, %d runs after %d; want 503, none after one", res.StatusCode, res.Header.Get("Fold-Outcome"), body, rig.server.RunCount("1"), crashing.RunCount("1"))
+	}
+	if n := metrics.GetOrRegisterCounter("peer.passed", rig.cutOff.Node.Metrics).Count(); n != 0 {
+		t.Errorf("passed to another VM %d times, want never", n)
+	}
+}
+
 // TestRequestPassedOnOutcomes checks what callers of a VM that is cut off are told when the
 // server or the other VM fails, and how often the request runs.
 func TestRequestPassedOnOutcomes(t *testing.T) {
--- a/foldd/relay/crash.go
+++ b/foldd/relay/crash.go
@@ -20,6 +20,7 @@
 // checkQuarantine returns a fault if the request crashes servers.
 func (q *request) checkQuarantine() *fault.Fault {
 	if quarantine, ok := q.relay.Node.Quarantine(q.service.Name, q.crashParts); ok {
+		q.quarantined = true
 		return fault.FromQuarantine(quarantine)
 	}
 	return nil
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -82,11 +82,12 @@
 
 // mayPassOn reports whether the request may be passed to another VM after the fault f: it
 // provably did not run, or is a retry that the budget allows, and this VM can't reach most
-// servers for it.
+// servers for it. A request in quarantine is not passed on: crashed servers can't be reached
+// either, and the other VM may not know of the quarantine yet.
 func (q *request) mayPassOn(f *fault.Fault) bool {
 	rejected := f.Outcome == retry.NotRun && (f.Code == fault.NoBackend || f.Code == fault.Overload)
 	allowed := rejected && !q.mayHaveRun || q.retryGranted
-	return allowed && q.passedBy == "" && q.relay.Node.CutOff(q.service.Name)
+	return allowed && !q.quarantined && q.passedBy == "" && q.relay.Node.CutOff(q.service.Name)
 }
 
 // passOn passes the request to other VMs, one after the other, until one takes it. It
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -95,6 +95,8 @@
 	sent int
 	// mayHaveRun is set once a backend server may have begun the request.
 	mayHaveRun bool
+	// quarantined is set once the request was found to crash servers.
+	quarantined bool
 	// retryGranted is set while a retry of an idempotent request has been taken from the
 	// budget and was not sent yet.
 	retryGranted bool
