--- a/foldd/relay/resume_test.go
+++ b/foldd/relay/resume_test.go
@@ -186,6 +186,19 @@
 	})
 }
 
+// TestBrokenErrorResponseIsNotGoneOnWith guards against a response with status 404 whose body
+// breaks off and is filled up with the events of another server.
+func TestBrokenErrorResponseIsNotGoneOnWith(t *testing.T) {
+	r := startVM(t)
+	behave := failsFirst(origin.Behaviour{Status: http.StatusNotFound, Body: "not found", TruncateAt: 4})
+	servers := []*origin.Server{r.backend("e1", "models", behave), r.backend("e2", "models", behave)}
+	_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt")
+	if err == nil || strings.Contains(body, "id: ") || runs("1", servers...) != 1 {
+		t.Errorf("error %v, body %q, %d runs; want a broken response of one server", err, body, runs("1", servers...))
+	}
+	r.checkIdle()
+}
+
 // TestStreamThatCrashesEnginesIsNotSentOn guards against a request that crashes engine after
 // engine, and checks that it counts as one that does.
 func TestStreamThatCrashesEnginesIsNotSentOn(t *testing.T) {
@@ -454,3 +467,32 @@
 	}
 	r.checkIdle()
 }
+
+// TestSilentServerAfterMoveIsLeft guards against a stream that waits until its deadline for a
+// server that its run was moved to and that was then cut off.
+func TestSilentServerAfterMoveIsLeft(t *testing.T) {
+	r := startVM(t)
+	r.node.ProbeServer = r.relay.ProbeServer
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	a := r.backend("a", "models", respondWith(origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 5}))
+	results := make(chan streamResult, 1)
+	go func() {
+		_, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt", "Fold-Deadline-Ms", "8000")
+		results <- streamResult{body, err}
+	}()
+	waitFor(t, "the stream to be held", func() bool { return a.EventsSent("1") == 5 })
+	cutOffResumed := func(q *http.Request) origin.Behaviour {
+		if q.Header.Get("Fold-Resume") != "" {
+			return origin.Behaviour{Events: streamEvents, Hold: release, HoldAt: 8, Unreachable: true}
+		}
+		return origin.Behaviour{Events: streamEvents}
+	}
+	b, c := r.backend("b", "models", cutOffResumed), r.backend("c", "models", cutOffResumed)
+	r.relay.Mover = newMover(a, b, c)
+	r.announce(a, "models", true)
+	if res := <-results; res.err != nil || res.body != allEvents() {
+		t.Errorf("error %v, body %q; want each event once", res.err, res.body)
+	}
+	r.checkIdle()
+}
