pool: idle connections hold no read buffer, and are bounded in total

Cause: each idle connection kept its read buffer of 4 KiB, and the number of idle connections was bounded for each server only: 32 times the number of servers, 32,000 at 1,000 servers.

Change: a connection takes its read buffer from a sync.Pool for the time of an exchange. Pool.MaxIdleTotal (1,024) bounds the idle connections to all servers; the one that was idle the longest is closed first. Pool.OnExchange gets the bytes of each exchange, Pool.OnDial the context of the call.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -181,7 +181,7 @@
 // once for an App.
 func (a *App) NewRelay(c relay.Codec, newMover func(p *pool.Pool) *relay.Mover) *relay.Relay {
 	n := a.Node
-	p := &pool.Pool{OnDial: func() { n.Count("forward.connections", 1) }}
+	p := &pool.Pool{OnDial: func(context.Context) { n.Count("forward.connections", 1) }}
 	forwarder := &relay.Relay{Node: n, Pool: p, Peers: relay.NewPeerPool(), Codec: c}
 	a.forwarder.Store(forwarder)
 	if newMover != nil {
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -87,7 +87,10 @@
 			return nil, &Error{Err: err}
 		}
 	}
-	x := &exchange{pool: p, conn: c, request: r}
+	c.sent.Store(0)
+	c.head.received = 0
+	c.takeReader()
+	x := &exchange{pool: p, conn: c, request: r, ctx: ctx}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	res, err := x.run()
 	if err != nil {
@@ -105,6 +108,7 @@
 	pool    *Pool
 	conn    *conn
 	request *Request
+	ctx     context.Context
 	// stop detaches the connection from the request's context. It reports false
 	// if the end of the context has already closed the connection.
 	stop func() bool
@@ -236,6 +240,9 @@
 	}
 	x.ended = true
 	connOpen := x.stop()
+	if x.pool.OnExchange != nil {
+		x.pool.OnExchange(x.ctx, Usage{Sent: x.conn.sent.Load(), Received: x.conn.head.received})
+	}
 	if complete && connOpen && x.reuse && x.writeDone() && x.conn.reader.Buffered() == 0 {
 		x.pool.put(x.conn)
 		return
--- a/netio/pool/head.go
+++ b/netio/pool/head.go
@@ -20,18 +20,23 @@
 	// inHead is set while the head is read, and left is what may still be read of it.
 	inHead bool
 	left   int
+	// received is the number of bytes read for the current exchange.
+	received int64
 }
 
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
 	if !l.inHead {
-		return l.r.Read(p)
+		n, err := l.r.Read(p)
+		l.received += int64(n)
+		return n, err
 	}
 	if l.left <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.received += int64(n)
 	return n, err
 }
 
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -6,12 +6,15 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +26,10 @@
 	DefaultDialTimeout = 300 * time.Millisecond
 	DefaultIdleTimeout = 2 * time.Second
 	DefaultMaxIdle     = 32
+	// DefaultMaxIdleTotal covers 100 new connections a second that each stay idle for
+	// DefaultIdleTimeout and the time until the next Sweep, every 5 s in foldd, with some to
+	// spare beside the servers that get requests all the time.
+	DefaultMaxIdleTotal = 1024
 )
 
 // TCP keep-alive and timeout settings that detect a dead connection.
@@ -57,32 +64,51 @@
 // Unwrap returns e.Err.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Usage is what one request and its responses took on the connection in bytes, heads included.
+type Usage struct{ Sent, Received int64 }
+
 // Pool holds idle connections to backend servers. The zero value is ready to
 // use. A Pool is safe for concurrent use.
 type Pool struct {
 	// DialTimeout bounds the time to open a connection. IdleTimeout bounds the
 	// time that a connection stays idle. MaxIdle bounds the number of idle
-	// connections to each server. Zero selects the default.
-	DialTimeout time.Duration
-	IdleTimeout time.Duration
-	MaxIdle     int
-	// OnDial, if not nil, is called after each connection that is opened.
-	OnDial func()
-
-	// mu protects idle, the idle connections to each server, with the last used one
-	// at the end.
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*conn
+	// connections to each server, and MaxIdleTotal that to all servers: beyond it, the
+	// connection that was idle the longest is closed. Zero selects the default.
+	DialTimeout  time.Duration
+	IdleTimeout  time.Duration
+	MaxIdle      int
+	MaxIdleTotal int
+	// OnDial, if not nil, is called after each connection that is opened, with the context
+	// of the call that has opened it.
+	OnDial func(ctx context.Context)
+	// OnExchange, if not nil, is called at the end of each exchange, with the context of
+	// its request.
+	OnExchange func(ctx context.Context, u Usage)
+
+	// mu protects the fields below. idle holds the idle connections to each server, with the
+	// last used one at the end, and byAge those to all servers, in the same order.
+	mu    sync.Mutex
+	idle  map[netip.AddrPort][]*conn
+	byAge list.List
 }
 
+// readers holds read buffers. An idle connection has none, since a VM may have over a thousand
+// idle connections.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
 // conn is one connection. It is owned by one exchange, or by the pool while idle.
 type conn struct {
 	*net.TCPConn
 	addr netip.AddrPort
+	// sent is the number of bytes written for the current exchange.
+	sent atomic.Int64
 	// head bounds what reader reads from the connection.
-	head      headLimit
+	head headLimit
+	// reader is nil while the connection is idle.
 	reader    *bufio.Reader
 	idleSince time.Time
+	// inAge is the connection's element of Pool.byAge while it is idle.
+	inAge *list.Element
 	// keepAlive is how long the server keeps an idle connection open, from its
 	// Keep-Alive header; zero if the server does not state it.
 	keepAlive time.Duration
@@ -117,11 +143,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	list := p.idle[addr]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[addr] = list
+	conns := p.idle[addr]
+	for len(conns) > 0 {
+		c := conns[len(conns)-1]
+		conns[len(conns)-1] = nil
+		conns = conns[:len(conns)-1]
+		p.idle[addr] = conns
+		p.byAge.Remove(c.inAge)
 		if now.Sub(c.idleSince) < p.lifetime(c) {
 			return c
 		}
@@ -142,20 +170,45 @@
 	return limit
 }
 
-// put makes c idle, or closes it if the server has MaxIdle idle connections.
+// put makes c idle, or closes it if the server has MaxIdle idle connections. It closes the
+// connection that was idle the longest if there are more than MaxIdleTotal.
 func (p *Pool) put(c *conn) {
+	c.releaseReader()
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
 		p.idle = map[netip.AddrPort][]*conn{}
 	}
-	list := p.idle[c.addr]
-	if len(list) >= orDefault(p.MaxIdle, DefaultMaxIdle) {
+	conns := p.idle[c.addr]
+	if len(conns) >= orDefault(p.MaxIdle, DefaultMaxIdle) {
 		c.Close()
 		return
 	}
-	p.idle[c.addr] = append(list, c)
+	p.idle[c.addr] = append(conns, c)
+	c.inAge = p.byAge.PushBack(c)
+	if p.byAge.Len() > orDefault(p.MaxIdleTotal, DefaultMaxIdleTotal) {
+		p.closeOldest()
+	}
+}
+
+// closeOldest closes the connection that was idle the longest. It is the first one of its
+// server. The caller holds the lock.
+func (p *Pool) closeOldest() {
+	c := p.byAge.Remove(p.byAge.Front()).(*conn)
+	c.Close()
+	conns := slices.Delete(p.idle[c.addr], 0, 1)
+	p.idle[c.addr] = conns
+	if len(conns) == 0 {
+		delete(p.idle, c.addr)
+	}
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byAge.Len()
 }
 
 // Probe opens a connection to a server, which then waits for a request. The error, if
@@ -199,6 +252,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[addr] {
+		p.byAge.Remove(c.inAge)
 		c.Close()
 	}
 	delete(p.idle, addr)
@@ -208,15 +262,17 @@
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
+	for addr, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
 			if now.Sub(c.idleSince) < p.lifetime(c) {
 				kept = append(kept, c)
 				continue
 			}
+			p.byAge.Remove(c.inAge)
 			c.Close()
 		}
+		clear(conns[len(kept):])
 		p.idle[addr] = kept
 		if len(kept) == 0 {
 			delete(p.idle, addr)
@@ -237,12 +293,33 @@
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	if p.OnDial != nil {
-		p.OnDial()
+		p.OnDial(ctx)
 	}
 	tcp := nc.(*net.TCPConn)
-	c := &conn{TCPConn: tcp, addr: addr, head: headLimit{r: tcp}}
-	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
-	return c, nil
+	return &conn{TCPConn: tcp, addr: addr, head: headLimit{r: tcp}}, nil
+}
+
+// takeReader gives the connection a read buffer, for an exchange.
+func (c *conn) takeReader() {
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(&c.head)
+}
+
+// releaseReader returns the read buffer, which must be empty. Nothing may read from it any more.
+func (c *conn) releaseReader() {
+	if c.reader == nil {
+		return
+	}
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
 }
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
@@ -259,9 +336,6 @@
 // checkIdle returns an error if an idle connection cannot be reused. It peeks at
 // the socket without blocking.
 func (c *conn) checkIdle() error {
-	if c.reader.Buffered() > 0 {
-		return errNotIdle
-	}
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
