Account of a VM's traffic by kind of message; calls to other VMs over netio/pool

Cause: what a VM sends and holds was known only in total. A connection to another VM, by net/http's transport, had two goroutines and two buffers while it was idle.

Change: traffic.{out,in}.KIND count messages, bytes and new connections by kind, on the connection itself where the pool is used. listen.NAME.* and connections.* count connections, memory.* what the process holds. Calls to other VMs, those to control VMs left out, go over netio/pool: at most two idle connections to a VM and 256 in all, least recently used closed first, a minute each; no call is sent again by the transport.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/spec"
@@ -24,6 +26,7 @@
 	"fuchsiafold.example/foldd/peer"
 	"fuchsiafold.example/foldd/relay"
 	"fuchsiafold.example/foldd/trace"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/serve"
 	"fuchsiafold.example/wire"
@@ -181,8 +184,17 @@
 // once for an App.
 func (a *App) NewRelay(c relay.Codec, newMover func(p *pool.Pool) *relay.Mover) *relay.Relay {
 	n := a.Node
-	p := &pool.Pool{OnDial: func(context.Context) { n.Count("forward.connections", 1) }}
+	p := &pool.Pool{}
+	n.Traffic.Observe(p, traffic.Request)
+	countDial := p.OnDial
+	p.OnDial = func(ctx context.Context) {
+		n.Count("forward.connections", 1)
+		countDial(ctx)
+	}
 	forwarder := &relay.Relay{Node: n, Pool: p, Peers: relay.NewPeerPool(), Codec: c}
+	n.Traffic.Observe(forwarder.Peers, traffic.PassedOn)
+	a.gauge("connections.servers.idle", func() int64 { return int64(p.Idle()) })
+	a.gauge("connections.passedOn.idle", func() int64 { return int64(forwarder.Peers.Idle()) })
 	a.forwarder.Store(forwarder)
 	if newMover != nil {
 		forwarder.Mover = newMover(p)
@@ -209,36 +221,68 @@
 		// bodyMemory is as in serve.Config.
 		bodyMemory int
 		boundAddr  *netip.AddrPort
+		kind       func(r *http.Request) traffic.Kind
 	}{
-		{"peers", s.Listen.Peers, a.peerHandler(), maxPeerBody(s), 0, &a.addrs.Peers},
-		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), peer.MaxMessage, 0, &a.addrs.Operators},
-		{"backends", s.Listen.Backends, a.selectHandler(adapter.Backends, oper.BackendHandler(a.Node)), s.Limits.MaxBody, 0, &a.addrs.Backends},
-		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), peer.MaxMessage, 0, &a.addrs.Metrics},
-		{"health", s.Listen.Health, a.selectHandler(adapter.Health, a.entry), 0, 0, &a.addrs.Health},
-		{"callers", s.Listen.Callers, a.callerHandler(adapter.Callers), s.Limits.MaxBody, s.Limits.BodyMemory, &a.addrs.Callers},
+		{"peers", s.Listen.Peers, a.peerHandler(), maxPeerBody(s), 0, &a.addrs.Peers, kindOfPeerCall},
+		{"operators", s.Listen.Operators, a.selectHandler(adapter.Operators, a.operators.Handler()), peer.MaxMessage, 0, &a.addrs.Operators, traffic.Always(traffic.Other)},
+		{"backends", s.Listen.Backends, a.selectHandler(adapter.Backends, oper.BackendHandler(a.Node)), s.Limits.MaxBody, 0, &a.addrs.Backends, traffic.Always(traffic.Announcement)},
+		{"metrics", s.Listen.Metrics, a.operators.WatchHandler(), peer.MaxMessage, 0, &a.addrs.Metrics, traffic.Always(traffic.Other)},
+		{"health", s.Listen.Health, a.selectHandler(adapter.Health, a.entry), 0, 0, &a.addrs.Health, traffic.Always(traffic.Other)},
+		{"callers", s.Listen.Callers, a.callerHandler(adapter.Callers), s.Limits.MaxBody, s.Limits.BodyMemory, &a.addrs.Callers, traffic.Always(traffic.Request)},
 	}
 	for _, l := range listeners {
 		if !l.addr.IsValid() {
 			continue
 		}
+		accepted := metrics.GetOrRegisterCounter("listen."+l.name+".connections", a.Node.Metrics)
 		server, err := serve.New(serve.Config{
 			Addr:         l.addr,
-			Handler:      l.handler,
+			Handler:      a.Node.Traffic.Handler(l.kind, l.handler),
 			MaxBody:      l.maxBody,
 			BodyMemory:   l.bodyMemory,
 			WriteTimeout: time.Duration(s.Limits.WriteTimeout),
+			OnConnection: func() { accepted.Inc(1) },
 			Log:          a.Node.Log,
 		})
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
 		a.servers = append(a.servers, server)
+		a.gauge("listen."+l.name+".open", server.Open)
 		*l.boundAddr = server.Addr()
 	}
 	a.Node.SetPeerAddr(a.peerAddr())
 	return nil
 }
 
+// gauge registers a gauge whose value is read when it is shown.
+func (a *App) gauge(name string, value func() int64) {
+	metrics.NewRegisteredFunctionalGauge(name, a.Node.Metrics, value)
+}
+
+// kindOfPeerCall returns the kind of a call from another VM, as far as its path says it.
+func kindOfPeerCall(r *http.Request) traffic.Kind {
+	switch r.URL.Path {
+	case wire.PeerServiceExchangeProcedure:
+		return traffic.ExchangeUrgent
+	case wire.PeerServicePlaceProcedure:
+		return traffic.PlacementRequest
+	case wire.PeerServicePermitProcedure:
+		return traffic.Permit
+	case wire.PeerServiceConfigProcedure, wire.PeerServiceInForceProcedure:
+		return traffic.Config
+	case wire.PeerServiceTicketsProcedure, wire.PeerServiceDecisionsProcedure:
+		return traffic.Tickets
+	}
+	switch {
+	case relay.FromPeer(r):
+		return traffic.PassedOn
+	case strings.HasPrefix(r.URL.Path, "/"+wire.ControlServiceName+"/"):
+		return traffic.Control
+	}
+	return traffic.Other
+}
+
 // maxPeerBody returns the largest body in bytes of a request from another VM.
 func maxPeerBody(s *conf.Settings) int {
 	if s.Control == nil {
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -37,6 +37,7 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/clock"
 )
@@ -59,7 +60,9 @@
 	Settings *conf.Settings
 	Log      *logrus.Logger
 	Metrics  metrics.Registry
-	Clock    *clock.Service
+	// Traffic counts the messages of this VM in Metrics.
+	Traffic *traffic.Counts
+	Clock   *clock.Service
 	// Answers is the memory for bodies of backend servers' responses.
 	Answers bound.Memory
 	// Decode parses a configuration document. New sets it to spec.Parse.
@@ -195,6 +198,7 @@
 		lengthSamples:    map[string][]place.LengthSample{},
 		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
 	}
+	n.Traffic = traffic.New(n.Metrics)
 	n.group.Self = member.Peer{
 		ID:     s.ID,
 		Addr:   s.Listen.Peers,
--- a/foldd/oper/metrics.go
+++ b/foldd/oper/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"fuchsiafold.example/foldd/memory"
 	"fuchsiafold.example/foldd/node"
 )
 
@@ -52,4 +53,13 @@
 	metrics.GetOrRegisterGauge("streams.open", n.Metrics).Update(n.Streams())
 	metrics.GetOrRegisterGauge("backends.present", n.Metrics).Update(int64(len(n.Backends())))
 	metrics.GetOrRegisterGauge("peers.live", n.Metrics).Update(int64(len(n.Peers())))
+	held := memory.ReadRuntime()
+	n.Gauge("memory.residentBytes", memory.Resident())
+	n.Gauge("memory.heapBytes", held.Heap)
+	n.Gauge("memory.stackBytes", held.Stacks)
+	n.Gauge("memory.freeBytes", held.Free)
+	n.Gauge("memory.goroutines", held.Goroutines)
+	servers, peers := n.KnownBytes()
+	n.Gauge("memory.serverTableBytes", int64(servers))
+	n.Gauge("memory.peerViewBytes", int64(peers))
 }
--- a/foldd/peer/inforce.go
+++ b/foldd/peer/inforce.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/wire"
 )
 
@@ -95,6 +96,7 @@
 func (s *Service) queryVM(ctx context.Context, addr netip.AddrPort, req *wire.InForceRequest) (*wire.InForceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	ctx = traffic.With(ctx, traffic.Config)
 	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
 	res, err := c.InForce(ctx, connect.NewRequest(req))
 	if err != nil {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -21,7 +22,9 @@
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/bound"
+	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
 )
@@ -33,6 +36,8 @@
 // calls. Use New to create one.
 type Service struct {
 	node *node.Node
+	// pool holds the connections of http.
+	pool *pool.Pool
 	http *http.Client
 	// started is set by Start.
 	started time.Time
@@ -50,9 +55,9 @@
 // New returns a service and sets it as the transport of the node. Start begins the
 // exchanges.
 func New(n *node.Node) *Service {
-	t := &http.Transport{}
-	configureTransport(t)
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{refusalTransport{t}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	p := newPool(n.Traffic)
+	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{poolTransport{p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	metrics.NewRegisteredFunctionalGauge("connections.peers.idle", n.Metrics, func() int64 { return int64(p.Idle()) })
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
@@ -64,15 +69,23 @@
 func (s *Service) ControlClient() *http.Client {
 	t := &redial.Transport{}
 	configureTransport(&t.Transport)
-	return &http.Client{Transport: framedTransport{refusalTransport{t}}}
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			s.node.Traffic.AddConnection(traffic.Out, traffic.Control)
+		}
+		return c, err
+	}
+	return &http.Client{Transport: framedTransport{refusalTransport{traffic.Transport{Counts: s.node.Traffic, Kind: traffic.Control, Base: t}}}}
 }
 
-// configureTransport sets up a transport for calls to other VMs.
+// configureTransport sets up a transport for calls to control VMs.
 func configureTransport(t *http.Transport) {
 	t.DialContext = (&net.Dialer{Timeout: callTimeout}).DialContext
 	t.MaxResponseHeaderBytes = bound.MaxHead
-	t.MaxIdleConnsPerHost = 2
-	t.IdleConnTimeout = time.Minute
+	t.MaxIdleConnsPerHost = maxIdlePerVM
+	t.IdleConnTimeout = idleTimeout
 }
 
 // MaxMessage bounds a message of another VM or of an operator in bytes. A configuration
@@ -133,8 +146,12 @@
 	s.node.Clock.Every(member.ExchangeInterval, func(time.Time) {
 		s.exchangeAll(s.node.ExchangeTargets(), periodic)
 	})
+	s.node.Clock.Every(sweepInterval, s.pool.Sweep)
 }
 
+// sweepInterval is how often connections that were idle for too long are closed.
+const sweepInterval = 10 * time.Second
+
 const (
 	// seedInterval is the time between exchanges with the seeds after the start.
 	seedInterval = 250 * time.Millisecond
@@ -159,12 +176,25 @@
 
 const (
 	none exchangeKind = iota
+	// followUp: as urgent, in place of an exchange that failed or takes long.
+	followUp
 	// urgent: it carries an update that others must get at once.
 	urgent
 	// periodic: it carries the digest of the live VMs, too.
 	periodic
 )
 
+// traffic returns the kind of message of the exchange's calls.
+func (k exchangeKind) traffic() traffic.Kind {
+	switch k {
+	case periodic:
+		return traffic.ExchangePeriodic
+	case followUp:
+		return traffic.ExchangeFollowUp
+	}
+	return traffic.ExchangeUrgent
+}
+
 // exchangeUrgently starts an urgent exchange with each address. It does not block.
 func (s *Service) exchangeUrgently(addrs []netip.AddrPort) {
 	for _, a := range addrs {
@@ -175,22 +205,22 @@
 // spread does an urgent exchange with a VM. If that fails or takes long, other VMs of its
 // failure domain, one after the other, get the update in its place until one has it.
 func (s *Service) spread(addr netip.AddrPort) {
-	if s.exchangesSoon(addr) {
+	if s.exchangesSoon(addr, urgent) {
 		return
 	}
 	for _, a := range s.node.SubstitutesFor(addr) {
 		s.node.Count("peers.followUps", 1)
-		if s.exchangesSoon(a) {
+		if s.exchangesSoon(a, followUp) {
 			return
 		}
 	}
 }
 
-// exchangesSoon does an urgent exchange with a VM and reports whether it succeeds within
+// exchangesSoon does an exchange with a VM and reports whether it succeeds within
 // member.FollowUpDelay. Otherwise the exchange goes on.
-func (s *Service) exchangesSoon(addr netip.AddrPort) bool {
+func (s *Service) exchangesSoon(addr netip.AddrPort, kind exchangeKind) bool {
 	results := make(chan error, 1)
-	go func() { results <- s.exchangeWith(addr, urgent) }()
+	go func() { results <- s.exchangeWith(addr, kind) }()
 	delay := time.NewTimer(member.FollowUpDelay)
 	defer delay.Stop()
 	select {
@@ -314,7 +344,8 @@
 // and applies the response. It returns the VM that responded, and reports about VMs that
 // it may not know.
 func (s *Service) callExchange(ctx context.Context, addr netip.AddrPort, kind exchangeKind, known []member.PeerUpdate) (from member.Peer, lacking []member.PeerUpdate, err error) {
-	out := s.node.OutgoingExchange(addr, kind == urgent)
+	ctx = traffic.With(ctx, kind.traffic())
+	out := s.node.OutgoingExchange(addr, kind != periodic)
 	req := &wire.ExchangeRequest{
 		From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Backends: toBackends(out.Updates), Known: toPeerUpdates(known),
 		Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits), Vms: toVMs(out.VMs),
@@ -359,7 +390,7 @@
 		return nil
 	}
 	c := wire.NewPeerServiceClient(s.http, "http://"+from.Addr.String(), s.Options())
-	res, err := c.Config(ctx, connect.NewRequest(&wire.ConfigRequest{}))
+	res, err := c.Config(traffic.With(ctx, traffic.Config), connect.NewRequest(&wire.ConfigRequest{}))
 	if err != nil {
 		return fmt.Errorf("fetch configuration from %v: %w", from.Addr, err)
 	}
@@ -373,6 +404,9 @@
 	if from.ID == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
+	if m.GetVms() != nil {
+		traffic.SetKind(ctx, traffic.ExchangePeriodic)
+	}
 	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
 	s.node.ReceivePromptUpdate(fromPromptUpdate(m.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, m.GetLimits())
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -12,6 +12,7 @@
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/wire"
 )
 
@@ -19,7 +20,11 @@
 // from it if req.Request is set.
 func (s *Service) requestPlacement(ctx context.Context, to member.Peer, req node.PlacementRequest) (node.PlacementResponse, error) {
 	c := wire.NewPeerServiceClient(s.http, "http://"+to.Addr.String(), s.Options())
-	res, err := c.Place(ctx, connect.NewRequest(toPlaceRequest(req)))
+	kind := traffic.LoadReport
+	if req.Request != nil {
+		kind = traffic.PlacementRequest
+	}
+	res, err := c.Place(traffic.With(ctx, kind), connect.NewRequest(toPlaceRequest(req)))
 	if err != nil {
 		return node.PlacementResponse{}, fmt.Errorf("request placement from %s: %w", to.ID, err)
 	}
@@ -34,6 +39,9 @@
 	if p.From == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
+	if p.Request == nil {
+		traffic.SetKind(ctx, traffic.LoadReport)
+	}
 	res := s.node.HandlePlacement(p)
 	return connect.NewResponse(&wire.PlaceResponse{
 		Backend: res.Backend, WaitMicros: uint64(res.CopyDelay.Microseconds()), Full: res.Full, Crowded: res.Crowded, BackMicros: uint64(res.RetryAfter.Microseconds()),
--- a/foldd/peer/ticket.go
+++ b/foldd/peer/ticket.go
@@ -10,6 +10,7 @@
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/ticket"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/wire"
 )
 
@@ -80,7 +81,7 @@
 	req := toTickets(time.Now(), b)
 	req.StewardEpoch = scheduler.Epoch
 	ok := s.enqueue(to, func(c wire.PeerServiceClient) {
-		ctx, cancel := context.WithTimeout(context.Background(), ticketTimeout)
+		ctx, cancel := context.WithTimeout(traffic.With(context.Background(), traffic.Tickets), ticketTimeout)
 		defer cancel()
 		if _, err := c.Tickets(ctx, connect.NewRequest(req)); err != nil {
 			s.node.SchedulerLost(scheduler)
@@ -103,7 +104,7 @@
 		})
 	}
 	s.enqueue(to.Addr, func(c wire.PeerServiceClient) {
-		ctx, cancel := context.WithTimeout(context.Background(), ticketTimeout)
+		ctx, cancel := context.WithTimeout(traffic.With(context.Background(), traffic.Tickets), ticketTimeout)
 		defer cancel()
 		if _, err := c.Decisions(ctx, connect.NewRequest(req)); err != nil {
 			s.node.Count("schedulers.decisionsLost", 1)
--- a/netio/serve/caller.go
+++ b/netio/serve/caller.go
@@ -36,12 +36,28 @@
 	conn         *limitedConn
 	cancel       context.CancelCauseFunc
 	disconnected atomic.Bool
+	// received is the size of the request in bytes, and written that of the response's body
+	// so far. Only the goroutine of the handler uses written.
+	received int
+	written  int64
+	// Tag is for the use of handlers: an inner one may say there what the request was, for
+	// one that counts requests. Only the goroutine of the handler uses it.
+	Tag int
 }
 
+// Received returns the size of the request in bytes, its head included.
+func (c *Caller) Received() int64 { return int64(c.received) }
+
+// Written returns the number of bytes that were written of the response's body.
+func (c *Caller) Written() int64 { return c.written }
+
 // CallerOf returns the caller of a request that a Server passed to its handler.
 // For any other request it returns a zero Caller.
-func CallerOf(r *http.Request) *Caller {
-	c, ok := r.Context().Value(callerKey{}).(*Caller)
+func CallerOf(r *http.Request) *Caller { return CallerIn(r.Context()) }
+
+// CallerIn is like CallerOf, for the context of a request.
+func CallerIn(ctx context.Context) *Caller {
+	c, ok := ctx.Value(callerKey{}).(*Caller)
 	if !ok {
 		return &Caller{}
 	}
@@ -68,6 +84,7 @@
 // beginRequest resets the count of received bytes for the next request.
 func (c *Caller) beginRequest() {
 	if c.conn != nil {
+		c.received = c.conn.received
 		c.conn.keepMemory(max(c.conn.received-freeSize, 0))
 		c.conn.received = 0
 	}
--- a/netio/serve/serve.go
+++ b/netio/serve/serve.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/logging"
@@ -64,6 +65,8 @@
 	// WriteTimeout bounds how long a write may block on a caller that does not
 	// read. Zero means no limit.
 	WriteTimeout time.Duration
+	// OnConnection, if not nil, is called after each connection that is accepted.
+	OnConnection func()
 	Log          *logrus.Logger
 }
 
@@ -75,6 +78,8 @@
 	stop      chan struct{}
 	closeOnce sync.Once
 	bodies    bodies
+	// open is the number of open connections.
+	open atomic.Int64
 
 	mu sync.Mutex
 	// watched holds the callers of the requests in progress; mu protects it.
@@ -102,7 +107,10 @@
 		Handler:       http.HandlerFunc(s.handle),
 	})
 	s.engine.OnOpen(s.wrapConn)
-	s.engine.OnClose(func(c net.Conn, err error) { c.Close() })
+	s.engine.OnClose(func(c net.Conn, err error) {
+		s.open.Add(-1)
+		c.Close()
+	})
 	if err := s.engine.Start(); err != nil {
 		l.Close()
 		return nil, fmt.Errorf("start server on %v: %w", c.Addr, err)
@@ -116,6 +124,9 @@
 	return netip.AddrPortFrom(s.addr.Addr().Unmap(), s.addr.Port())
 }
 
+// Open returns the number of open connections.
+func (s *Server) Open() int64 { return s.open.Load() }
+
 // Close closes all connections at once, including those of requests in progress.
 // Calls after the first do nothing and return nil.
 func (s *Server) Close() error {
@@ -136,6 +147,10 @@
 
 // wrapConn replaces the socket of a new nbhttp connection by a limitedConn.
 func (s *Server) wrapConn(c net.Conn) {
+	s.open.Add(1)
+	if s.conf.OnConnection != nil {
+		s.conf.OnConnection()
+	}
 	nc, ok := c.(*nbhttp.Conn)
 	if !ok {
 		return
@@ -171,7 +186,7 @@
 	defer s.recoverPanic(w, r)
 	caller.beginRequest()
 	stateLength(r)
-	s.conf.Handler.ServeHTTP(&writer{ResponseWriter: w}, r.WithContext(context.WithValue(ctx, callerKey{}, caller)))
+	s.conf.Handler.ServeHTTP(&writer{ResponseWriter: w, caller: caller}, r.WithContext(context.WithValue(ctx, callerKey{}, caller)))
 }
 
 // stateLength sets the length of a body that came in chunks: nbhttp passes on no request
--- a/netio/serve/writer.go
+++ b/netio/serve/writer.go
@@ -14,6 +14,7 @@
 	// pending is the number of bytes written since the last flush, at most
 	// flushThreshold.
 	pending int
+	caller  *Caller
 }
 
 // Write implements http.ResponseWriter.
@@ -23,6 +24,7 @@
 		n, err := w.ResponseWriter.Write(b[:min(len(b), flushThreshold-w.pending)])
 		total += n
 		w.pending += n
+		w.caller.written += int64(n)
 		if err != nil {
 			return total, err
 		}
