Reject new requests near the memory limit of the process

Cause: 29 processes of the deployment with 100 VMs were ended over their memory, with all requests in progress. Nothing in a VM knew the limit.

Change: limits.memoryMB (from the platform's limits.memory_mb) sets the runtime's limit to 0.7 of it. From 0.85 of it on, after free memory was returned to the system, new requests get 503 and Retry-After, until it is below 0.8.

--- a/foldd/app/run.go
+++ b/foldd/app/run.go
@@ -43,6 +43,7 @@
 		log.WithError(err).Error("start failed")
 		return err
 	}
+	a.Node.Memory.LimitRuntime()
 	sink.RegisterMetrics(a.Node.Metrics)
 	stop := make(chan struct{})
 	defer close(stop)
--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -105,6 +105,9 @@
 	// AnswerMemory bounds the memory in bytes of all such bodies that are read at the
 	// same time. Bodies of at most 64 KiB don't count. The default is twice MaxAnswer.
 	AnswerMemory int `json:"answerMemory,omitempty"`
+	// MemoryMB is the memory of the process in MB, beyond which the system ends it. Near it,
+	// new requests are rejected. Zero means no limit.
+	MemoryMB float64 `json:"memoryMB,omitempty"`
 	// MaxStreams is the maximum number of requests in progress.
 	MaxStreams int `json:"maxStreams,omitempty"`
 	// DrainTimeout bounds how long a shutdown waits for requests in progress.
@@ -177,6 +180,12 @@
 	DefaultHandleTTL      = time.Hour
 )
 
+// Bounds of Limits.MemoryMB. A process that serves nothing takes about 13 MB.
+const (
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 20
+)
+
 // MaxControlVMs is the maximum number of control VMs in the settings.
 const MaxControlVMs = 9
 
@@ -344,6 +353,9 @@
 	checkIntRange("limits.bodyMemory", l.BodyMemory, l.MaxBody, 4<<30, errs)
 	checkIntRange("limits.maxAnswer", l.MaxAnswer, 1_024, 256<<20, errs)
 	checkIntRange("limits.answerMemory", l.AnswerMemory, l.MaxAnswer, 4<<30, errs)
+	if l.MemoryMB != 0 && !(l.MemoryMB >= minMemoryMB && l.MemoryMB <= maxMemoryMB) {
+		errs.Add("limits.memoryMB", "want %d to %d, or 0 for no limit, got %v", minMemoryMB, maxMemoryMB, l.MemoryMB)
+	}
 	checkIntRange("limits.maxStreams", l.MaxStreams, 1, 100_000, errs)
 	checkDurationRange("limits.drainTimeout", l.DrainTimeout, 100*time.Millisecond, 24*time.Hour, errs)
 	checkDurationRange("limits.drainLinger", l.DrainLinger, 0, time.Hour, errs)
--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -84,6 +84,10 @@
 		return withoutClaim(r, fault.NotRun(http.StatusTooManyRequests, fault.Overload, "too many requests in progress on this VM").WithRetryAfter(time.Second))
 	}
 	defer e.Node.ReleaseStream()
+	if e.Node.Memory.Rejects() {
+		e.Node.Count("memory.rejected", 1)
+		return withoutClaim(r, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "this VM is near its memory limit").WithRetryAfter(time.Second))
+	}
 	a, fail := e.admit(r)
 	if fail != nil {
 		return withoutClaim(r, fail)
--- a/foldd/memory/memory.go
+++ b/foldd/memory/memory.go
@@ -1,15 +1,100 @@
-// Package memory reads how much memory the process holds.
+// Package memory reads how much memory the process holds, and decides whether it may take more
+// work: a process over its limit is ended by the system, with all requests in progress.
 package memory
 
 import (
 	"bytes"
 	"math"
 	"os"
+	"runtime/debug"
 	"runtime/metrics"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
+const (
+	// collectShare is the share of the limit from which the runtime collects garbage as often
+	// as it takes to stay below. The rest is for what the runtime doesn't count: the program
+	// itself, about 13 MB, and bytes that have arrived in sockets. With it the process stays
+	// below rejectShare unless live objects take that much.
+	collectShare = 0.7
+	// rejectShare is the share of the limit from which new work is rejected, and acceptShare
+	// that below which it is accepted again.
+	rejectShare = 0.85
+	acceptShare = 0.8
+)
+
+// CheckInterval is how often Check has to be called.
+const CheckInterval = 250 * time.Millisecond
+
+// Guard decides whether the process may take more work. The zero value has no limit.
+// Rejects is safe for concurrent use.
+type Guard struct {
+	// Limit is the memory of the process in bytes, zero for no limit.
+	Limit int64
+	// Resident returns the memory that the process holds in bytes; nil for Resident.
+	Resident func() int64
+	// Free returns memory that is not in use to the system; nil for debug.FreeOSMemory.
+	Free func()
+
+	rejects atomic.Bool
+	// freed is when Free was last called.
+	freed time.Time
+}
+
+// freeInterval is the least time between two calls of Guard.Free, which takes about as long as
+// a garbage collection.
+const freeInterval = time.Second
+
+// LimitRuntime makes the runtime collect garbage in time for the limit. A limit that the
+// environment sets by GOMEMLIMIT stays.
+func (g *Guard) LimitRuntime() {
+	if g.Limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(float64(g.Limit) * collectShare))
+	}
+}
+
+// Check reads the memory in use and decides on new work. It reports whether the decision has
+// changed.
+func (g *Guard) Check(now time.Time) (changed bool) {
+	if g.Limit <= 0 {
+		return false
+	}
+	resident := g.resident()
+	if resident >= g.share(rejectShare) && now.Sub(g.freed) >= freeInterval {
+		// What is free may be returned to the system before work is rejected for it.
+		g.freed = now
+		g.free()
+		resident = g.resident()
+	}
+	before := g.rejects.Load()
+	after := resident >= g.share(rejectShare) || before && resident >= g.share(acceptShare)
+	g.rejects.Store(after)
+	return after != before
+}
+
+// Rejects reports whether new work has to be rejected.
+func (g *Guard) Rejects() bool { return g.rejects.Load() }
+
+func (g *Guard) share(s float64) int64 { return int64(float64(g.Limit) * s) }
+
+func (g *Guard) resident() int64 {
+	if g.Resident != nil {
+		return g.Resident()
+	}
+	return Resident()
+}
+
+func (g *Guard) free() {
+	if g.Free != nil {
+		g.Free()
+		return
+	}
+	debug.FreeOSMemory()
+}
+
 // statm is the open file of the process's memory in pages, nil if the system has none.
 var statm = sync.OnceValue(func() *os.File {
 	f, err := os.Open("/proc/self/statm")
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -37,6 +37,7 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/memory"
 	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/clock"
@@ -65,6 +66,8 @@
 	Clock   *clock.Service
 	// Answers is the memory for bodies of backend servers' responses.
 	Answers bound.Memory
+	// Memory decides whether the process may take more requests.
+	Memory memory.Guard
 	// Decode parses a configuration document. New sets it to spec.Parse.
 	Decode func(document []byte) (*spec.Document, error)
 	// RequestPlacement sends a request for a placement, or only a load report,
@@ -222,6 +225,7 @@
 	n.ticketClient = ticket.NewClient(s.ID, n.group.Self.Epoch, local, n.schedulerFor)
 	n.limits.Random = n.random.Float64
 	n.Clock.Every(expireInterval, n.expire)
+	n.watchMemory()
 	n.Clock.Every(limit.TickInterval, n.tickLimits)
 	return n
 }
--- a/foldd/relay/relay.go
+++ b/foldd/relay/relay.go
@@ -142,6 +142,11 @@
 		x.writeFault(w, q, rejection)
 		return
 	}
+	if x.Node.Memory.Rejects() {
+		x.Node.Count("memory.rejected", 1)
+		x.writeFault(w, q, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "this VM is near its memory limit").WithRetryAfter(rejectedRetryAfter))
+		return
+	}
 	if !acquired {
 		x.writeFault(w, q, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "too many requests in progress on this VM").WithRetryAfter(rejectedRetryAfter))
 		return
