peer: one generated client for the calls to all VMs

Cause: each call to another VM created a client of the generated service, with seven procedures and pools of compressors that are empty each time.

Change: one client for the life of the process; the address goes with the context of the call. BenchmarkCall measures a call with both sides as foldd runs them, BenchmarkSteadyExchange and BenchmarkAnnouncement what follows.

--- a/foldd/peer/bench_test.go
+++ b/foldd/peer/bench_test.go
@@ -17,9 +17,11 @@
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/sched"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
 	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/netio/serve"
 	"fuchsiafold.example/wire"
 )
 
@@ -167,3 +169,121 @@
 		}
 	}
 }
+
+// BenchmarkCall measures a call to another VM over loopback with both sides as foldd runs them,
+// with a short reply and with a long one, which is compressed.
+func BenchmarkCall(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	newService := func(id string) *Service {
+		n := node.New(&conf.Settings{ID: id, Domain: "hobart-a", Limits: conf.Limits{BackendLease: strict.Duration(time.Hour)}}, log)
+		b.Cleanup(n.Clock.Stop)
+		return New(n)
+	}
+	for _, servers := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			other, vm := newService("other"), newService("vm")
+			for i := range servers {
+				u, ok := FromBackend(benchBackend(i, false))
+				if !ok {
+					b.Fatal("invalid server")
+				}
+				other.node.ReceiveAnnouncement(u.Backend)
+			}
+			mux := http.NewServeMux()
+			mux.Handle(wire.NewPeerServiceHandler(other, other.HandlerOptions()))
+			server, err := serve.New(serve.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Handler: mux, MaxBody: MaxMessage, Log: log})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { server.Close() })
+			for b.Loop() {
+				// A VM that has not applied anything yet gets the whole table.
+				vm.node.RecordExchange("other", 0, 0)
+				if _, _, err := vm.callExchange(context.Background(), server.Addr(), periodic, nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSteadyExchange measures a periodic exchange of two VMs that know the same servers,
+// of which each has announced itself again since the last one.
+func BenchmarkSteadyExchange(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	newNode := func(id string) *node.Node {
+		n := node.New(&conf.Settings{ID: id, Domain: "hobart-a", Limits: conf.Limits{BackendLease: strict.Duration(time.Hour)}}, log)
+		b.Cleanup(n.Clock.Stop)
+		return n
+	}
+	for _, servers := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			from, to := newNode("from"), newNode("to")
+			announce := func(seq int) {
+				for i := range servers {
+					u, ok := FromBackend(benchBackend(i, false))
+					if !ok {
+						b.Fatal("invalid server")
+					}
+					u.Kind, u.Epoch, u.Seq = spec.KindPlain, 1, uint64(seq)
+					from.ReceiveAnnouncement(u.Backend)
+				}
+			}
+			from.ReceivePeer(to.Self())
+			to.ReceivePeer(from.Self())
+			sent := 0
+			exchange := func(have uint64) uint64 {
+				x := from.ExchangeReply(to.Self(), have, from.Self().Epoch, nil)
+				to.ReceiveRelayedBackends(x.Updates, "from")
+				to.ReceiveLeases("from", &x.Leases)
+				back := to.ExchangeReply(from.Self(), 0, 0, nil)
+				from.ReceiveLeases("to", &back.Leases)
+				sent += len(x.Updates)
+				return x.Version
+			}
+			announce(1)
+			have := exchange(0)
+			sent = 0
+			seq := 1
+			for b.Loop() {
+				b.StopTimer()
+				seq++
+				announce(seq)
+				b.StartTimer()
+				have = exchange(have)
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "updates/op")
+		})
+	}
+}
+
+// BenchmarkAnnouncement measures how long it takes to apply an announcement, by the number of
+// servers.
+func BenchmarkAnnouncement(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, servers := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			n := node.New(&conf.Settings{ID: "vm", Domain: "hobart-a", Limits: conf.Limits{BackendLease: strict.Duration(time.Hour)}}, log)
+			b.Cleanup(n.Clock.Stop)
+			var list []member.Backend
+			for i := range servers {
+				u, ok := FromBackend(benchBackend(i, false))
+				if !ok {
+					b.Fatal("invalid server")
+				}
+				u.Kind, u.Epoch = spec.KindPlain, 1
+				list = append(list, u.Backend)
+			}
+			seq := 0
+			for b.Loop() {
+				seq++
+				s := &list[seq%servers]
+				s.Seq = uint64(seq)
+				n.ReceiveAnnouncement(*s)
+			}
+		})
+	}
+}
--- a/foldd/peer/inforce.go
+++ b/foldd/peer/inforce.go
@@ -96,9 +96,7 @@
 func (s *Service) queryVM(ctx context.Context, addr netip.AddrPort, req *wire.InForceRequest) (*wire.InForceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	ctx = traffic.With(ctx, traffic.Config)
-	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
-	res, err := c.InForce(ctx, connect.NewRequest(req))
+	res, err := s.client.InForce(toVM(traffic.With(ctx, traffic.Config), addr), connect.NewRequest(req))
 	if err != nil {
 		return nil, err
 	}
--- a/foldd/peer/limit.go
+++ b/foldd/peer/limit.go
@@ -15,8 +15,7 @@
 
 // requestPermit asks another VM for a permit to send a request to a server of a service.
 func (s *Service) requestPermit(ctx context.Context, to member.Peer, service string, q limit.Request) (limit.Reply, error) {
-	c := wire.NewPeerServiceClient(s.http, "http://"+to.Addr.String(), s.Options())
-	res, err := c.Permit(traffic.With(ctx, traffic.Permit), connect.NewRequest(&wire.PermitRequest{
+	res, err := s.client.Permit(toVM(traffic.With(ctx, traffic.Permit), to.Addr), connect.NewRequest(&wire.PermitRequest{
 		From: q.From, Service: service, Limit: toRateLimit(q.Entry), Used: uint32(q.Used),
 	}))
 	if err != nil {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -39,6 +39,8 @@
 	// pool holds the connections of http.
 	pool *pool.Pool
 	http *http.Client
+	// client makes calls to the VM that toVM puts into the context.
+	client wire.PeerServiceClient
 	// started is set by Start.
 	started time.Time
 
@@ -46,8 +48,9 @@
 	mu sync.Mutex
 	// inFlight holds the exchanges in progress.
 	inFlight map[netip.AddrPort]*flight
-	// outboxes holds the queued calls to each VM, which carry tickets and decisions.
-	outboxes map[netip.AddrPort]chan func(wire.PeerServiceClient)
+	// outboxes holds the queued calls to each VM, which carry tickets and decisions. Each
+	// gets a context from toVM.
+	outboxes map[netip.AddrPort]chan func(context.Context)
 	// failing holds the addresses with which exchanges fail.
 	failing map[netip.AddrPort]*link.State
 }
@@ -56,7 +59,8 @@
 // exchanges.
 func New(n *node.Node) *Service {
 	p := newPool(n.Traffic)
-	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{poolTransport{p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{poolTransport{p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
+	s.client = wire.NewPeerServiceClient(addressedClient{s}, "http://vm", s.Options())
 	metrics.NewRegisteredFunctionalGauge("connections.peers.idle", n.Metrics, func() int64 { return int64(p.Idle()) })
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
@@ -350,8 +354,7 @@
 		From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Backends: toBackends(out.Updates), Known: toPeerUpdates(known),
 		Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits), Vms: toVMs(out.VMs),
 	}
-	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
-	res, err := c.Exchange(ctx, connect.NewRequest(req))
+	res, err := s.client.Exchange(toVM(ctx, addr), connect.NewRequest(req))
 	if err != nil {
 		return from, nil, fmt.Errorf("call: %w", err)
 	}
@@ -389,8 +392,7 @@
 	if from.Revision == 0 || (x != nil && x.Revision() >= from.Revision) {
 		return nil
 	}
-	c := wire.NewPeerServiceClient(s.http, "http://"+from.Addr.String(), s.Options())
-	res, err := c.Config(traffic.With(ctx, traffic.Config), connect.NewRequest(&wire.ConfigRequest{}))
+	res, err := s.client.Config(toVM(traffic.With(ctx, traffic.Config), from.Addr), connect.NewRequest(&wire.ConfigRequest{}))
 	if err != nil {
 		return fmt.Errorf("fetch configuration from %v: %w", from.Addr, err)
 	}
--- a/foldd/peer/place.go
+++ b/foldd/peer/place.go
@@ -19,12 +19,11 @@
 // requestPlacement sends a load report to another VM, and requests a placement
 // from it if req.Request is set.
 func (s *Service) requestPlacement(ctx context.Context, to member.Peer, req node.PlacementRequest) (node.PlacementResponse, error) {
-	c := wire.NewPeerServiceClient(s.http, "http://"+to.Addr.String(), s.Options())
 	kind := traffic.LoadReport
 	if req.Request != nil {
 		kind = traffic.PlacementRequest
 	}
-	res, err := c.Place(traffic.With(ctx, kind), connect.NewRequest(toPlaceRequest(req)))
+	res, err := s.client.Place(toVM(traffic.With(ctx, kind), to.Addr), connect.NewRequest(toPlaceRequest(req)))
 	if err != nil {
 		return node.PlacementResponse{}, fmt.Errorf("request placement from %s: %w", to.ID, err)
 	}
--- a/foldd/peer/ticket.go
+++ b/foldd/peer/ticket.go
@@ -23,12 +23,12 @@
 
 // enqueue queues a call to a VM. Calls to the same VM are sent one after the other,
 // in order. It returns false, and drops the call, if the queue is full.
-func (s *Service) enqueue(to netip.AddrPort, send func(wire.PeerServiceClient)) bool {
+func (s *Service) enqueue(to netip.AddrPort, send func(context.Context)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	outbox := s.outboxes[to]
 	if outbox == nil {
-		outbox = make(chan func(wire.PeerServiceClient), outboxSize)
+		outbox = make(chan func(context.Context), outboxSize)
 		s.outboxes[to] = outbox
 		go s.runOutbox(to, outbox)
 	}
@@ -45,14 +45,14 @@
 
 // runOutbox sends the calls queued for a VM until the outbox has been idle for
 // outboxIdle.
-func (s *Service) runOutbox(to netip.AddrPort, outbox chan func(wire.PeerServiceClient)) {
-	c := wire.NewPeerServiceClient(s.http, "http://"+to.String(), s.Options())
+func (s *Service) runOutbox(to netip.AddrPort, outbox chan func(context.Context)) {
+	ctx := toVM(traffic.With(context.Background(), traffic.Tickets), to)
 	idle := time.NewTimer(outboxIdle)
 	defer idle.Stop()
 	for {
 		select {
 		case send := <-outbox:
-			send(c)
+			send(ctx)
 			idle.Reset(outboxIdle)
 		case <-idle.C:
 			if s.closeOutbox(to, outbox) {
@@ -65,7 +65,7 @@
 
 // closeOutbox removes an outbox and returns true, unless a call has been queued in
 // the meantime.
-func (s *Service) closeOutbox(to netip.AddrPort, outbox chan func(wire.PeerServiceClient)) bool {
+func (s *Service) closeOutbox(to netip.AddrPort, outbox chan func(context.Context)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(outbox) > 0 {
@@ -80,10 +80,10 @@
 func (s *Service) sendTickets(to netip.AddrPort, scheduler ticket.SchedulerID, b *ticket.Batch) {
 	req := toTickets(time.Now(), b)
 	req.StewardEpoch = scheduler.Epoch
-	ok := s.enqueue(to, func(c wire.PeerServiceClient) {
-		ctx, cancel := context.WithTimeout(traffic.With(context.Background(), traffic.Tickets), ticketTimeout)
+	ok := s.enqueue(to, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, ticketTimeout)
 		defer cancel()
-		if _, err := c.Tickets(ctx, connect.NewRequest(req)); err != nil {
+		if _, err := s.client.Tickets(ctx, connect.NewRequest(req)); err != nil {
 			s.node.SchedulerLost(scheduler)
 		}
 	})
@@ -103,10 +103,10 @@
 			Reason: uint32(d.Reason), RetryAfterMillis: uint64(d.RetryAfter.Milliseconds()),
 		})
 	}
-	s.enqueue(to.Addr, func(c wire.PeerServiceClient) {
-		ctx, cancel := context.WithTimeout(traffic.With(context.Background(), traffic.Tickets), ticketTimeout)
+	s.enqueue(to.Addr, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, ticketTimeout)
 		defer cancel()
-		if _, err := c.Decisions(ctx, connect.NewRequest(req)); err != nil {
+		if _, err := s.client.Decisions(ctx, connect.NewRequest(req)); err != nil {
 			s.node.Count("schedulers.decisionsLost", 1)
 			s.node.DropPeerTickets(to.ID)
 		}
--- a/foldd/peer/transport.go
+++ b/foldd/peer/transport.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/pool"
 )
@@ -28,6 +31,32 @@
 	return p
 }
 
+type addrKey struct{}
+
+// toVM returns a context for a call of Service.client to the VM at addr.
+func toVM(ctx context.Context, addr netip.AddrPort) context.Context {
+	return context.WithValue(ctx, addrKey{}, addr)
+}
+
+// errNoAddr reports a call of Service.client without a context from toVM.
+var errNoAddr = eris.New("call to a VM without an address")
+
+// addressedClient sends a request to the address in its context. One generated client serves
+// for all VMs by it: to create one for each call takes 11 kB and keeps no decompressors.
+type addressedClient struct{ service *Service }
+
+// Do implements connect.HTTPClient.
+func (c addressedClient) Do(r *http.Request) (*http.Response, error) {
+	addr, ok := r.Context().Value(addrKey{}).(netip.AddrPort)
+	if !ok {
+		return nil, errNoAddr
+	}
+	u, sent := *r.URL, *r
+	u.Host = addr.String()
+	sent.URL, sent.Host = &u, u.Host
+	return c.service.http.Do(&sent)
+}
+
 // poolTransport makes calls over a pool. In contrast to http.Transport, an idle connection
 // has no goroutines and no buffers, and no call is sent again.
 type poolTransport struct{ pool *pool.Pool }
