member: no scan of the table for an update, no list of what a digest covers

Cause: each update about a server, an announcement or a relayed one, looked through all records twice for servers at the same address. Each exchange made a sorted list of all servers that had announced themselves, 1 MB at 1,000 servers, of which the digest of leases covers all but a few.

Change: the table has an index by address. SinceExcept leaves out what a digest covers before the list is made; the messages are the same.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -120,6 +120,9 @@
 	// them. It is nil while there is no configuration, and must not change a record.
 	NamesService func(service string) bool
 	records      map[string]*record
+	// atAddr holds the IDs of the records with an address. Records never share an address
+	// for long, so that a list has one entry nearly always.
+	atAddr map[netip.AddrPort][]string
 	// version counts the changes of the table. The version of every record is at
 	// most this.
 	version uint64
@@ -193,7 +196,13 @@
 		}
 	}
 	if t.records == nil {
-		t.records = map[string]*record{}
+		t.records, t.atAddr = map[string]*record{}, map[netip.AddrPort][]string{}
+	}
+	if r != nil && r.Addr != u.Addr {
+		t.dropAddr(r)
+	}
+	if r == nil || r.Addr != u.Addr {
+		t.atAddr[u.Addr] = append(t.atAddr[u.Addr], u.ID)
 	}
 	t.version++
 	if change == Changed {
@@ -231,8 +240,9 @@
 // address of b. The update about b was then delayed until after b's end.
 func (t *Table) addressTaken(b Backend) bool {
 	known := t.records[b.ID]
-	for _, r := range t.records {
-		if r.ID == b.ID || r.Addr != b.Addr || r.removed {
+	for _, id := range t.atAddr[b.Addr] {
+		r := t.records[id]
+		if id == b.ID || r.removed {
 			continue
 		}
 		// Servers may not report when they started, and their epochs are then
@@ -248,14 +258,24 @@
 // removeAtAddress marks the other live backend servers at the address of b as
 // removed.
 func (t *Table) removeAtAddress(b Backend) {
-	for _, r := range t.records {
-		if r.ID != b.ID && r.Addr == b.Addr && !r.removed {
+	for _, id := range t.atAddr[b.Addr] {
+		if r := t.records[id]; id != b.ID && !r.removed {
 			r.removed = true
 			r.version = t.version
 		}
 	}
 }
 
+// dropAddr removes a record from atAddr.
+func (t *Table) dropAddr(r *record) {
+	ids := slices.DeleteFunc(t.atAddr[r.Addr], func(id string) bool { return id == r.ID })
+	if len(ids) == 0 {
+		delete(t.atAddr, r.Addr)
+		return
+	}
+	t.atAddr[r.Addr] = ids
+}
+
 // MarkLeaving marks a live backend server as leaving (shutting down), as requested
 // by the server or its platform. It returns the server and reports whether the
 // mark is new. An epoch of zero matches any epoch.
@@ -292,6 +312,7 @@
 			out = append(out, id)
 		}
 		if r.removed && age >= tombstoneLeases*t.lease() {
+			t.dropAddr(r)
 			delete(t.records, id)
 		}
 	}
@@ -347,10 +368,20 @@
 // that came from that VM are left out. An update is brief if its record was only
 // refreshed after the given version.
 func (t *Table) Since(now time.Time, version uint64, to string) ([]BackendUpdate, uint64) {
+	return t.SinceExcept(now, version, to, EqualBuckets{})
+}
+
+// SinceExcept is like Since, but leaves out the updates that a digest covers for a VM that knows
+// the same servers in the given buckets.
+func (t *Table) SinceExcept(now time.Time, version uint64, to string, equal EqualBuckets) ([]BackendUpdate, uint64) {
 	var out []BackendUpdate
 	for _, r := range t.records {
-		if r.version > version && !r.removed && (to == "" || r.from != to) {
-			out = append(out, BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport), Direct: r.from == "", Brief: r.identityVersion <= version})
+		if r.version <= version || r.removed || to != "" && r.from == to {
+			continue
+		}
+		u := BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport), Direct: r.from == "", Brief: r.identityVersion <= version}
+		if !equal.Covers(&u) {
+			out = append(out, u)
 		}
 	}
 	slices.SortFunc(out, func(a, b BackendUpdate) int { return compare(a.ID, b.ID) })
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -182,8 +182,7 @@
 func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
 	now := time.Now()
 	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
-	x.Updates, x.Version = n.table.Since(now, since, id)
-	x.Updates = slices.DeleteFunc(x.Updates, func(u member.BackendUpdate) bool { return equal.Covers(&u) })
+	x.Updates, x.Version = n.table.SinceExcept(now, since, id, equal)
 	p, ok := n.group.Peer(id)
 	switch {
 	case ok && p.Region != n.group.Self.Region:
