Cold start: rounds of gossip, seeds' news not passed on, digests before tables

Cause: as all VMs start at once, each announcement was a round of gossip to a whole failure domain, each VM passed what it had learned from a seed on to its domain, and two VMs that met sent each other whole tables.

Change: a VM gossips what servers announce at most each 50 ms, a server that leaves at once. What a VM learns from its contacts with seeds is not passed on; their times vary, and a seed with an exchange in progress gets no further one. A VM leaves out servers that another one's digest has shown to be known, unless they have changed since the digest, and sends more than 32 updates to a VM that has applied none only after its digest. The second call of an exchange has its own timeout. The link of the tests' fleet can charge processor time.

No measurement on a deployment.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -368,19 +368,19 @@
 // that came from that VM are left out. An update is brief if its record was only
 // refreshed after the given version.
 func (t *Table) Since(now time.Time, version uint64, to string) ([]BackendUpdate, uint64) {
-	return t.SinceExcept(now, version, to, EqualBuckets{})
+	return t.SinceExcept(now, version, to, KnownBuckets{})
 }
 
-// SinceExcept is like Since, but leaves out the updates that a digest covers for a VM that knows
-// the same servers in the given buckets.
-func (t *Table) SinceExcept(now time.Time, version uint64, to string, equal EqualBuckets) ([]BackendUpdate, uint64) {
+// SinceExcept is like Since, but leaves out what a VM with the digest known needs no update for:
+// that a server has announced itself again, and servers that the VM was shown to know.
+func (t *Table) SinceExcept(now time.Time, version uint64, to string, known KnownBuckets) ([]BackendUpdate, uint64) {
 	var out []BackendUpdate
 	for _, r := range t.records {
 		if r.version <= version || r.removed || to != "" && r.from == to {
 			continue
 		}
 		u := BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport), Direct: r.from == "", Brief: r.identityVersion <= version}
-		if !equal.Covers(&u) {
+		if !known.covers(&u, r.identityVersion) {
 			out = append(out, u)
 		}
 	}
--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -60,9 +60,9 @@
 	have uint64
 	// failed is set if an exchange with the VM failed since its last report.
 	failed bool
-	// equal holds the buckets of which the VM knew the same backend servers, by
+	// known holds the buckets of which the VM knew the same backend servers, by
 	// its last digest.
-	equal EqualBuckets
+	known KnownBuckets
 }
 
 // Group holds the other VMs that one VM knows. Self must be set before use; the
@@ -232,19 +232,19 @@
 	}
 }
 
-// EqualBuckets returns the buckets of which a VM knew the same backend servers, by
+// KnownBuckets returns the buckets of which a VM knew the same backend servers, by
 // its last digest; none if it has sent no digest.
-func (g *Group) EqualBuckets(id string) EqualBuckets {
+func (g *Group) KnownBuckets(id string) KnownBuckets {
 	if r := g.peers[id]; r != nil {
-		return r.equal
+		return r.known
 	}
-	return EqualBuckets{}
+	return KnownBuckets{}
 }
 
-// SetEqualBuckets records the buckets of which a VM knows the same backend servers.
-func (g *Group) SetEqualBuckets(id string, equal EqualBuckets) {
+// SetKnownBuckets records the buckets of which a VM knows the same backend servers.
+func (g *Group) SetKnownBuckets(id string, known KnownBuckets) {
 	if r := g.peers[id]; r != nil {
-		r.equal = equal
+		r.known = known
 	}
 }
 
--- a/fold/member/lease.go
+++ b/fold/member/lease.go
@@ -14,6 +14,23 @@
 	return u.Brief && u.Kind != spec.KindEngine && e[leaseBucket(u.ID)]
 }
 
+// KnownBuckets are the buckets of which another VM knew the same servers as the local table had
+// at Version.
+type KnownBuckets struct {
+	Equal   EqualBuckets
+	Version uint64
+}
+
+// covers reports whether the VM needs no update about a server, whose record was last changed,
+// other than by a refresh, at version changed. What has changed since Version it may not know.
+func (k *KnownBuckets) covers(u *BackendUpdate, changed uint64) bool {
+	if changed > k.Version {
+		return k.Equal.Covers(u)
+	}
+	brief := BackendUpdate{Backend: Backend{ID: u.ID, Kind: u.Kind}, Brief: true}
+	return k.Equal.Covers(&brief)
+}
+
 // leaseIndex holds the servers of each bucket of a table.
 type leaseIndex [LeaseBuckets]struct {
 	// ids are in ascending order.
@@ -67,9 +84,9 @@
 }
 
 // RenewLeases renews the leases of the buckets of which another VM with the digest
-// l knows the same servers, as far as it knows later announcements. It reports
+// l knows the same servers, as far as it knows later announcements. It returns
 // which buckets these are.
-func (t *Table) RenewLeases(now time.Time, l *Leases) EqualBuckets {
+func (t *Table) RenewLeases(now time.Time, l *Leases) KnownBuckets {
 	var equal EqualBuckets
 	t.version++
 	for i := range t.leaseIndex() {
@@ -82,7 +99,7 @@
 			t.renew(now, t.records[id], l[i].Leases[j])
 		}
 	}
-	return equal
+	return KnownBuckets{Equal: equal, Version: t.version}
 }
 
 // renew renews the lease of a server if l is of a later announcement than what is
--- a/fold/member/lease_test.go
+++ b/fold/member/lease_test.go
@@ -20,7 +20,7 @@
 // renewFrom renews the leases of to by the digest of from, which takes d to arrive.
 func renewFrom(at time.Time, d time.Duration, from, to *Table) EqualBuckets {
 	l := from.Leases(at)
-	return to.RenewLeases(at.Add(d), &l)
+	return to.RenewLeases(at.Add(d), &l).Equal
 }
 
 func TestRenewLeases(t *testing.T) {
@@ -106,3 +106,41 @@
 		t.Error("a digest covers a full update, an engine's load or a bucket with other servers")
 	}
 }
+
+// TestChangeAfterDigestIsSent guards against an update that never reaches a VM which has shown
+// in its last digest that it knew the same servers, before the update.
+func TestChangeAfterDigestIsSent(t *testing.T) {
+	var from, to Table
+	add := func(table *Table, id string, port uint16, epoch uint64) {
+		b := Backend{ID: id, Addr: netip.AddrPortFrom(netip.IPv4Unspecified(), port), Kind: spec.KindPlain, Service: "s", Epoch: epoch, Seq: 1}
+		if c := table.Merge(start, BackendUpdate{Backend: b}, ""); c != Changed {
+			t.Fatalf("%s: change %v", id, c)
+		}
+	}
+	const servers = 100
+	for i := range servers {
+		add(&from, fmt.Sprint("b", i), uint16(i), 1)
+		add(&to, fmt.Sprint("b", i), uint16(i), 1)
+	}
+	digest := to.Leases(start)
+	known := from.RenewLeases(start, &digest)
+	if updates, _ := from.SinceExcept(start, 0, "to", known); len(updates) != 0 {
+		t.Errorf("%d updates for a VM that knows all servers, want none", len(updates))
+	}
+	add(&from, "b7", 7, 2)
+	add(&from, "new", servers, 1)
+	if _, marked := from.MarkLeaving(start, "b9", 0); !marked {
+		t.Fatal("not marked as leaving")
+	}
+	updates, _ := from.SinceExcept(start, 0, "to", known)
+	var ids []string
+	for _, u := range updates {
+		ids = append(ids, u.ID)
+		if u.Brief {
+			t.Errorf("%s: brief update about what the VM doesn't know", u.ID)
+		}
+	}
+	if got := fmt.Sprint(ids); got != "[b7 b9 new]" {
+		t.Errorf("updates about %s, want [b7 b9 new]", got)
+	}
+}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -28,7 +28,12 @@
 	change := n.merge(member.BackendUpdate{Backend: b}, "")
 	switch change {
 	case member.Changed:
-		n.Gossip(n.urgentTargets(""))
+		if b.Leaving {
+			// Requests to a server that leaves fail: nobody waits for the next round.
+			n.Gossip(n.urgentTargets(""))
+			break
+		}
+		n.gossipChange("")
 	case member.Foreign:
 		n.Count("announcements.foreign", 1)
 		n.Log.WithFields(logrus.Fields{"backend": b.ID, "service": b.Service}).Warn("too many servers of services that the configuration doesn't name; rejecting the announcement")
@@ -49,13 +54,19 @@
 // ReceiveRelayedBackends applies the updates about backend servers that a message of the VM
 // from relays. What has changed by them is gossiped together.
 func (n *Node) ReceiveRelayedBackends(updates []member.BackendUpdate, from string) {
+	if n.MergeRelayedBackends(updates, from) {
+		n.gossipChange(from)
+	}
+}
+
+// MergeRelayedBackends is like ReceiveRelayedBackends, but gossips nothing. It reports whether
+// anything has changed.
+func (n *Node) MergeRelayedBackends(updates []member.BackendUpdate, from string) bool {
 	changed := false
 	for _, u := range updates {
 		changed = n.merge(u, from) == member.Changed || changed
 	}
-	if changed {
-		n.Gossip(n.urgentTargets(from))
-	}
+	return changed
 }
 
 // merge applies an update about a backend server. from is the VM that relayed
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -32,8 +32,14 @@
 	// It belongs to the peer's epoch PeerEpoch.
 	PeerVersion uint64
 	PeerEpoch   uint64
+	// Withheld is set if there are updates for the VM that are not in Updates.
+	Withheld bool
 }
 
+// maxFirstUpdates is the number of updates that a VM sends to another one without its digest. A
+// whole table of 1,000 servers takes 119 kB, and nearly always the other VM knows them.
+const maxFirstUpdates = 32
+
 // self returns the description of this VM that is sent to other VMs. The caller
 // holds the lock.
 func (n *Node) self() member.Peer {
@@ -134,12 +140,19 @@
 
 // OutgoingExchange returns what to send in an exchange to the VM at an address. urgent
 // leaves out the digest of the live VMs.
-func (n *Node) OutgoingExchange(addr netip.AddrPort, urgent bool) Exchange {
+//
+// To a VM that has not applied any version of the local table, it sends no more than
+// maxFirstUpdates updates. If there are more, none is sent, and Withheld is set unless all is: the
+// VM's digest shows which of them it lacks.
+func (n *Node) OutgoingExchange(addr netip.AddrPort, urgent, all bool) Exchange {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	id, acked, have, epoch := n.group.ExchangeState(addr)
-	x := n.exchange(id, acked, n.group.EqualBuckets(id))
+	x := n.exchange(id, acked, n.group.KnownBuckets(id))
 	x.PeerVersion, x.PeerEpoch = have, epoch
+	if !all && acked == 0 && len(x.Updates) > maxFirstUpdates {
+		x.Updates, x.Version, x.Withheld = nil, 0, true
+	}
 	if !urgent {
 		vms := n.group.Leases(time.Now())
 		x.VMs = &vms
@@ -157,7 +170,7 @@
 	if epoch != n.group.Self.Epoch {
 		have = 0
 	}
-	x := n.exchange(from.ID, have, n.group.EqualBuckets(from.ID))
+	x := n.exchange(from.ID, have, n.group.KnownBuckets(from.ID))
 	if vms != nil {
 		now := time.Now()
 		x.Known = n.group.Updates(now, n.group.RenewLeases(now, vms))
@@ -179,10 +192,10 @@
 // exchange returns what to send to the VM id, with the updates after version
 // since. Refreshes in the equal buckets are left to the digest. The caller holds
 // the lock.
-func (n *Node) exchange(id string, since uint64, equal member.EqualBuckets) Exchange {
+func (n *Node) exchange(id string, since uint64, known member.KnownBuckets) Exchange {
 	now := time.Now()
 	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
-	x.Updates, x.Version = n.table.SinceExcept(now, since, id, equal)
+	x.Updates, x.Version = n.table.SinceExcept(now, since, id, known)
 	p, ok := n.group.Peer(id)
 	switch {
 	case ok && p.Region != n.group.Self.Region:
@@ -208,7 +221,7 @@
 func (n *Node) ReceiveLeases(from string, l *member.Leases) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.group.SetEqualBuckets(from, n.table.RenewLeases(time.Now(), l))
+	n.group.SetKnownBuckets(from, n.table.RenewLeases(time.Now(), l))
 }
 
 // ReceivePeer applies a direct report that a VM sent about itself.
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -135,6 +135,9 @@
 	// service. Servers without calls have no entry.
 	calls        map[string]int
 	controlSeeds []netip.AddrPort
+	// gossipRounds are the last rounds of gossip of updates from servers themselves, and from
+	// other VMs.
+	gossipRounds [2]gossipRound
 	// controlLost is set while no control VM is reachable.
 	controlLost bool
 	// tickScheduled is set while a tick is pending on the clock.
--- a/foldd/peer/bench_test.go
+++ b/foldd/peer/bench_test.go
@@ -200,7 +200,7 @@
 			for b.Loop() {
 				// A VM that has not applied anything yet gets the whole table.
 				vm.node.RecordExchange("other", 0, 0)
-				if _, _, err := vm.callExchange(context.Background(), server.Addr(), periodic, nil); err != nil {
+				if _, _, _, err := vm.callExchange(context.Background(), server.Addr(), periodic, nil, false); err != nil {
 					b.Fatal(err)
 				}
 			}
--- /dev/null
+++ b/foldd/peer/cold_test.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+)
+
+const (
+	// coldVMs and coldServers are the sizes of a fleet that starts at once, and coldSeeds the
+	// number of VMs that all others know, to which servers announce themselves.
+	coldVMs     = 60
+	coldServers = 300
+	coldSeeds   = 3
+	// announceInterval is the time between two announcements of a server.
+	announceInterval = 1200 * time.Millisecond
+	// coldShare is the share of a core of each VM.
+	coldShare = 0.2
+	// coldTime is how long the start is played.
+	coldTime = 6 * time.Second
+)
+
+// TestColdStartDoesNotMultiplyExchanges guards against VMs that, all started at once, send each
+// other so many exchanges that none of them gets on: one for each server that announces itself,
+// for each VM, and others in place of those that take too long for it.
+func TestColdStartDoesNotMultiplyExchanges(t *testing.T) {
+	synctest.Test(t, playColdStart)
+}
+
+// maxColdExchanges bounds the exchanges of a start. All servers announce themselves once within
+// announceInterval, which is so many rounds of gossip (node.gossipInterval) at each seed, and
+// each round takes an exchange with each VM, or maxSentOverNeeded. Besides, each VM contacts the
+// seeds each 175 ms at least (seedInterval less seedJitter) for minSeedPeriod, and exchanges with
+// up to four VMs a second, with a second call for each.
+const (
+	gossipRounds     = float64(announceInterval/(50*time.Millisecond)) + 1
+	seedContacts     = float64(minSeedPeriod)/(float64(seedInterval)*(1-seedJitter)) + 1
+	maxColdExchanges = coldVMs * (coldSeeds*gossipRounds*maxSentOverNeeded + 2*coldSeeds*seedContacts + 2*4*float64(coldTime/time.Second))
+)
+
+// newColdFleet returns a fleet whose VMs know the addresses of the seeds only.
+func newColdFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{byAddr: map[string]*fleetVM{}, calls: map[string]int{}, sent: map[string]int{}}
+	for i := range size {
+		f.add(t, i)
+	}
+	var seeds []netip.AddrPort
+	for _, v := range f.vms[:coldSeeds] {
+		seeds = append(seeds, v.node.Settings.Listen.Peers)
+	}
+	for i, v := range f.vms {
+		own := slices.Clone(seeds)
+		if i < coldSeeds {
+			own = slices.Delete(own, i, i+1)
+		}
+		v.node.SetSeeds(own, nil)
+	}
+	return f
+}
+
+func counter(v *fleetVM, name string) int64 {
+	return metrics.GetOrRegisterCounter(name, v.node.Metrics).Count()
+}
+
+func playColdStart(t *testing.T) {
+	f := newColdFleet(t, coldVMs)
+	for _, v := range f.vms {
+		v.share = coldShare
+		v.service.Start()
+	}
+	for round := range int(coldTime / announceInterval) {
+		for i := range coldServers {
+			time.Sleep(announceInterval / coldServers)
+			b := member.Backend{
+				ID: fmt.Sprint("b", i), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i % 250)}), 9000),
+				Kind: spec.KindPlain, Service: "s", Domain: fmt.Sprint("d", i%fleetDomains), Epoch: 1, Seq: uint64(round + 1),
+			}
+			f.vms[i%coldSeeds].node.ReceiveAnnouncement(b)
+		}
+	}
+	calls, sent := f.exchanges()
+	followUps, failed := int64(0), int64(0)
+	for _, v := range f.vms {
+		followUps += counter(v, "peers.followUps")
+		failed += counter(v, "peers.exchangesFailed")
+		if got := len(v.node.Backends()); got != coldServers {
+			t.Errorf("%s knows %d servers, want %d", v.node.Settings.ID, got, coldServers)
+		}
+	}
+	for _, v := range f.vms {
+		v.node.Clock.Stop()
+	}
+	time.Sleep(restTime)
+	t.Logf("%d exchanges, %d bytes, %d follow-ups, %d exchanges failed", calls, sent, followUps, failed)
+	if float64(calls) > maxColdExchanges || failed > 0 {
+		t.Errorf("%d exchanges, of which %d failed; want at most %.0f, and none that fails", calls, failed, maxColdExchanges)
+	}
+}
--- a/foldd/peer/fleet_test.go
+++ b/foldd/peer/fleet_test.go
@@ -50,6 +50,32 @@
 	handler http.Handler
 	// delay is the additional time that the VM takes to send or to receive.
 	delay time.Duration
+	// share is the share of a core that the VM has, zero if messages cost nothing.
+	share float64
+
+	// mu protects busyUntil, when the VM has done the work of all messages so far.
+	mu        sync.Mutex
+	busyUntil time.Time
+}
+
+// Processor time of one side of a message: BenchmarkCall has 62 us for both sides of a small
+// call, and 9.2 ms for one of 119 kB.
+const (
+	messageCost = 30 * time.Microsecond
+	byteCost    = 40 * time.Nanosecond
+)
+
+// work returns when the VM has done the work of a message, after that of all earlier ones.
+func (v *fleetVM) work(bytes int) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now := time.Now(); v.busyUntil.Before(now) {
+		v.busyUntil = now
+	}
+	if v.share > 0 {
+		v.busyUntil = v.busyUntil.Add(time.Duration(float64(messageCost+time.Duration(bytes)*byteCost) / v.share))
+	}
+	return v.busyUntil
 }
 
 // newFleet returns a fleet whose VMs all know each other. It must run in a synctest bubble.
@@ -108,17 +134,32 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := wait(r.Context(), delay); err != nil {
+	if err := wait(r.Context(), time.Until(l.from.work(len(body)))+delay); err != nil {
 		return nil, err
 	}
-	received := r.Clone(r.Context())
+	received := r.Clone(context.WithoutCancel(r.Context()))
 	received.Body = io.NopCloser(bytes.NewReader(body))
-	recorder := httptest.NewRecorder()
-	to.handler.ServeHTTP(recorder, received)
-	l.fleet.count(r.URL.Path, len(body)+recorder.Body.Len())
+	recorder, done := httptest.NewRecorder(), make(chan struct{})
+	serve := func() {
+		defer close(done)
+		time.Sleep(time.Until(to.work(len(body))))
+		to.handler.ServeHTTP(recorder, received)
+		l.fleet.count(r.URL.Path, len(body)+recorder.Body.Len())
+		time.Sleep(time.Until(to.work(recorder.Body.Len())))
+	}
+	// A VM does the work of a call also if its caller has given up.
+	go serve()
+	select {
+	case <-done:
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
 	if err := wait(r.Context(), delay); err != nil {
 		return nil, err
 	}
+	if err := wait(r.Context(), time.Until(l.from.work(recorder.Body.Len()))); err != nil {
+		return nil, err
+	}
 	res := recorder.Result()
 	res.ContentLength = int64(recorder.Body.Len())
 	return res, nil
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -159,20 +159,36 @@
 const (
 	// seedInterval is the time between exchanges with the seeds after the start.
 	seedInterval = 250 * time.Millisecond
+	// seedJitter is the share by which seedInterval varies, so that VMs which start at once
+	// don't go on at once.
+	seedJitter = 0.3
 	// minSeedPeriod is how long the exchanges with the seeds go on at least. By
 	// then every backend server has announced itself to VMs that may have started
 	// at the same moment.
 	minSeedPeriod = 3 * time.Second
 )
 
-// contactSeeds exchanges with all seeds, and again after seedInterval until a
+// contactSeeds exchanges with all seeds, and again after about seedInterval until a
 // configuration is in force and minSeedPeriod has passed since the start.
 func (s *Service) contactSeeds(now time.Time) {
 	if s.node.Index() != nil && now.Sub(s.started) > minSeedPeriod {
 		return
 	}
-	s.exchangeAll(s.node.Seeds(), periodic)
-	s.node.Clock.At(now.Add(seedInterval), s.contactSeeds)
+	for _, a := range s.node.Seeds() {
+		if !s.exchanging(a) {
+			go s.exchangeWith(a, seedContact)
+		}
+	}
+	jitter := time.Duration(float64(seedInterval) * seedJitter * (2*s.node.Random() - 1))
+	s.node.Clock.At(now.Add(seedInterval+jitter), s.contactSeeds)
+}
+
+// exchanging reports whether an exchange with a VM is in progress. A seed that is slow, as all
+// VMs have started at once, gets no further ones meanwhile.
+func (s *Service) exchanging(addr netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight[addr] != nil
 }
 
 // exchangeKind says what an exchange is for.
@@ -184,14 +200,29 @@
 	followUp
 	// urgent: it carries an update that others must get at once.
 	urgent
+	// seedContact: as periodic, with a seed after the start. What it brings is not passed on:
+	// the other VMs of the failure domain contact the seeds themselves if they start, too, and
+	// know it otherwise.
+	seedContact
 	// periodic: it carries the digest of the live VMs, too.
 	periodic
 )
 
+// join returns the kind of an exchange that stands for one of each kind.
+func (k exchangeKind) join(o exchangeKind) exchangeKind {
+	if k != o && k != none && o != none && max(k, o) == seedContact {
+		return periodic
+	}
+	return max(k, o)
+}
+
+// hasDigest reports whether the exchange carries the digest of the live VMs.
+func (k exchangeKind) hasDigest() bool { return k == periodic || k == seedContact }
+
 // traffic returns the kind of message of the exchange's calls.
 func (k exchangeKind) traffic() traffic.Kind {
 	switch k {
-	case periodic:
+	case periodic, seedContact:
 		return traffic.ExchangePeriodic
 	case followUp:
 		return traffic.ExchangeFollowUp
@@ -261,7 +292,7 @@
 		f = &flight{}
 		s.inFlight[addr] = f
 	}
-	f.next = max(f.next, kind)
+	f.next = f.next.join(kind)
 	f.waiters = append(f.waiters, result)
 	s.mu.Unlock()
 	if !running {
@@ -329,14 +360,19 @@
 }
 
 // exchange does one exchange with a VM, and fetches its configuration if that is
-// newer. If the VM may not know all VMs that are live here, it gets reports about them in
-// a second call.
+// newer. If the VM may not know all VMs that are live here, or updates were withheld, it gets
+// reports about them and what its digest lacks in a second call.
 func (s *Service) exchange(addr netip.AddrPort, kind exchangeKind) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	from, lacking, err := s.callExchange(ctx, addr, kind, nil)
-	if err == nil && len(lacking) > 0 {
-		_, _, err = s.callExchange(ctx, addr, urgent, lacking)
+	from, lacking, withheld, err := s.callExchange(ctx, addr, kind, nil, false)
+	if err == nil && (len(lacking) > 0 || withheld) {
+		// The second call may be large. It has a time of its own: if it failed for the time that
+		// the first one took, the next exchange would begin with both again.
+		second, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		ctx = second
+		_, _, _, err = s.callExchange(ctx, addr, urgent, lacking, true)
 	}
 	if err != nil {
 		return fmt.Errorf("exchange with %v: %w", addr, err)
@@ -345,34 +381,35 @@
 }
 
 // callExchange makes one call of an exchange, which carries the given reports about VMs,
-// and applies the response. It returns the VM that responded, and reports about VMs that
-// it may not know.
-func (s *Service) callExchange(ctx context.Context, addr netip.AddrPort, kind exchangeKind, known []member.PeerUpdate) (from member.Peer, lacking []member.PeerUpdate, err error) {
+// and applies the response. It returns the VM that responded, reports about VMs that
+// it may not know, and whether updates were withheld, which they are not if all is set.
+func (s *Service) callExchange(ctx context.Context, addr netip.AddrPort, kind exchangeKind, known []member.PeerUpdate, all bool) (from member.Peer, lacking []member.PeerUpdate, withheld bool, err error) {
 	ctx = traffic.With(ctx, kind.traffic())
-	out := s.node.OutgoingExchange(addr, kind != periodic)
+	out := s.node.OutgoingExchange(addr, !kind.hasDigest(), all)
 	req := &wire.ExchangeRequest{
 		From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Backends: toBackends(out.Updates), Known: toPeerUpdates(known),
 		Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits), Vms: toVMs(out.VMs),
 	}
 	res, err := s.client.Exchange(toVM(ctx, addr), connect.NewRequest(req))
 	if err != nil {
-		return from, nil, fmt.Errorf("call: %w", err)
+		return from, nil, false, fmt.Errorf("call: %w", err)
 	}
 	s.node.Count("peers.exchanges", 1)
 	from = FromPeer(res.Msg.GetFrom())
-	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
+	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases(), kind != seedContact)
 	s.node.ReceivePromptUpdate(fromPromptUpdate(res.Msg.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, res.Msg.GetLimits())
 	s.node.RecordExchange(from.ID, out.Version, res.Msg.GetVersion())
 	if vms := fromVMs(res.Msg.GetVms()); vms != nil {
 		lacking = s.node.ReceiveVMs(vms)
 	}
-	return from, lacking, nil
+	return from, lacking, out.Withheld, nil
 }
 
 // applyUpdates applies the direct report of a VM, the VMs and backend servers that
-// it relays, and its digest of leases.
-func (s *Service) applyUpdates(from member.Peer, backends []*wire.Backend, known []*wire.Peer, leases *wire.Leases) {
+// it relays, and its digest of leases. passOn says whether changes of backend servers go to other
+// VMs at once.
+func (s *Service) applyUpdates(from member.Peer, backends []*wire.Backend, known []*wire.Peer, leases *wire.Leases, passOn bool) {
 	s.node.ReceivePeer(from)
 	for _, p := range known {
 		s.node.ReceiveRelayedPeer(member.PeerUpdate{
@@ -380,7 +417,11 @@
 			Age:  time.Duration(p.GetAgeMillis()) * time.Millisecond,
 		})
 	}
-	s.node.ReceiveRelayedBackends(fromBackends(backends), from.ID)
+	if passOn {
+		s.node.ReceiveRelayedBackends(fromBackends(backends), from.ID)
+	} else {
+		s.node.MergeRelayedBackends(fromBackends(backends), from.ID)
+	}
 	l := fromLeases(leases)
 	s.node.ReceiveLeases(from.ID, &l)
 }
@@ -409,7 +450,7 @@
 	if m.GetVms() != nil {
 		traffic.SetKind(ctx, traffic.ExchangePeriodic)
 	}
-	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
+	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases(), true)
 	s.node.ReceivePromptUpdate(fromPromptUpdate(m.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, m.GetLimits())
 	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch(), fromVMs(m.GetVms()))
