--- a/netio/pool/memory_test.go
+++ b/netio/pool/memory_test.go
@@ -131,6 +131,36 @@
 	runtime.KeepAlive(p)
 }
 
+// TestBusyConnectionsHoldOneBuffer guards against requests in progress that take more than a read
+// buffer and the head of a response each, or a goroutine.
+func TestBusyConnectionsHoldOneBuffer(t *testing.T) {
+	servers := startServers(t, manyServers)
+	bareConnections(t, servers)
+	bare, bareGoroutines := bareConnections(t, servers)
+	p := &pool.Pool{}
+	var open []*pool.Response
+	for _, a := range servers {
+		res, err := p.Do(context.Background(), &pool.Request{Addr: a, Method: http.MethodGet, URI: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, res)
+	}
+	held, goroutines := memoryInUse()
+	perConn := (held - bare) / manyServers
+	t.Logf("a connection in use takes %d bytes more than a bare one, %d goroutines more in all", perConn, goroutines-bareGoroutines)
+	const most = 8 << 10
+	if perConn > most {
+		t.Errorf("a connection in use takes %d bytes more than a bare one, want at most %d", perConn, most)
+	}
+	if more := goroutines - bareGoroutines; more > manyServers/100 {
+		t.Errorf("connections in use take %d goroutines, want none", more)
+	}
+	for _, res := range open {
+		res.Body.Close()
+	}
+}
+
 // TestIdleConnectionsAreBounded guards against idle connections whose number grows with that of
 // the servers. Those that were idle the longest are closed first.
 func TestIdleConnectionsAreBounded(t *testing.T) {
