Between failure domains a digest leaves out refreshes only

Cause: with known servers left out as well, the summary for another domain, which has up to four servers of each model, named others in place of them, and more VMs passed the same updates on.

Change: what a digest shows to be known is left out within a domain only.

--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -195,8 +195,13 @@
 func (n *Node) exchange(id string, since uint64, known member.KnownBuckets) Exchange {
 	now := time.Now()
 	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
-	x.Updates, x.Version = n.table.SinceExcept(now, since, id, known)
 	p, ok := n.group.Peer(id)
+	if ok && p.Domain != n.group.Self.Domain {
+		// Of what a VM of another domain knows, only refreshes are left out: Summary would
+		// choose others in place of it.
+		known.Version = 0
+	}
+	x.Updates, x.Version = n.table.SinceExcept(now, since, id, known)
 	switch {
 	case ok && p.Region != n.group.Self.Region:
 		// Requests do not spill over to other regions, so backend updates are
