--- a/fold/member/group.go
+++ b/fold/member/group.go
@@ -40,7 +40,10 @@
 	Seq uint64
 	// Revision is the revision of the VM's configuration.
 	Revision uint64
-	Draining bool
+	// EvacuationsVersion is the version of the set of evacuated failure domains in force at
+	// the VM. It never decreases within an epoch.
+	EvacuationsVersion uint64
+	Draining           bool
 	// HasControlReplica means that the VM runs a control replica, ServesCallers
 	// that it accepts callers' requests.
 	HasControlReplica bool
@@ -92,6 +95,17 @@
 	g.beat(now)
 }
 
+// SetEvacuationsVersion records the version of the set of evacuated failure domains in force
+// at this VM.
+func (g *Group) SetEvacuationsVersion(now time.Time, version uint64) {
+	if version == g.Self.EvacuationsVersion {
+		return
+	}
+	g.Self.EvacuationsVersion = version
+	g.live = nil
+	g.beat(now)
+}
+
 // Beat begins the next heartbeat of this VM if the last one was ExchangeInterval ago.
 func (g *Group) Beat(now time.Time) {
 	if g.beatAt.IsZero() || now.Sub(g.beatAt) >= ExchangeInterval {
@@ -122,6 +136,8 @@
 		r = &peerRecord{}
 		g.peers[p.ID] = r
 	}
+	// VMs of earlier versions relay reports without the field.
+	p.EvacuationsVersion = max(p.EvacuationsVersion, r.EvacuationsVersion)
 	if !r.indexed || !r.sameMember(p) {
 		g.live = nil
 	}
@@ -149,12 +165,27 @@
 // ReceiveRelayed applies a relayed report. It ignores reports that are older than
 // PeerLease or not newer than what is known.
 func (g *Group) ReceiveRelayed(now time.Time, u PeerUpdate) {
-	if u.Age >= PeerLease || g.knowsLater(now, u) {
+	if u.Age >= PeerLease {
+		return
+	}
+	if g.knowsLater(now, u) {
+		g.raiseEvacuationsVersion(u.Peer)
 		return
 	}
 	g.ReceiveDirect(now.Add(-u.Age), u.Peer)
 }
 
+// raiseEvacuationsVersion takes over a higher version from a report that is not newer: one
+// with the same heartbeat may have come without the field by a VM of an earlier version.
+func (g *Group) raiseEvacuationsVersion(p Peer) {
+	r := g.peers[p.ID]
+	if r == nil || p.Epoch != r.Epoch || p.EvacuationsVersion <= r.EvacuationsVersion {
+		return
+	}
+	r.EvacuationsVersion = p.EvacuationsVersion
+	g.live = nil
+}
+
 // knowsLater reports whether a relayed report is not newer than what is known: by its
 // heartbeat, or by its age if it is of another start of the VM.
 func (g *Group) knowsLater(now time.Time, u PeerUpdate) bool {
@@ -266,7 +297,7 @@
 
 // Summary selects the updates to send to another failure domain: the
 // SummaryPerModel least loaded backend servers of each model in the local domain,
-// the leaving servers of the local domain, and all direct updates, since no other
+// the leaving and the cold servers of the local domain, and all direct updates, since no other
 // VM may have received them.
 func Summary(updates []BackendUpdate, domain string) []BackendUpdate {
 	byLoad := slices.Clone(updates)
@@ -281,10 +312,11 @@
 			continue
 		}
 		group := u.Service + "/" + u.Model
-		if u.Domain != domain || (!u.Leaving && count[group] >= SummaryPerModel) {
+		always := u.Leaving || u.ColdFor > u.Age
+		if u.Domain != domain || (!always && count[group] >= SummaryPerModel) {
 			continue
 		}
-		if !u.Leaving {
+		if !always {
 			count[group]++
 		}
 		// Earlier summaries were selected by the loads at that time, so the
--- a/fold/place/place.go
+++ b/fold/place/place.go
@@ -6,6 +6,7 @@
 package place
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,6 +98,9 @@
 	// Load is the load of Server that the choice was based on, without the
 	// request itself. It is zero if another VM made the choice.
 	Load ServerLoad
+	// Gaps is the risk of gaps that the choice was based on. It is zero if another VM made
+	// the choice or no run has a gap target.
+	Gaps GapRisk
 }
 
 // Rejects reports whether no server takes the request for now.
@@ -177,6 +181,8 @@
 	paces map[string]*pace
 	// prefillPaces holds the observed pace at which each engine reads prompts.
 	prefillPaces map[string]*pace
+	// gaps holds what was observed of gaps at each engine, nil until a run has a gap target.
+	gaps map[string]*gapStats
 	// localPrefills holds the prompts of this VM's runs that have no token yet.
 	localPrefills prefills
 	// localReports holds the load of this VM at each engine at the last call of
@@ -194,6 +200,7 @@
 	var lowest cost
 	need := p.demand(req)
 	paces := p.enginePaces(now, servers)
+	gaps := p.engineGaps(now, servers)
 	start := int(req.Random * float64(len(servers)))
 	for i := range servers {
 		i = (i + start) % len(servers)
@@ -201,21 +208,21 @@
 		if s.Leaving || slices.Contains(req.Exclude, s.ID) || !req.inScope(s) {
 			continue
 		}
-		if c := p.cost(now, s, req, need, paces[i]); best < 0 || c.delay < lowest.delay {
+		if c := p.cost(now, s, req, need, paces[i], gaps[i]); best < 0 || c.delay < lowest.delay {
 			best, lowest = i, c
 		}
 	}
 	if best < 0 {
 		return Choice{}, false
 	}
-	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Crowded: lowest.delay >= costFull*targetMemoryShare, Load: p.serverLoad(now, &servers[best])}
+	c := Choice{Server: servers[best], Full: lowest.full && req.Copy == nil, Crowded: lowest.delay >= costFull*targetMemoryShare, Load: p.serverLoad(now, &servers[best]), Gaps: lowest.gaps}
 	switch {
 	case req.Stays(c.Server.ID):
 		// Nothing is copied.
 	case req.Copy != nil:
 		c.CopyDelay = p.reserveLinks(now, &servers[best], req)
 	case servers[best].MemoryTokens > 0:
-		p.rejections.count(now, c.Full)
+		p.rejections.count(now, c.Server.Domain, c.Full)
 	}
 	if c.Full {
 		c.RetryAfter = p.rejections.retryAfter(now)
@@ -230,6 +237,13 @@
 	b.Until = now.Add(maxBackoff)
 }
 
+// ForgetPlacements forgets how many requests were placed lately in the failure domains for
+// which evacuated returns true: their capacity must not shorten the time after which
+// rejected callers retry.
+func (p *Placer) ForgetPlacements(evacuated func(domain string) bool) {
+	maps.DeleteFunc(p.rejections.placed, func(domain string, _ []time.Time) bool { return evacuated(domain) })
+}
+
 // BackedOff reports whether this VM is backed off from a server.
 func (p *Placer) BackedOff(now time.Time, id string) bool {
 	b := p.backends[id]
--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -269,3 +269,62 @@
 		t.Error("losses are not shared newest first")
 	}
 }
+
+// An exchange must not repeat losses that its receiver has applied: while a server breaks off
+// many responses, repeating them filled the links of small VMs.
+func TestShareSinceRepeatsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a, b Table
+	for i := range 40 {
+		a.Lost(now, []string{fmt.Sprintf("request:%d", i)}, Crash{Backend: "s", Epoch: 1}, true)
+	}
+	first := a.ShareSince(now, 0)
+	acked := a.Changes()
+	b.Merge(now, first)
+	if u := a.ShareSince(now.Add(time.Second), acked); !u.Empty() {
+		t.Errorf("update for a VM that has everything holds %d losses", len(u.Losses))
+	}
+	a.Lost(now.Add(time.Second), []string{"request:new"}, Crash{Backend: "s", Epoch: 1}, true)
+	u := a.ShareSince(now.Add(time.Second), acked)
+	if len(u.Losses) != 1 {
+		t.Fatalf("update after one more loss holds %d losses, want 1", len(u.Losses))
+	}
+	acked = a.Changes()
+	a.Answered(now.Add(time.Second), Crash{Backend: "s", Epoch: 1})
+	b.Merge(now.Add(time.Second), a.ShareSince(now.Add(time.Second), acked))
+	for _, l := range b.losses {
+		if l.parts[0] != "request:new" && !l.settled() {
+			t.Errorf("loss of %v is not cleared at the other VM", l.parts)
+		}
+	}
+}
+
+// TestSoundPartsBeyondOneUpdate guards against sound parts that another VM never learns of,
+// because there were more than one update holds.
+func TestSoundPartsBeyondOneUpdate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a, b Table
+	for i := range 3 * maxShared {
+		part := []string{fmt.Sprintf("request:%d", i)}
+		a.Survived(now, part)
+		a.Lost(now.Add(time.Second), part, Crash{Backend: "s", Epoch: 1}, true)
+	}
+	now = now.Add(time.Second)
+	acked := uint64(0)
+	for range 3 {
+		u := a.ShareSince(now, acked)
+		if len(u.Losses) > maxShared || len(u.Sound) > maxShared {
+			t.Errorf("an update holds %d losses and %d sound parts, want at most %d", len(u.Losses), len(u.Sound), maxShared)
+		}
+		b.Merge(now, u)
+		acked = u.Changes
+	}
+	for i := range 3 * maxShared {
+		if part := fmt.Sprintf("request:%d", i); !b.sound(part) {
+			t.Fatalf("%s is not sound at the other VM", part)
+		}
+	}
+	if u := a.ShareSince(now, acked); !u.Empty() || u.Changes != a.Changes() {
+		t.Errorf("a further update holds %d losses and %d sound parts", len(u.Losses), len(u.Sound))
+	}
+}
--- a/foldctl/status.go
+++ b/foldctl/status.go
@@ -20,7 +20,7 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show VMs, backend servers, classes, services, errors and the control group as seen by one or more VMs",
+		Usage: "show VMs, backend servers, classes, evacuations, services, errors and the control group as seen by one or more VMs",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "watch", Usage: "metrics address of a VM to query instead; may be repeated"},
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON document per VM"},
@@ -109,6 +109,7 @@
 	for _, c := range s.GetClasses() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", c.GetName(), c.GetQueued(), c.GetRunning())
 	}
+	writeEvacuations(t, s)
 	writeServices(t, s)
 	switch {
 	case group != nil:
@@ -148,7 +149,8 @@
 // backendState returns what keeps requests from a backend server, or slows them down.
 func backendState(b *wire.BackendView) string {
 	limit := fmt.Sprintf("limited to %g/s", b.GetLimit().GetPerSecond())
-	return strings.TrimSpace(flag(b.GetLeaving(), "leaving ") + flag(b.GetAvoided(), "avoided ") + flag(b.GetLimit() != nil, limit))
+	cold := fmt.Sprintf("cold for %d ms at %g/s ", b.GetColdMillis(), b.GetStartRate())
+	return strings.TrimSpace(flag(b.GetLeaving(), "leaving ") + flag(b.GetAvoided(), "avoided ") + flag(b.GetStartRate() > 0, cold) + flag(b.GetLimit() != nil, limit))
 }
 
 // flag returns text if set is true, and an empty string otherwise.
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -128,7 +128,12 @@
 	log := n.Log.WithFields(logrus.Fields{"backend": b.ID, "addr": b.Addr, "service": b.Service, "domain": b.Domain, "leaving": b.Leaving, "epoch": b.Epoch, "seq": b.Seq, "from": from})
 	n.mu.Lock()
 	used := n.hasRequestsAt(b.ID)
+	rate, cold := n.table.Cold(time.Now(), b.ID, b.Epoch)
 	n.mu.Unlock()
+	if rate > 0 {
+		n.Count("backends.cold", 1)
+		log = log.WithFields(logrus.Fields{"coldMs": cold.Milliseconds(), "startRate": rate})
+	}
 	if from == "" || used {
 		log.Info("backend server changed")
 	} else {
@@ -175,6 +180,8 @@
 		}
 	}
 	lost := len(live) == 0 && !n.Starting()
+	n.controlReached = n.controlReached || len(live) > 0
+	n.controlNeverReached = lost && !n.controlReached
 	if lost == n.controlLost {
 		return
 	}
@@ -237,8 +244,8 @@
 }
 
 // AcquireBackend chooses a backend server of a plain service, passing over those
-// in exclude and those that take no further request for now because of a rate limit or
-// a cooldown, and counts a call in flight to it; the caller must call
+// in exclude, those that are evacuated and those that take no further request for now
+// because of a rate limit or a cooldown, and counts a call in flight to it; the caller must call
 // ReleaseBackend when the call ends. It prefers servers in the local failure
 // domain, then those with the fewest calls in flight. It returns false if no
 // server is left.
@@ -249,7 +256,7 @@
 	var best member.Backend
 	found := false
 	for _, b := range n.table.Live() {
-		if b.Kind != spec.KindPlain || b.Service != service || b.Leaving || slices.Contains(exclude, b.ID) {
+		if b.Kind != spec.KindPlain || b.Service != service || b.Leaving || n.evacuations.Has(b.Domain) || slices.Contains(exclude, b.ID) {
 			continue
 		}
 		if !found || n.better(b, best) {
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/poison"
@@ -21,10 +22,12 @@
 	Known []member.PeerUpdate
 	// Leases is the digest of the local table.
 	Leases member.Leases
-	// Prompts holds what this VM knows of prompts that crash engines.
+	// Prompts holds what this VM knows of prompts that crash engines and the peer may not.
 	Prompts poison.Update
 	// Limits holds the rate limits of backend servers that this VM knows.
 	Limits []limit.Entry
+	// Evacuations is the set of evacuated failure domains that this VM knows.
+	Evacuations evac.Set
 	// Version is the version of the local table of backend servers that the peer
 	// has once it has applied Updates.
 	Version uint64
@@ -194,7 +197,8 @@
 // the lock.
 func (n *Node) exchange(id string, since uint64, known member.KnownBuckets) Exchange {
 	now := time.Now()
-	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Prompts: n.poison.Share(now), Limits: n.limits.Share(now)}
+	x := Exchange{Self: n.self(), Leases: n.table.Leases(now), Limits: n.limits.Share(now), Evacuations: n.evacuations}
+	x.Prompts = n.promptUpdateFor(now, id)
 	p, ok := n.group.Peer(id)
 	if ok && p.Domain != n.group.Self.Domain {
 		// Of what a VM of another domain knows, only refreshes are left out: Summary would
@@ -213,13 +217,13 @@
 	return x
 }
 
-// RecordExchange records a successful exchange with the VM id: it has applied
-// version acked of the local table, and version have of its table has been
-// applied here.
-func (n *Node) RecordExchange(id string, acked, have uint64) {
+// RecordExchange records a successful exchange with the VM id: it has applied sent, and
+// version have of its table has been applied here.
+func (n *Node) RecordExchange(id string, sent *Exchange, have uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.group.RecordExchange(id, acked, have)
+	n.group.RecordExchange(id, sent.Version, have)
+	n.recordPromptUpdate(id, sent.Prompts.Changes)
 }
 
 // ReceiveLeases applies the digest of the leases that a VM knows.
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/place"
@@ -140,6 +141,9 @@
 	gossipRounds [2]gossipRound
 	// controlLost is set while no control VM is reachable.
 	controlLost bool
+	// controlReached is set once a control VM was reachable, and controlNeverReached if none
+	// was by the end of startupPeriod.
+	controlReached, controlNeverReached bool
 	// tickScheduled is set while a tick is pending on the clock.
 	tickScheduled bool
 	// placer places forwarded requests.
@@ -173,10 +177,20 @@
 	// parts that were in quarantine when that was last logged.
 	poison      poison.Table
 	quarantined map[string]poison.Quarantine
+	// promptGossip is the state of urgent updates on prompts, and promptAcks what other VMs
+	// have applied of them, by VM ID.
+	promptGossip promptGossip
+	promptAcks   map[string]promptAck
 	// quarantineChanged is called when quarantined has changed; nil if nothing is.
 	quarantineChanged func()
 	// limits keeps requests within the rate limits of backend servers.
 	limits limits
+	// evacuations is the set of evacuated failure domains in force.
+	evacuations evac.Set
+	// sendsHeld is closed by ReleaseSends; nil if sends were never held. It is not set after
+	// the first request.
+	sendsHeld     chan struct{}
+	releasedSends sync.Once
 }
 
 // New returns a node without a configuration.
@@ -227,6 +241,8 @@
 	local := sched.New(sched.Options{Domain: s.Domain, SampleSize: 2, Random: n.random})
 	n.ticketClient = ticket.NewClient(s.ID, n.group.Self.Epoch, local, n.schedulerFor)
 	n.limits.Random = n.random.Float64
+	n.limits.ColdRate = n.coldRate
+	n.table.ColdStart, n.table.Starting = n.coldStart, n.Starting
 	n.Clock.Every(expireInterval, n.expire)
 	n.watchMemory()
 	n.Clock.Every(limit.TickInterval, n.tickLimits)
@@ -392,6 +408,7 @@
 	defer n.mu.Unlock()
 	n.waiters[r.ID] = ch
 	now := time.Now()
+	n.avoidEvacuated(r)
 	n.ticketClient.Submit(now, r)
 	n.poll(now)
 	return ch
--- a/foldd/peer/bench_test.go
+++ b/foldd/peer/bench_test.go
@@ -199,7 +199,7 @@
 			b.Cleanup(func() { server.Close() })
 			for b.Loop() {
 				// A VM that has not applied anything yet gets the whole table.
-				vm.node.RecordExchange("other", 0, 0)
+				vm.node.RecordExchange("other", &node.Exchange{}, 0)
 				if _, _, _, err := vm.callExchange(context.Background(), server.Addr(), periodic, nil, false); err != nil {
 					b.Fatal(err)
 				}
--- a/foldd/relay/return.go
+++ b/foldd/relay/return.go
@@ -26,6 +26,9 @@
 		return
 	}
 	s.returnChecked = now
+	if x.Node.Evacuated(x.Node.Settings.Domain) {
+		return
+	}
 	run := s.initialRun
 	run.Generated = s.generated()
 	if x.Node.MeanRemainingTokens(run) < minReturnTokens || !s.beginMove() {
@@ -55,7 +58,9 @@
 		x.cancelReturn(s, from)
 		return
 	}
-	x.finishMove(ctx, s, from, firstCopy{target: choice.Server, handle: handle, took: time.Since(began)})
+	if !x.finishMove(ctx, s, from, firstCopy{target: choice.Server, handle: handle, took: time.Since(began)}) {
+		x.cancelReturn(s, from)
+	}
 }
 
 // cancelReturn lets the run be moved again. If its engine began to leave
