memory: return free memory while work is rejected

Between 80 and 85 percent of the limit nothing called Free, though work was rejected. A VM without work collects no garbage for minutes and rejected all requests meanwhile.

--- a/foldd/memory/memory.go
+++ b/foldd/memory/memory.go
@@ -63,14 +63,19 @@
 		return false
 	}
 	resident := g.resident()
-	if resident >= g.share(rejectShare) && now.Sub(g.freed) >= freeInterval {
-		// What is free may be returned to the system before work is rejected for it.
+	before := g.rejects.Load()
+	threshold := g.share(rejectShare)
+	if before {
+		threshold = g.share(acceptShare)
+	}
+	if resident >= threshold && now.Sub(g.freed) >= freeInterval {
+		// What is free may be returned to the system before work is rejected for it. While work
+		// is rejected, nothing else may cause a garbage collection for minutes.
 		g.freed = now
 		g.free()
 		resident = g.resident()
 	}
-	before := g.rejects.Load()
-	after := resident >= g.share(rejectShare) || before && resident >= g.share(acceptShare)
+	after := resident >= threshold
 	g.rejects.Store(after)
 	return after != before
 }
--- a/foldd/memory/memory_test.go
+++ b/foldd/memory/memory_test.go
@@ -33,6 +33,8 @@
 		{"near the limit, with free memory", 95, 60, false},
 		{"near the limit", 90, 0, true},
 		{"just below the share", 83, 0, true},
+		{"just below the share, with free memory", 83, 20, false},
+		{"near the limit again", 90, 0, true},
 		{"well below", 70, 0, false},
 	} {
 		now = now.Add(time.Minute)
