Gossip: pass on a change that is known from a seed if the seed asks for it

A VM that starts passes nothing on that it learns from a seed. A seed of another failure domain that chose it to pass on a change, such as that a server is cold, sent an update that was known there, and the rest of the failure domain learned of the change by periodic exchanges only.

--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -54,19 +54,24 @@
 // ReceiveRelayedBackends applies the updates about backend servers that a message of the VM
 // from relays. What has changed by them is gossiped together.
 func (n *Node) ReceiveRelayedBackends(updates []member.BackendUpdate, from string) {
-	if n.MergeRelayedBackends(updates, from) {
+	changed := false
+	for _, u := range updates {
+		changed = n.merge(u, from) == member.Changed || changed
+		changed = n.takeSeedChange(u, from) || changed
+	}
+	if changed {
 		n.gossipChange(from)
 	}
 }
 
-// MergeRelayedBackends is like ReceiveRelayedBackends, but gossips nothing. It reports whether
-// anything has changed.
-func (n *Node) MergeRelayedBackends(updates []member.BackendUpdate, from string) bool {
-	changed := false
+// ReceiveFromSeed is like ReceiveRelayedBackends, for what a seed sends to a VM that starts. It
+// gossips nothing.
+func (n *Node) ReceiveFromSeed(updates []member.BackendUpdate, from string) {
 	for _, u := range updates {
-		changed = n.merge(u, from) == member.Changed || changed
+		if n.merge(u, from) == member.Changed {
+			n.addSeedChange(u.ID)
+		}
 	}
-	return changed
 }
 
 // merge applies an update about a backend server. from is the VM that relayed
--- a/foldd/node/gossip.go
+++ b/foldd/node/gossip.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"fuchsiafold.example/fold/member"
+)
 
 // gossipInterval is the least time between two rounds of gossip of what backend servers announce.
 // All that changes in between goes together: when all servers of a deployment start, hundreds of
@@ -54,3 +58,48 @@
 	})
 	return false
 }
+
+// seedChangesKept is how long seedChanges are kept. An update takes up to two calls of 1 s, after
+// another exchange of that length.
+const seedChangesKept = 5 * time.Second
+
+// seedChanges are the servers whose changes this VM has learned from seeds since its start, and has
+// not passed on. A seed of another failure domain may have chosen this VM to pass a change on, and
+// its update must then be passed on though it is known here.
+type seedChanges struct {
+	ids map[string]struct{}
+	// until is when they are forgotten.
+	until time.Time
+}
+
+// addSeedChange records that a change of a server came from a seed and isn't passed on.
+func (n *Node) addSeedChange(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seedChanges.ids == nil {
+		n.seedChanges.ids = map[string]struct{}{}
+	}
+	n.seedChanges.ids[id] = struct{}{}
+	n.seedChanges.until = time.Now().Add(seedChangesKept)
+}
+
+// takeSeedChange reports whether an update by the VM from is about one of seedChanges and has to
+// be passed on, and forgets that change. Of VMs of the local failure domain, each update goes to
+// all others anyway.
+func (n *Node) takeSeedChange(u member.BackendUpdate, from string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seedChanges.ids == nil {
+		return false
+	}
+	if time.Now().After(n.seedChanges.until) {
+		n.seedChanges.ids = nil
+		return false
+	}
+	if p, ok := n.group.Peer(from); u.Brief || !ok || p.Domain == n.group.Self.Domain {
+		return false
+	}
+	_, found := n.seedChanges.ids[u.ID]
+	delete(n.seedChanges.ids, u.ID)
+	return found
+}
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -139,6 +139,7 @@
 	// gossipRounds are the last rounds of gossip of updates from servers themselves, and from
 	// other VMs.
 	gossipRounds [2]gossipRound
+	seedChanges  seedChanges
 	// controlLost is set while no control VM is reachable.
 	controlLost bool
 	// controlReached is set once a control VM was reachable, and controlNeverReached if none
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -202,7 +202,8 @@
 	urgent
 	// seedContact: as periodic, with a seed after the start. What it brings is not passed on:
 	// the other VMs of the failure domain contact the seeds themselves if they start, too, and
-	// know it otherwise.
+	// get it from the VM that a seed has chosen otherwise (see node.ReceiveRelayedBackends).
+	// Evacuations are passed on.
 	seedContact
 	// periodic: it carries the digest of the live VMs, too.
 	periodic
@@ -422,7 +423,7 @@
 	if passOn {
 		s.node.ReceiveRelayedBackends(fromBackends(backends), from.ID)
 	} else {
-		s.node.MergeRelayedBackends(fromBackends(backends), from.ID)
+		s.node.ReceiveFromSeed(fromBackends(backends), from.ID)
 	}
 	l := fromLeases(leases)
 	s.node.ReceiveLeases(from.ID, &l)
--- a/foldd/peer/startup_test.go
+++ b/foldd/peer/startup_test.go
@@ -105,3 +105,38 @@
 		t.Errorf("%d exchanges, of which %d failed; want at most %.0f, and none that fails", calls, failed, maxColdExchanges)
 	}
 }
+
+// TestChangeKnownFromSeedIsPassedOn guards against a change that the VMs of a failure domain lack:
+// the seed that has learned of it chooses a VM to pass it on that has just started and knows it
+// already, from its own exchange with the seed.
+func TestChangeKnownFromSeedIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, coldVMs)
+		seed, fresh := f.vms[0], f.vms[1]
+		cold := server(1)
+		cold.ColdFor = time.Minute
+		seed.node.ReceiveFromSeed([]member.BackendUpdate{{Backend: cold}}, "")
+		known := func() (vms, all int) {
+			for _, v := range f.vms {
+				if v.node.Settings.Domain == fresh.node.Settings.Domain {
+					all++
+					vms += len(v.node.Backends())
+				}
+			}
+			return vms, all
+		}
+		if err := fresh.service.exchangeWith(seed.node.Settings.Listen.Peers, seedContact); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if vms, _ := known(); vms != 1 {
+			t.Fatalf("%d VMs of the failure domain know the server after the contact, want one", vms)
+		}
+		seed.service.exchangeUrgently([]netip.AddrPort{fresh.node.Settings.Listen.Peers})
+		time.Sleep(time.Second)
+		if vms, all := known(); vms != all {
+			t.Errorf("%d of %d VMs of the failure domain know the server", vms, all)
+		}
+		time.Sleep(restTime)
+	})
+}
