Exchange: a VM that has restarted gets what its earlier process had applied

The exchange that shows the restart was built for the earlier process, and was recorded as applied by the new one: it lacked all earlier updates on servers until it asked for them, and on prompts for good.

--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -222,6 +222,11 @@
 func (n *Node) RecordExchange(id string, sent *Exchange, have uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if p, ok := n.group.Peer(id); ok && sent.PeerEpoch != 0 && p.Epoch != sent.PeerEpoch {
+		// The VM has restarted: what its earlier process had applied was not sent.
+		n.group.RecordExchange(id, 0, have)
+		return
+	}
 	n.group.RecordExchange(id, sent.Version, have)
 	n.recordPromptUpdate(id, sent.Prompts.Changes)
 }
