Cold servers: a statement counts though a digest has told of its report before

Digests, and updates of VMs that know of an announcement from one, raise a server's sequence number without saying that it is cold. The update that says so was then ignored as not newer: in a fleet of 60 VMs with rounds of gossip, 5 VMs of one failure domain did not know that a server was cold 200 ms later (TestUrgentChangesDuringGossipRounds). Records keep the sequence number of the last statement.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -98,6 +98,9 @@
 type record struct {
 	Backend
 	lastReport time.Time
+	// coldSeq is the sequence number of the last report that stated for how long the server is
+	// cold. Digests and what VMs know by them raise Seq without the statement.
+	coldSeq uint64
 	// firstReport is the time of the first report of this epoch. It is not after
 	// lastReport.
 	firstReport time.Time
@@ -190,7 +193,15 @@
 		return Stale
 	}
 	r := t.records[u.ID]
-	if r != nil && !u.Supersedes(r.Backend) {
+	coldSeq := uint64(0)
+	if u.ColdFor > 0 {
+		coldSeq = u.Seq
+	}
+	switch {
+	case r == nil || u.Supersedes(r.Backend):
+	case r.lacksStatement(now, u):
+		u = r.withStatement(now, u)
+	default:
 		return Stale
 	}
 	if u.Brief && (r == nil || r.Epoch != u.Epoch) {
@@ -240,7 +251,9 @@
 		identityVersion = r.identityVersion
 	}
 	next.version, next.identityVersion = t.version, identityVersion
+	next.coldSeq = coldSeq
 	if r != nil && r.Epoch == u.Epoch {
+		next.coldSeq = max(coldSeq, r.coldSeq)
 		next.detailVersion = r.detailVersion
 		if change == Changed {
 			next.detailVersion = t.version
@@ -251,6 +264,21 @@
 	return change
 }
 
+// lacksStatement reports whether an update that is not newer than the record states that the
+// server is cold for longer: a digest, which doesn't tell, or a VM that knew it from one has told of
+// the announcement before.
+func (r *record) lacksStatement(now time.Time, u BackendUpdate) bool {
+	return !r.removed && u.Epoch == r.Epoch && u.ColdFor > 0 && u.Seq > r.coldSeq && now.Add(u.ColdFor-u.Age).After(r.coldUntil())
+}
+
+// withStatement returns what is known of the server with the update's statement for how long it is
+// cold.
+func (r *record) withStatement(now time.Time, u BackendUpdate) BackendUpdate {
+	out := BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport)}
+	out.ColdFor = max(u.ColdFor-u.Age+out.Age, 0)
+	return out
+}
+
 // foreignFull reports whether the configuration doesn't name a service and the table holds
 // maxForeign records of such services.
 func (t *Table) foreignFull(service string) bool {
--- a/fold/member/cold_test.go
+++ b/fold/member/cold_test.go
@@ -192,3 +192,36 @@
 		t.Errorf("%d updates about a server that is warm again, want none", len(updates))
 	}
 }
+
+// TestUpdateAfterDigestIsApplied guards against a VM that ignores that a server is cold, since a
+// digest, which doesn't tell, has told it of the same announcement before.
+func TestUpdateAfterDigestIsApplied(t *testing.T) {
+	from, to := coldTable(), coldTable()
+	for _, table := range []*Table{from, to} {
+		table.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 1, 0)}, "")
+	}
+	cold := BackendUpdate{Backend: coldBackend(1, 2, 3*time.Second)}
+	from.Merge(coldNow, cold, "")
+	from.Merge(coldNow.Add(time.Second), BackendUpdate{Backend: coldBackend(1, 3, 0)}, "")
+	digest := from.Leases(coldNow.Add(time.Second))
+	to.RenewLeases(coldNow.Add(time.Second), &digest)
+	// So does a VM that knows of it from a digest.
+	brief := BackendUpdate{Backend: Backend{ID: "s", Epoch: 1, Seq: 3}, Brief: true}
+	to.Merge(coldNow.Add(time.Second), brief, "other")
+	late := coldNow.Add(1500 * time.Millisecond)
+	cold.Age = 1500 * time.Millisecond
+	if change := to.Merge(late, cold, "from"); change != Changed {
+		t.Errorf("change %v, want one that is spread", change)
+	}
+	checkCold(t, to, late, 1, 1500*time.Millisecond)
+	if age, _ := to.Age(late, "s"); age != 500*time.Millisecond {
+		t.Errorf("last announcement %v ago, want 500 ms", age)
+	}
+	if change := to.Merge(late, cold, "from"); change != Stale {
+		t.Errorf("the same update again: change %v", change)
+	}
+	// An earlier statement doesn't replace a later one.
+	to.Merge(late, BackendUpdate{Backend: coldBackend(1, 4, 100*time.Millisecond)}, "")
+	to.Merge(late, cold, "from")
+	checkCold(t, to, late, 1, 100*time.Millisecond)
+}
--- a/foldd/peer/startup_test.go
+++ b/foldd/peer/startup_test.go
@@ -10,8 +10,11 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
+	"fuchsiafold.example/foldd/node"
 )
 
 const (
@@ -140,3 +143,88 @@
 		time.Sleep(restTime)
 	})
 }
+
+// maxUrgentSpread bounds the time until all VMs know what must not wait, while other servers
+// announce themselves all the time: two VMs may each begin a round of gossip 50 ms later, besides
+// the time of two exchanges.
+const maxUrgentSpread = 2*50*time.Millisecond + 20*time.Millisecond
+
+// TestUrgentChangesDuringGossipRounds guards against the rounds of gossip that delay what must not
+// wait: a server that leaves, one that becomes cold, an evacuation and a configuration.
+func TestUrgentChangesDuringGossipRounds(t *testing.T) {
+	document := func(revision uint64) *spec.Index {
+		service := spec.Service{Name: "s", ColdStart: &spec.ColdStart{Rate: 25, Duration: strict.Duration(time.Second)}}
+		return spec.NewIndex(&spec.Document{Services: []spec.Service{service}}, revision)
+	}
+	backend := func(v *fleetVM) member.Backend {
+		for _, b := range v.node.Backends() {
+			if b.ID == server(0).ID {
+				return b
+			}
+		}
+		return member.Backend{}
+	}
+	for _, tt := range []struct {
+		name   string
+		change func(n *node.Node)
+		known  func(v *fleetVM) bool
+	}{
+		{"cold", func(n *node.Node) {
+			cold := server(0)
+			cold.Seq, cold.ColdFor = 2, time.Minute
+			n.ReceiveAnnouncement(cold)
+		}, func(v *fleetVM) bool { return backend(v).ColdFor > 0 }},
+		{"leaving", func(n *node.Node) {
+			leaving := server(0)
+			leaving.Seq, leaving.Leaving = 2, true
+			n.ReceiveAnnouncement(leaving)
+		}, func(v *fleetVM) bool { return backend(v).Leaving }},
+		{"evacuation", func(n *node.Node) { n.ApplyEvacuations(evac.Set{}.Add("d1", time.Now()), "") },
+			func(v *fleetVM) bool { return v.node.Evacuated("d1") }},
+		{"configuration", func(n *node.Node) {
+			if err := n.ApplyDocument(2, []byte("{}"), ""); err != nil {
+				t.Error(err)
+			}
+		}, func(v *fleetVM) bool { return v.node.Index().Revision() == 2 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			// The change comes at different times after the beginning of a round.
+			slowest := time.Duration(0)
+			for phase := range 13 {
+				synctest.Test(t, func(t *testing.T) {
+					slowest = max(slowest, spreadAmidRounds(t, document(1), 100+2*phase, tt.change, tt.known))
+				})
+			}
+			t.Logf("known at all VMs after %v at most", slowest)
+			if slowest > maxUrgentSpread {
+				t.Errorf("known at all VMs after %v, want at most %v", slowest, maxUrgentSpread)
+			}
+		})
+	}
+}
+
+// spreadAmidRounds returns the time until all VMs know a change at the first VM, while servers
+// announce themselves to the seeds. As many of them do so before it as count says.
+func spreadAmidRounds(t *testing.T, x *spec.Index, count int, change func(n *node.Node), known func(v *fleetVM) bool) time.Duration {
+	f := newFleet(t, coldVMs)
+	for _, v := range f.vms {
+		v.node.ApplyIndex(x)
+	}
+	f.vms[0].node.ReceiveAnnouncement(server(0))
+	time.Sleep(500 * time.Millisecond)
+	defer time.Sleep(restTime)
+	var begun time.Time
+	for i := 1; i < 2*count; i++ {
+		f.vms[i%coldSeeds].node.ReceiveAnnouncement(server(i))
+		if i == count {
+			begun = time.Now()
+			change(f.vms[0].node)
+		}
+		time.Sleep(2 * time.Millisecond)
+		if i >= count && !slices.ContainsFunc(f.vms, func(v *fleetVM) bool { return !known(v) }) {
+			return time.Since(begun)
+		}
+	}
+	t.Error("not known at all VMs")
+	return 0
+}
