--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -98,6 +98,9 @@
 type record struct {
 	Backend
 	lastReport time.Time
+	// coldSeq is the sequence number of the last report that stated for how long the server is
+	// cold. Digests and what VMs know by them raise Seq without the statement.
+	coldSeq uint64
 	// firstReport is the time of the first report of this epoch. It is not after
 	// lastReport.
 	firstReport time.Time
@@ -110,7 +113,10 @@
 	// identityVersion is the version of the last update that was Changed rather
 	// than Refreshed, or of the leaving mark. It is at most version.
 	identityVersion uint64
-	removed         bool
+	// detailVersion is the version of the last change of a known server that digests don't
+	// show: of its address, its model, or how long it is cold.
+	detailVersion uint64
+	removed       bool
 	// from is the ID of the VM that sent the record. It is empty if the record
 	// came from the server itself, or if this VM marked the server as leaving.
 	from string
@@ -132,6 +138,9 @@
 	// Starting is set while this VM may learn of a server long after the server's start.
 	Starting func() bool
 	records  map[string]*record
+	// atAddr holds the IDs of the records with an address. Records never share an address
+	// for long, so that a list has one entry nearly always.
+	atAddr map[netip.AddrPort][]string
 	// coldUntil is not before the time at which the last server stops being cold.
 	coldUntil time.Time
 	// version counts the changes of the table. The version of every record is at
@@ -184,7 +193,15 @@
 		return Stale
 	}
 	r := t.records[u.ID]
-	if r != nil && !u.Supersedes(r.Backend) {
+	coldSeq := uint64(0)
+	if u.ColdFor > 0 {
+		coldSeq = u.Seq
+	}
+	switch {
+	case r == nil || u.Supersedes(r.Backend):
+	case r.lacksStatement(now, u):
+		u = r.withStatement(now, u)
+	default:
 		return Stale
 	}
 	if u.Brief && (r == nil || r.Epoch != u.Epoch) {
@@ -216,7 +233,13 @@
 		change = Changed
 	}
 	if t.records == nil {
-		t.records = map[string]*record{}
+		t.records, t.atAddr = map[string]*record{}, map[netip.AddrPort][]string{}
+	}
+	if r != nil && r.Addr != u.Addr {
+		t.dropAddr(r)
+	}
+	if r == nil || r.Addr != u.Addr {
+		t.atAddr[u.Addr] = append(t.atAddr[u.Addr], u.ID)
 	}
 	t.version++
 	if change == Changed {
@@ -228,11 +251,34 @@
 		identityVersion = r.identityVersion
 	}
 	next.version, next.identityVersion = t.version, identityVersion
+	next.coldSeq = coldSeq
+	if r != nil && r.Epoch == u.Epoch {
+		next.coldSeq = max(coldSeq, r.coldSeq)
+		next.detailVersion = r.detailVersion
+		if change == Changed {
+			next.detailVersion = t.version
+		}
+	}
 	t.records[u.ID] = next
 	t.noteCold(next)
 	return change
 }
 
+// lacksStatement reports whether an update that is not newer than the record states that the
+// server is cold for longer: a digest, which doesn't tell, or a VM that knew it from one has told of
+// the announcement before.
+func (r *record) lacksStatement(now time.Time, u BackendUpdate) bool {
+	return !r.removed && u.Epoch == r.Epoch && u.ColdFor > 0 && u.Seq > r.coldSeq && now.Add(u.ColdFor-u.Age).After(r.coldUntil())
+}
+
+// withStatement returns what is known of the server with the update's statement for how long it is
+// cold.
+func (r *record) withStatement(now time.Time, u BackendUpdate) BackendUpdate {
+	out := BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport)}
+	out.ColdFor = max(u.ColdFor-u.Age+out.Age, 0)
+	return out
+}
+
 // foreignFull reports whether the configuration doesn't name a service and the table holds
 // maxForeign records of such services.
 func (t *Table) foreignFull(service string) bool {
@@ -252,8 +298,9 @@
 // address of b. The update about b was then delayed until after b's end.
 func (t *Table) addressTaken(b Backend) bool {
 	known := t.records[b.ID]
-	for _, r := range t.records {
-		if r.ID == b.ID || r.Addr != b.Addr || r.removed {
+	for _, id := range t.atAddr[b.Addr] {
+		r := t.records[id]
+		if id == b.ID || r.removed {
 			continue
 		}
 		// Servers may not report when they started, and their epochs are then
@@ -269,14 +316,24 @@
 // removeAtAddress marks the other live backend servers at the address of b as
 // removed.
 func (t *Table) removeAtAddress(b Backend) {
-	for _, r := range t.records {
-		if r.ID != b.ID && r.Addr == b.Addr && !r.removed {
+	for _, id := range t.atAddr[b.Addr] {
+		if r := t.records[id]; id != b.ID && !r.removed {
 			r.removed = true
 			r.version = t.version
 		}
 	}
 }
 
+// dropAddr removes a record from atAddr.
+func (t *Table) dropAddr(r *record) {
+	ids := slices.DeleteFunc(t.atAddr[r.Addr], func(id string) bool { return id == r.ID })
+	if len(ids) == 0 {
+		delete(t.atAddr, r.Addr)
+		return
+	}
+	t.atAddr[r.Addr] = ids
+}
+
 // MarkLeaving marks a live backend server as leaving (shutting down), as requested
 // by the server or its platform. It returns the server and reports whether the
 // mark is new. An epoch of zero matches any epoch.
@@ -313,6 +370,7 @@
 			out = append(out, id)
 		}
 		if r.removed && age >= tombstoneLeases*t.lease() {
+			t.dropAddr(r)
 			delete(t.records, id)
 		}
 	}
@@ -368,10 +426,23 @@
 // that came from that VM are left out. An update is brief if its record was only
 // refreshed after the given version.
 func (t *Table) Since(now time.Time, version uint64, to string) ([]BackendUpdate, uint64) {
+	return t.SinceExcept(now, version, to, KnownBuckets{})
+}
+
+// SinceExcept is like Since, but leaves out what a VM with the digest known needs no update for:
+// that a server has announced itself again, and servers that the VM was shown to know. What digests
+// don't show of a server is never left out.
+func (t *Table) SinceExcept(now time.Time, version uint64, to string, known KnownBuckets) ([]BackendUpdate, uint64) {
 	var out []BackendUpdate
 	for _, r := range t.records {
-		if r.version > version && !r.removed && (to == "" || r.from != to) {
-			out = append(out, BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport), Direct: r.from == "", Brief: r.identityVersion <= version})
+		if r.version <= version || r.removed || to != "" && r.from == to {
+			continue
+		}
+		u := BackendUpdate{Backend: r.Backend, Age: now.Sub(r.lastReport), Direct: r.from == "", Brief: r.identityVersion <= version}
+		// Digests don't tell for how long servers are cold.
+		hidden := !u.Brief && (r.detailVersion > version || u.ColdFor > u.Age)
+		if hidden || !known.covers(&u, r.identityVersion) {
+			out = append(out, u)
 		}
 	}
 	slices.SortFunc(out, func(a, b BackendUpdate) int { return compare(a.ID, b.ID) })
--- a/fold/member/cold_test.go
+++ b/fold/member/cold_test.go
@@ -62,7 +62,7 @@
 	later := coldNow.Add(time.Second)
 	a.Merge(later, BackendUpdate{Backend: coldBackend(1, 2, 0)}, "")
 	leases := a.Leases(later)
-	if equal := b.RenewLeases(later, &leases); !equal.All() {
+	if known := b.RenewLeases(later, &leases); !known.Equal.All() {
 		t.Fatal("the tables differ")
 	}
 	checkCold(t, b, later, 1, 2*time.Second)
@@ -147,3 +147,81 @@
 		t.Errorf("summary has %d of %d cold servers", got, len(updates))
 	}
 }
+
+// TestDigestDoesNotCoverHiddenChanges guards against a VM that never learns that a server is
+// cold or has another address: its digest, which shows neither, came after the change and before
+// the update about it.
+func TestDigestDoesNotCoverHiddenChanges(t *testing.T) {
+	moved := coldBackend(1, 2, 0)
+	moved.Addr = netip.MustParseAddrPort("10.0.0.2:80")
+	for name, later := range map[string]Backend{"cold": coldBackend(1, 2, 3*time.Second), "moved": moved} {
+		from, to := coldTable(), coldTable()
+		for _, table := range []*Table{from, to} {
+			table.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 1, 0)}, "")
+		}
+		_, acked := from.Since(coldNow, 0, "")
+		if change := from.Merge(coldNow, BackendUpdate{Backend: later}, ""); change != Changed {
+			t.Fatalf("%s: change %v", name, change)
+		}
+		digest := to.Leases(coldNow)
+		known := from.RenewLeases(coldNow, &digest)
+		if !known.Equal.All() {
+			t.Fatalf("%s: the digests show the change", name)
+		}
+		for _, since := range []uint64{0, acked} {
+			if updates, _ := from.SinceExcept(coldNow, since, "to", known); len(updates) != 1 || updates[0].Brief {
+				t.Errorf("%s: updates %+v since version %d, want one in full", name, updates, since)
+			}
+		}
+	}
+}
+
+// TestDigestDoesNotCoverFirstStatement guards against the same for a VM that knows a server from
+// an announcement before the one that says that it is cold.
+func TestDigestDoesNotCoverFirstStatement(t *testing.T) {
+	from, to := coldTable(), coldTable()
+	to.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 1, 0)}, "")
+	from.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 2, 3*time.Second)}, "")
+	digest := to.Leases(coldNow)
+	known := from.RenewLeases(coldNow, &digest)
+	if updates, _ := from.SinceExcept(coldNow, 0, "to", known); len(updates) != 1 {
+		t.Errorf("%d updates, want one that says that the server is cold", len(updates))
+	}
+	later := coldNow.Add(3 * time.Second)
+	if updates, _ := from.SinceExcept(later, 0, "to", known); len(updates) != 0 {
+		t.Errorf("%d updates about a server that is warm again, want none", len(updates))
+	}
+}
+
+// TestUpdateAfterDigestIsApplied guards against a VM that ignores that a server is cold, since a
+// digest, which doesn't tell, has told it of the same announcement before.
+func TestUpdateAfterDigestIsApplied(t *testing.T) {
+	from, to := coldTable(), coldTable()
+	for _, table := range []*Table{from, to} {
+		table.Merge(coldNow, BackendUpdate{Backend: coldBackend(1, 1, 0)}, "")
+	}
+	cold := BackendUpdate{Backend: coldBackend(1, 2, 3*time.Second)}
+	from.Merge(coldNow, cold, "")
+	from.Merge(coldNow.Add(time.Second), BackendUpdate{Backend: coldBackend(1, 3, 0)}, "")
+	digest := from.Leases(coldNow.Add(time.Second))
+	to.RenewLeases(coldNow.Add(time.Second), &digest)
+	// So does a VM that knows of it from a digest.
+	brief := BackendUpdate{Backend: Backend{ID: "s", Epoch: 1, Seq: 3}, Brief: true}
+	to.Merge(coldNow.Add(time.Second), brief, "other")
+	late := coldNow.Add(1500 * time.Millisecond)
+	cold.Age = 1500 * time.Millisecond
+	if change := to.Merge(late, cold, "from"); change != Changed {
+		t.Errorf("change %v, want one that is spread", change)
+	}
+	checkCold(t, to, late, 1, 1500*time.Millisecond)
+	if age, _ := to.Age(late, "s"); age != 500*time.Millisecond {
+		t.Errorf("last announcement %v ago, want 500 ms", age)
+	}
+	if change := to.Merge(late, cold, "from"); change != Stale {
+		t.Errorf("the same update again: change %v", change)
+	}
+	// An earlier statement doesn't replace a later one.
+	to.Merge(late, BackendUpdate{Backend: coldBackend(1, 4, 100*time.Millisecond)}, "")
+	to.Merge(late, cold, "from")
+	checkCold(t, to, late, 1, 100*time.Millisecond)
+}
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -28,7 +28,12 @@
 	change := n.merge(member.BackendUpdate{Backend: b}, "")
 	switch change {
 	case member.Changed:
-		n.Gossip(n.urgentTargets(""))
+		if b.Leaving {
+			// Requests to a server that leaves fail: nobody waits for the next round.
+			n.Gossip(n.urgentTargets(""))
+			break
+		}
+		n.gossipChange("")
 	case member.Foreign:
 		n.Count("announcements.foreign", 1)
 		n.Log.WithFields(logrus.Fields{"backend": b.ID, "service": b.Service}).Warn("too many servers of services that the configuration doesn't name; rejecting the announcement")
@@ -52,9 +57,20 @@
 	changed := false
 	for _, u := range updates {
 		changed = n.merge(u, from) == member.Changed || changed
+		changed = n.takeSeedChange(u, from) || changed
 	}
 	if changed {
-		n.Gossip(n.urgentTargets(from))
+		n.gossipChange(from)
+	}
+}
+
+// ReceiveFromSeed is like ReceiveRelayedBackends, for what a seed sends to a VM that starts. It
+// gossips nothing.
+func (n *Node) ReceiveFromSeed(updates []member.BackendUpdate, from string) {
+	for _, u := range updates {
+		if n.merge(u, from) == member.Changed {
+			n.addSeedChange(u.ID)
+		}
 	}
 }
 
--- a/foldd/node/evacuate_test.go
+++ b/foldd/node/evacuate_test.go
@@ -240,7 +240,7 @@
 	if !n.ApplyEvacuations(newer, "") || n.ApplyEvacuations(set, "x") || n.ApplyEvacuations(evac.Set{}, "x") {
 		t.Error("an older set was applied, or a newer one was not")
 	}
-	if got := n.Evacuations(); got.Version != 2 || n.Self().EvacuationsVersion != 2 || n.OutgoingExchange(netip.AddrPort{}, true).Evacuations.Version != 2 {
+	if got := n.Evacuations(); got.Version != 2 || n.Self().EvacuationsVersion != 2 || n.OutgoingExchange(netip.AddrPort{}, true, false).Evacuations.Version != 2 {
 		t.Errorf("set %+v in force", got)
 	}
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -38,6 +38,8 @@
 	"fuchsiafold.example/fold/spec"
 	"fuchsiafold.example/fold/ticket"
 	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldd/memory"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/clock"
 )
@@ -60,9 +62,13 @@
 	Settings *conf.Settings
 	Log      *logrus.Logger
 	Metrics  metrics.Registry
-	Clock    *clock.Service
+	// Traffic counts the messages of this VM in Metrics.
+	Traffic *traffic.Counts
+	Clock   *clock.Service
 	// Answers is the memory for bodies of backend servers' responses.
 	Answers bound.Memory
+	// Memory decides whether the process may take more requests.
+	Memory memory.Guard
 	// Decode parses a configuration document. New sets it to spec.Parse.
 	Decode func(document []byte) (*spec.Document, error)
 	// RequestPlacement sends a request for a placement, or only a load report,
@@ -130,6 +136,10 @@
 	// service. Servers without calls have no entry.
 	calls        map[string]int
 	controlSeeds []netip.AddrPort
+	// gossipRounds are the last rounds of gossip of updates from servers themselves, and from
+	// other VMs.
+	gossipRounds [2]gossipRound
+	seedChanges  seedChanges
 	// controlLost is set while no control VM is reachable.
 	controlLost bool
 	// controlReached is set once a control VM was reachable, and controlNeverReached if none
@@ -209,6 +219,7 @@
 		lengthSamples:    map[string][]place.LengthSample{},
 		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
 	}
+	n.Traffic = traffic.New(n.Metrics)
 	n.group.Self = member.Peer{
 		ID:     s.ID,
 		Addr:   s.Listen.Peers,
@@ -234,6 +245,7 @@
 	n.limits.ColdRate = n.coldRate
 	n.table.ColdStart, n.table.Starting = n.coldStart, n.Starting
 	n.Clock.Every(expireInterval, n.expire)
+	n.watchMemory()
 	n.Clock.Every(limit.TickInterval, n.tickLimits)
 	return n
 }
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -21,7 +22,9 @@
 	"fuchsiafold.example/fold/state"
 	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/bound"
+	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
 )
@@ -33,7 +36,11 @@
 // calls. Use New to create one.
 type Service struct {
 	node *node.Node
+	// pool holds the connections of http.
+	pool *pool.Pool
 	http *http.Client
+	// client makes calls to the VM that toVM puts into the context.
+	client wire.PeerServiceClient
 	// started is set by Start.
 	started time.Time
 
@@ -41,8 +48,9 @@
 	mu sync.Mutex
 	// inFlight holds the exchanges in progress.
 	inFlight map[netip.AddrPort]*flight
-	// outboxes holds the queued calls to each VM, which carry tickets and decisions.
-	outboxes map[netip.AddrPort]chan func(wire.PeerServiceClient)
+	// outboxes holds the queued calls to each VM, which carry tickets and decisions. Each
+	// gets a context from toVM.
+	outboxes map[netip.AddrPort]chan func(context.Context)
 	// failing holds the addresses with which exchanges fail.
 	failing map[netip.AddrPort]*link.State
 }
@@ -50,9 +58,10 @@
 // New returns a service and sets it as the transport of the node. Start begins the
 // exchanges.
 func New(n *node.Node) *Service {
-	t := &http.Transport{}
-	configureTransport(t)
-	s := &Service{node: n, http: &http.Client{Transport: framedTransport{refusalTransport{t}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(wire.PeerServiceClient){}, failing: map[netip.AddrPort]*link.State{}}
+	p := newPool(n.Traffic)
+	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{poolTransport{p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
+	s.client = wire.NewPeerServiceClient(addressedClient{s}, "http://vm", s.Options())
+	metrics.NewRegisteredFunctionalGauge("connections.peers.idle", n.Metrics, func() int64 { return int64(p.Idle()) })
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
 	n.RequestPlacement = s.requestPlacement
 	n.RequestPermit = s.requestPermit
@@ -64,15 +73,23 @@
 func (s *Service) ControlClient() *http.Client {
 	t := &redial.Transport{}
 	configureTransport(&t.Transport)
-	return &http.Client{Transport: framedTransport{refusalTransport{t}}}
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			s.node.Traffic.AddConnection(traffic.Out, traffic.Control)
+		}
+		return c, err
+	}
+	return &http.Client{Transport: framedTransport{refusalTransport{traffic.Transport{Counts: s.node.Traffic, Kind: traffic.Control, Base: t}}}}
 }
 
-// configureTransport sets up a transport for calls to other VMs.
+// configureTransport sets up a transport for calls to control VMs.
 func configureTransport(t *http.Transport) {
 	t.DialContext = (&net.Dialer{Timeout: callTimeout}).DialContext
 	t.MaxResponseHeaderBytes = bound.MaxHead
-	t.MaxIdleConnsPerHost = 2
-	t.IdleConnTimeout = time.Minute
+	t.MaxIdleConnsPerHost = maxIdlePerVM
+	t.IdleConnTimeout = idleTimeout
 }
 
 // MaxMessage bounds a message of another VM or of an operator in bytes. A configuration
@@ -133,25 +150,45 @@
 	s.node.Clock.Every(member.ExchangeInterval, func(time.Time) {
 		s.exchangeAll(s.node.ExchangeTargets(), periodic)
 	})
+	s.node.Clock.Every(sweepInterval, s.pool.Sweep)
 }
 
+// sweepInterval is how often connections that were idle for too long are closed.
+const sweepInterval = 10 * time.Second
+
 const (
 	// seedInterval is the time between exchanges with the seeds after the start.
 	seedInterval = 250 * time.Millisecond
+	// seedJitter is the share by which seedInterval varies, so that VMs which start at once
+	// don't go on at once.
+	seedJitter = 0.3
 	// minSeedPeriod is how long the exchanges with the seeds go on at least. By
 	// then every backend server has announced itself to VMs that may have started
 	// at the same moment.
 	minSeedPeriod = 3 * time.Second
 )
 
-// contactSeeds exchanges with all seeds, and again after seedInterval until a
+// contactSeeds exchanges with all seeds, and again after about seedInterval until a
 // configuration is in force and minSeedPeriod has passed since the start.
 func (s *Service) contactSeeds(now time.Time) {
 	if s.node.Index() != nil && now.Sub(s.started) > minSeedPeriod {
 		return
 	}
-	s.exchangeAll(s.node.Seeds(), periodic)
-	s.node.Clock.At(now.Add(seedInterval), s.contactSeeds)
+	for _, a := range s.node.Seeds() {
+		if !s.exchanging(a) {
+			go s.exchangeWith(a, seedContact)
+		}
+	}
+	jitter := time.Duration(float64(seedInterval) * seedJitter * (2*s.node.Random() - 1))
+	s.node.Clock.At(now.Add(seedInterval+jitter), s.contactSeeds)
+}
+
+// exchanging reports whether an exchange with a VM is in progress. A seed that is slow, as all
+// VMs have started at once, gets no further ones meanwhile.
+func (s *Service) exchanging(addr netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight[addr] != nil
 }
 
 // exchangeKind says what an exchange is for.
@@ -159,12 +196,41 @@
 
 const (
 	none exchangeKind = iota
+	// followUp: as urgent, in place of an exchange that failed or takes long.
+	followUp
 	// urgent: it carries an update that others must get at once.
 	urgent
+	// seedContact: as periodic, with a seed after the start. What it brings is not passed on:
+	// the other VMs of the failure domain contact the seeds themselves if they start, too, and
+	// get it from the VM that a seed has chosen otherwise (see node.ReceiveRelayedBackends).
+	// Evacuations are passed on.
+	seedContact
 	// periodic: it carries the digest of the live VMs, too.
 	periodic
 )
 
+// join returns the kind of an exchange that stands for one of each kind.
+func (k exchangeKind) join(o exchangeKind) exchangeKind {
+	if k != o && k != none && o != none && max(k, o) == seedContact {
+		return periodic
+	}
+	return max(k, o)
+}
+
+// hasDigest reports whether the exchange carries the digest of the live VMs.
+func (k exchangeKind) hasDigest() bool { return k == periodic || k == seedContact }
+
+// traffic returns the kind of message of the exchange's calls.
+func (k exchangeKind) traffic() traffic.Kind {
+	switch k {
+	case periodic, seedContact:
+		return traffic.ExchangePeriodic
+	case followUp:
+		return traffic.ExchangeFollowUp
+	}
+	return traffic.ExchangeUrgent
+}
+
 // exchangeUrgently starts an urgent exchange with each address. It does not block.
 func (s *Service) exchangeUrgently(addrs []netip.AddrPort) {
 	for _, a := range addrs {
@@ -175,22 +241,22 @@
 // spread does an urgent exchange with a VM. If that fails or takes long, other VMs of its
 // failure domain, one after the other, get the update in its place until one has it.
 func (s *Service) spread(addr netip.AddrPort) {
-	if s.exchangesSoon(addr) {
+	if s.exchangesSoon(addr, urgent) {
 		return
 	}
 	for _, a := range s.node.SubstitutesFor(addr) {
 		s.node.Count("peers.followUps", 1)
-		if s.exchangesSoon(a) {
+		if s.exchangesSoon(a, followUp) {
 			return
 		}
 	}
 }
 
-// exchangesSoon does an urgent exchange with a VM and reports whether it succeeds within
+// exchangesSoon does an exchange with a VM and reports whether it succeeds within
 // member.FollowUpDelay. Otherwise the exchange goes on.
-func (s *Service) exchangesSoon(addr netip.AddrPort) bool {
+func (s *Service) exchangesSoon(addr netip.AddrPort, kind exchangeKind) bool {
 	results := make(chan error, 1)
-	go func() { results <- s.exchangeWith(addr, urgent) }()
+	go func() { results <- s.exchangeWith(addr, kind) }()
 	delay := time.NewTimer(member.FollowUpDelay)
 	defer delay.Stop()
 	select {
@@ -227,7 +293,7 @@
 		f = &flight{}
 		s.inFlight[addr] = f
 	}
-	f.next = max(f.next, kind)
+	f.next = f.next.join(kind)
 	f.waiters = append(f.waiters, result)
 	s.mu.Unlock()
 	if !running {
@@ -295,14 +361,19 @@
 }
 
 // exchange does one exchange with a VM, and fetches its configuration if that is
-// newer. If the VM may not know all VMs that are live here, it gets reports about them in
-// a second call.
+// newer. If the VM may not know all VMs that are live here, or updates were withheld, it gets
+// reports about them and what its digest lacks in a second call.
 func (s *Service) exchange(addr netip.AddrPort, kind exchangeKind) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	from, lacking, err := s.callExchange(ctx, addr, kind, nil)
-	if err == nil && len(lacking) > 0 {
-		_, _, err = s.callExchange(ctx, addr, urgent, lacking)
+	from, lacking, withheld, err := s.callExchange(ctx, addr, kind, nil, false)
+	if err == nil && (len(lacking) > 0 || withheld) {
+		// The second call may be large. It has a time of its own: if it failed for the time that
+		// the first one took, the next exchange would begin with both again.
+		second, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		ctx = second
+		_, _, _, err = s.callExchange(ctx, addr, urgent, lacking, true)
 	}
 	if err != nil {
 		return fmt.Errorf("exchange with %v: %w", addr, err)
@@ -311,36 +382,37 @@
 }
 
 // callExchange makes one call of an exchange, which carries the given reports about VMs,
-// and applies the response. It returns the VM that responded, and reports about VMs that
-// it may not know.
-func (s *Service) callExchange(ctx context.Context, addr netip.AddrPort, kind exchangeKind, known []member.PeerUpdate) (from member.Peer, lacking []member.PeerUpdate, err error) {
-	out := s.node.OutgoingExchange(addr, kind == urgent)
+// and applies the response. It returns the VM that responded, reports about VMs that
+// it may not know, and whether updates were withheld, which they are not if all is set.
+func (s *Service) callExchange(ctx context.Context, addr netip.AddrPort, kind exchangeKind, known []member.PeerUpdate, all bool) (from member.Peer, lacking []member.PeerUpdate, withheld bool, err error) {
+	ctx = traffic.With(ctx, kind.traffic())
+	out := s.node.OutgoingExchange(addr, !kind.hasDigest(), all)
 	req := &wire.ExchangeRequest{
 		From: ToPeer(out.Self), Have: out.PeerVersion, HaveEpoch: out.PeerEpoch, Backends: toBackends(out.Updates), Known: toPeerUpdates(known),
 		Leases: toLeases(&out.Leases), Prompts: toPromptUpdate(out.Prompts), Limits: toRateLimits(out.Limits), Vms: toVMs(out.VMs),
 		Evacuations: ToEvacuations(out.Evacuations),
 	}
-	c := wire.NewPeerServiceClient(s.http, "http://"+addr.String(), s.Options())
-	res, err := c.Exchange(ctx, connect.NewRequest(req))
+	res, err := s.client.Exchange(toVM(ctx, addr), connect.NewRequest(req))
 	if err != nil {
-		return from, nil, fmt.Errorf("call: %w", err)
+		return from, nil, false, fmt.Errorf("call: %w", err)
 	}
 	s.node.Count("peers.exchanges", 1)
 	from = FromPeer(res.Msg.GetFrom())
 	s.node.ApplyEvacuations(FromEvacuations(res.Msg.GetEvacuations()), from.ID)
-	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases())
+	s.applyUpdates(from, res.Msg.GetBackends(), res.Msg.GetKnown(), res.Msg.GetLeases(), kind != seedContact)
 	s.node.ReceivePromptUpdate(fromPromptUpdate(res.Msg.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, res.Msg.GetLimits())
 	s.node.RecordExchange(from.ID, &out, res.Msg.GetVersion())
 	if vms := fromVMs(res.Msg.GetVms()); vms != nil {
 		lacking = s.node.ReceiveVMs(vms)
 	}
-	return from, lacking, nil
+	return from, lacking, out.Withheld, nil
 }
 
 // applyUpdates applies the direct report of a VM, the VMs and backend servers that
-// it relays, and its digest of leases.
-func (s *Service) applyUpdates(from member.Peer, backends []*wire.Backend, known []*wire.Peer, leases *wire.Leases) {
+// it relays, and its digest of leases. passOn says whether changes of backend servers go to other
+// VMs at once.
+func (s *Service) applyUpdates(from member.Peer, backends []*wire.Backend, known []*wire.Peer, leases *wire.Leases, passOn bool) {
 	s.node.ReceivePeer(from)
 	for _, p := range known {
 		s.node.ReceiveRelayedPeer(member.PeerUpdate{
@@ -348,7 +420,11 @@
 			Age:  time.Duration(p.GetAgeMillis()) * time.Millisecond,
 		})
 	}
-	s.node.ReceiveRelayedBackends(fromBackends(backends), from.ID)
+	if passOn {
+		s.node.ReceiveRelayedBackends(fromBackends(backends), from.ID)
+	} else {
+		s.node.ReceiveFromSeed(fromBackends(backends), from.ID)
+	}
 	l := fromLeases(leases)
 	s.node.ReceiveLeases(from.ID, &l)
 }
@@ -360,8 +436,7 @@
 	if from.Revision == 0 || (x != nil && x.Revision() >= from.Revision) {
 		return nil
 	}
-	c := wire.NewPeerServiceClient(s.http, "http://"+from.Addr.String(), s.Options())
-	res, err := c.Config(ctx, connect.NewRequest(&wire.ConfigRequest{}))
+	res, err := s.client.Config(toVM(traffic.With(ctx, traffic.Config), from.Addr), connect.NewRequest(&wire.ConfigRequest{}))
 	if err != nil {
 		return fmt.Errorf("fetch configuration from %v: %w", from.Addr, err)
 	}
@@ -376,7 +451,10 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoID)
 	}
 	s.node.ApplyEvacuations(FromEvacuations(m.GetEvacuations()), from.ID)
-	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases())
+	if m.GetVms() != nil {
+		traffic.SetKind(ctx, traffic.ExchangePeriodic)
+	}
+	s.applyUpdates(from, m.GetBackends(), m.GetKnown(), m.GetLeases(), true)
 	s.node.ReceivePromptUpdate(fromPromptUpdate(m.GetPrompts()), from.ID)
 	s.receiveRateLimits(from.ID, m.GetLimits())
 	out := s.node.ExchangeReply(from, m.GetHave(), m.GetHaveEpoch(), fromVMs(m.GetVms()))
