--- a/foldd/conf/conf.go
+++ b/foldd/conf/conf.go
@@ -77,10 +77,6 @@
 	// Reserve is the number of retries that all VMs together may make in a window
 	// in addition to Share.
 	Reserve float64 `json:"reserve,omitempty"`
-	// Hedge is the share of a resumable stream's target for its first event after which
-	// another server is asked if none has come. The first connection is closed before.
-	// Zero means never.
-	Hedge float64 `json:"hedge,omitempty"`
 }
 
 // Control makes the VM a replica of the control group.
@@ -375,9 +371,6 @@
 	if s.Retry.Share < 0 || s.Retry.Share > 10 {
 		errs.Add("retry.share", "want 0 to 10")
 	}
-	if s.Retry.Hedge < 0 || s.Retry.Hedge > 10 {
-		errs.Add("retry.hedge", "want 0 to 10, got %v", s.Retry.Hedge)
-	}
 }
 
 func (s *Settings) checkControl(errs *strict.Errors) {
--- a/foldd/conf/conf_test.go
+++ b/foldd/conf/conf_test.go
@@ -44,7 +44,6 @@
 		{"form and bootstrap together", `"id"`, `"control": {"dataFolder": "d", "form": true, "bootstrap": true}, "id"`, "control.form: cannot be combined with bootstrap"},
 		{"retry share out of range", `"id"`, `"retry": {"share": -1}, "id"`, "retry.share: want 0 to 10"},
 		{"retry window out of range", `"id"`, `"retry": {"window": "1ms"}, "id"`, "retry.window:"},
-		{"hedge out of range", `"id"`, `"retry": {"hedge": -1}, "id"`, "retry.hedge: want 0 to 10"},
 		{"retry reserve out of range", `"id"`, `"retry": {"reserve": -1}, "id"`, "retry.reserve:"},
 		{"backend lease out of range", `"id"`, `"limits": {"backendLease": "1ms"}, "id"`, "limits.backendLease:"},
 		{"seed is not an address", `"id"`, `"seeds": ["nowhere"], "id"`, "seeds"},
--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -441,7 +441,7 @@
 	r := &Resume{Source: source.Addr, Handle: m.handle, LastEventID: s.lastEventID}
 	s.mu.Unlock()
 	began := time.Now()
-	res, err := s.q.exchange(s.beginAttempt(ctx, to, false), to, node.Resume, r)
+	res, err := s.q.exchange(s.beginAttempt(ctx, to), to, node.Resume, r)
 	if err == nil && res.Status != http.StatusOK {
 		res.Body.Close()
 		err = eris.Errorf("status %d", res.Status)
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -129,7 +129,7 @@
 // request is sent to another server.
 func (s *stream) failOpen(ctx context.Context, b backend, err error) *fault.Fault {
 	s.recordLoss(b, false, err)
-	s.q.relay.Node.EndPlacement(b.ID, s.placement, lossResult(err))
+	s.q.relay.Node.EndPlacement(b.ID, s.placement, place.Failed)
 	s.q.sent++
 	s.q.retryGranted = false
 	s.q.mayHaveRun = s.q.mayHaveRun || s.q.forward.Resumable
--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -21,7 +21,6 @@
 var (
 	errServerError     = eris.New("the backend server answered with an error")
 	errUnreachable     = eris.New("the backend server is silent and can't be reached")
-	errFirstEventLate  = eris.New("the first event did not come in time")
 	errNotGoneOn       = eris.New("the stream broke off, and no other backend server goes on with it")
 	errStatusAfterHead = eris.New("the response that should go on with the stream is an error")
 )
@@ -60,11 +59,8 @@
 	return step
 }
 
-// takeRetry takes a retry from the budget, unless the attempt that was given up for its late
-// first event has taken it already.
-func (s *stream) takeRetry() bool {
-	return s.prepaid.Swap(false) || s.q.relay.Node.TakeForwardRetry(s.q.service.Name)
-}
+// takeRetry takes a retry from the budget.
+func (s *stream) takeRetry() bool { return s.q.relay.Node.TakeForwardRetry(s.q.service.Name) }
 
 // goesOn reports whether the stream is to go on at another backend server after its response from
 // b, which has been closed, ended with err. If so, the retry is taken from the budget.
@@ -130,7 +126,7 @@
 	switch {
 	case is(errServerError):
 		return retry.StreamServerError
-	case is(errUnreachable), is(errFirstEventLate):
+	case is(errUnreachable):
 		return retry.StreamSilent
 	case is(errPartialEvent):
 		return retry.StreamPartialEvent
@@ -211,19 +207,18 @@
 func (s *stream) exchange(ctx context.Context, b backend) (*pool.Response, error) {
 	q := s.q
 	s.splitter.Reset()
-	return q.exchange(s.beginAttempt(ctx, b, q.sent-s.excused+1 < q.forward.Attempts), b, q.sendPurpose(), nil)
+	return q.exchange(s.beginAttempt(ctx, b), b, q.sendPurpose(), nil)
 }
 
 // beginAttempt returns the context of an attempt at server b. It is ctx itself unless the stream
-// is resumable; otherwise it ends once the server is found to be silent, with mayRetry as in
-// watchAttempt.
-func (s *stream) beginAttempt(ctx context.Context, b backend, mayRetry bool) context.Context {
+// is resumable; otherwise it ends once the server is found to be silent.
+func (s *stream) beginAttempt(ctx context.Context, b backend) context.Context {
 	if !s.q.forward.Resumable {
 		return ctx
 	}
 	s.endAttempt(nil)
 	s.attempt, s.endAttempt = context.WithCancelCause(ctx)
-	go s.watchAttempt(s.attempt, s.endAttempt, b, mayRetry)
+	go s.watchAttempt(s.attempt, s.endAttempt, b)
 	return s.attempt
 }
 
@@ -245,9 +240,8 @@
 	return err
 }
 
-// watchAttempt ends an attempt whose server is silent until ctx is done. mayRetry is set if the
-// attempts allow another one.
-func (s *stream) watchAttempt(ctx context.Context, end context.CancelCauseFunc, b backend, mayRetry bool) {
+// watchAttempt ends an attempt whose server is silent, until ctx is done.
+func (s *stream) watchAttempt(ctx context.Context, end context.CancelCauseFunc, b backend) {
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
 	for began := time.Now(); ; {
@@ -257,7 +251,7 @@
 		case <-ticker.C:
 		}
 		s.mu.Lock()
-		heard, events := s.heardAt, s.events
+		heard := s.heardAt
 		s.mu.Unlock()
 		if heard.Before(began) {
 			heard = began
@@ -267,20 +261,8 @@
 		case time.Since(heard) >= suspectResumableAfter && n.Unreachable(b.ID):
 			end(errUnreachable)
 			return
-		case mayRetry && events == 0 && s.firstEventOverdue(began) && n.TakeForwardRetry(s.q.service.Name):
-			s.prepaid.Store(true)
-			end(errFirstEventLate)
-			return
 		case time.Since(heard) >= suspectResumableAfter:
 			n.SuspectServer(b)
 		}
 	}
 }
-
-// firstEventOverdue reports whether the first event of an attempt that began at the given time is
-// so late that another server is asked. It is false unless the settings allow to hedge requests.
-func (s *stream) firstEventOverdue(began time.Time) bool {
-	target := time.Duration(s.q.forward.Target.FirstToken)
-	share := s.q.relay.Node.Settings.Retry.Hedge
-	return share > 0 && target > 0 && time.Since(began) >= time.Duration(share*float64(target))
-}
--- a/foldd/relay/resume_test.go
+++ b/foldd/relay/resume_test.go
@@ -496,3 +496,25 @@
 	}
 	r.checkIdle()
 }
+
+// TestConnectionClosedBeforeNextServer guards against two engines at work on one request: the
+// second does not answer before the connections to the first are closed.
+func TestConnectionClosedBeforeNextServer(t *testing.T) {
+	r := startVM(t)
+	var servers []*origin.Server
+	failing := failsFirst(origin.Behaviour{Status: http.StatusInternalServerError, Body: "error"})
+	behave := func(q *http.Request) origin.Behaviour {
+		b := failing(q)
+		if b.Events > 0 {
+			waitFor(t, "the connection to the first server to be closed", func() bool {
+				return servers[0].OpenConnections()+servers[1].OpenConnections() == 1
+			})
+		}
+		return b
+	}
+	servers = []*origin.Server{r.backend("e1", "models", behave), r.backend("e2", "models", behave)}
+	status, body, err := r.sendAndRead(http.MethodPost, "/short/x", "1", "prompt")
+	if status != http.StatusOK || err != nil || body != allEvents() || runs("1", servers...) != 2 {
+		t.Errorf("status %d, error %v, body %q, %d runs; want each event once after two", status, err, body, runs("1", servers...))
+	}
+}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -76,7 +76,7 @@
 	// ended is set once no further events will come.
 	ended bool
 
-	// Only the stream's own goroutine uses the fields below, other than prepaid.
+	// Only the stream's own goroutine uses the fields below.
 
 	// tried holds the IDs of the servers that the request was sent to, or that can't be
 	// reached.
@@ -94,11 +94,9 @@
 	// resumption is set while another server is looked for to go on with the stream.
 	resumption *resumption
 	// attempt is the context of the last send of a resumable stream, nil for others, and
-	// endAttempt ends it. prepaid is set if a retry was taken from the budget when the
-	// attempt was ended.
+	// endAttempt ends it.
 	attempt    context.Context
 	endAttempt context.CancelCauseFunc
-	prepaid    atomic.Bool
 	// survived is set once the run's prompt is known not to crash its engine. Only
 	// the stream's own goroutine uses it.
 	survived bool
@@ -184,7 +182,7 @@
 				return s.goesOn(ctx, source, retry.StreamServerLeft, errStreamInterrupted), s.interruptedFault(errStreamInterrupted)
 			}
 		case err != nil:
-			s.detach(lossResult(err))
+			s.detach(place.Failed)
 			s.recordLoss(s.server, true, err)
 			end := endOf(err)
 			if s.mayHaveStopped(m) {
@@ -205,15 +203,6 @@
 	}
 }
 
-// lossResult returns the result of a placement whose response ended with err: a server whose
-// first event is late has not failed.
-func lossResult(err error) place.Result {
-	if errors.Is(err, errFirstEventLate) {
-		return place.Cancelled
-	}
-	return place.Failed
-}
-
 // interruptedFault returns the error for a stream that was lost after it began.
 func (s *stream) interruptedFault(err error) *fault.Fault {
 	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.Interrupted, Message: err.Error(), Outcome: retry.Interrupted}
