Soak: operators evacuate failure domains amid the faults

Cause: orders of evacuation were tested one failure at a time only.

Two operators evacuate two of the three failure domains of the stand-ins and revoke that, resending to one VM after the other; half of the orders follow a race of two opposite ones. Requests that begin work, of forwards and of the own interface, are checked where they arrive, and the set that status shows is checked after restarts too. Both apply to VMs that were left alone for 3 s with a quorum, and only where one order is known to hold. Domains of the stand-ins change: they were all in that of the first VM.

--- a/foldfake/meter/meter.go
+++ b/foldfake/meter/meter.go
@@ -19,6 +19,10 @@
 // Meter counts the requests of one server. The zero value names no limit. It is safe for
 // concurrent use.
 type Meter struct {
+	// Observe, if not nil, is told of each request before the handler of Wrap. It is set
+	// before the first one, and may read the body only if it puts it back.
+	Observe func(r *http.Request)
+
 	mu sync.Mutex
 	// limit is the value of HeaderLimit, empty if none is named.
 	limit string
@@ -90,6 +94,9 @@
 		return h
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if m.Observe != nil {
+			m.Observe(r)
+		}
 		if limit := m.Arrive(); limit != "" {
 			w.Header().Set(HeaderLimit, limit)
 		}
--- a/foldfake/soak/check.go
+++ b/foldfake/soak/check.go
@@ -47,6 +47,9 @@
 	ClaimHistory Promise = "claimHistory"
 	// InTime: nothing is held past its deadline.
 	InTime Promise = "inTime"
+	// Evacuated: an acknowledged order about a failure domain is in force within a bound,
+	// until the opposite one.
+	Evacuated Promise = "evacuated"
 	// Returns: service is back after the last fault.
 	Returns Promise = "returns"
 	// Level: memory and descriptors return to their level.
--- a/foldfake/soak/operator.go
+++ b/foldfake/soak/operator.go
@@ -177,11 +177,13 @@
 	}
 }
 
+func (o *operators) quorumSince(t time.Time) bool { return o.world.quorumSince(t) }
+
 // quorumSince reports whether all control VMs but one were left alone since a time. Without
 // a quorum, a VM that has started again can't know what was accepted.
-func (o *operators) quorumSince(t time.Time) bool {
+func (w *world) quorumSince(t time.Time) bool {
 	calm := 0
-	for _, v := range o.world.vms[:min(controlCount, len(o.world.vms))] {
+	for _, v := range w.vms[:min(controlCount, len(w.vms))] {
 		if v.calmSince(t) {
 			calm++
 		}
@@ -196,6 +198,8 @@
 	// incarnation and revision are those of the last look.
 	incarnation int
 	revision    uint64
+	// setVersion is the version of the set of evacuated domains of the last look.
+	setVersion uint64
 }
 
 func (o *operators) watch(ctx context.Context, v *vm) {
@@ -205,6 +209,7 @@
 		incarnation := v.currentIncarnation()
 		status, err := v.status(ctx)
 		if err == nil && incarnation == v.currentIncarnation() {
+			w.checkEvacuations(began, incarnation, status.GetEvacuations())
 			w.check(began, incarnation, status.GetSelf().GetConfigRevision())
 		}
 		sleep(ctx, watchInterval)
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -36,6 +36,13 @@
 	serviceDrafts, serviceDrafts, serviceDrafts, serviceWrites, serviceWrites,
 }
 
+// domains lists the failure domain of each backend server. Those of domain-vm1 are never
+// evacuated.
+var domains = []string{
+	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
+	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
+}
+
 // firstForwarded is the index in layout of the first server that forwards go to.
 const firstForwarded = 5
 
@@ -55,11 +62,13 @@
 // instance is one backend server from its start to its end.
 type instance struct {
 	service string
-	proxy   *Proxy
-	engine  *host.Engine
-	plain   *plain.Service
-	origin  *origin.Server
-	cancel  context.CancelFunc
+	// domain is the failure domain that the server announces.
+	domain string
+	proxy  *Proxy
+	engine *host.Engine
+	plain  *plain.Service
+	origin *origin.Server
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// leavingSince is when the server announced that it leaves, zero before.
@@ -79,6 +88,9 @@
 	findings *findings
 	// calm reports whether a VM, by its index, was left alone since a time.
 	calm func(vm int, since time.Time) bool
+	// connected reports the same of a VM and of a quorum of the control group.
+	connected func(vm int, since time.Time) bool
+	orders    *orders
 	// passes holds the requests that one VM has passed on to another.
 	passes passes
 
@@ -112,7 +124,7 @@
 	s.started++
 	id := fmt.Sprintf("s%d", s.started)
 	s.mu.Unlock()
-	x, err := s.newInstance(id, layout[i])
+	x, err := s.newInstance(id, layout[i], domains[i])
 	if err != nil {
 		return err
 	}
@@ -123,24 +135,25 @@
 	return nil
 }
 
-func (s *servers) newInstance(id, service string) (*instance, error) {
+func (s *servers) newInstance(id, service, domain string) (*instance, error) {
 	// The target is set once the server listens.
 	p, err := NewProxy(netip.AddrPort{})
 	if err != nil {
 		return nil, err
 	}
-	x := &instance{service: service, proxy: p, cancel: func() {}, limited: limited{meter: &meter.Meter{}}}
+	x := &instance{service: service, domain: domain, proxy: p, cancel: func() {}, limited: limited{meter: &meter.Meter{}}}
+	observed := &meter.Meter{Observe: func(r *http.Request) { s.observe(x, r) }}
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	var addr netip.AddrPort
 	switch service {
 	case serviceEngines:
 		params := model.Params{StepBase: 2 * time.Millisecond, StepPerSeq: time.Microsecond, StepPerKTok: time.Microsecond, PrefillPerKTok: time.Millisecond}
-		x.engine, err = host.New(host.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Model: modelName, Domain: "domain-vm1", Params: params, Entries: s.entries, Interval: announceInterval, Log: quiet()})
+		x.engine, err = host.New(host.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Model: modelName, Domain: domain, Params: params, Entries: s.entries, Interval: announceInterval, Log: quiet(), Meter: observed})
 		if err == nil {
 			addr = x.engine.Addr()
 		}
 	case serviceOnce:
-		x.plain, err = plain.New(plain.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Domain: "domain-vm1", Entries: s.entries, Interval: announceInterval, Log: quiet()})
+		x.plain, err = plain.New(plain.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Domain: domain, Entries: s.entries, Interval: announceInterval, Log: quiet(), Meter: observed})
 		if err == nil {
 			addr = x.plain.Addr()
 		}
@@ -176,6 +189,7 @@
 	leaving, breaking, endless := x.leavingSince, x.breaking, x.endless
 	x.mu.Unlock()
 	s.checkLimit(x, r)
+	s.checkEvacuated(x, r, id)
 	if !leaving.IsZero() && time.Since(leaving) > leaveBound && s.calm(s.passes.sender(id), leaving) && r.Header.Get("Fold-Resume") == "" {
 		s.findings.add(LeavingIdle, id, "reached a server %v after it announced that it leaves", time.Since(leaving).Round(time.Millisecond))
 	}
@@ -216,7 +230,7 @@
 
 // announceLoop announces a stand-in of a forwarded service to the VMs in turn.
 func (s *servers) announceLoop(ctx context.Context, x *instance) {
-	a := host.Announcement{ID: x.origin.ID, Addr: x.proxy.Addr().String(), Kind: "plain", Service: x.service, Domain: "domain-vm1", Epoch: uint64(time.Now().UnixNano())}
+	a := host.Announcement{ID: x.origin.ID, Addr: x.proxy.Addr().String(), Kind: "plain", Service: x.service, Domain: x.domain, Epoch: uint64(time.Now().UnixNano())}
 	for {
 		x.mu.Lock()
 		a.Leaving = !x.leavingSince.IsZero()
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -83,6 +85,7 @@
 	if err := ctx.Err(); err != nil {
 		return rep, fmt.Errorf("play of seed %d: %w", seed, err)
 	}
+	maps.Copy(p.callers.counts, w.orders.counts())
 	rep.Counts, rep.Changes, rep.Violations = p.callers.counts, len(p.operators.history), f.all()
 	if len(rep.Violations) > 0 {
 		rep.Logs = folder
@@ -182,6 +185,13 @@
 	for i := range operatorCount {
 		changes.Go(func() { p.operators.change(operatorsCtx, i, rep.Seed) })
 	}
+	if p.world.old == "" {
+		// A replica of an old program skips the orders in its log.
+		for i, domain := range evacuatedDomains {
+			r := rand.New(rand.NewPCG(rep.Seed, uint64(20+i)))
+			changes.Go(func() { p.operators.evacuate(operatorsCtx, domain, r) })
+		}
+	}
 	if p.losses {
 		changes.Go(func() { p.operators.changeLarge(operatorsCtx, operatorCount, rep.Seed, p.first) })
 	}
--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -26,6 +26,7 @@
 type world struct {
 	vms      []*vm
 	servers  *servers
+	orders   orders
 	findings *findings
 	// binary and old are the paths of the program and of an older one, the latter empty if
 	// there is no upgrade.
@@ -66,9 +67,11 @@
 			return w, err
 		}
 	}
-	w.servers = &servers{findings: f, calm: func(i int, since time.Time) bool {
+	calm := func(i int, since time.Time) bool {
 		return i >= 0 && i < len(w.vms) && w.vms[i].calmSince(since)
-	}}
+	}
+	connected := func(i int, since time.Time) bool { return calm(i, since) && w.quorumSince(since) }
+	w.servers = &servers{findings: f, calm: calm, connected: connected, orders: &w.orders}
 	for i, v := range w.vms {
 		w.servers.entries = append(w.servers.entries, v.backends)
 		w.watchPasses(i, v.currentPeerProxy())
