Soak: the last orders are held and checked after the faults

After the faults the last orders stay, one domain is evacuated, and the load goes on for 6 s, so that the checks apply to every VM and to what was acknowledged before.

--- a/foldfake/soak/evacuate.go
+++ b/foldfake/soak/evacuate.go
@@ -38,6 +38,8 @@
 	orderGap = time.Second
 	minHeld  = 6 * time.Second
 	maxHeld  = 9 * time.Second
+	// heldTime is the time for which the last orders are checked at the end.
+	heldTime = time.Second
 	// orderRaceChance is the chance that two opposite orders race before one is given that
 	// holds, and evacuateChance the chance that the latter evacuates.
 	orderRaceChance = 0.5
@@ -139,9 +141,9 @@
 	return counts
 }
 
-// evacuate gives orders about a domain until ctx ends. Some race with each other.
-func (o *operators) evacuate(ctx context.Context, domain string, r *rand.Rand) {
-	for ctx.Err() == nil {
+// evacuate gives orders about a domain until more ends. Some race with each other.
+func (o *operators) evacuate(ctx, more context.Context, domain string, r *rand.Rand) {
+	for more.Err() == nil {
 		if r.Float64() < orderRaceChance {
 			first, second := r.IntN(len(o.world.vms)), r.IntN(len(o.world.vms))
 			var race sync.WaitGroup
@@ -154,10 +156,18 @@
 		if r.Float64() < 0.5 {
 			held = minHeld + time.Duration(r.Float64()*float64(maxHeld-minHeld))
 		}
-		sleep(ctx, held)
+		sleep(more, held)
 	}
 }
 
+// holdOrders leaves the last orders in force, evacuates the last domain, and waits until the
+// checks have applied to VMs that are all left alone. What was acknowledged before must have
+// survived the faults.
+func (o *operators) holdOrders(ctx context.Context) {
+	o.order(ctx, 0, evacuatedDomains[len(evacuatedDomains)-1], false)
+	sleep(ctx, evacuationBound+heldTime)
+}
+
 // order sends an order to one VM after another until one acknowledges it, orderTime has
 // passed, or ctx ends.
 func (o *operators) order(ctx context.Context, vm int, domain string, undo bool) {
@@ -193,8 +203,7 @@
 // from a connected VM. A request for another server gets 421 and doesn't count.
 func (s *servers) checkEvacuated(x *instance, r *http.Request, id string) {
 	now := time.Now()
-	misdirected := x.origin != nil && r.Header.Get("Fold-Backend") != "" && r.Header.Get("Fold-Backend") != x.origin.ID
-	if misdirected || !s.isEvacuated(now) || !s.connected(s.passes.sender(id), now.Add(-connectedTime)) {
+	if misdirected(x, r) || !s.isEvacuated(now) || !s.connected(s.passes.sender(id), now.Add(-connectedTime)) {
 		return
 	}
 	s.orders.countChecked("requestsWhileEvacuated")
@@ -205,6 +214,13 @@
 	s.findings.add(Evacuated, id, "reached a server of %s %v after the order was acknowledged", x.domain, now.Sub(in.acknowledged).Round(time.Millisecond))
 }
 
+// misdirected reports whether a request is for another server than the one it reached, which
+// answers with 421.
+func misdirected(x *instance, r *http.Request) bool {
+	backend := r.Header.Get("Fold-Backend")
+	return x.origin != nil && backend != "" && backend != x.origin.ID
+}
+
 // isEvacuated reports whether any domain must be evacuated.
 func (s *servers) isEvacuated(now time.Time) bool {
 	return slices.ContainsFunc(evacuatedDomains, func(domain string) bool {
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -181,7 +181,9 @@
 		wg.Go(func() { p.operators.watch(callersCtx, v) })
 		wg.Go(func() { p.watchProcess(callersCtx, v) })
 	}
-	var changes sync.WaitGroup
+	var changes, evacuations sync.WaitGroup
+	ordersCtx, stopOrders := context.WithCancel(ctx)
+	defer stopOrders()
 	for i := range operatorCount {
 		changes.Go(func() { p.operators.change(operatorsCtx, i, rep.Seed) })
 	}
@@ -189,13 +191,15 @@
 		// A replica of an old program skips the orders in its log.
 		for i, domain := range evacuatedDomains {
 			r := rand.New(rand.NewPCG(rep.Seed, uint64(20+i)))
-			changes.Go(func() { p.operators.evacuate(operatorsCtx, domain, r) })
+			evacuations.Go(func() { p.operators.evacuate(operatorsCtx, ordersCtx, domain, r) })
 		}
 	}
 	if p.losses {
 		changes.Go(func() { p.operators.changeLarge(operatorsCtx, operatorCount, rep.Seed, p.first) })
 	}
 	p.applyPlan(ctx, rep.Faults)
+	stopOrders()
+	evacuations.Wait()
 	if ctx.Err() == nil {
 		ended := time.Now()
 		p.checkReturn(ended)
@@ -204,6 +208,9 @@
 	if ctx.Err() == nil && (p.losses || p.world.old != "") {
 		p.checkGroup(ctx)
 	}
+	if p.world.old == "" {
+		p.operators.holdOrders(ctx)
+	}
 	stopOperators()
 	changes.Wait()
 	if ctx.Err() == nil {
