Soak: callers come back for the rest of streams that may be resumed

A fifth kind of caller reads streams on such a forward and, after a broken connection or an answer without the rest, sends the same request to the next VM with Last-Event-Id. All that it got must be a beginning of the stream, and the whole stream if a response ends as complete. A request that its caller sent to several VMs is booked to none of them.

--- a/foldfake/soak/caller.go
+++ b/foldfake/soak/caller.go
@@ -30,9 +30,10 @@
 	askOnce       = "once"
 	askDraft      = "draft"
 	askWrite      = "write"
+	askNote       = "note"
 )
 
-var asks = []string{askGeneration, askOnce, askDraft, askWrite}
+var asks = []string{askGeneration, askOnce, askDraft, askWrite, askNote}
 
 const (
 	// callTimeout is the timeout of the routes and forwards in the configuration, and
@@ -102,6 +103,8 @@
 		return c.callOnce(client, vm, id, r)
 	case askDraft:
 		return c.draft(client, vm, id)
+	case askNote:
+		return c.note(client, vm, id)
 	}
 	return c.write(client, vm, id)
 }
--- a/foldfake/soak/operator.go
+++ b/foldfake/soak/operator.go
@@ -36,12 +36,18 @@
 type change struct {
 	name string
 	pad  int
+	// old is set if a program of a version without the newer settings may read the document.
+	old bool
 }
 
 // document returns the configuration of a soak.
 func (c change) document() []byte {
 	pad := make([]byte, c.pad/2)
 	rand.NewChaCha8(sha256.Sum256([]byte(c.name))).Read(pad)
+	resumable := `, "resumable": true, "attempts": 2`
+	if c.old {
+		resumable = ""
+	}
 	return fmt.Appendf(nil, `{ // %x
 		"classes": [{"name": "summary", "target": {"firstToken": "5s", "tokenGap": "200ms"}}, {"name": %q, "target": {"completion": "1h"}}],
 		"services": [
@@ -49,15 +55,17 @@
 			{"name": %q, "kind": "plain"},
 			{"name": %q, "kind": "plain", "engine": {"slots": 16, "memoryTokens": 100000, "eventTokens": 4}},
 			{"name": %q, "kind": "plain"},
+			{"name": %q, "kind": "plain", "engine": {"slots": 16, "memoryTokens": 100000, "eventTokens": 4}},
 		],
 		"routes": [{"path": "/remind", "methods": ["POST"], "service": %q, "idempotent": false, "timeout": "2s"}],
 		"forwards": [
 			{"name": "draft", "host": %q, "prefix": "/draft/", "kind": "stream", "timeout": "10s", "services": [{"service": %q, "part": 1}]},
 			{"name": "write", "host": %q, "prefix": "/write/", "kind": "unsafe", "timeout": "2s", "services": [{"service": %q, "part": 1}]},
+			{"name": "note", "host": %q, "prefix": "/note/", "kind": "stream", "timeout": "10s"%s, "services": [{"service": %q, "part": 1}]},
 		],
 		"workspaces": [{"name": "w", "keySHA256": %q}],
-	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceOnce,
-		forwardHost, serviceDrafts, forwardHost, serviceWrites, spec.HashKey(workspaceKey))
+	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceNotes, serviceOnce,
+		forwardHost, serviceDrafts, forwardHost, serviceWrites, forwardHost, resumable, serviceNotes, spec.HashKey(workspaceKey))
 }
 
 // applyInput and applyOutput are an operation of the history of changes.
@@ -156,6 +164,7 @@
 }
 
 func (o *operators) applyAt(ctx context.Context, v *vm, base uint64, c change) (*wire.ApplyResponse, error) {
+	c.old = o.world.old != ""
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	res, err := v.client.Apply(ctx, connect.NewRequest(&wire.ApplyRequest{BaseRevision: base, ChangeId: c.name, Document: c.document()}))
--- a/foldfake/soak/pass.go
+++ b/foldfake/soak/pass.go
@@ -20,9 +20,17 @@
 	if p.to == nil {
 		p.to = map[string]int{}
 	}
-	p.to[id] = vm
+	if p.to[id] != manySenders {
+		p.to[id] = vm
+	}
 }
 
+// manySenders stands for the sender of a request that its caller sends to several VMs.
+const manySenders = -1
+
+// resent records that a request is sent to another VM by its caller.
+func (p *passes) resent(id string) { p.note(id, manySenders) }
+
 // sender returns the index of the VM that sends a request to the backend servers.
 func (p *passes) sender(id string) int {
 	p.mu.Lock()
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -118,6 +118,10 @@
 	// statementGap is the longest time between two faults in which a server says something
 	// of itself.
 	statementGap = 3 * time.Second
+	// noteGap is the longest time between two faults of servers of streams that may be
+	// resumed, and noteServers the number of these servers.
+	noteGap     = 1500 * time.Millisecond
+	noteServers = 3
 	// peerGap is the longest time between two faults of connections between VMs.
 	peerGap = 3 * time.Second
 	// diskGap and clockGap are the longest times between two faults of disks and of clocks,
@@ -135,6 +139,8 @@
 // NewPlan returns the faults of a seed, in the order of their starts. A disk is lost
 // only while all others are well, since the group tolerates the loss of one.
 func NewPlan(seed uint64, length time.Duration, vms, controls, servers int) []Fault {
+	added := servers
+	servers = min(servers, firstNotes)
 	r := rand.New(rand.NewPCG(seed, 0))
 	p := planner{r: r, vms: vms, controls: controls, length: length}
 	for at := p.upTo(vmFaultGap); at < length; at += p.upTo(vmFaultGap) {
@@ -156,6 +162,7 @@
 	p.addDisks(seed)
 	p.addClocks(seed)
 	p.addStatements(seed, servers)
+	p.addNotes(seed, added)
 	sortByStart(p.faults)
 	return p.faults
 }
@@ -244,6 +251,17 @@
 	}
 }
 
+// noteKinds are the kinds of faults of servers of streams that may be resumed.
+var noteKinds = []Kind{CrashServer, CrashServer, BreakAnswers, ResetServer, SilenceServer, EndlessAnswers, LeaveServer}
+
+// addNotes adds such faults, drawn by themselves.
+func (p *planner) addNotes(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 11))
+	for at := p.upTo(noteGap); servers > firstNotes && at < p.length; at += p.upTo(noteGap) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: noteKinds[p.r.IntN(len(noteKinds))], Target: firstNotes + p.r.IntN(min(servers-firstNotes, noteServers))})
+	}
+}
+
 // forwarded draws one of the servers that forwards go to, which come last.
 func (p *planner) forwarded(servers int) int {
 	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -27,6 +27,7 @@
 	serviceOnce    = "booking-app"
 	serviceDrafts  = "drafts"
 	serviceWrites  = "writes"
+	serviceNotes   = "notes"
 	modelName      = "advice-7b"
 )
 
@@ -34,6 +35,7 @@
 var layout = []string{
 	serviceEngines, serviceEngines, serviceEngines, serviceOnce, serviceOnce,
 	serviceDrafts, serviceDrafts, serviceDrafts, serviceWrites, serviceWrites,
+	serviceNotes, serviceNotes, serviceNotes,
 }
 
 // domains lists the failure domain of each backend server. Those of domain-vm1 are never
@@ -41,11 +43,16 @@
 var domains = []string{
 	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
 	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
+	"domain-vm1", "domain-vm3", "domain-vm2",
 }
 
 // firstForwarded is the index in layout of the first server that forwards go to.
 const firstForwarded = 5
 
+// firstNotes is that of the first server of streams that may be resumed. The faults of the
+// servers from there on are drawn by themselves.
+const firstNotes = 10
+
 const (
 	// announceInterval is a small part of the lease of a backend server.
 	announceInterval = 300 * time.Millisecond
@@ -194,7 +201,7 @@
 		s.findings.add(LeavingIdle, id, "reached a server %v after it announced that it leaves", time.Since(leaving).Round(time.Millisecond))
 	}
 	b := origin.Behaviour{Body: "answer to " + id}
-	if x.service == serviceDrafts {
+	if x.service == serviceDrafts || x.service == serviceNotes {
 		b = origin.Behaviour{Events: draftEvents, Gap: draftGap}
 	}
 	if breaking {
