Soak: servers that restart cold count requests a second

Cause: start rates were played in virtual time only. Servers of the own interface could not state how long they stay cold, so a VM in its first 5 s, which learns of all servers then, took one that had just started for a warm one.

Announcements of the own interface may state coldMillis. A sixth kind of caller uses a service with coldStart (10 requests a second, 4 s), whose three servers crash and start again cold, in half of the cases and once after the last fault all at once. Requests of all VMs count, whatever was done to these; in any second at most 1.5 x rate + 5. TestSoak also fails if one of the new checks applied to nothing.

A restart under the same ID and address is not played: the own protocol can't tell such a process before it has announced itself.

Changed check: TestPlantedFaultsInVMAreCaught passes the forward's name, which callers.write takes now; what it checks stays.

--- a/foldd/oper/backend.go
+++ b/foldd/oper/backend.go
@@ -17,20 +17,22 @@
 
 // announcement is the report that a backend server sends about itself.
 type announcement struct {
-	ID                 string        `json:"id"`
-	Addr               string        `json:"addr"`
-	Kind               string        `json:"kind"`
-	Service            string        `json:"service"`
-	Model              string        `json:"model"`
-	Adapters           []string      `json:"adapters"`
-	Version            string        `json:"version"`
-	Domain             string        `json:"domain"`
-	MemoryTokens       int           `json:"memoryTokens"`
-	ChecksFencingToken bool          `json:"checksFence"`
-	Epoch              uint64        `json:"epoch"`
-	Seq                uint64        `json:"seq"`
-	Leaving            bool          `json:"leaving"`
-	Load               announcedLoad `json:"load"`
+	ID                 string   `json:"id"`
+	Addr               string   `json:"addr"`
+	Kind               string   `json:"kind"`
+	Service            string   `json:"service"`
+	Model              string   `json:"model"`
+	Adapters           []string `json:"adapters"`
+	Version            string   `json:"version"`
+	Domain             string   `json:"domain"`
+	MemoryTokens       int      `json:"memoryTokens"`
+	ChecksFencingToken bool     `json:"checksFence"`
+	Epoch              uint64   `json:"epoch"`
+	Seq                uint64   `json:"seq"`
+	Leaving            bool     `json:"leaving"`
+	// ColdMillis is the time in milliseconds for which the server stays cold.
+	ColdMillis uint64        `json:"coldMillis"`
+	Load       announcedLoad `json:"load"`
 	// CacheEvents lists changes of an engine's prefix cache. They may arrive
 	// late, and some may be missing.
 	CacheEvents []cacheEvent `json:"cacheEvents"`
@@ -78,6 +80,7 @@
 		Model: a.Model, Adapters: a.Adapters, Version: a.Version, Domain: a.Domain,
 		MemoryTokens: a.MemoryTokens, ChecksFencingToken: a.ChecksFencingToken,
 		Epoch: a.Epoch, Seq: a.Seq, Leaving: a.Leaving,
+		ColdFor: time.Duration(min(a.ColdMillis, uint64(spec.MaxCold.Milliseconds()))) * time.Millisecond,
 		Load: member.Load{
 			Running:     a.Load.Running,
 			Waiting:     a.Load.Waiting,
--- a/foldfake/host/announce.go
+++ b/foldfake/host/announce.go
@@ -16,20 +16,22 @@
 // server, Seq with each announcement. Of two announcements with the same ID, the
 // one with the higher Epoch, or with the higher Seq in the same Epoch, is newer.
 type Announcement struct {
-	ID                 string     `json:"id"`
-	Addr               string     `json:"addr"`
-	Kind               string     `json:"kind"`
-	Service            string     `json:"service"`
-	Model              string     `json:"model,omitempty"`
-	Adapters           []string   `json:"adapters,omitempty"`
-	Version            string     `json:"version,omitempty"`
-	Domain             string     `json:"domain"`
-	MemoryTokens       int        `json:"memoryTokens,omitempty"`
-	ChecksFencingToken bool       `json:"checksFence,omitempty"`
-	Epoch              uint64     `json:"epoch"`
-	Seq                uint64     `json:"seq"`
-	Leaving            bool       `json:"leaving,omitempty"`
-	Load               LoadReport `json:"load"`
+	ID                 string   `json:"id"`
+	Addr               string   `json:"addr"`
+	Kind               string   `json:"kind"`
+	Service            string   `json:"service"`
+	Model              string   `json:"model,omitempty"`
+	Adapters           []string `json:"adapters,omitempty"`
+	Version            string   `json:"version,omitempty"`
+	Domain             string   `json:"domain"`
+	MemoryTokens       int      `json:"memoryTokens,omitempty"`
+	ChecksFencingToken bool     `json:"checksFence,omitempty"`
+	Epoch              uint64   `json:"epoch"`
+	Seq                uint64   `json:"seq"`
+	Leaving            bool     `json:"leaving,omitempty"`
+	// ColdMillis is the time in milliseconds for which the server stays cold.
+	ColdMillis uint64     `json:"coldMillis,omitempty"`
+	Load       LoadReport `json:"load"`
 	// CacheEvents are changes of the prefix cache. They arrive late and some are
 	// missing, as with real engines.
 	CacheEvents []CacheEvent `json:"cacheEvents,omitempty"`
--- a/foldfake/soak/caller.go
+++ b/foldfake/soak/caller.go
@@ -31,9 +31,10 @@
 	askDraft      = "draft"
 	askWrite      = "write"
 	askNote       = "note"
+	askLookup     = "lookup"
 )
 
-var asks = []string{askGeneration, askOnce, askDraft, askWrite, askNote}
+var asks = []string{askGeneration, askOnce, askDraft, askWrite, askNote, askLookup}
 
 const (
 	// callTimeout is the timeout of the routes and forwards in the configuration, and
@@ -106,7 +107,7 @@
 	case askNote:
 		return c.note(client, vm, id)
 	}
-	return c.write(client, vm, id)
+	return c.write(client, vm, ask, id)
 }
 
 func (c *callers) count(vm int, ask, outcome string) {
@@ -224,9 +225,10 @@
 	return outcome
 }
 
-func (c *callers) write(client *http.Client, vm int, id string) string {
+// write sends a request that may run once to the forward of that name.
+func (c *callers) write(client *http.Client, vm int, ask, id string) string {
 	began := time.Now()
-	res, err := c.post(client, vm, "/write/"+id, forwardHost, id, "body", nil)
+	res, err := c.post(client, vm, "/"+ask+"/"+id, forwardHost, id, "body", nil)
 	if err != nil {
 		c.checkHeld(vm, id, began)
 		c.keep(result{id: id})
--- a/foldfake/soak/check.go
+++ b/foldfake/soak/check.go
@@ -50,6 +50,8 @@
 	// Evacuated: an acknowledged order about a failure domain is in force within a bound,
 	// until the opposite one.
 	Evacuated Promise = "evacuated"
+	// ColdStart: a cold backend server gets no more from all VMs together than it takes.
+	ColdStart Promise = "coldStart"
 	// Returns: service is back after the last fault.
 	Returns Promise = "returns"
 	// Level: memory and descriptors return to their level.
--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -198,7 +198,7 @@
 	for id, want := range map[string][]Promise{"v0-fine": nil, "v0-twice": {AtMostOnce}, "v0-mixed": {OwnAnswers}, "v0-refused": {TrueRefusals}} {
 		got := broken(func(f *findings) {
 			c := &callers{findings: f, world: &world{vms: []*vm{{id: "vm", proxy: p}}}}
-			c.write(&http.Client{}, 0, id)
+			c.write(&http.Client{}, 0, askWrite, id)
 			c.checkResults(&servers{all: []*instance{{origin: backend}}})
 		})
 		expect(t, id, got, want...)
--- a/foldfake/soak/operator.go
+++ b/foldfake/soak/operator.go
@@ -45,8 +45,9 @@
 	pad := make([]byte, c.pad/2)
 	rand.NewChaCha8(sha256.Sum256([]byte(c.name))).Read(pad)
 	resumable := `, "resumable": true, "attempts": 2`
+	coldStart := fmt.Sprintf(`, "coldStart": {"rate": %d, "duration": %q}`, coldRate, coldTime)
 	if c.old {
-		resumable = ""
+		resumable, coldStart = "", ""
 	}
 	return fmt.Appendf(nil, `{ // %x
 		"classes": [{"name": "summary", "target": {"firstToken": "5s", "tokenGap": "200ms"}}, {"name": %q, "target": {"completion": "1h"}}],
@@ -56,16 +57,18 @@
 			{"name": %q, "kind": "plain", "engine": {"slots": 16, "memoryTokens": 100000, "eventTokens": 4}},
 			{"name": %q, "kind": "plain"},
 			{"name": %q, "kind": "plain", "engine": {"slots": 16, "memoryTokens": 100000, "eventTokens": 4}},
+			{"name": %q, "kind": "plain"%s},
 		],
 		"routes": [{"path": "/remind", "methods": ["POST"], "service": %q, "idempotent": false, "timeout": "2s"}],
 		"forwards": [
 			{"name": "draft", "host": %q, "prefix": "/draft/", "kind": "stream", "timeout": "10s", "services": [{"service": %q, "part": 1}]},
 			{"name": "write", "host": %q, "prefix": "/write/", "kind": "unsafe", "timeout": "2s", "services": [{"service": %q, "part": 1}]},
+			{"name": "lookup", "host": %q, "prefix": "/lookup/", "kind": "unsafe", "timeout": "2s", "services": [{"service": %q, "part": 1}]},
 			{"name": "note", "host": %q, "prefix": "/note/", "kind": "stream", "timeout": "10s"%s, "services": [{"service": %q, "part": 1}]},
 		],
 		"workspaces": [{"name": "w", "keySHA256": %q}],
-	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceNotes, serviceOnce,
-		forwardHost, serviceDrafts, forwardHost, serviceWrites, forwardHost, resumable, serviceNotes, spec.HashKey(workspaceKey))
+	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceNotes, serviceCold, coldStart, serviceOnce,
+		forwardHost, serviceDrafts, forwardHost, serviceWrites, forwardHost, serviceCold, forwardHost, resumable, serviceNotes, spec.HashKey(workspaceKey))
 }
 
 // applyInput and applyOutput are an operation of the history of changes.
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -121,7 +121,15 @@
 	// noteGap is the longest time between two faults of servers of streams that may be
 	// resumed, and noteServers the number of these servers.
 	noteGap     = 1500 * time.Millisecond
-	noteServers = 3
+	noteServers = firstCold - firstNotes
+	// coldGap is the longest time between two crashes of cold servers.
+	coldGap = 2500 * time.Millisecond
+	// coldFirst is when all of them crash for the first time: late enough for a VM to issue
+	// permits, for which it must have run for 5 s, and before most losses of VMs.
+	coldFirst = 2500 * time.Millisecond
+	// allColdChance is the chance that all of them crash at once. While one is warm, the
+	// others get little.
+	allColdChance = 0.5
 	// peerGap is the longest time between two faults of connections between VMs.
 	peerGap = 3 * time.Second
 	// diskGap and clockGap are the longest times between two faults of disks and of clocks,
@@ -163,6 +171,7 @@
 	p.addClocks(seed)
 	p.addStatements(seed, servers)
 	p.addNotes(seed, added)
+	p.addCold(seed, added)
 	sortByStart(p.faults)
 	return p.faults
 }
@@ -262,6 +271,24 @@
 	}
 }
 
+// addCold adds crashes of servers that are cold after their start, drawn by themselves.
+func (p *planner) addCold(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 12))
+	for i := firstCold; i < servers; i++ {
+		p.faults = append(p.faults, Fault{At: coldFirst, For: p.upTo(announceInterval), Kind: CrashServer, Target: i})
+	}
+	for at := coldFirst + p.upTo(coldGap); servers > firstCold && at < p.length; at += p.upTo(coldGap) {
+		down, first, last := p.upTo(maxDisturbed), firstCold, servers
+		if p.r.Float64() >= allColdChance {
+			first += p.r.IntN(servers - firstCold)
+			last = first + 1
+		}
+		for i := first; i < last; i++ {
+			p.faults = append(p.faults, Fault{At: at, For: down, Kind: CrashServer, Target: i})
+		}
+	}
+}
+
 // forwarded draws one of the servers that forwards go to, which come last.
 func (p *planner) forwarded(servers int) int {
 	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,7 @@
 	serviceDrafts  = "drafts"
 	serviceWrites  = "writes"
 	serviceNotes   = "notes"
+	serviceCold    = "lookups"
 	modelName      = "advice-7b"
 )
 
@@ -36,6 +38,7 @@
 	serviceEngines, serviceEngines, serviceEngines, serviceOnce, serviceOnce,
 	serviceDrafts, serviceDrafts, serviceDrafts, serviceWrites, serviceWrites,
 	serviceNotes, serviceNotes, serviceNotes,
+	serviceCold, serviceCold, serviceCold,
 }
 
 // domains lists the failure domain of each backend server. Those of domain-vm1 are never
@@ -44,6 +47,7 @@
 	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
 	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
 	"domain-vm1", "domain-vm3", "domain-vm2",
+	"domain-vm1", "domain-vm3", "domain-vm2",
 }
 
 // firstForwarded is the index in layout of the first server that forwards go to.
@@ -53,6 +57,9 @@
 // servers from there on are drawn by themselves.
 const firstNotes = 10
 
+// firstCold is that of the first server that is cold after its start.
+const firstCold = 13
+
 const (
 	// announceInterval is a small part of the lease of a backend server.
 	announceInterval = 300 * time.Millisecond
@@ -85,6 +92,8 @@
 	breaking, endless bool
 	// limited watches the limit that a server of forwards names. It doesn't change.
 	limited limited
+	// cold counts the requests that come while the server is cold.
+	cold cold
 	// statements is what a server of forwards says of itself.
 	statements statements
 }
@@ -98,6 +107,8 @@
 	// connected reports the same of a VM and of a quorum of the control group.
 	connected func(vm int, since time.Time) bool
 	orders    *orders
+	// whileCold counts the requests to cold servers.
+	whileCold atomic.Int64
 	// passes holds the requests that one VM has passed on to another.
 	passes passes
 
@@ -168,6 +179,9 @@
 		x.origin, err = origin.New(id, func(r *http.Request) origin.Behaviour { return s.behave(x, r) })
 		if err == nil {
 			x.origin.Meter = x.limited.meter
+			if service == serviceCold {
+				x.cold.start(time.Now())
+			}
 			addr = x.origin.Addr()
 			var ctx context.Context
 			ctx, x.cancel = context.WithCancel(context.Background())
@@ -196,6 +210,7 @@
 	leaving, breaking, endless := x.leavingSince, x.breaking, x.endless
 	x.mu.Unlock()
 	s.checkLimit(x, r)
+	s.checkCold(x, r, id)
 	s.checkEvacuated(x, r, id)
 	if !leaving.IsZero() && time.Since(leaving) > leaveBound && s.calm(s.passes.sender(id), leaving) && r.Header.Get("Fold-Resume") == "" {
 		s.findings.add(LeavingIdle, id, "reached a server %v after it announced that it leaves", time.Since(leaving).Round(time.Millisecond))
@@ -242,6 +257,7 @@
 		x.mu.Lock()
 		a.Leaving = !x.leavingSince.IsZero()
 		x.mu.Unlock()
+		a.ColdMillis = uint64(x.cold.left(time.Now()).Milliseconds())
 		a.Seq++
 		for i := range s.entries {
 			if host.Announce(ctx, s.entries[(int(a.Seq)+i)%len(s.entries)].String(), "", a) == nil {
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -86,6 +86,7 @@
 		return rep, fmt.Errorf("play of seed %d: %w", seed, err)
 	}
 	maps.Copy(p.callers.counts, w.orders.counts())
+	p.callers.counts["requestsWhileCold"] = int(w.servers.whileCold.Load())
 	rep.Counts, rep.Changes, rep.Violations = p.callers.counts, len(p.operators.history), f.all()
 	if len(rep.Violations) > 0 {
 		rep.Logs = folder
@@ -209,6 +210,7 @@
 		p.checkGroup(ctx)
 	}
 	if p.world.old == "" {
+		p.world.restartCold()
 		p.operators.holdOrders(ctx)
 	}
 	stopOperators()
--- a/foldfake/soak/soak_test.go
+++ b/foldfake/soak/soak_test.go
@@ -104,6 +104,12 @@
 			for _, v := range rep.Violations {
 				t.Errorf("%s at %v, request %q: %s", v.Promise, v.At, v.Request, v.Detail)
 			}
+			// A check that applies to nothing finds nothing.
+			for _, kind := range []string{"orders.acknowledged", "orders.requestsWhileEvacuated", "orders.statusOfKnownOrder", "requestsWhileCold", askNote + "." + outcomeResumed} {
+				if rep.Counts[kind] == 0 {
+					t.Errorf("%s: none", kind)
+				}
+			}
 			t.Logf("%d faults, %d changes, requests %v", len(rep.Faults), rep.Changes, rep.Counts)
 		})
 	}
