Soak: stand-in engines of unequal speed

Cause: all stand-ins kept the same pace, so placement never saw a slow one.

Those of the first failure domain take 0.55 of the normal step time, the others 1.2 of it, engines and streams of forwards alike.

--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -50,6 +50,15 @@
 	"domain-vm1", "domain-vm3", "domain-vm2",
 }
 
+// pace returns the time that a step takes at the servers of a failure domain, of the normal
+// one.
+func pace(domain string) float64 {
+	if domain == domains[0] {
+		return 0.55
+	}
+	return 1.2
+}
+
 // firstForwarded is the index in layout of the first server that forwards go to.
 const firstForwarded = 5
 
@@ -165,7 +174,7 @@
 	var addr netip.AddrPort
 	switch service {
 	case serviceEngines:
-		params := model.Params{StepBase: 2 * time.Millisecond, StepPerSeq: time.Microsecond, StepPerKTok: time.Microsecond, PrefillPerKTok: time.Millisecond}
+		params := model.Params{StepBase: time.Duration(pace(domain) * float64(2*time.Millisecond)), StepPerSeq: time.Microsecond, StepPerKTok: time.Microsecond, PrefillPerKTok: time.Millisecond}
 		x.engine, err = host.New(host.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Model: modelName, Domain: domain, Params: params, Entries: s.entries, Interval: announceInterval, Log: quiet(), Meter: observed})
 		if err == nil {
 			addr = x.engine.Addr()
@@ -217,7 +226,7 @@
 	}
 	b := origin.Behaviour{Body: "answer to " + id}
 	if x.service == serviceDrafts || x.service == serviceNotes {
-		b = origin.Behaviour{Events: draftEvents, Gap: draftGap}
+		b = origin.Behaviour{Events: draftEvents, Gap: time.Duration(pace(x.domain) * float64(draftGap))}
 	}
 	if breaking {
 		breakAnswer(&b, id)
