Resumption: a partial event ends before another VM goes on with a stream

Cause: the splitter of a stream was reset before each request to a server, but not before another VM's response. An engine that was lost within an event left its bytes, and the caller got them joined with the event that the other VM sent.

relayPeer resets the splitter. TestPartialEventEndsBeforeOtherVM failed before (half of event 3 joined with event 3) and passes in 3 of 3 runs.

--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -217,6 +217,28 @@
 	}
 }
 
+// TestPartialEventEndsBeforeOtherVM guards against a stream whose engine is lost within an event,
+// and whose caller gets the bytes of that event joined with those that another VM passes back.
+func TestPartialEventEndsBeforeOtherVM(t *testing.T) {
+	t.Parallel()
+	rig := newCutOffRig(t, func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 5} })
+	breaking, err := origin.New("s1", func(*http.Request) origin.Behaviour { return origin.Behaviour{Events: 5, TruncateAt: 3} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(breaking.Close)
+	rig.announceApart(rig.server.Addr(), breaking.Addr())
+	rig.cutOff.Node.ReceiveAnnouncement(member.Backend{ID: "s2", Addr: unusedAddr(t), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1})
+	for range 20 {
+		// Earlier requests that the budget for retries is a share of.
+		rig.cutOff.Node.CountForward("booking-app")
+	}
+	_, body, err := rig.call(t.Context(), t, "resumable", "1")
+	if want := origin.Event(1) + origin.Event(2) + origin.Event(3) + origin.Event(4) + origin.Event(5); err != nil || body != want {
+		t.Errorf("error %v, body %q; want %q", err, body, want)
+	}
+}
+
 // TestRequestPassedOnOutcomes checks what callers of a VM that is cut off are told when the
 // server or the other VM fails, and how often the request runs.
 func TestRequestPassedOnOutcomes(t *testing.T) {
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -214,6 +214,8 @@
 func (s *stream) relayPeer(ctx context.Context, res *pool.Response) *fault.Fault {
 	defer s.q.endPass()
 	s.viaPeer = true
+	// What the last server sent of an event is not joined with what the VM sends.
+	s.splitter.Reset()
 	s.q.peerOutcome = res.Header.Get(fault.HeaderOutcome)
 	err := s.relayResponse(ctx, res)
 	switch {
