--- a/foldfake/soak/world.go
+++ b/foldfake/soak/world.go
@@ -71,7 +71,7 @@
 		return i >= 0 && i < len(w.vms) && w.vms[i].calmSince(since)
 	}
 	connected := func(i int, since time.Time) bool { return calm(i, since) && w.quorumSince(since) }
-	w.servers = &servers{findings: f, calm: calm, connected: connected, orders: &w.orders}
+	w.servers = &servers{findings: f, calm: calm, connected: connected, orders: &w.orders, old: o.Old != ""}
 	for i, v := range w.vms {
 		w.servers.entries = append(w.servers.entries, v.backends)
 		w.watchPasses(i, v.currentPeerProxy())
