--- a/foldfake/soak/check.go
+++ b/foldfake/soak/check.go
@@ -47,6 +47,11 @@
 	ClaimHistory Promise = "claimHistory"
 	// InTime: nothing is held past its deadline.
 	InTime Promise = "inTime"
+	// Evacuated: an acknowledged order about a failure domain is in force within a bound,
+	// until the opposite one.
+	Evacuated Promise = "evacuated"
+	// ColdStart: a cold backend server gets no more from all VMs together than it takes.
+	ColdStart Promise = "coldStart"
 	// Returns: service is back after the last fault.
 	Returns Promise = "returns"
 	// Level: memory and descriptors return to their level.
--- a/foldfake/soak/operator.go
+++ b/foldfake/soak/operator.go
@@ -36,12 +36,19 @@
 type change struct {
 	name string
 	pad  int
+	// old is set if a program of a version without the newer settings may read the document.
+	old bool
 }
 
 // document returns the configuration of a soak.
 func (c change) document() []byte {
 	pad := make([]byte, c.pad/2)
 	rand.NewChaCha8(sha256.Sum256([]byte(c.name))).Read(pad)
+	resumable := `, "resumable": true, "attempts": 2`
+	coldStart := fmt.Sprintf(`, "coldStart": {"rate": %d, "duration": %q}`, coldRate, coldTime)
+	if c.old {
+		resumable, coldStart = "", ""
+	}
 	return fmt.Appendf(nil, `{ // %x
 		"classes": [{"name": "summary", "target": {"firstToken": "5s", "tokenGap": "200ms"}}, {"name": %q, "target": {"completion": "1h"}}],
 		"services": [
@@ -49,15 +56,19 @@
 			{"name": %q, "kind": "plain"},
 			{"name": %q, "kind": "plain", "engine": {"slots": 16, "memoryTokens": 100000, "eventTokens": 4}},
 			{"name": %q, "kind": "plain"},
+			{"name": %q, "kind": "plain", "engine": {"slots": 16, "memoryTokens": 100000, "eventTokens": 4}},
+			{"name": %q, "kind": "plain"%s},
 		],
 		"routes": [{"path": "/remind", "methods": ["POST"], "service": %q, "idempotent": false, "timeout": "2s"}],
 		"forwards": [
 			{"name": "draft", "host": %q, "prefix": "/draft/", "kind": "stream", "timeout": "10s", "services": [{"service": %q, "part": 1}]},
 			{"name": "write", "host": %q, "prefix": "/write/", "kind": "unsafe", "timeout": "2s", "services": [{"service": %q, "part": 1}]},
+			{"name": "lookup", "host": %q, "prefix": "/lookup/", "kind": "unsafe", "timeout": "2s", "services": [{"service": %q, "part": 1}]},
+			{"name": "note", "host": %q, "prefix": "/note/", "kind": "stream", "timeout": "10s"%s, "services": [{"service": %q, "part": 1}]},
 		],
 		"workspaces": [{"name": "w", "keySHA256": %q}],
-	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceOnce,
-		forwardHost, serviceDrafts, forwardHost, serviceWrites, spec.HashKey(workspaceKey))
+	}`, pad, c.name, serviceEngines, modelName, serviceOnce, serviceDrafts, serviceWrites, serviceNotes, serviceCold, coldStart, serviceOnce,
+		forwardHost, serviceDrafts, forwardHost, serviceWrites, forwardHost, serviceCold, forwardHost, resumable, serviceNotes, spec.HashKey(workspaceKey))
 }
 
 // applyInput and applyOutput are an operation of the history of changes.
@@ -156,6 +167,7 @@
 }
 
 func (o *operators) applyAt(ctx context.Context, v *vm, base uint64, c change) (*wire.ApplyResponse, error) {
+	c.old = o.world.old != ""
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	res, err := v.client.Apply(ctx, connect.NewRequest(&wire.ApplyRequest{BaseRevision: base, ChangeId: c.name, Document: c.document()}))
@@ -177,11 +189,13 @@
 	}
 }
 
+func (o *operators) quorumSince(t time.Time) bool { return o.world.quorumSince(t) }
+
 // quorumSince reports whether all control VMs but one were left alone since a time. Without
 // a quorum, a VM that has started again can't know what was accepted.
-func (o *operators) quorumSince(t time.Time) bool {
+func (w *world) quorumSince(t time.Time) bool {
 	calm := 0
-	for _, v := range o.world.vms[:min(controlCount, len(o.world.vms))] {
+	for _, v := range w.vms[:min(controlCount, len(w.vms))] {
 		if v.calmSince(t) {
 			calm++
 		}
@@ -196,6 +210,8 @@
 	// incarnation and revision are those of the last look.
 	incarnation int
 	revision    uint64
+	// setVersion is the version of the set of evacuated domains of the last look.
+	setVersion uint64
 }
 
 func (o *operators) watch(ctx context.Context, v *vm) {
@@ -205,6 +221,7 @@
 		incarnation := v.currentIncarnation()
 		status, err := v.status(ctx)
 		if err == nil && incarnation == v.currentIncarnation() {
+			w.checkEvacuations(began, incarnation, status.GetEvacuations())
 			w.check(began, incarnation, status.GetSelf().GetConfigRevision())
 		}
 		sleep(ctx, watchInterval)
--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -118,6 +118,18 @@
 	// statementGap is the longest time between two faults in which a server says something
 	// of itself.
 	statementGap = 3 * time.Second
+	// noteGap is the longest time between two faults of servers of streams that may be
+	// resumed, and noteServers the number of these servers.
+	noteGap     = 1500 * time.Millisecond
+	noteServers = firstCold - firstNotes
+	// coldGap is the longest time between two crashes of cold servers.
+	coldGap = 2500 * time.Millisecond
+	// coldFirst is when all of them crash for the first time: late enough for a VM to issue
+	// permits, for which it must have run for 5 s, and before most losses of VMs.
+	coldFirst = 2500 * time.Millisecond
+	// allColdChance is the chance that all of them crash at once. While one is warm, the
+	// others get little.
+	allColdChance = 0.5
 	// peerGap is the longest time between two faults of connections between VMs.
 	peerGap = 3 * time.Second
 	// diskGap and clockGap are the longest times between two faults of disks and of clocks,
@@ -135,6 +147,8 @@
 // NewPlan returns the faults of a seed, in the order of their starts. A disk is lost
 // only while all others are well, since the group tolerates the loss of one.
 func NewPlan(seed uint64, length time.Duration, vms, controls, servers int) []Fault {
+	added := servers
+	servers = min(servers, firstNotes)
 	r := rand.New(rand.NewPCG(seed, 0))
 	p := planner{r: r, vms: vms, controls: controls, length: length}
 	for at := p.upTo(vmFaultGap); at < length; at += p.upTo(vmFaultGap) {
@@ -156,6 +170,8 @@
 	p.addDisks(seed)
 	p.addClocks(seed)
 	p.addStatements(seed, servers)
+	p.addNotes(seed, added)
+	p.addCold(seed, added)
 	sortByStart(p.faults)
 	return p.faults
 }
@@ -244,6 +260,35 @@
 	}
 }
 
+// noteKinds are the kinds of faults of servers of streams that may be resumed.
+var noteKinds = []Kind{CrashServer, CrashServer, BreakAnswers, ResetServer, SilenceServer, EndlessAnswers, LeaveServer}
+
+// addNotes adds such faults, drawn by themselves.
+func (p *planner) addNotes(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 11))
+	for at := p.upTo(noteGap); servers > firstNotes && at < p.length; at += p.upTo(noteGap) {
+		p.faults = append(p.faults, Fault{At: at, For: p.upTo(maxDisturbed), Kind: noteKinds[p.r.IntN(len(noteKinds))], Target: firstNotes + p.r.IntN(min(servers-firstNotes, noteServers))})
+	}
+}
+
+// addCold adds crashes of servers that are cold after their start, drawn by themselves.
+func (p *planner) addCold(seed uint64, servers int) {
+	p.r = rand.New(rand.NewPCG(seed, 12))
+	for i := firstCold; i < servers; i++ {
+		p.faults = append(p.faults, Fault{At: coldFirst, For: p.upTo(announceInterval), Kind: CrashServer, Target: i})
+	}
+	for at := coldFirst + p.upTo(coldGap); servers > firstCold && at < p.length; at += p.upTo(coldGap) {
+		down, first, last := p.upTo(maxDisturbed), firstCold, servers
+		if p.r.Float64() >= allColdChance {
+			first += p.r.IntN(servers - firstCold)
+			last = first + 1
+		}
+		for i := first; i < last; i++ {
+			p.faults = append(p.faults, Fault{At: at, For: down, Kind: CrashServer, Target: i})
+		}
+	}
+}
+
 // forwarded draws one of the servers that forwards go to, which come last.
 func (p *planner) forwarded(servers int) int {
 	return firstForwarded + p.r.IntN(max(servers-firstForwarded, 1))
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,8 @@
 	serviceOnce    = "booking-app"
 	serviceDrafts  = "drafts"
 	serviceWrites  = "writes"
+	serviceNotes   = "notes"
+	serviceCold    = "lookups"
 	modelName      = "advice-7b"
 )
 
@@ -34,11 +37,38 @@
 var layout = []string{
 	serviceEngines, serviceEngines, serviceEngines, serviceOnce, serviceOnce,
 	serviceDrafts, serviceDrafts, serviceDrafts, serviceWrites, serviceWrites,
+	serviceNotes, serviceNotes, serviceNotes,
+	serviceCold, serviceCold, serviceCold,
+}
+
+// domains lists the failure domain of each backend server. Those of domain-vm1 are never
+// evacuated.
+var domains = []string{
+	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
+	"domain-vm1", "domain-vm3", "domain-vm2", "domain-vm1", "domain-vm2",
+	"domain-vm1", "domain-vm3", "domain-vm2",
+	"domain-vm1", "domain-vm3", "domain-vm2",
+}
+
+// pace returns the time that a step takes at the servers of a failure domain, of the normal
+// one.
+func pace(domain string) float64 {
+	if domain == domains[0] {
+		return 0.55
+	}
+	return 1.2
 }
 
 // firstForwarded is the index in layout of the first server that forwards go to.
 const firstForwarded = 5
 
+// firstNotes is that of the first server of streams that may be resumed. The faults of the
+// servers from there on are drawn by themselves.
+const firstNotes = 10
+
+// firstCold is that of the first server that is cold after its start.
+const firstCold = 13
+
 const (
 	// announceInterval is a small part of the lease of a backend server.
 	announceInterval = 300 * time.Millisecond
@@ -55,11 +85,13 @@
 // instance is one backend server from its start to its end.
 type instance struct {
 	service string
-	proxy   *Proxy
-	engine  *host.Engine
-	plain   *plain.Service
-	origin  *origin.Server
-	cancel  context.CancelFunc
+	// domain is the failure domain that the server announces.
+	domain string
+	proxy  *Proxy
+	engine *host.Engine
+	plain  *plain.Service
+	origin *origin.Server
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// leavingSince is when the server announced that it leaves, zero before.
@@ -69,6 +101,8 @@
 	breaking, endless bool
 	// limited watches the limit that a server of forwards names. It doesn't change.
 	limited limited
+	// cold counts the requests that come while the server is cold.
+	cold cold
 	// statements is what a server of forwards says of itself.
 	statements statements
 }
@@ -79,6 +113,13 @@
 	findings *findings
 	// calm reports whether a VM, by its index, was left alone since a time.
 	calm func(vm int, since time.Time) bool
+	// connected reports the same of a VM and of a quorum of the control group.
+	connected func(vm int, since time.Time) bool
+	orders    *orders
+	// old is set if the configuration has no start rate, as old programs reject it.
+	old bool
+	// whileCold counts the requests to cold servers.
+	whileCold atomic.Int64
 	// passes holds the requests that one VM has passed on to another.
 	passes passes
 
@@ -112,7 +153,7 @@
 	s.started++
 	id := fmt.Sprintf("s%d", s.started)
 	s.mu.Unlock()
-	x, err := s.newInstance(id, layout[i])
+	x, err := s.newInstance(id, layout[i], domains[i])
 	if err != nil {
 		return err
 	}
@@ -123,24 +164,25 @@
 	return nil
 }
 
-func (s *servers) newInstance(id, service string) (*instance, error) {
+func (s *servers) newInstance(id, service, domain string) (*instance, error) {
 	// The target is set once the server listens.
 	p, err := NewProxy(netip.AddrPort{})
 	if err != nil {
 		return nil, err
 	}
-	x := &instance{service: service, proxy: p, cancel: func() {}, limited: limited{meter: &meter.Meter{}}}
+	x := &instance{service: service, domain: domain, proxy: p, cancel: func() {}, limited: limited{meter: &meter.Meter{}}}
+	observed := &meter.Meter{Observe: func(r *http.Request) { s.observe(x, r) }}
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	var addr netip.AddrPort
 	switch service {
 	case serviceEngines:
-		params := model.Params{StepBase: 2 * time.Millisecond, StepPerSeq: time.Microsecond, StepPerKTok: time.Microsecond, PrefillPerKTok: time.Millisecond}
-		x.engine, err = host.New(host.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Model: modelName, Domain: "domain-vm1", Params: params, Entries: s.entries, Interval: announceInterval, Log: quiet()})
+		params := model.Params{StepBase: time.Duration(pace(domain) * float64(2*time.Millisecond)), StepPerSeq: time.Microsecond, StepPerKTok: time.Microsecond, PrefillPerKTok: time.Millisecond}
+		x.engine, err = host.New(host.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Model: modelName, Domain: domain, Params: params, Entries: s.entries, Interval: announceInterval, Log: quiet(), Meter: observed})
 		if err == nil {
 			addr = x.engine.Addr()
 		}
 	case serviceOnce:
-		x.plain, err = plain.New(plain.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Domain: "domain-vm1", Entries: s.entries, Interval: announceInterval, Log: quiet()})
+		x.plain, err = plain.New(plain.Config{ID: id, Addr: loopback, Advertise: p.Addr(), Service: service, Domain: domain, Entries: s.entries, Interval: announceInterval, Log: quiet(), Meter: observed})
 		if err == nil {
 			addr = x.plain.Addr()
 		}
@@ -148,6 +190,9 @@
 		x.origin, err = origin.New(id, func(r *http.Request) origin.Behaviour { return s.behave(x, r) })
 		if err == nil {
 			x.origin.Meter = x.limited.meter
+			if service == serviceCold && !s.old {
+				x.cold.start(time.Now())
+			}
 			addr = x.origin.Addr()
 			var ctx context.Context
 			ctx, x.cancel = context.WithCancel(context.Background())
@@ -176,12 +221,14 @@
 	leaving, breaking, endless := x.leavingSince, x.breaking, x.endless
 	x.mu.Unlock()
 	s.checkLimit(x, r)
+	s.checkCold(x, r, id)
+	s.checkEvacuated(x, r, id)
 	if !leaving.IsZero() && time.Since(leaving) > leaveBound && s.calm(s.passes.sender(id), leaving) && r.Header.Get("Fold-Resume") == "" {
 		s.findings.add(LeavingIdle, id, "reached a server %v after it announced that it leaves", time.Since(leaving).Round(time.Millisecond))
 	}
 	b := origin.Behaviour{Body: "answer to " + id}
-	if x.service == serviceDrafts {
-		b = origin.Behaviour{Events: draftEvents, Gap: draftGap}
+	if x.service == serviceDrafts || x.service == serviceNotes {
+		b = origin.Behaviour{Events: draftEvents, Gap: time.Duration(pace(x.domain) * float64(draftGap))}
 	}
 	if breaking {
 		breakAnswer(&b, id)
@@ -216,11 +263,12 @@
 
 // announceLoop announces a stand-in of a forwarded service to the VMs in turn.
 func (s *servers) announceLoop(ctx context.Context, x *instance) {
-	a := host.Announcement{ID: x.origin.ID, Addr: x.proxy.Addr().String(), Kind: "plain", Service: x.service, Domain: "domain-vm1", Epoch: uint64(time.Now().UnixNano())}
+	a := host.Announcement{ID: x.origin.ID, Addr: x.proxy.Addr().String(), Kind: "plain", Service: x.service, Domain: x.domain, Epoch: uint64(time.Now().UnixNano())}
 	for {
 		x.mu.Lock()
 		a.Leaving = !x.leavingSince.IsZero()
 		x.mu.Unlock()
+		a.ColdMillis = uint64(x.cold.left(time.Now()).Milliseconds())
 		a.Seq++
 		for i := range s.entries {
 			if host.Announce(ctx, s.entries[(int(a.Seq)+i)%len(s.entries)].String(), "", a) == nil {
--- a/foldfake/soak/soak.go
+++ b/foldfake/soak/soak.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -83,6 +85,8 @@
 	if err := ctx.Err(); err != nil {
 		return rep, fmt.Errorf("play of seed %d: %w", seed, err)
 	}
+	maps.Copy(p.callers.counts, w.orders.counts())
+	p.callers.counts["requestsWhileCold"] = int(w.servers.whileCold.Load())
 	rep.Counts, rep.Changes, rep.Violations = p.callers.counts, len(p.operators.history), f.all()
 	if len(rep.Violations) > 0 {
 		rep.Logs = folder
@@ -178,14 +182,25 @@
 		wg.Go(func() { p.operators.watch(callersCtx, v) })
 		wg.Go(func() { p.watchProcess(callersCtx, v) })
 	}
-	var changes sync.WaitGroup
+	var changes, evacuations sync.WaitGroup
+	ordersCtx, stopOrders := context.WithCancel(ctx)
+	defer stopOrders()
 	for i := range operatorCount {
 		changes.Go(func() { p.operators.change(operatorsCtx, i, rep.Seed) })
 	}
+	if p.world.old == "" {
+		// A replica of an old program skips the orders in its log.
+		for i, domain := range evacuatedDomains {
+			r := rand.New(rand.NewPCG(rep.Seed, uint64(20+i)))
+			evacuations.Go(func() { p.operators.evacuate(operatorsCtx, ordersCtx, domain, r) })
+		}
+	}
 	if p.losses {
 		changes.Go(func() { p.operators.changeLarge(operatorsCtx, operatorCount, rep.Seed, p.first) })
 	}
 	p.applyPlan(ctx, rep.Faults)
+	stopOrders()
+	evacuations.Wait()
 	if ctx.Err() == nil {
 		ended := time.Now()
 		p.checkReturn(ended)
@@ -194,6 +209,10 @@
 	if ctx.Err() == nil && (p.losses || p.world.old != "") {
 		p.checkGroup(ctx)
 	}
+	if p.world.old == "" {
+		p.world.restartCold()
+		p.operators.holdOrders(ctx)
+	}
 	stopOperators()
 	changes.Wait()
 	if ctx.Err() == nil {
