Resumption: a refusal after a possible run is 502, not 503

Cause: where an engine may have run a resumable stream's request and no further one took it, the caller got 503, which callers read as "has not run and never will". The request is idempotent, so no harm was done; the claim was not true.

Change: status 502 with the same Retry-After and outcome unknown, as for plain idempotent requests.

--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -166,9 +166,8 @@
 	return false, s.interruptedFault(errStatusAfterHead)
 }
 
-// afterRun returns the fault for the caller of a stream that no further server takes. A refusal of
-// a request that may run more than once may follow a run, but does not claim that there was
-// none.
+// afterRun returns the fault for the caller of a stream that no further server takes. Status 503
+// would claim that the request has not run, so a refusal after a possible run gets 502.
 func (s *stream) afterRun(ctx context.Context, f *fault.Fault) *fault.Fault {
 	switch {
 	case !s.q.forward.Resumable || !s.q.mayHaveRun:
@@ -178,7 +177,7 @@
 	case s.headerSent:
 		return s.interruptedFault(eris.Wrap(errNotGoneOn, f.Message))
 	case f.Outcome == retry.NotRun:
-		f.Outcome = retry.Unknown
+		return &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: f.Message, Outcome: retry.Unknown, RetryAfter: f.RetryAfter}
 	}
 	return f
 }
