Placement: a run that is late by its move is no risk of prompts

Cause: where engines leave all the time, the gap of a move made runs late at the engine that they went to, and was held against the prompts read there.

Change: the first event after a change of server is not recorded as a gap of the engine, and a run that it makes late counts as one without a gap target. TestLateByMoveIsNoRiskOfPrompts fails without it.

--- a/fold/place/gap.go
+++ b/fold/place/gap.go
@@ -185,6 +185,20 @@
 	return typical > 0 && float64(gap) > slowGap*float64(typical)
 }
 
+// LateByMove records that a run of this VM became late by its move to the server id. The run
+// counts as one without a gap target from then on: where engines leave all the time, runs that
+// are late by their moves would be held against the prompts read at the engines they go to.
+func (p *Placer) LateByMove(id string, run uint64) {
+	b := p.backends[id]
+	if b == nil {
+		return
+	}
+	if req, ok := b.runs[run]; ok {
+		req.Late, req.GapTarget = true, 0
+		b.runs[run] = req
+	}
+}
+
 // typicalGap returns the mean time in which a run at an engine generates an event, zero if
 // none was observed.
 func (p *Placer) typicalGap(id string, eventTokens int) time.Duration {
--- a/fold/place/gap_test.go
+++ b/fold/place/gap_test.go
@@ -233,3 +233,27 @@
 		p.Pick(at, servers, req)
 	}
 }
+
+// A run that is late by its move must not count against the prompts read at the engine that it
+// was moved to: where engines leave all the time, most gaps are those of moves.
+func TestLateByMoveIsNoRiskOfPrompts(t *testing.T) {
+	for _, byMove := range []bool{false, true} {
+		var p Placer
+		at := time.Unix(1000, 0)
+		run := gapRun(1)
+		generated := 40
+		p.Begin(at, "1", Request{Run: run, Progress: func() int { return generated }})
+		p.ObserveLocal(at, p.LocalLoad(at, threeEngines()))
+		generated += 4
+		at = at.Add(300 * time.Millisecond)
+		if byMove {
+			p.LateByMove("1", run.ID)
+		} else {
+			p.ObserveEvent(at, "1", run.ID, 300*time.Millisecond, true)
+		}
+		p.ObserveLocal(at, p.LocalLoad(at, threeEngines()))
+		if broken := p.gapStatsOf(at, "1").broken; (broken > 0) == byMove {
+			t.Errorf("late by its move %v: %v runs held against the engine", byMove, broken)
+		}
+	}
+}
--- a/foldd/node/gap.go
+++ b/foldd/node/gap.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// RunLateByMove records that a run with a gap target, now at the engine id, became late by its
+// move there.
+func (n *Node) RunLateByMove(id string, run uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.placer.LateByMove(id, run)
+}
+
 // urgentReport returns a function that sends a load report to the VM that places requests at
 // an engine, nil if that is this VM or if a report was sent just now. The caller holds the
 // lock.
--- a/foldd/relay/gap.go
+++ b/foldd/relay/gap.go
@@ -27,10 +27,19 @@
 	if first := time.Duration(target.FirstToken); gap == 0 && first > 0 {
 		late = now.Sub(q.arrived) > first
 	}
-	if late && !s.late.Swap(true) {
+	newlyLate := late && !s.late.Swap(true)
+	if newlyLate {
 		q.relay.Node.Count("forward.late."+lateBy(gap), 1)
 	}
-	if !s.viaPeer {
+	switch {
+	case s.viaPeer:
+	case s.changedServer:
+		// The gap is that of the move, which says nothing of prompts at either server.
+		s.changedServer = false
+		if newlyLate {
+			q.relay.Node.RunLateByMove(s.server.ID, s.initialRun.ID)
+		}
+	default:
 		q.relay.Node.ObserveEvent(q.service.Name, s.server.ID, s.initialRun.ID, gap, s.late.Load())
 	}
 }
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -87,6 +87,8 @@
 	// already and that were dropped. eventsBefore is the number of events that were sent to
 	// the caller before the run's server was asked without its memory.
 	received, eventsBefore int
+	// changedServer is set until the first event of a server that goes on with the run.
+	changedServer bool
 	// unnumbered is set if the last event that was sent to the caller had no ID.
 	unnumbered bool
 	// prefilling is set until the run's first event at a server that reads its prompt.
@@ -213,6 +215,7 @@
 	s.mu.Lock()
 	s.server = b
 	s.mu.Unlock()
+	s.changedServer = s.events > 0
 	s.q.relay.Node.EngineAnswered(b)
 	s.q.relay.addRun(s, b)
 }
