--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -33,9 +33,9 @@
 
 func main() {
 	if len(os.Args) > 8 && os.Args[1] == "engine" {
-		leave := make(chan os.Signal, 1)
-		signal.Notify(leave, syscall.SIGUSR1)
-		if err := runEngine(os.Args[2:], leave); err != nil {
+		signals := make(chan os.Signal, 2)
+		signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+		if err := runEngine(os.Args[2:], signals); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(failed)
 		}
--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -25,6 +25,8 @@
 	control                              []string
 	cmd                                  *exec.Cmd
 	exited                               chan struct{}
+	// cutOff is set if the engine is cut off when it starts: its heartbeats reach nobody.
+	cutOff bool
 	// notes gets what the engine says of its work, unless it is nil.
 	notes chan string
 }
@@ -38,6 +40,9 @@
 	args := []string{"engine", p.id, p.service, p.zone, p.listen, p.advertise, strconv.Itoa(p.events), p.gap.String()}
 	p.cmd = exec.Command(self, append(args, p.control...)...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if p.cutOff {
+		p.cmd.Env = append(os.Environ(), cutOffVariable+"=1")
+	}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return err
@@ -71,6 +76,12 @@
 // leave lets the engine announce that it is draining.
 func (p *engineProcess) leave() { p.cmd.Process.Signal(syscall.SIGUSR1) }
 
+// cutOffVariable is set in the environment of an engine that starts behind a cut.
+const cutOffVariable = "CUT_OFF"
+
+// toggleHeartbeats lets a cut begin or end for the engine's heartbeats.
+func (p *engineProcess) toggleHeartbeats() { p.cmd.Process.Signal(syscall.SIGUSR2) }
+
 // stream is a run of an engine process.
 type stream struct {
 	made    int
@@ -92,7 +103,7 @@
 const copyTime = 700 * time.Millisecond
 
 // runEngine is the main function of an engineProcess.
-func runEngine(args []string, leave <-chan os.Signal) error {
+func runEngine(args []string, signals <-chan os.Signal) error {
 	total, err := strconv.Atoi(args[5])
 	if err != nil {
 		return err
@@ -111,10 +122,17 @@
 	}
 	go func() {
 		t := time.NewTicker(heartbeat)
+		cutOff := os.Getenv(cutOffVariable) != ""
 		for {
-			e.beat()
+			if !cutOff {
+				e.beat()
+			}
 			select {
-			case <-leave:
+			case s := <-signals:
+				if s == syscall.SIGUSR2 {
+					cutOff = !cutOff
+					break
+				}
 				e.mu.Lock()
 				e.state, e.leaving = "draining", true
 				e.mu.Unlock()
--- a/review/rig2/reborn.go
+++ b/review/rig2/reborn.go
@@ -141,7 +141,7 @@
 		time.Sleep(300 * time.Millisecond)
 		cut.kill()
 		time.Sleep(2500 * time.Millisecond)
-		next := &engineProcess{rec: cut.rec, id: cut.id + "-again", service: cut.service, zone: cut.zone, listen: cut.listen, advertise: cut.advertise, events: cut.events, gap: cut.gap, control: cut.control}
+		next := &engineProcess{rec: cut.rec, id: cut.id + "-again", service: cut.service, zone: cut.zone, listen: cut.listen, advertise: cut.advertise, events: cut.events, gap: cut.gap, control: cut.control, cutOff: true}
 		if err := next.start(); err != nil {
 			return failed, err
 		}
@@ -149,6 +149,7 @@
 		time.Sleep(1700 * time.Millisecond)
 		s.link.in.heal()
 		s.link.out.heal()
+		next.toggleHeartbeats()
 		e.rec.log("the cut heals after 4.5 s")
 	}
 	return e.judge(answers, streams, events)
--- a/review/rig2/stop.go
+++ b/review/rig2/stop.go
@@ -35,9 +35,11 @@
 	if e.trouble {
 		time.Sleep(300 * time.Millisecond)
 		s.link.in.cut()
+		leaver.toggleHeartbeats()
 		e.rec.log("nothing passes to engine %s any more, what it sends still passes", leaver.id)
 		time.Sleep(5 * time.Second)
 		s.link.in.heal()
+		leaver.toggleHeartbeats()
 		e.rec.log("the cut heals after 5 s")
 	}
 	return e.judge(answers, streams, events)
