--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -64,6 +64,9 @@
 
 // exit ends the engine as the end of its process would.
 func (e *engine) exit() {
+	if e.done.Err() != nil {
+		return
+	}
 	e.stop()
 	e.server.Close()
 	e.rec.log("engine %s exits", e.id)
