Forwards: a response reset during the upload is not complete

Seen: a server answered a long request at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the request was still being written. An idempotent request was not sent to the second server.

Cause: a request of over 8 KiB is written while its response is read. The kernel reports a reset to one call only. If that was the write, the next read returned io.EOF, as after a close by the server, and a response without framing ends with its connection. The error of the write was looked at only to decide whether the connection can be used again.

Changed: a read that meets the end of the connection ends the write and looks at its error. If the write was told that the connection is lost, the read returns that error. EPIPE is no such error: the server had closed its side before, so that the response is whole. A write that still waits is interrupted; the server sends nothing more.

TestEarlyResponseIsComplete holds sound servers that answer before they have read the body, with a length or with a close of their side, also if they never read the rest.

--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -69,6 +69,9 @@
 	"workspaces": [{"name": "w", "keySHA256": %q, "rank": 3}],
 }`
 
+// maxServedBody bounds the bodies of requests in bytes, whatever the configuration says.
+const maxServedBody = 16 << 20
+
 // startVM starts a VM with configDocument in force and no backend servers.
 func startVM(t *testing.T) *testVM {
 	t.Helper()
@@ -94,7 +97,7 @@
 	n.ApplyIndex(spec.NewIndex(d, 1))
 	x := &relay.Relay{Node: n, Pool: &pool.Pool{}, Peers: relay.NewPeerPool(), Codec: relay.DefaultCodec()}
 	n.BackendChanged = x.BackendChanged
-	server, err := serve.New(serve.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Handler: x, MaxBody: 1 << 20, Log: log})
+	server, err := serve.New(serve.Config{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Handler: x, MaxBody: maxServedBody, Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/foldfake/origin/behaviour.go
+++ b/foldfake/origin/behaviour.go
@@ -29,6 +29,15 @@
 	// RespondEarly sends the response before the request body has been read.
 	// LastRequest doesn't return such a request.
 	RespondEarly bool
+	// HalfClose, with RespondEarly, closes the server's side of the connection after the
+	// response.
+	HalfClose bool
+	// ResetEarly sends the response, or its first TruncateAt bytes, before the request body has
+	// been read, and resets the connection ResetAfter later.
+	ResetEarly bool
+	ResetAfter time.Duration
+	// StopReading, with either of them, leaves the rest of the request body unread.
+	StopReading bool
 	// Hang keeps the connection open without a response. Drop closes it without a
 	// response.
 	Hang bool
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -237,11 +237,14 @@
 	b := s.behave(r)
 	b.rateLimit = s.Meter.Arrive()
 	id := r.Header.Get(headerRequestID)
+	if b.ResetEarly {
+		s.countRun(id)
+		s.resetEarly(c, r, id, b)
+		return false
+	}
 	if b.RespondEarly {
 		s.countRun(id)
-		s.respond(c, id, b)
-		_, err := io.Copy(io.Discard, r.Body)
-		return err == nil
+		return s.respondEarly(c, r, id, b)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -88,6 +88,7 @@
 		}
 	}
 	c.sent.Store(0)
+	c.upload = nil
 	c.head.received = 0
 	c.takeReader()
 	x := &exchange{pool: p, conn: c, request: r, ctx: ctx}
@@ -112,9 +113,6 @@
 	// stop detaches the connection from the request's context. It reports false
 	// if the end of the context has already closed the connection.
 	stop func() bool
-	// writeResult receives the result of a write that runs while the response is
-	// read. It is nil if the request is written before the response is read.
-	writeResult chan error
 	// sent and responseStarted are as in Error.
 	sent            bool
 	responseStarted bool
@@ -135,10 +133,7 @@
 			return nil, fmt.Errorf("send request: %w", err)
 		}
 	} else {
-		x.writeResult = make(chan error, 1)
-		go func() {
-			x.writeResult <- x.writeLong(head)
-		}()
+		x.startUpload(head)
 	}
 	return x.receive()
 }
@@ -243,26 +238,13 @@
 	if x.pool.OnExchange != nil {
 		x.pool.OnExchange(x.ctx, Usage{Sent: x.conn.sent.Load(), Received: x.conn.head.received})
 	}
-	if complete && connOpen && x.reuse && x.writeDone() && x.conn.reader.Buffered() == 0 {
+	if complete && connOpen && x.reuse && x.conn.upload.written() && x.conn.reader.Buffered() == 0 {
 		x.pool.put(x.conn)
 		return
 	}
 	x.conn.Close()
 }
 
-// writeDone reports whether the complete request has been written.
-func (x *exchange) writeDone() bool {
-	if x.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-x.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // body is the body of the response of an exchange.
 type body exchange
 
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"slices"
@@ -102,6 +103,9 @@
 	addr netip.AddrPort
 	// sent is the number of bytes written for the current exchange.
 	sent atomic.Int64
+	// upload is the write of the current request, nil if it was written before its response
+	// is read.
+	upload *upload
 	// head bounds what reader reads from the connection.
 	head headLimit
 	// reader is nil while the connection is idle.
@@ -296,7 +300,9 @@
 		p.OnDial(ctx)
 	}
 	tcp := nc.(*net.TCPConn)
-	return &conn{TCPConn: tcp, addr: addr, head: headLimit{r: tcp}}, nil
+	c := &conn{TCPConn: tcp, addr: addr}
+	c.head.r = c
+	return c, nil
 }
 
 // takeReader gives the connection a read buffer, for an exchange.
@@ -315,6 +321,17 @@
 	c.reader = nil
 }
 
+// Read implements net.Conn. It returns io.EOF only if the server has closed the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err == io.EOF {
+		if cause := c.lost(); cause != nil {
+			err = fmt.Errorf("connection lost while the request was sent: %w", cause)
+		}
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.TCPConn.Write(b)
