Forwards: a head that HTTP does not allow is an error

Seen: a server in trouble sent a response in whose head the name of a field held a blank. A line that begins with a blank, which HTTP no longer allows, was joined to the line before, and a line of blanks alone was taken in with the body behind it, until the request timed out. A refusal with such a head was believed to say that the request had not run.

Cause: the head was read by net/http, which takes names with blanks as names of their own and continues lines. Names with control bytes, and values with them, were errors already.

--- /dev/null
+++ b/foldd/relay/malformed_test.go
@@ -0,0 +1,90 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"fuchsiafold.example/foldfake/origin"
+)
+
+// malformedHeads are responses with a head that HTTP does not allow, to the request with the
+// ID %s.
+var malformedHeads = map[string]string{
+	"blank in a name":           "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nX-Bad Name: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"blank after a name":        "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nX-Bad : 1\r\nContent-Length: 4\r\n\r\nbody",
+	"blank before a name":       "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\n X-Bad: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"control byte in a name":    "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nX-\x01Bad: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"length with a blank":       "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nContent-Length : 4\r\n\r\nbody and more",
+	"chunks with a blank":       "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank in a name, refusal":  "HTTP/1.1 503 Service Unavailable\r\nFold-Request-Id: %s\r\nFold-Not-Run: 1\r\nX-Bad Name: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank in a name, no ID":    "HTTP/1.1 200 OK\r\nFold-Request-Id %s: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"blank in a trailer's name": "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Bad Name: 1\r\n\r\n",
+}
+
+// respondRaw returns a handler that sends raw bytes, with the ID of the request in them, and
+// closes the connection.
+func respondRaw(text string) func(*http.Request) origin.Behaviour {
+	return func(r *http.Request) origin.Behaviour {
+		id := r.Header.Get("Fold-Request-Id")
+		return origin.Behaviour{Raw: strings.ReplaceAll(text, "%s", id), Drop: true}
+	}
+}
+
+// TestMalformedHeadReachesNoCaller guards against callers that get a response with a malformed
+// head as one of their server, or are told that a request did not run that may have run.
+func TestMalformedHeadReachesNoCaller(t *testing.T) {
+	for name, text := range malformedHeads {
+		for _, path := range []string{"/write/x", "/read/deep/x", "/draft/x"} {
+			t.Run(name+path, func(t *testing.T) { checkReachesNoCaller(t, path, text) })
+		}
+	}
+}
+
+// checkReachesNoCaller checks what the caller of a path gets whose server sends a broken
+// response.
+func checkReachesNoCaller(t *testing.T, path, text string) {
+	t.Helper()
+	r := startVM(t)
+	app, models := r.backend("s1", "app", respondRaw(text)), r.backend("e1", "models", respondRaw(text))
+	for i := range 2 {
+		id := fmt.Sprint(i)
+		status, body, err := r.sendAndRead(http.MethodPost, path, id, "b")
+		if err == nil && status != http.StatusBadGateway {
+			t.Errorf("status %d, body %q; want 502 or a broken stream", status, body)
+		}
+		if runs := app.RunCount(id) + models.RunCount(id); runs != 1 {
+			t.Errorf("ran %d times, want once", runs)
+		}
+	}
+	if r.failedAttempts() != 2 {
+		t.Errorf("%d log lines about failed attempts, want 2", r.failedAttempts())
+	}
+}
+
+// TestMalformedHeadIsRetried checks that an idempotent request is sent to another server after
+// a response with a malformed head.
+func TestMalformedHeadIsRetried(t *testing.T) {
+	for name, text := range malformedHeads {
+		t.Run(name, func(t *testing.T) { checkRetried(t, text) })
+	}
+}
+
+// checkRetried checks that an idempotent request whose first server sends a broken response is
+// answered by the second one.
+func checkRetried(t *testing.T, text string) {
+	t.Helper()
+	r := startVM(t)
+	a := r.backend("s1", "app", respondRaw(text))
+	b := r.backend("s2", "app", respondWith(origin.Behaviour{Body: "whole"}))
+	for i := 0; a.Accepted() == 0; i++ {
+		status, body, err := r.sendAndRead(http.MethodPost, "/read/x", fmt.Sprint(i), "b")
+		if status != http.StatusOK || body != "whole" || err != nil {
+			t.Errorf("status %d, body %q, error %v; want the response of the other server", status, body, err)
+		}
+		if b.RunCount(fmt.Sprint(i)) != 1 {
+			t.Error("the request did not reach the other server")
+		}
+	}
+}
--- a/foldfake/origin/behaviour.go
+++ b/foldfake/origin/behaviour.go
@@ -24,6 +24,9 @@
 	CleanEnd   bool
 	// ExtraResponse sends a response with a wrong request ID before the correct one.
 	ExtraResponse bool
+	// Raw, if not empty, holds the bytes of the response. The connection stays open, unless
+	// Drop is set.
+	Raw string
 	// Before holds bytes that are sent ahead of the response.
 	Before string
 	// RespondEarly sends the response before the request body has been read.
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -254,6 +254,10 @@
 	s.lastRequests[id] = &Request{Method: r.Method, URI: r.RequestURI, Header: r.Header, Body: string(body)}
 	s.mu.Unlock()
 	switch {
+	case b.Raw != "":
+		s.countRun(id)
+		_, err := io.WriteString(c, b.Raw)
+		return err == nil && !b.Drop
 	case b.Drop:
 		s.countRun(id)
 		return false
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -88,7 +88,6 @@
 		}
 	}
 	c.sent.Store(0)
-	c.upload = nil
 	c.head.received = 0
 	c.takeReader()
 	x := &exchange{pool: p, conn: c, request: r, ctx: ctx}
@@ -238,7 +237,7 @@
 	if x.pool.OnExchange != nil {
 		x.pool.OnExchange(x.ctx, Usage{Sent: x.conn.sent.Load(), Received: x.conn.head.received})
 	}
-	if complete && connOpen && x.reuse && x.conn.upload.written() && x.conn.reader.Buffered() == 0 {
+	if complete && connOpen && x.reuse && x.conn.upload.written() && !x.conn.hasUnread() {
 		x.pool.put(x.conn)
 		return
 	}
@@ -255,6 +254,11 @@
 		return 0, io.EOF
 	}
 	n, err := b.body.Read(p)
+	if err == io.EOF {
+		if malformed := checkTrailer(b.response.Trailer); malformed != nil {
+			err = fmt.Errorf("malformed response: %w", malformed)
+		}
+	}
 	switch {
 	case err == io.EOF:
 		if b.request.OnTrailer != nil && len(b.response.Trailer) > 0 {
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -178,6 +178,7 @@
 // connection that was idle the longest if there are more than MaxIdleTotal.
 func (p *Pool) put(c *conn) {
 	c.releaseReader()
+	c.upload = nil
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
