--- a/foldd/relay/malformed_test.go
+++ b/foldd/relay/malformed_test.go
@@ -23,12 +23,13 @@
 	"blank in a trailer's name": "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Bad Name: 1\r\n\r\n",
 }
 
-// respondRaw returns a handler that sends raw bytes, with the ID of the request in them, and
-// closes the connection.
+// respondRaw returns a handler that sends raw bytes, with the ID of the request in them. It
+// closes the connection after a response whose header doesn't state the end of the body.
 func respondRaw(text string) func(*http.Request) origin.Behaviour {
+	framed := strings.Contains(text, "Content-Length:") || strings.Contains(text, "Transfer-Encoding:")
 	return func(r *http.Request) origin.Behaviour {
 		id := r.Header.Get("Fold-Request-Id")
-		return origin.Behaviour{Raw: strings.ReplaceAll(text, "%s", id), Drop: true}
+		return origin.Behaviour{Raw: strings.ReplaceAll(text, "%s", id), Drop: !framed}
 	}
 }
 
@@ -46,6 +47,7 @@
 // response.
 func checkReachesNoCaller(t *testing.T, path, text string) {
 	t.Helper()
+	t.Parallel()
 	r := startVM(t)
 	app, models := r.backend("s1", "app", respondRaw(text)), r.backend("e1", "models", respondRaw(text))
 	for i := range 2 {
@@ -75,6 +77,7 @@
 // answered by the second one.
 func checkRetried(t *testing.T, text string) {
 	t.Helper()
+	t.Parallel()
 	r := startVM(t)
 	a := r.backend("s1", "app", respondRaw(text))
 	b := r.backend("s2", "app", respondWith(origin.Behaviour{Body: "whole"}))
@@ -88,3 +91,22 @@
 		}
 	}
 }
+
+// badStatusLines are the beginnings of responses whose status is none.
+var badStatusLines = []string{"HTTP/1.1 000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 700 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 101 OK"}
+
+// TestBadStatusReachesNoCaller guards against callers that get a response whose status is none
+// as one of their server, or wait for another one until their request times out.
+func TestBadStatusReachesNoCaller(t *testing.T) {
+	for _, line := range badStatusLines {
+		for place, rest := range map[string]string{
+			"whole": "Content-Length: 4\r\n\r\nbody", "refusal": "Fold-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "no length": "\r\nbody",
+		} {
+			text := line + "\r\nFold-Request-Id: %s\r\n" + rest
+			for _, path := range []string{"/write/x", "/read/deep/x", "/draft/x"} {
+				t.Run(line+", "+place+path, func(t *testing.T) { checkReachesNoCaller(t, path, text) })
+			}
+			t.Run(line+", "+place+", retried", func(t *testing.T) { checkRetried(t, text) })
+		}
+	}
+}
