Own interface: broken responses of servers are errors

A refusal with a malformed head, and status 000 to the start of a generation, were passed on as proof that nothing had run, so that a generation could be started a second time.

Cause: own calls and generations were sent by net/http's Transport, which reads heads as leniently as the pool did, and overlooks a reset that the write of the request was told of.

Changed: they are sent over a netio/pool, as forwards and calls between VMs, through pool.Transport, which was foldd/peer's. So one check serves all. The pool sends no request again, so that foldd/gate needs no hooks in a transport that does; a call that may run only once still gets a connection of its own (Request.Close). Failed attempts of own calls and of starts of generations are logged, with the request's ID, the key or the generation.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -104,12 +104,13 @@
 		}
 	}
 	connect := time.Duration(s.Limits.ConnectTimeout)
-	limited := func(t http.RoundTripper) http.RoundTripper { return gate.New(n, t) }
+	engines, plain := engine.NewPool(connect), entry.NewPool(connect)
+	n.Clock.Every(sweepInterval, engines.Sweep)
+	n.Clock.Every(sweepInterval, plain.Sweep)
 	a.entry = &entry.Handler{
-		Node:                n,
-		Engines:             engine.New(connect, time.Duration(s.Limits.StallTimeout), limited),
-		IdempotentTransport: limited(entry.NewIdempotentTransport(connect)),
-		AtMostOnceTransport: limited(entry.NewAtMostOnceTransport(connect)),
+		Node:      n,
+		Engines:   engine.New(gate.New(n, engines), connect, time.Duration(s.Limits.StallTimeout)),
+		Transport: gate.New(n, plain),
 	}
 	// Callers and operators may be served as soon as the process listens.
 	a.controlHTTP = a.peers.ControlClient()
--- /dev/null
+++ b/foldd/app/broken_test.go
@@ -0,0 +1,131 @@
+package app_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiafold.example/fold/member"
+	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/foldd/app"
+	"fuchsiafold.example/foldd/conf"
+	"fuchsiafold.example/foldfake/origin"
+)
+
+// brokenResponses are responses that are none in HTTP, or that end before they are complete, to
+// the request with the ID %s.
+var brokenResponses = map[string]origin.Behaviour{
+	"status 000":           {Raw: "HTTP/1.1 000 OK\r\nFold-Request-Id: %s\r\nContent-Length: 4\r\n\r\nbody"},
+	"status 000, empty":    {Raw: "HTTP/1.1 000 OK\r\nFold-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"},
+	"blank in a name":      {Raw: "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nX-Bad Name: 1\r\nContent-Length: 4\r\n\r\nbody"},
+	"control byte":         {Raw: "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nX-\x02Bad: 1\r\nContent-Length: 4\r\n\r\nbody"},
+	"blank in a refusal":   {Raw: "HTTP/1.1 503 Service Unavailable\r\nFold-Request-Id: %s\r\nFold-Not-Run: 1\r\nX-Bad Name: 1\r\nContent-Length: 0\r\n\r\n"},
+	"blank after a length": {Raw: "HTTP/1.1 200 OK\r\nFold-Request-Id: %s\r\nContent-Length : 4\r\n\r\nbody and more", Drop: true},
+	"reset":                {Body: "a whole body", TruncateAt: 4, CloseDelimited: true, ResetEarly: true, ResetAfter: time.Millisecond},
+	"reset, body unread":   {Body: "a whole body", TruncateAt: 4, CloseDelimited: true, ResetEarly: true, ResetAfter: time.Millisecond, StopReading: true},
+}
+
+// largeUpload is the size in bytes of a body that is not written at once.
+const largeUpload = 12 << 20
+
+// respondBroken returns a handler that sends a broken response.
+func respondBroken(b origin.Behaviour) func(*http.Request) origin.Behaviour {
+	return func(r *http.Request) origin.Behaviour {
+		b := b
+		b.Raw = strings.ReplaceAll(b.Raw, "%s", r.Header.Get("Fold-Request-Id"))
+		return b
+	}
+}
+
+// startBroken starts a stand-in server of the plain service that sends broken responses, and
+// announces it to a VM.
+func startBroken(t *testing.T, a *app.App, b origin.Behaviour) *origin.Server {
+	t.Helper()
+	s, err := origin.New("broken", respondBroken(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	a.Node.ReceiveAnnouncement(member.Backend{ID: s.ID, Addr: s.Addr(), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1})
+	return s
+}
+
+func allowLargeUploads(s *conf.Settings) {
+	s.Limits.MaxBody, s.Limits.BodyMemory = largeUpload, 8*largeUpload
+}
+
+// TestBrokenResponseIsNoAnswerToOwnCall guards against callers of the own interface that get a
+// broken response as a whole one, or are told that a call did not run that may have run.
+func TestBrokenResponseIsNoAnswerToOwnCall(t *testing.T) {
+	for name, b := range brokenResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a := startEntry(t, "a1", func(s *conf.Settings) {
+				s.Control = &conf.Control{DataFolder: t.TempDir(), Bootstrap: true}
+				allowLargeUploads(s)
+			})
+			waitFor(t, "the control replica to become leader", func() bool { return counter(a, "control.leaderChanges") > 0 })
+			s := startBroken(t, a, b)
+			for i := range 3 {
+				r := atMostOnceRequest(fmt.Sprint(i))
+				r.body = strings.Repeat("u", largeUpload)
+				res := r.send(t, a)
+				if res.StatusCode == http.StatusOK {
+					body, _ := io.ReadAll(res.Body)
+					t.Errorf("status 200, %q", body)
+				} else if _, outcome := readError(t, res); outcome == "notRun" {
+					t.Errorf("status %d, outcome notRun; the server began the call", res.StatusCode)
+				}
+			}
+			if runs := s.RunCount(""); runs > 3 {
+				t.Errorf("three calls ran %d times", runs)
+			}
+		})
+	}
+}
+
+// TestOwnCallIsRetriedAfterBrokenResponse checks that an idempotent call is sent to another
+// server after a broken response.
+func TestOwnCallIsRetriedAfterBrokenResponse(t *testing.T) {
+	for name, b := range brokenResponses {
+		if b.ResetEarly {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a := startEntry(t, "a1", nil)
+			broken := startBroken(t, a, b)
+			startService(t, "s2", a)
+			for broken.RunCount("") < 2 {
+				res := callerRequest{method: "GET", path: "/lookup"}.send(t, a)
+				if body, err := io.ReadAll(res.Body); res.StatusCode != http.StatusOK || err != nil || !strings.Contains(string(body), `"path":"/lookup"`) {
+					t.Fatalf("status %d, body %q, error %v; want the answer of the other server", res.StatusCode, body, err)
+				}
+			}
+		})
+	}
+}
+
+// TestBrokenResponseThroughOtherVM guards against broken responses that reach callers of a VM
+// that passes their requests on to another VM, since it can't reach the servers.
+func TestBrokenResponseThroughOtherVM(t *testing.T) {
+	for name, b := range brokenResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rig := newCutOffRigWith(t, respondBroken(b), allowLargeUploads)
+			for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
+				res, body, err := rig.callWith(context.Background(), t, kind, kind, strings.Repeat("u", largeUpload))
+				if err == nil && res.StatusCode != http.StatusBadGateway {
+					t.Errorf("%s: status %d, body %q; want 502 or a broken stream", kind, res.StatusCode, body)
+				}
+				if runs := rig.server.RunCount(kind); runs != 1 {
+					t.Errorf("%s: ran %d times, want once", kind, runs)
+				}
+			}
+		})
+	}
+}
--- a/foldd/app/cutoff_test.go
+++ b/foldd/app/cutoff_test.go
@@ -32,6 +32,12 @@
 // behaves as behave says. The VM that is cut off knows the server at an address where
 // nothing listens.
 func newCutOffRig(t *testing.T, behave func(r *http.Request) origin.Behaviour) *cutOffRig {
+	t.Helper()
+	return newCutOffRigWith(t, behave, func(*conf.Settings) {})
+}
+
+// newCutOffRigWith is newCutOffRig for VMs whose settings edit changes.
+func newCutOffRigWith(t *testing.T, behave func(r *http.Request) origin.Behaviour, edit func(*conf.Settings)) *cutOffRig {
 	t.Helper()
 	server, err := origin.New("s1", behave)
 	if err != nil {
@@ -39,9 +45,10 @@
 	}
 	t.Cleanup(server.Close)
 	rig := &cutOffRig{server: server}
-	rig.other = startEntry(t, "b1", nil)
+	rig.other = startEntry(t, "b1", edit)
 	rig.cutOff = startEntry(t, "a1", func(s *conf.Settings) {
 		s.Peers = []netip.AddrPort{rig.other.Addrs().Peers}
+		edit(s)
 	})
 	rig.apply(t)
 	waitFor(t, "the VMs to know each other", func() bool {
@@ -117,7 +124,13 @@
 // in its header.
 func (r *cutOffRig) call(ctx context.Context, t *testing.T, kind, id string, header ...string) (*http.Response, string, error) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.cutOff.Addrs().Callers.String()+"/"+kind+"/x?q=1", strings.NewReader("body of "+id))
+	return r.callWith(ctx, t, kind, id, "body of "+id, header...)
+}
+
+// callWith is call for a request with a body.
+func (r *cutOffRig) callWith(ctx context.Context, t *testing.T, kind, id, text string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.cutOff.Addrs().Callers.String()+"/"+kind+"/x?q=1", strings.NewReader(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/foldd/engine/endless_test.go
+++ b/foldd/engine/endless_test.go
@@ -28,7 +28,7 @@
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			stream, _, err := engine.New(time.Second, time.Second, nil).Start(ctx, s.Addr(), engine.Request{RequestID: "1"})
+			stream, _, err := newClient().Start(ctx, s.Addr(), engine.Request{RequestID: "1"})
 			if err == nil {
 				err = stream.Events(func(engine.Event) bool { return true })
 			}
--- a/foldd/engine/engine.go
+++ b/foldd/engine/engine.go
@@ -2,7 +2,7 @@
 // to running ones and cancels them, using the completions protocol with
 // server-sent events.
 //
-// It uses the standard library's HTTP client, since the client of nbhttp returns
+// It sends requests over a pool of connections, since the client of nbhttp returns
 // a response only once its body is complete.
 package engine
 
@@ -26,7 +26,7 @@
 
 	"fuchsiafold.example/fold/deliv"
 	"fuchsiafold.example/fold/limit"
-	"fuchsiafold.example/netio/bound"
+	"fuchsiafold.example/netio/pool"
 )
 
 // ErrNotFound is returned when the engine does not have the generation, or no
@@ -105,26 +105,22 @@
 	stallTimeout  time.Duration
 }
 
-// maxIdlePerEngine is the largest number of idle connections to one engine.
-const maxIdlePerEngine = 16
+const (
+	// maxIdlePerEngine is the largest number of idle connections to one engine.
+	maxIdlePerEngine = 16
+	// idleTimeout is how long a connection to an engine stays idle.
+	idleTimeout = 90 * time.Second
+)
+
+// NewPool returns a pool of connections to engines, each of which is opened within connect.
+func NewPool(connect time.Duration) *pool.Pool {
+	return &pool.Pool{DialTimeout: connect, IdleTimeout: idleTimeout, MaxIdle: maxIdlePerEngine}
+}
 
 // New returns a client that waits at most headerTimeout for a connection and for
 // a response header, and at most stallTimeout for each event of a stream. It sends its
-// requests by the transport that wrap returns; a nil wrap changes nothing.
-func New(headerTimeout, stallTimeout time.Duration, wrap func(http.RoundTripper) http.RoundTripper) *Client {
-	var t http.RoundTripper = &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: headerTimeout}).DialContext,
-		ResponseHeaderTimeout:  headerTimeout,
-		MaxResponseHeaderBytes: bound.MaxHead,
-		MaxIdleConnsPerHost:    maxIdlePerEngine,
-		IdleConnTimeout:        90 * time.Second,
-		DisableCompression:     true,
-		ReadBufferSize:         4 << 10,
-		WriteBufferSize:        4 << 10,
-	}
-	if wrap != nil {
-		t = wrap(t)
-	}
+// requests by t.
+func New(t http.RoundTripper, headerTimeout, stallTimeout time.Duration) *Client {
 	return &Client{http: &http.Client{Transport: t}, headerTimeout: headerTimeout, stallTimeout: stallTimeout}
 }
 
@@ -149,9 +145,8 @@
 		return nil, false, fmt.Errorf("encode request: %w", err)
 	}
 	s, err = c.open(ctx, http.MethodPost, addr, "/v1/completions", body, nil)
-	var op *net.OpError
 	var denied *limit.DeniedError
-	if errors.As(err, &op) && op.Op == "dial" || errors.As(err, &denied) {
+	if !pool.WasSent(err) || errors.As(err, &denied) {
 		return nil, false, err
 	}
 	return s, true, err
--- a/foldd/engine/engine_test.go
+++ b/foldd/engine/engine_test.go
@@ -12,8 +12,13 @@
 	"time"
 
 	"fuchsiafold.example/foldd/engine"
+	"fuchsiafold.example/netio/pool"
 )
 
+func newClient() *engine.Client {
+	return engine.New(pool.Transport{Pool: engine.NewPool(time.Second)}, time.Second, time.Second)
+}
+
 // serveOnce answers one request with the given bytes and closes the connection.
 func serveOnce(t *testing.T, response string) netip.AddrPort {
 	t.Helper()
@@ -50,7 +55,7 @@
 		"before the first event": "", "after an event": first, "within a line": first + last[:20], "before the blank line": first + last,
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := engine.New(time.Second, time.Second, nil)
+			c := newClient()
 			s, _, err := c.Start(context.Background(), serveOnce(t, head+body), engine.Request{RequestID: "1"})
 			if err != nil {
 				t.Fatal(err)
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -245,6 +244,9 @@
 		c.recordCrash(ctx, b, a, err)
 		var denied *limit.DeniedError
 		if !errors.As(err, &denied) {
+			if err != nil && ctx.Err() == nil {
+				c.logFailedAttempt(b, err)
+			}
 			c.triedBackends = append(c.triedBackends, b.ID)
 			return answer, a, fail
 		}
@@ -288,11 +290,9 @@
 		return answer, a, fault.NotRun(http.StatusBadRequest, fault.BadRequest, err.Error()), err
 	}
 	a.Sent = true
-	res, err := c.transport().RoundTrip(req)
+	res, err := c.handler.Transport.RoundTrip(req)
 	if err != nil {
-		// If the dial failed, nothing was sent.
-		var op *net.OpError
-		a.Sent = !(errors.As(err, &op) && op.Op == "dial")
+		a.Sent = pool.WasSent(err)
 		return answer, a, callFault(a, err), err
 	}
 	defer res.Body.Close()
@@ -303,44 +303,25 @@
 	return c.readAnswer(res, a)
 }
 
-func (c *call) transport() http.RoundTripper {
-	if c.route.Idempotent {
-		return c.handler.IdempotentTransport
-	}
-	return c.handler.AtMostOnceTransport
-}
-
-// NewIdempotentTransport returns the transport for idempotent calls. It reuses
-// connections. The timeout connect bounds the dial of a new one.
-func NewIdempotentTransport(connect time.Duration) http.RoundTripper {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connect}).DialContext,
-		MaxResponseHeaderBytes: bound.MaxHead,
-		MaxIdleConnsPerHost:    maxIdleConnsPerBackend,
-		DisableCompression:     true,
-	}
-}
+const (
+	// maxIdlePerBackend is the largest number of idle connections to one backend server.
+	maxIdlePerBackend = 32
+	// idleTimeout is how long a connection to a backend server stays idle.
+	idleTimeout = 90 * time.Second
+)
 
-// NewAtMostOnceTransport returns the transport for calls that run at most once.
-// It opens a connection for each call, because the standard transport resends a
-// request that has an Idempotency-Key header when a reused connection breaks.
-// The timeout connect bounds the dial.
-func NewAtMostOnceTransport(connect time.Duration) http.RoundTripper {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connect}).DialContext,
-		MaxResponseHeaderBytes: bound.MaxHead,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-	}
+// NewPool returns a pool of connections for plain calls, each of which is opened within connect.
+func NewPool(connect time.Duration) *pool.Pool {
+	return &pool.Pool{DialTimeout: connect, IdleTimeout: idleTimeout, MaxIdle: maxIdlePerBackend}
 }
 
-const maxIdleConnsPerBackend = 32
-
 func (c *call) newBackendRequest(ctx context.Context, base string) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, c.r.Method, base+c.r.URL.RequestURI(), bytes.NewReader(c.body))
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
+	// A call that runs at most once is not lost to the close of a connection that was idle.
+	req.Close = !c.route.Idempotent
 	for _, k := range []string{"Content-Type", "Accept", headerIdempotency} {
 		if v := c.r.Header.Get(k); v != "" {
 			req.Header.Set(k, v)
--- a/foldd/entry/call_test.go
+++ b/foldd/entry/call_test.go
@@ -18,6 +18,7 @@
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldd/entry"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/netio/pool"
 )
 
 // claims is a claim store that grants every claim after claimTime, and settles none
@@ -71,7 +72,7 @@
 	}))
 	t.Cleanup(service.Close)
 	n.ReceiveAnnouncement(member.Backend{ID: "s", Addr: netip.MustParseAddrPort(service.Listener.Addr().String()), Kind: spec.KindPlain, Service: "app", Domain: "a", Epoch: 1, Seq: 1})
-	return &entry.Handler{Node: n, Claims: c, AtMostOnceTransport: entry.NewAtMostOnceTransport(time.Second)}
+	return &entry.Handler{Node: n, Claims: c, Transport: pool.Transport{Pool: entry.NewPool(time.Second)}}
 }
 
 // call sends a call and returns its status, its outcome and how long it took.
--- a/foldd/entry/entry.go
+++ b/foldd/entry/entry.go
@@ -38,10 +38,8 @@
 	// Claims stores the claims of calls that run at most once. If it is nil,
 	// these calls are rejected.
 	Claims ClaimStore
-	// IdempotentTransport sends idempotent plain calls.
-	IdempotentTransport http.RoundTripper
-	// AtMostOnceTransport sends all other plain calls.
-	AtMostOnceTransport http.RoundTripper
+	// Transport sends plain calls. It must not send a call again.
+	Transport http.RoundTripper
 }
 
 // ServeHTTP implements http.Handler.
@@ -75,6 +73,8 @@
 	workspace string
 	index     *spec.Index
 	caller    *serve.Caller
+	// requestID is the caller's name for the request in the logs, empty if there is none.
+	requestID string
 }
 
 func (e *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) *fault.Fault {
@@ -120,7 +120,7 @@
 	if !ok {
 		return requester{}, fault.NotRun(http.StatusUnauthorized, fault.Unauthorized, "unknown workspace key")
 	}
-	return requester{workspace: workspace, index: index, caller: serve.CallerOf(r)}, nil
+	return requester{workspace: workspace, index: index, caller: serve.CallerOf(r), requestID: r.Header.Get(headerRequestID)}, nil
 }
 
 type modelList struct {
--- a/foldd/entry/generation.go
+++ b/foldd/entry/generation.go
@@ -229,6 +229,7 @@
 	}
 	n.Finish(g.sched.ID, sched.Failed)
 	n.Count("engine.failedStarts", 1)
+	g.logFailedStart(b, id, err)
 	if sent {
 		g.out.mayHaveRun = true
 		g.cancel(b, id)
--- a/foldd/gate/gate.go
+++ b/foldd/gate/gate.go
@@ -4,20 +4,15 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
-	"fuchsiafold.example/fold/limit"
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/relay"
+	"fuchsiafold.example/netio/pool"
 )
 
 // errNoBackend reports a request whose context names no backend server.
@@ -27,63 +22,14 @@
 // says of its server. The context of a request must be one of WithBackend.
 // Without a permit, nothing is sent and the error is a *limit.DeniedError.
 type Transport struct {
-	Node *node.Node
-	Base http.RoundTripper
+	node *node.Node
+	base pool.Transport
 }
 
-// New returns a Transport over base. If base opens connections with a DialContext, a request
-// is checked again once its connection is open, which may take long, and each time that it
-// gets an idle one: base sends a request again if the server closes the connection.
-func New(n *node.Node, base http.RoundTripper) *Transport {
-	if t, ok := base.(*http.Transport); ok && t.DialContext != nil {
-		dial := t.DialContext
-		t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dial(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			if to, ok := ctx.Value(targetKey{}).(target); ok {
-				if err := n.CheckSend(to.backend, to.purpose); err != nil {
-					c.Close()
-					return nil, err
-				}
-			}
-			return &conn{Conn: c}, nil
-		}
-	}
-	return &Transport{Node: n, Base: base}
-}
-
-// conn is a connection of a Transport that New has returned.
-type conn struct {
-	net.Conn
-	// current is the request that the connection is used for, nil before the first.
-	current atomic.Pointer[sending]
-}
-
-// sending is the state of a request that is sent.
-type sending struct {
-	// refused is why the request may not be written to its connection, nil if it may. It is
-	// set before the request is written.
-	refused atomic.Pointer[error]
-	// written is set once a byte of the request was written to any connection.
-	written atomic.Bool
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(b []byte) (int, error) {
-	s := c.current.Load()
-	if s == nil {
-		return c.Conn.Write(b)
-	}
-	if err := s.refused.Load(); err != nil {
-		return 0, *err
-	}
-	n, err := c.Conn.Write(b)
-	if n > 0 {
-		s.written.Store(true)
-	}
-	return n, err
+// New returns a Transport over p. A request is checked again once it has a connection, which
+// may take long to open.
+func New(n *node.Node, p *pool.Pool) *Transport {
+	return &Transport{node: n, base: pool.Transport{Pool: p}}
 }
 
 // target is the backend server of a request, and why the request is sent.
@@ -106,42 +52,19 @@
 		closeBody(r)
 		return nil, errNoBackend
 	}
-	if _, err := t.Node.AcquirePermit(r.Context(), to.backend, to.purpose); err != nil {
+	if _, err := t.node.AcquirePermit(r.Context(), to.backend, to.purpose); err != nil {
 		closeBody(r)
 		return nil, err
 	}
-	var informational []http.Header
-	var s sending
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			c, ok := info.Conn.(*conn)
-			if !ok {
-				return
-			}
-			s.refused.Store(nil)
-			if err := t.Node.CheckSend(to.backend, to.purpose); err != nil {
-				s.refused.Store(&err)
-			}
-			c.current.Store(&s)
-		},
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
-			informational = append(informational, http.Header(h))
-			return nil
-		},
-	})
-	res, err := t.Base.RoundTrip(r.WithContext(ctx))
+	res, informational, err := t.base.Send(r, func(context.Context) error { return t.node.CheckSend(to.backend, to.purpose) })
 	if err != nil {
-		if denied := (*limit.DeniedError)(nil); errors.As(err, &denied) && s.written.Load() {
-			// The server may have begun the request, which a DeniedError would rule out.
-			err = eris.Errorf("the connection was lost, and the request not sent again: %v", denied)
-		}
 		return nil, err
 	}
 	codec := relay.DefaultCodec()
 	reply := codec.ParseReply(res.StatusCode, res.Header)
-	relay.ObserveResponse(t.Node, to.backend, &codec, res.StatusCode, reply, informational)
+	relay.ObserveResponse(t.node, to.backend, &codec, res.StatusCode, reply, informational)
 	res.Body = &trailerReader{ReadCloser: res.Body, response: res, observe: func(h http.Header) {
-		relay.ObserveFields(t.Node, to.backend, &codec, reply, h)
+		relay.ObserveFields(t.node, to.backend, &codec, reply, h)
 	}}
 	return res, nil
 }
--- a/foldd/gate/gate_test.go
+++ b/foldd/gate/gate_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -23,6 +22,7 @@
 	"fuchsiafold.example/foldd/gate"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldfake/meter"
+	"fuchsiafold.example/netio/pool"
 )
 
 func newNode(t *testing.T) *node.Node {
@@ -47,7 +47,7 @@
 	t.Cleanup(s.Close)
 	addr := strings.TrimPrefix(s.URL, "http://")
 	b := member.Backend{ID: "s", Addr: netip.MustParseAddrPort(addr), Service: "app"}
-	transport := &gate.Transport{Node: newNode(t), Base: http.DefaultTransport}
+	transport := gate.New(newNode(t), &pool.Pool{})
 	for i := range 3 {
 		before := m.Count()
 		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, node.FirstSend), http.MethodGet, s.URL, nil)
@@ -71,7 +71,7 @@
 }
 
 func TestRequestWithoutBackendIsNotSent(t *testing.T) {
-	transport := &gate.Transport{Node: newNode(t), Base: http.DefaultTransport}
+	transport := gate.New(newNode(t), &pool.Pool{})
 	req := httptest.NewRequest(http.MethodGet, "http://127.0.0.1:1/", nil)
 	if _, err := transport.RoundTrip(req); err == nil || strings.Contains(err.Error(), "refused") {
 		t.Errorf("error %v, want one of a request that names no backend server", err)
@@ -86,10 +86,7 @@
 	defer s.Close()
 	n := newNode(t)
 	set := evac.Set{}.Add("b", time.Unix(1, 0))
-	transport := gate.New(n, &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		n.ApplyEvacuations(set, "")
-		return (&net.Dialer{}).DialContext(ctx, network, addr)
-	}})
+	transport := gate.New(n, &pool.Pool{OnDial: func(context.Context) { n.ApplyEvacuations(set, "") }})
 	send := func(p node.Purpose) error {
 		b := member.Backend{ID: "e", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Service: "s", Domain: "b", Epoch: 1}
 		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, p), http.MethodGet, s.URL, nil)
@@ -111,9 +108,9 @@
 	}
 }
 
-// TestOrderWhileResending guards against a request that the HTTP transport sends again over
-// another idle connection, because the server closed the first one without a response, after
-// the order to evacuate the server came in force.
+// TestOrderWhileResending guards against a request that is sent again over another idle
+// connection, because the server closed the first one without a response, after the order to
+// evacuate the server came in force.
 func TestOrderWhileResending(t *testing.T) {
 	var received atomic.Int64
 	var both sync.WaitGroup
@@ -139,9 +136,7 @@
 	}))
 	defer s.Close()
 	b := member.Backend{ID: "e", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Service: "s", Domain: "b", Epoch: 1}
-	base := &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 2}
-	defer base.CloseIdleConnections()
-	transport := gate.New(n, base)
+	transport := gate.New(n, &pool.Pool{})
 	send := func(path string) error {
 		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, node.FirstSend), http.MethodGet, s.URL+path, nil)
 		if err != nil {
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -59,7 +59,7 @@
 // exchanges.
 func New(n *node.Node) *Service {
 	p := newPool(n.Traffic)
-	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{poolTransport{p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
+	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{pool.Transport{Pool: p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
 	s.client = wire.NewPeerServiceClient(addressedClient{s}, "http://vm", s.Options())
 	metrics.NewRegisteredFunctionalGauge("connections.peers.idle", n.Metrics, func() int64 { return int64(p.Idle()) })
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -43,7 +42,7 @@
 			}
 		case ctx.Err() != nil:
 			return nil, s.cancelOpen(ctx, b, err)
-		case wasSent(err):
+		case pool.WasSent(err):
 			if f := s.failOpen(ctx, b, err); f != nil {
 				return nil, f
 			}
@@ -118,7 +117,7 @@
 // disconnected, or whose VM ends.
 func (s *stream) cancelOpen(ctx context.Context, b backend, err error) *fault.Fault {
 	s.q.relay.Node.EndPlacement(b.ID, s.placement, place.Cancelled)
-	if wasSent(err) {
+	if pool.WasSent(err) {
 		s.q.sent++
 		s.q.retryGranted = false
 	}
@@ -139,12 +138,6 @@
 	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
 }
 
-// wasSent reports whether a request that failed may have reached the server.
-func wasSent(err error) bool {
-	var pe *pool.Error
-	return !errors.As(err, &pe) || pe.Sent
-}
-
 // firstTokenBudget returns the time left until the first token is due. It is at
 // least 1 ns if the forward has a target, and zero otherwise.
 func (s *stream) firstTokenBudget() time.Duration {
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -118,12 +118,12 @@
 		n.EndPass(q.service.Name, p.ID, ctx.Err() == nil)
 		q.logPassFailure(p, err)
 		switch {
-		case ctx.Err() != nil && wasSent(err):
+		case ctx.Err() != nil && pool.WasSent(err):
 			q.sent++
 			return nil, q.timeoutFault(ctx)
 		case ctx.Err() != nil:
 			return nil, nil
-		case wasSent(err):
+		case pool.WasSent(err):
 			q.sent++
 			return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: errPeerLost.Error(), Outcome: retry.Unknown}
 		}
@@ -181,7 +181,7 @@
 func (q *request) logPassFailure(p member.Peer, err error) {
 	q.relay.Node.Count("peer.failed", 1)
 	q.relay.Node.Log.WithError(err).WithFields(logrus.Fields{
-		"request": q.params.ID, "peer": p.ID, "declined": errors.Is(err, errPeerDeclined), "sent": wasSent(err), "ms": sinceArrival(q).Milliseconds(),
+		"request": q.params.ID, "peer": p.ID, "declined": errors.Is(err, errPeerDeclined), "sent": pool.WasSent(err), "ms": sinceArrival(q).Milliseconds(),
 	}).Info("request not served by another VM")
 }
 
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -25,6 +25,8 @@
 	// fields. The pool sets Host and Content-Length itself.
 	Header http.Header
 	Body   []byte
+	// Close opens a connection for the request alone, and tells the server so.
+	Close bool
 	// Matches reports whether a response with the given status and header belongs to
 	// the request; nil accepts every response. It is needed because a server may
 	// repeat the response to an earlier request, or send bytes that belong to none.
@@ -77,7 +79,7 @@
 // sends the request at most once. If ctx ends before the body has been read, the
 // connection is closed. The error, if any, is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.Addr)
+	c, err := p.connect(ctx, r)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -103,6 +105,14 @@
 	return res, nil
 }
 
+// connect returns the connection for a request.
+func (p *Pool) connect(ctx context.Context, r *Request) (*conn, error) {
+	if r.Close {
+		return p.dial(ctx, r.Addr)
+	}
+	return p.get(ctx, r.Addr)
+}
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	pool    *Pool
@@ -155,9 +165,12 @@
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
-	exclude := map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true}
+	exclude := map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": r.Close}
 	// A write to a bytes.Buffer does not fail.
 	_ = r.Header.WriteSubset(&b, exclude)
+	if r.Close {
+		b.WriteString("Connection: close\r\n")
+	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
@@ -187,7 +200,7 @@
 		}
 		x.responseStarted = true
 		x.body, x.response = res.Body, res
-		x.reuse = !res.Close
+		x.reuse = !res.Close && !x.request.Close
 		x.conn.keepAlive = keepAliveTimeout(res.Header)
 		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Framing: framingOf(res), Body: (*body)(x), Informational: informational, Skipped: skipped}, nil
 	}
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -65,6 +65,12 @@
 // Unwrap returns e.Err.
 func (e *Error) Unwrap() error { return e.Err }
 
+// WasSent reports whether a byte of a request that failed with err may have reached its server.
+func WasSent(err error) bool {
+	var pe *Error
+	return !errors.As(err, &pe) || pe.Sent
+}
+
 // Usage is what one request and its responses took on the connection in bytes, heads included.
 type Usage struct{ Sent, Received int64 }
 
