Calls to control VMs: a head that HTTP does not allow is an error

Seen: a control VM, or a faulty server that had got its address, whose reply had a head with a blank in a name, a folded line, a control byte in the reason or another version of HTTP, was believed; with "Content-Encoding : gzip" the compressed bytes were taken for the message.

Changed: redial.Transport, which closes all idle connections once a reused one fails, is one over a pool. The pool tells whether a failed request was sent on a connection that had been idle, can close all idle ones, and has a Dial as a seam for the tests in virtual time.

--- a/foldd/ctrl/rig_test.go
+++ b/foldd/ctrl/rig_test.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"fuchsiafold.example/foldd/peer"
+	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
 )
@@ -118,8 +119,10 @@
 const dialTimeout = time.Second
 
 // dialFrom opens connections of the VM at caller.
-func (n *network) dialFrom(caller string) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	return func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, caller, addr) }
+func (n *network) dialFrom(caller string) func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		return n.dial(ctx, caller, addr.String())
+	}
 }
 
 // dial opens a connection to the listener at an address.
@@ -401,11 +404,9 @@
 
 // httpClient returns a client whose connections are opened by the VM at addr.
 func (g *groupRig) httpClient(t *testing.T, addr netip.AddrPort) *http.Client {
-	transport := &redial.Transport{}
-	transport.DialContext = g.network.dialFrom(addr.String())
-	transport.MaxIdleConnsPerHost = 2
-	t.Cleanup(transport.CloseIdleConnections)
-	return &http.Client{Transport: transport}
+	p := &pool.Pool{Dial: g.network.dialFrom(addr.String()), MaxIdle: 2, IdleTimeout: time.Minute}
+	t.Cleanup(p.CloseAllIdle)
+	return &http.Client{Transport: &redial.Transport{Pool: p}}
 }
 
 // addEntryVMs adds n VMs without a control replica.
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -23,7 +22,6 @@
 	"fuchsiafold.example/foldd/link"
 	"fuchsiafold.example/foldd/node"
 	"fuchsiafold.example/foldd/traffic"
-	"fuchsiafold.example/netio/bound"
 	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/redial"
 	"fuchsiafold.example/wire"
@@ -58,7 +56,8 @@
 // New returns a service and sets it as the transport of the node. Start begins the
 // exchanges.
 func New(n *node.Node) *Service {
-	p := newPool(n.Traffic)
+	p := newPool()
+	n.Traffic.Observe(p, traffic.Other)
 	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{pool.Transport{Pool: p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
 	s.client = wire.NewPeerServiceClient(addressedClient{s}, "http://vm", s.Options())
 	metrics.NewRegisteredFunctionalGauge("connections.peers.idle", n.Metrics, func() int64 { return int64(p.Idle()) })
@@ -71,25 +70,11 @@
 // ControlClient returns a new HTTP client for calls to control VMs. It shares no
 // connections with other calls.
 func (s *Service) ControlClient() *http.Client {
-	t := &redial.Transport{}
-	configureTransport(&t.Transport)
-	dial := t.DialContext
-	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
-		if err == nil {
-			s.node.Traffic.AddConnection(traffic.Out, traffic.Control)
-		}
-		return c, err
-	}
-	return &http.Client{Transport: framedTransport{refusalTransport{traffic.Transport{Counts: s.node.Traffic, Kind: traffic.Control, Base: t}}}}
-}
-
-// configureTransport sets up a transport for calls to control VMs.
-func configureTransport(t *http.Transport) {
-	t.DialContext = (&net.Dialer{Timeout: callTimeout}).DialContext
-	t.MaxResponseHeaderBytes = bound.MaxHead
-	t.MaxIdleConnsPerHost = maxIdlePerVM
-	t.IdleConnTimeout = idleTimeout
+	p := newPool()
+	p.OnDial = func(context.Context) { s.node.Traffic.AddConnection(traffic.Out, traffic.Control) }
+	s.node.Clock.Every(sweepInterval, p.Sweep)
+	t := traffic.Transport{Counts: s.node.Traffic, Kind: traffic.Control, Base: &redial.Transport{Pool: p}}
+	return &http.Client{Transport: framedTransport{refusalTransport{t}}}
 }
 
 // MaxMessage bounds a message of another VM or of an operator in bytes. A configuration
--- a/foldd/peer/transport.go
+++ b/foldd/peer/transport.go
@@ -8,7 +8,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"fuchsiafold.example/foldd/traffic"
 	"fuchsiafold.example/netio/pool"
 )
 
@@ -21,11 +20,9 @@
 	idleTimeout  = time.Minute
 )
 
-// newPool returns a pool of connections to other VMs, whose traffic is counted.
-func newPool(counts *traffic.Counts) *pool.Pool {
-	p := &pool.Pool{DialTimeout: callTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdlePerVM, MaxIdleTotal: maxIdle}
-	counts.Observe(p, traffic.Other)
-	return p
+// newPool returns a pool of connections to other VMs.
+func newPool() *pool.Pool {
+	return &pool.Pool{DialTimeout: callTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdlePerVM, MaxIdleTotal: maxIdle}
 }
 
 type addrKey struct{}
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -100,7 +100,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = fmt.Errorf("%w: %w", cause, err)
 		}
-		return nil, &Error{Sent: x.sent, ResponseStarted: x.responseStarted, Err: err}
+		return nil, &Error{Sent: x.sent, ResponseStarted: x.responseStarted, Reused: c.reused, Err: err}
 	}
 	return res, nil
 }
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -57,7 +57,9 @@
 	Sent bool
 	// ResponseStarted is set if the header of the response has arrived.
 	ResponseStarted bool
-	Err             error
+	// Reused is set if the request got a connection that was idle.
+	Reused bool
+	Err    error
 }
 
 func (e *Error) Error() string { return e.Err.Error() }
@@ -85,6 +87,8 @@
 	IdleTimeout  time.Duration
 	MaxIdle      int
 	MaxIdleTotal int
+	// Dial, if not nil, opens connections in place of the kernel's TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// OnDial, if not nil, is called after each connection that is opened, with the context
 	// of the call that has opened it.
 	OnDial func(ctx context.Context)
@@ -105,7 +109,7 @@
 
 // conn is one connection. It is owned by one exchange, or by the pool while idle.
 type conn struct {
-	*net.TCPConn
+	net.Conn
 	addr netip.AddrPort
 	// sent is the number of bytes written for the current exchange.
 	sent atomic.Int64
@@ -117,6 +121,8 @@
 	// reader is nil while the connection is idle.
 	reader    *bufio.Reader
 	idleSince time.Time
+	// reused is set once the connection has been idle.
+	reused bool
 	// inAge is the connection's element of Pool.byAge while it is idle.
 	inAge *list.Element
 	// keepAlive is how long the server keeps an idle connection open, from its
@@ -185,6 +191,7 @@
 func (p *Pool) put(c *conn) {
 	c.releaseReader()
 	c.upload = nil
+	c.reused = true
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -269,6 +276,19 @@
 	delete(p.idle, addr)
 }
 
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	clear(p.idle)
+	p.byAge.Init()
+}
+
 // Sweep closes the connections whose idle time has exceeded the limit at now.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
@@ -291,27 +311,35 @@
 	}
 }
 
+// dial opens a connection.
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	d := net.Dialer{
-		Timeout: orDefault(p.DialTimeout, DefaultDialTimeout),
-		Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-		},
+	open := p.dialTCP
+	if p.Dial != nil {
+		open = p.Dial
 	}
-	nc, err := d.DialContext(ctx, "tcp", addr.String())
+	nc, err := open(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	if p.OnDial != nil {
 		p.OnDial(ctx)
 	}
-	tcp := nc.(*net.TCPConn)
-	c := &conn{TCPConn: tcp, addr: addr}
+	c := &conn{Conn: nc, addr: addr}
 	c.head.r = c
 	return c, nil
 }
 
+func (p *Pool) dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: orDefault(p.DialTimeout, DefaultDialTimeout),
+		Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+	}
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
 // takeReader gives the connection a read buffer, for an exchange.
 func (c *conn) takeReader() {
 	c.reader = readers.Get().(*bufio.Reader)
@@ -330,7 +358,7 @@
 
 // Read implements net.Conn. It returns io.EOF only if the server has closed the connection.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	if err == io.EOF {
 		if cause := c.lost(); cause != nil {
 			err = fmt.Errorf("connection lost while the request was sent: %w", cause)
@@ -341,7 +369,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.TCPConn.Write(b)
+	n, err := c.Conn.Write(b)
 	c.sent.Add(int64(n))
 	return n, err
 }
@@ -358,9 +386,13 @@
 }
 
 // checkIdle returns an error if an idle connection cannot be reused. It peeks at
-// the socket without blocking.
+// the socket, if there is one, without blocking.
 func (c *conn) checkIdle() error {
-	raw, err := c.SyscallConn()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/netio/redial/redial.go
+++ b/netio/redial/redial.go
@@ -3,24 +3,22 @@
 package redial
 
 import (
+	"errors"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+
+	"fuchsiafold.example/netio/pool"
 )
 
-// Transport is an http.Transport for calls to a few hosts. When a call over a reused
+// Transport is a pool.Transport for calls to a few hosts. When a call over a reused
 // connection fails, the cause may have broken the other idle connections too, with no
-// sign of it: the transport closes them all, so that the next calls open new ones. The
-// zero value is ready to use.
-type Transport struct{ http.Transport }
+// sign of it: the transport closes them all, so that the next calls open new ones.
+type Transport struct{ Pool *pool.Pool }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) }}
-	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil && reused.Load() {
-		t.CloseIdleConnections()
+	res, err := pool.Transport{Pool: t.Pool}.RoundTrip(r)
+	if failed := (*pool.Error)(nil); errors.As(err, &failed) && failed.Reused {
+		t.Pool.CloseAllIdle()
 	}
 	return res, err
 }
--- a/netio/redial/redial_test.go
+++ b/netio/redial/redial_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"fuchsiafold.example/netio/pool"
 	"fuchsiafold.example/netio/redial"
 )
 
@@ -50,9 +51,9 @@
 func TestFailureOnReusedConnectionClosesIdleOnes(t *testing.T) {
 	const idle = 3
 	s := newGatherServer(t, idle)
-	transport := &redial.Transport{}
-	transport.MaxIdleConnsPerHost = idle
-	defer transport.CloseIdleConnections()
+	p := &pool.Pool{MaxIdle: idle}
+	defer p.CloseAllIdle()
+	transport := &redial.Transport{Pool: p}
 	get := func(ctx context.Context, path string) error {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+path, nil)
 		if err != nil {
