foldctl: a broken reply is not shown as one of the VM

Seen: an operator's call got a reply with a malformed head, or only the beginning of one without a length, as the reply of the VM: "foldctl config" may print the beginning of a configuration.

Cause: foldctl sent its calls by net/http's default client, without the checks that calls between VMs have.

That a reply needs a length or chunks, which was foldd/peer's to check, is now pool.Transport's: one rule for the VMs' calls and the operators'.

--- /dev/null
+++ b/foldctl/client_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"fuchsiafold.example/wire"
+)
+
+// serveRaw answers each call with the given bytes and closes its connection.
+func serveRaw(t *testing.T, response string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, response)
+			}
+			c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestBrokenReplyIsAnError guards against an operator who is shown a reply whose head HTTP does
+// not allow, or the beginning of one: a prefix of a message may be a message too.
+func TestBrokenReplyIsAnError(t *testing.T) {
+	reply, err := proto.Marshal(&wire.ConfigResponse{Document: []byte("{}")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const fields = "Content-Type: application/proto\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(reply))
+	for name, head := range map[string]string{
+		"no length":              "HTTP/1.1 200 OK\r\n" + fields,
+		"status 000":             "HTTP/1.1 000 OK\r\n" + fields + length,
+		"blank in a name":        "HTTP/1.1 200 OK\r\n" + fields + "X-Bad Name: 1\r\n" + length,
+		"length with a blank":    "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 99\r\n",
+		"control byte in a name": "HTTP/1.1 200 OK\r\n" + fields + "X-\x01Bad: 1\r\n" + length,
+	} {
+		addr := serveRaw(t, head+"\r\n"+string(reply))
+		if res, err := operatorClient(addr).Config(t.Context(), connect.NewRequest(&wire.ConfigRequest{})); err == nil {
+			t.Errorf("%s: the reply was taken as %+v", name, res.Msg)
+		}
+	}
+	sound := serveRaw(t, "HTTP/1.1 200 OK\r\n"+fields+length+"\r\n"+string(reply))
+	for _, addr := range []string{sound, strings.Replace(sound, "127.0.0.1", "localhost", 1)} {
+		if _, err := operatorClient(addr).Config(t.Context(), connect.NewRequest(&wire.ConfigRequest{})); err != nil {
+			t.Errorf("sound reply of %s: %v", addr, err)
+		}
+	}
+}
--- a/foldd/peer/peer.go
+++ b/foldd/peer/peer.go
@@ -58,7 +58,7 @@
 func New(n *node.Node) *Service {
 	p := newPool()
 	n.Traffic.Observe(p, traffic.Other)
-	s := &Service{node: n, pool: p, http: &http.Client{Transport: framedTransport{refusalTransport{pool.Transport{Pool: p}}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
+	s := &Service{node: n, pool: p, http: &http.Client{Transport: refusalTransport{pool.Transport{Pool: p, Framed: true}}}, inFlight: map[netip.AddrPort]*flight{}, outboxes: map[netip.AddrPort]chan func(context.Context){}, failing: map[netip.AddrPort]*link.State{}}
 	s.client = wire.NewPeerServiceClient(addressedClient{s}, "http://vm", s.Options())
 	metrics.NewRegisteredFunctionalGauge("connections.peers.idle", n.Metrics, func() int64 { return int64(p.Idle()) })
 	n.SetTransport(s.exchangeUrgently, s.sendTickets, s.sendDecisions)
@@ -74,7 +74,7 @@
 	p.OnDial = func(context.Context) { s.node.Traffic.AddConnection(traffic.Out, traffic.Control) }
 	s.node.Clock.Every(sweepInterval, p.Sweep)
 	t := traffic.Transport{Counts: s.node.Traffic, Kind: traffic.Control, Base: &redial.Transport{Pool: p}}
-	return &http.Client{Transport: framedTransport{refusalTransport{t}}}
+	return &http.Client{Transport: refusalTransport{t}}
 }
 
 // MaxMessage bounds a message of another VM or of an operator in bytes. A configuration
--- a/netio/pool/transport.go
+++ b/netio/pool/transport.go
@@ -7,13 +7,23 @@
 	"io"
 	"net/http"
 	"net/netip"
+
+	"github.com/rotisserie/eris"
 )
 
 // Transport makes the calls of an http.Client over a Pool. In contrast to http.Transport, it
 // checks responses as the Pool does, sends no request again, and has no goroutines and no
 // buffers for an idle connection. The host of a URL must be an address and a port. If Close is
 // set in a request, it gets a connection of its own.
-type Transport struct{ Pool *Pool }
+type Transport struct {
+	Pool *Pool
+	// Framed rejects responses that end with their connection. The beginning of a message may
+	// be a message too, so that such a response proves nothing.
+	Framed bool
+}
+
+// errUnframed is returned for a response that ends with its connection.
+var errUnframed = eris.New("the response has neither a length nor chunks")
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -40,6 +50,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if t.Framed && res.Framing == CloseDelimited {
+		res.Body.Close()
+		return nil, nil, errUnframed
+	}
 	out.StatusCode, out.Status = res.Status, fmt.Sprint(res.Status, " ", http.StatusText(res.Status))
 	out.Header, out.Body, out.ContentLength = res.Header, res.Body, res.Length
 	if res.Framing == Chunked {
