foldctl: a reply without end no longer takes all memory

Cause: replies were read and decoded without a bound on their size.

Changed: both are read up to 16 MiB, the size of the largest message between VMs.

Measured: within the test's 128 MiB for both; a reply that is too large is an error.

--- a/foldctl/client.go
+++ b/foldctl/client.go
@@ -15,8 +15,12 @@
 	"fuchsiafold.example/wire"
 )
 
-// callTimeout is the timeout of one call to a VM.
-const callTimeout = 30 * time.Second
+const (
+	// callTimeout is the timeout of one call to a VM.
+	callTimeout = 30 * time.Second
+	// maxReply bounds what is read of a reply, in bytes. VMs send no larger ones.
+	maxReply = 16 << 20
+)
 
 // client returns a client for the VM given by the flag addr.
 func client(c *cli.Command) wire.OperatorServiceClient { return clientAt(c, c.String("addr")) }
@@ -28,12 +32,12 @@
 
 // operatorClient returns a client for the VM with the given operator address.
 func operatorClient(addr string, o ...connect.ClientOption) wire.OperatorServiceClient {
-	return wire.NewOperatorServiceClient(httpClient(), "http://"+addr, o...)
+	return wire.NewOperatorServiceClient(httpClient(), "http://"+addr, append(o, connect.WithReadMaxBytes(maxReply))...)
 }
 
 // watchClientAt returns a client for the VM with the given metrics address.
 func watchClientAt(c *cli.Command, addr string) wire.WatchServiceClient {
-	return wire.NewWatchServiceClient(httpClient(), "http://"+addr, withToken(c))
+	return wire.NewWatchServiceClient(httpClient(), "http://"+addr, withToken(c), connect.WithReadMaxBytes(maxReply))
 }
 
 // httpClient returns a client that checks replies as VMs do among each other.
--- a/foldctl/client_test.go
+++ b/foldctl/client_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -67,3 +71,42 @@
 		}
 	}
 }
+
+// TestEndlessReplyIsAnError guards against a reply without end that takes memory until the
+// process is killed.
+func TestEndlessReplyIsAnError(t *testing.T) {
+	const maxAllocated = 128 << 20
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/proto")
+		if r.Method == http.MethodGet {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(w, `{"leader": "`)
+		}
+		filler := []byte(strings.Repeat("x", 64<<10))
+		for err := error(nil); err == nil; {
+			_, err = w.Write(filler)
+		}
+	}))
+	t.Cleanup(s.Close)
+	addr := strings.TrimPrefix(s.URL, "http://")
+	for name, call := range map[string]func(ctx context.Context) error{
+		"call": func(ctx context.Context) error {
+			_, err := operatorClient(addr).Config(ctx, connect.NewRequest(&wire.ConfigRequest{}))
+			return err
+		},
+		"report": func(ctx context.Context) error {
+			_, err := fetchReport(ctx, addr, "")
+			return err
+		},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := call(ctx)
+		runtime.ReadMemStats(&after)
+		if took := after.TotalAlloc - before.TotalAlloc; err == nil || took > maxAllocated {
+			t.Errorf("%s: error %v, took %d bytes; want an error and at most %d", name, err, took, maxAllocated)
+		}
+	}
+}
--- a/foldctl/control.go
+++ b/foldctl/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fuchsiafold.example/fold/repl"
+	"fuchsiafold.example/netio/bound"
 )
 
 // fetchReport returns what the VM at addr tells of the control group, and nil if it runs no
@@ -31,8 +32,12 @@
 	if res.StatusCode != http.StatusOK || res.Header.Get("Content-Type") != "application/json" {
 		return nil, nil
 	}
+	body, err := bound.ReadAll(res.Body, res.ContentLength, maxReply)
+	if err != nil {
+		return nil, fmt.Errorf("read report of the control group: %w", err)
+	}
 	var r repl.GroupReport
-	if err := json.NewDecoder(res.Body).Decode(&r); err != nil {
+	if err := json.Unmarshal(body, &r); err != nil {
 		return nil, fmt.Errorf("decode report of the control group: %w", err)
 	}
 	return &r, nil
