--- a/foldfake/origin/endless.go
+++ b/foldfake/origin/endless.go
@@ -12,6 +12,9 @@
 // The parts.
 const (
 	EndlessStatusLine Endless = "status line"
+	// EndlessZeros are bytes of zero in place of a head, and EndlessLines empty lines.
+	EndlessZeros Endless = "zeros"
+	EndlessLines Endless = "empty lines"
 	// EndlessField is a header field with an endless value, EndlessFields a header of
 	// endless fields, and EndlessInformational a response of status 100 after the other.
 	EndlessField         Endless = "header field"
@@ -26,12 +29,16 @@
 	EndlessTrailer   Endless = "trailer"
 	// EndlessEvent is a stream with an event that never ends.
 	EndlessEvent Endless = "event"
+	// EndlessForeign is a body of a response to another request, in chunks, and
+	// EndlessFolds a header field that is continued on further lines.
+	EndlessForeign Endless = "response to another request"
+	EndlessFolds   Endless = "folded lines"
 )
 
 // EndlessParts lists all parts.
 func EndlessParts() []Endless {
 	return []Endless{
-		EndlessStatusLine, EndlessField, EndlessFields, EndlessInformational,
+		EndlessStatusLine, EndlessZeros, EndlessLines, EndlessFolds, EndlessForeign, EndlessField, EndlessFields, EndlessInformational,
 		EndlessBody, EndlessChunks, EndlessError, EndlessChunkLine, EndlessTrailer, EndlessEvent,
 	}
 }
@@ -49,6 +56,14 @@
 	switch part {
 	case EndlessStatusLine:
 		repeat(w, "HTTP/1.1 200 ", plain)
+	case EndlessZeros:
+		repeat(w, "", make([]byte, fillerSize))
+	case EndlessLines:
+		repeat(w, "", bytes.Repeat([]byte("\r\n"), fillerSize/2))
+	case EndlessFolds:
+		repeat(w, start+"X-Filler: x\r\n", bytes.Repeat([]byte(" x\r\n"), fillerSize/4))
+	case EndlessForeign:
+		repeat(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: another\r\nTransfer-Encoding: chunked\r\n\r\n", headerRequestID), chunk)
 	case EndlessField:
 		repeat(w, start+"X-Filler: ", plain)
 	case EndlessFields:
