Own calls: a response cut by a crash of its server is not complete

Seen: a plain service whose process ended while it wrote a response with neither a length nor chunks: callers of the own interface got the part as a complete response, of 1 to 10 of 12 bytes.

Cause: such a response ends with its connection, and the kernel closes the connections of a process that has ended.

Changed: pool.Transport.Confirm makes such a response complete only if the server keeps a new connection open for 20 ms, the rule of forwards; own calls set it. Generations need it not: their end is in their events.

--- a/foldd/app/app.go
+++ b/foldd/app/app.go
@@ -109,8 +109,8 @@
 	n.Clock.Every(sweepInterval, plain.Sweep)
 	a.entry = &entry.Handler{
 		Node:      n,
-		Engines:   engine.New(gate.New(n, engines), connect, time.Duration(s.Limits.StallTimeout)),
-		Transport: gate.New(n, plain),
+		Engines:   engine.New(gate.New(n, pool.Transport{Pool: engines}), connect, time.Duration(s.Limits.StallTimeout)),
+		Transport: gate.New(n, pool.Transport{Pool: plain, Confirm: true}),
 	}
 	// Callers and operators may be served as soon as the process listens.
 	a.controlHTTP = a.peers.ControlClient()
--- a/foldd/app/broken_test.go
+++ b/foldd/app/broken_test.go
@@ -88,6 +88,61 @@
 	}
 }
 
+// TestOwnCallOfCrashedServerIsNotComplete guards against a part of a response that has neither a
+// length nor chunks, and whose server's process has ended: the kernel closes its connections.
+func TestOwnCallOfCrashedServerIsNotComplete(t *testing.T) {
+	t.Parallel()
+	for cut := range 4 {
+		for attempt := 1; !crashesDuringOwnCall(t, 1+3*cut); attempt++ {
+			if attempt == maxLateCrashes {
+				t.Fatalf("the stand-in server took over %v to crash %d times", maxLinger, attempt)
+			}
+		}
+	}
+}
+
+const (
+	// maxLinger is the time within which the server of crashesDuringOwnCall has to end after
+	// the connection was closed. A VM takes a server that is there for 20 ms for one that has
+	// not crashed.
+	maxLinger = 10 * time.Millisecond
+	// maxLateCrashes bounds the plays with a server that took longer.
+	maxLateCrashes = 20
+)
+
+// crashesDuringOwnCall sends a call to a server that crashes after cut bytes of its response, and
+// checks that the caller gets an error. It returns false, without a result, if the server took
+// longer than maxLinger to end.
+func crashesDuringOwnCall(t *testing.T, cut int) bool {
+	t.Helper()
+	a := startControlVM(t, "a1")
+	s := startBroken(t, a, origin.Behaviour{Body: "a whole body", TruncateAt: cut, CrashTruncated: true, CloseDelimited: true})
+	res := atMostOnceRequest("1").send(t, a)
+	waitFor(t, "the server to end", func() bool { return s.Lingered() > 0 })
+	if res.StatusCode == http.StatusOK && s.Lingered() > maxLinger {
+		return false
+	}
+	if res.StatusCode == http.StatusOK || s.RunCount("") != 1 {
+		body, err := io.ReadAll(res.Body)
+		t.Errorf("cut after %d bytes: status %d, body %q, error %v, %d runs; want an error response, one run", cut, res.StatusCode, body, err, s.RunCount(""))
+	}
+	return true
+}
+
+// TestUnframedResponseToOwnCallIsComplete is the case beside it in which the server is still
+// there.
+func TestUnframedResponseToOwnCallIsComplete(t *testing.T) {
+	t.Parallel()
+	a := startControlVM(t, "a1")
+	startBroken(t, a, origin.Behaviour{Body: "a whole body", CloseDelimited: true})
+	for i := range 3 {
+		res := atMostOnceRequest(fmt.Sprint(i)).send(t, a)
+		if body, err := io.ReadAll(res.Body); res.StatusCode != http.StatusOK || string(body) != "a whole body" || err != nil {
+			t.Errorf("status %d, body %q, error %v", res.StatusCode, body, err)
+		}
+	}
+}
+
 // TestOwnCallIsRetriedAfterBrokenResponse checks that an idempotent call is sent to another
 // server after a broken response.
 func TestOwnCallIsRetriedAfterBrokenResponse(t *testing.T) {
--- a/foldd/gate/gate.go
+++ b/foldd/gate/gate.go
@@ -26,10 +26,10 @@
 	base pool.Transport
 }
 
-// New returns a Transport over p. A request is checked again once it has a connection, which
-// may take long to open.
-func New(n *node.Node, p *pool.Pool) *Transport {
-	return &Transport{node: n, base: pool.Transport{Pool: p}}
+// New returns a Transport over base. A request is checked again once it has a connection,
+// which may take long to open.
+func New(n *node.Node, base pool.Transport) *Transport {
+	return &Transport{node: n, base: base}
 }
 
 // target is the backend server of a request, and why the request is sent.
--- a/foldd/gate/gate_test.go
+++ b/foldd/gate/gate_test.go
@@ -47,7 +47,7 @@
 	t.Cleanup(s.Close)
 	addr := strings.TrimPrefix(s.URL, "http://")
 	b := member.Backend{ID: "s", Addr: netip.MustParseAddrPort(addr), Service: "app"}
-	transport := gate.New(newNode(t), &pool.Pool{})
+	transport := gate.New(newNode(t), pool.Transport{Pool: &pool.Pool{}})
 	for i := range 3 {
 		before := m.Count()
 		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, node.FirstSend), http.MethodGet, s.URL, nil)
@@ -71,7 +71,7 @@
 }
 
 func TestRequestWithoutBackendIsNotSent(t *testing.T) {
-	transport := gate.New(newNode(t), &pool.Pool{})
+	transport := gate.New(newNode(t), pool.Transport{Pool: &pool.Pool{}})
 	req := httptest.NewRequest(http.MethodGet, "http://127.0.0.1:1/", nil)
 	if _, err := transport.RoundTrip(req); err == nil || strings.Contains(err.Error(), "refused") {
 		t.Errorf("error %v, want one of a request that names no backend server", err)
@@ -86,7 +86,7 @@
 	defer s.Close()
 	n := newNode(t)
 	set := evac.Set{}.Add("b", time.Unix(1, 0))
-	transport := gate.New(n, &pool.Pool{OnDial: func(context.Context) { n.ApplyEvacuations(set, "") }})
+	transport := gate.New(n, pool.Transport{Pool: &pool.Pool{OnDial: func(context.Context) { n.ApplyEvacuations(set, "") }}})
 	send := func(p node.Purpose) error {
 		b := member.Backend{ID: "e", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Service: "s", Domain: "b", Epoch: 1}
 		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, p), http.MethodGet, s.URL, nil)
@@ -136,7 +136,7 @@
 	}))
 	defer s.Close()
 	b := member.Backend{ID: "e", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Service: "s", Domain: "b", Epoch: 1}
-	transport := gate.New(n, &pool.Pool{})
+	transport := gate.New(n, pool.Transport{Pool: &pool.Pool{}})
 	send := func(path string) error {
 		req, err := http.NewRequestWithContext(gate.WithBackend(t.Context(), b, node.FirstSend), http.MethodGet, s.URL+path, nil)
 		if err != nil {
--- a/netio/pool/transport.go
+++ b/netio/pool/transport.go
@@ -20,6 +20,10 @@
 	// Framed rejects responses that end with their connection. The beginning of a message may
 	// be a message too, so that such a response proves nothing.
 	Framed bool
+	// Confirm makes a response that ends with its connection complete only if its server
+	// keeps a new connection open, as Pool.Confirm checks: the connections of a process that
+	// has ended are closed, too.
+	Confirm bool
 }
 
 // errUnframed is returned for a response that ends with its connection.
@@ -54,6 +58,9 @@
 		res.Body.Close()
 		return nil, nil, errUnframed
 	}
+	if t.Confirm && res.Framing == CloseDelimited {
+		res.Body = &confirmedBody{ReadCloser: res.Body, confirm: func() error { return t.Pool.Confirm(r.Context(), addr) }}
+	}
 	out.StatusCode, out.Status = res.Status, fmt.Sprint(res.Status, " ", http.StatusText(res.Status))
 	out.Header, out.Body, out.ContentLength = res.Header, res.Body, res.Length
 	if res.Framing == Chunked {
@@ -69,6 +76,24 @@
 	return out, res.Informational, nil
 }
 
+// confirmedBody is the body of a response that is complete only if confirm returns no error.
+type confirmedBody struct {
+	io.ReadCloser
+	confirm func() error
+}
+
+// Read implements io.Reader.
+func (b *confirmedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if cause := b.confirm(); cause != nil {
+		return n, fmt.Errorf("the connection ended and the server can't be reached: %w: %w", io.ErrUnexpectedEOF, cause)
+	}
+	return n, io.EOF
+}
+
 // readBody reads the body of a request and closes it.
 func readBody(r *http.Request) ([]byte, error) {
 	if r.Body == nil {
