Streams: a failure response cut by a crash of its engine is not complete

Seen: an engine whose process ended while it wrote a failure response with neither a length nor chunks to a stream: the caller got the part as a complete response.

--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -245,7 +245,10 @@
 		s.w.WriteHeader(res.Status)
 	}
 	if res.Status != http.StatusOK {
-		return s.relayError(res)
+		if err := s.relayError(res); err != nil || s.viaPeer {
+			return err
+		}
+		return s.q.checkServerThere(ctx, s.server, res)
 	}
 	before := s.received
 	buf := make([]byte, readChunk)
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -103,6 +103,41 @@
 	}
 }
 
+// TestErrorOfCrashedEngineIsNotComplete is the same for a failure response to a stream, which is
+// passed on as it comes.
+func TestErrorOfCrashedEngineIsNotComplete(t *testing.T) {
+	for attempt := 1; !crashesInError(t); attempt++ {
+		if attempt == maxLateCrashes {
+			t.Fatalf("the stand-in server took over %v to crash %d times", maxLinger, attempt)
+		}
+	}
+}
+
+// crashesInError is crashesHalfway for a stream that gets a failure response.
+func crashesInError(t *testing.T) bool {
+	t.Helper()
+	r := startVM(t)
+	crashing := r.backend("e1", "models", respondWith(origin.Behaviour{Status: http.StatusInternalServerError, Body: "whole answer", TruncateAt: 5, CrashTruncated: true, CloseDelimited: true}))
+	_, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "b")
+	waitFor(t, "the server to end", func() bool { return crashing.Lingered() > 0 })
+	if err == nil && crashing.Lingered() > maxLinger {
+		return false
+	}
+	if err == nil {
+		t.Errorf("body %q ended as a complete one", body)
+	}
+	return true
+}
+
+// TestCloseDelimitedErrorIsComplete is the case beside it in which the engine is still there.
+func TestCloseDelimitedErrorIsComplete(t *testing.T) {
+	r := startVM(t)
+	r.backend("e1", "models", respondWith(origin.Behaviour{Status: http.StatusInternalServerError, Body: "whole answer", CloseDelimited: true}))
+	if status, body, err := r.sendAndRead(http.MethodPost, "/draft/x", "1", "b"); status != http.StatusInternalServerError || body != "whole answer" || err != nil {
+		t.Errorf("status %d, body %q, error %v", status, body, err)
+	}
+}
+
 const (
 	// maxLinger is the time within which the server of crashesHalfway has to end after the
 	// connection was closed. A VM takes a server that is there for 20 ms for one that has not
