Soak: servers that break their answers off send some that are none in HTTP

A quarter of the answers of a server under BreakAnswers are responses with a malformed head, by the request's ID: status 000, names with a blank or a control byte, an overlooked Transfer-Encoding, a malformed refusal.

--- a/foldfake/soak/plan.go
+++ b/foldfake/soak/plan.go
@@ -57,7 +57,8 @@
 	// lets it announce that it is leaving first.
 	CrashServer Kind = "crashServer"
 	LeaveServer Kind = "leaveServer"
-	// BreakAnswers lets a backend server break off its answers in every framing.
+	// BreakAnswers lets a backend server break off its answers in every framing, or send some
+	// that are none in HTTP.
 	BreakAnswers Kind = "breakAnswers"
 	// LimitServer lets a backend server name a rate limit, and EndlessAnswers send bytes
 	// without end in a part of its answers.
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -240,7 +240,8 @@
 	return b
 }
 
-// breakAnswer makes a behaviour break off in a way that depends on the request's ID.
+// breakAnswer makes a behaviour break off, or send a response that is none in HTTP, in a way that
+// depends on the request's ID.
 func breakAnswer(b *origin.Behaviour, id string) {
 	x := hashOf(id)
 	b.CloseDelimited = x&1 != 0
@@ -252,6 +253,9 @@
 	// A body without framing that ends without a reset looks whole.
 	b.Reset = b.Events == 0
 	b.Drop = x&28 == 28
+	if x>>8%4 == 0 {
+		b.Raw = origin.Malformed(id, int(x>>10))
+	}
 }
 
 // hashOf returns a number that depends on a request's ID.
