Passed-on requests: an unframed reply is none of another VM

Seen: a caller of a VM that passes its request on got, as complete, what a server sent that had got the address of the other VM and ended its response with its connection.

Cause: VMs send each other no replies without framing and take none, but only in their calls; requests that are passed on take another way, which accepted them as those of servers.

Evidence: TestUnframedReplyOfOtherVMIsNotComplete without the change: status 200 with the bytes of the stand-in for safe and unsafe requests and for streams, twice each.

Changed: a request of the pool may ask for a framed response. Passed-on requests do, and the transport of calls between VMs and of foldctl, which had a check of its own.

--- a/foldd/app/broken_test.go
+++ b/foldd/app/broken_test.go
@@ -1,9 +1,11 @@
 package app_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -184,3 +186,48 @@
 		})
 	}
 }
+
+// TestUnframedReplyOfOtherVMIsNotComplete guards against a response that ends with its connection
+// and is taken for one of the VM that a request was passed to: a VM sends none, but a server that
+// has got its address may.
+func TestUnframedReplyOfOtherVMIsNotComplete(t *testing.T) {
+	for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
+		t.Run(kind, func(t *testing.T) {
+			rig := newCutOffRig(t, respondBroken(origin.Behaviour{}))
+			addr := rig.other.Addrs().Peers
+			rig.other.Close()
+			l, err := net.Listen("tcp", addr.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			go answerForwards(l, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+origin.Event(1))
+			res, body, err := rig.call(context.Background(), t, kind, kind)
+			if err == nil && res.StatusCode == http.StatusOK {
+				t.Errorf("status 200, body %q", body)
+			}
+		})
+	}
+}
+
+// answerForwards answers each forwarded request with the given bytes, and closes its connection
+// and all others.
+func answerForwards(l net.Listener, response string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.Host == "h.example" {
+				_, _ = io.WriteString(c, response)
+			}
+		}()
+	}
+}
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -174,7 +174,7 @@
 		// server-sent events names.
 		h.Set(headerLastEvent, q.position)
 	}
-	return &pool.Request{Addr: p.Addr, Method: q.r.Method, URI: q.uri(), Host: q.r.Host, Header: h, Body: q.body, Matches: q.matchesPeerResponse}
+	return &pool.Request{Addr: p.Addr, Method: q.r.Method, URI: q.uri(), Host: q.r.Host, Header: h, Body: q.body, Framed: true, Matches: q.matchesPeerResponse}
 }
 
 // logPassFailure logs that another VM did not take the request.
--- a/netio/pool/do.go
+++ b/netio/pool/do.go
@@ -27,6 +27,9 @@
 	Body   []byte
 	// Close opens a connection for the request alone, and tells the server so.
 	Close bool
+	// Framed rejects responses that end with their connection. The beginning of a message may
+	// be a message too, so that such a response proves nothing.
+	Framed bool
 	// Matches reports whether a response with the given status and header belongs to
 	// the request; nil accepts every response. It is needed because a server may
 	// repeat the response to an earlier request, or send bytes that belong to none.
@@ -60,6 +63,9 @@
 // other requests, up to the limits on the responses that are skipped.
 var errNoMatchingResponse = eris.New("connection bears only answers to other requests")
 
+// errUnframed is returned for a response that ends with its connection.
+var errUnframed = eris.New("the response has neither a length nor chunks")
+
 const (
 	// maxInlineBody is the size in bytes up to which a body is written before
 	// the response is read. A longer body is written concurrently, since the
@@ -199,6 +205,9 @@
 			continue
 		}
 		x.responseStarted = true
+		if x.request.Framed && framingOf(res) == CloseDelimited {
+			return nil, errUnframed
+		}
 		x.body, x.response = res.Body, res
 		x.reuse = !res.Close && !x.request.Close
 		x.conn.keepAlive = keepAliveTimeout(res.Header)
--- a/netio/pool/pool_test.go
+++ b/netio/pool/pool_test.go
@@ -167,6 +167,27 @@
 	}
 }
 
+// TestUnframedResponseIsRejected checks that a response which ends with its connection is an error
+// for a request that wants none.
+func TestUnframedResponseIsRejected(t *testing.T) {
+	for _, tt := range []struct {
+		behaviour origin.Behaviour
+		accepted  bool
+	}{
+		{origin.Behaviour{Body: "hello"}, true},
+		{origin.Behaviour{Events: 2}, true},
+		{origin.Behaviour{Body: "hello", CloseDelimited: true}, false},
+		{origin.Behaviour{Events: 2, CloseDelimited: true}, false},
+	} {
+		s := startServer(t, func(*http.Request) origin.Behaviour { return tt.behaviour })
+		r := newRequest(s, http.MethodPost, "1", nil)
+		r.Framed = true
+		if _, _, err := do(t, &pool.Pool{}, r); (err == nil) != tt.accepted || err != nil && !pool.WasSent(err) {
+			t.Errorf("%+v: error %v, want one: %t", tt.behaviour, err, !tt.accepted)
+		}
+	}
+}
+
 // TestProbe checks that a probe's connection serves the next request, and that a
 // server that is gone can't be probed.
 func TestProbe(t *testing.T) {
--- a/netio/pool/transport.go
+++ b/netio/pool/transport.go
@@ -7,8 +7,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-
-	"github.com/rotisserie/eris"
 )
 
 // Transport makes the calls of an http.Client over a Pool. In contrast to http.Transport, it
@@ -17,8 +15,7 @@
 // set in a request, it gets a connection of its own.
 type Transport struct {
 	Pool *Pool
-	// Framed rejects responses that end with their connection. The beginning of a message may
-	// be a message too, so that such a response proves nothing.
+	// Framed is as in Request.
 	Framed bool
 	// Confirm makes a response that ends with its connection complete only if its server
 	// keeps a new connection open, as Pool.Confirm checks: the connections of a process that
@@ -26,9 +23,6 @@
 	Confirm bool
 }
 
-// errUnframed is returned for a response that ends with its connection.
-var errUnframed = eris.New("the response has neither a length nor chunks")
-
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	res, _, err := t.Send(r, nil)
@@ -48,16 +42,12 @@
 	}
 	out := &http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r}
 	res, err := t.Pool.Do(r.Context(), &Request{
-		Addr: addr, Method: r.Method, URI: r.URL.RequestURI(), Host: r.URL.Host, Header: r.Header, Body: body, Close: r.Close,
+		Addr: addr, Method: r.Method, URI: r.URL.RequestURI(), Host: r.URL.Host, Header: r.Header, Body: body, Close: r.Close, Framed: t.Framed,
 		Admit: admit, OnTrailer: func(h http.Header) { out.Trailer = h },
 	})
 	if err != nil {
 		return nil, nil, err
 	}
-	if t.Framed && res.Framing == CloseDelimited {
-		res.Body.Close()
-		return nil, nil, errUnframed
-	}
 	if t.Confirm && res.Framing == CloseDelimited {
 		res.Body = &confirmedBody{ReadCloser: res.Body, confirm: func() error { return t.Pool.Confirm(r.Context(), addr) }}
 	}
