--- a/foldctl/client_test.go
+++ b/foldctl/client_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -16,31 +14,19 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"fuchsiafold.example/foldfake/origin"
 	"fuchsiafold.example/wire"
 )
 
 // serveRaw answers each call with the given bytes and closes its connection.
 func serveRaw(t *testing.T, response string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := origin.New("vm", func(*http.Request) origin.Behaviour { return origin.Behaviour{Raw: response, Drop: true} })
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, response)
-			}
-			c.Close()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(s.Close)
+	return s.Addr().String()
 }
 
 // TestBrokenReplyIsAnError guards against an operator who is shown a reply whose head HTTP does
--- a/foldd/peer/reply_test.go
+++ b/foldd/peer/reply_test.go
@@ -1,11 +1,8 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -17,6 +14,7 @@
 
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldd/node"
+	"fuchsiafold.example/foldfake/origin"
 	"fuchsiafold.example/wire"
 
 	"github.com/sirupsen/logrus"
@@ -83,25 +81,12 @@
 // serveRaw answers each call with the given bytes and closes its connection.
 func serveRaw(t *testing.T, response string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := origin.New("vm", func(*http.Request) origin.Behaviour { return origin.Behaviour{Raw: response, Drop: true} })
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, response)
-			}
-			c.Close()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(s.Close)
+	return s.Addr().String()
 }
 
 // TestEndlessReplyIsAnError guards against a reply without end, as of a server that has
--- a/netio/pool/malformed_test.go
+++ b/netio/pool/malformed_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -119,13 +118,7 @@
 func doInTime(p *pool.Pool, r *pool.Request) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	res, err := p.Do(ctx, r)
-	if err != nil {
-		return 0, "", err
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
-	return res.Status, string(b), err
+	return doContext(ctx, p, r)
 }
 
 // TestMalformedTrailerIsAnError is the case of a line in a trailer.
--- a/netio/pool/pool_test.go
+++ b/netio/pool/pool_test.go
@@ -35,7 +35,11 @@
 
 func do(t *testing.T, p *pool.Pool, r *pool.Request) (int, string, error) {
 	t.Helper()
-	res, err := p.Do(context.Background(), r)
+	return doContext(context.Background(), p, r)
+}
+
+func doContext(ctx context.Context, p *pool.Pool, r *pool.Request) (int, string, error) {
+	res, err := p.Do(ctx, r)
 	if err != nil {
 		return 0, "", err
 	}
