--- a/foldd/entry/log.go
+++ b/foldd/entry/log.go
@@ -11,8 +11,7 @@
 // headerRequestID is the request header in which a caller may name its request for the logs.
 const headerRequestID = "Fold-Request-Id"
 
-// logFailedAttempt logs that a backend server did not answer the call, or with a response that
-// is none.
+// logFailedAttempt logs that the call got no complete response of a backend server, and why.
 func (c *call) logFailedAttempt(b member.Backend, err error) {
 	c.handler.logFailedAttempt(b, err, logrus.Fields{
 		"request": c.requester.requestID, "key": c.r.Header.Get(headerIdempotency), "fingerprint": c.crashParts[0],
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -87,7 +87,7 @@
 	IdleTimeout  time.Duration
 	MaxIdle      int
 	MaxIdleTotal int
-	// Dial, if not nil, opens connections in place of the kernel's TCP.
+	// Dial, if not nil, opens connections in place of TCP ones.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// OnDial, if not nil, is called after each connection that is opened, with the context
 	// of the call that has opened it.
--- a/netio/redial/redial.go
+++ b/netio/redial/redial.go
@@ -10,9 +10,9 @@
 )
 
 // Transport is a pool.Transport for calls to a few hosts, which rejects responses that end with
-// their connection. When a call over a reused
-// connection fails, the cause may have broken the other idle connections too, with no
-// sign of it: the transport closes them all, so that the next calls open new ones.
+// their connection. When a call over a reused connection fails, the cause may have broken the
+// other idle connections too, with no sign of it: the transport closes them all, so that the
+// next calls open new ones.
 type Transport struct{ Pool *pool.Pool }
 
 // RoundTrip implements http.RoundTripper.
