Tests: sound early answers reach callers; lines name the request; servers stay known

TestBrokenResponseThroughOtherVM failed under the race detector beside other work: "503 noBackend, ran 0 times". Traced: its servers are announced once and known for 5 s; uploads of 12 MB took longer. The tests of resets of the relay, which have a longer lease too, now want one run of each request, not one at most: a request that reaches no server proves nothing.

--- a/foldd/app/broken_test.go
+++ b/foldd/app/broken_test.go
@@ -11,8 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
 	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/fold/strict"
 	"fuchsiafold.example/foldd/app"
 	"fuchsiafold.example/foldd/conf"
 	"fuchsiafold.example/foldfake/origin"
@@ -37,9 +41,9 @@
 // respondBroken returns a handler that sends a broken response.
 func respondBroken(b origin.Behaviour) func(*http.Request) origin.Behaviour {
 	return func(r *http.Request) origin.Behaviour {
-		b := b
-		b.Raw = strings.ReplaceAll(b.Raw, "%s", r.Header.Get("Fold-Request-Id"))
-		return b
+		answer := b
+		answer.Raw = strings.ReplaceAll(b.Raw, "%s", r.Header.Get("Fold-Request-Id"))
+		return answer
 	}
 }
 
@@ -56,8 +60,11 @@
 	return s
 }
 
+// allowLargeUploads changes settings for requests with bodies of largeUpload bytes. Servers that
+// are announced once are known until the end of a test, however long such requests take.
 func allowLargeUploads(s *conf.Settings) {
 	s.Limits.MaxBody, s.Limits.BodyMemory = largeUpload, 8*largeUpload
+	s.Limits.BackendLease = strict.Duration(time.Hour)
 }
 
 // TestBrokenResponseIsNoAnswerToOwnCall guards against callers of the own interface that get a
@@ -83,8 +90,8 @@
 					t.Errorf("status %d, outcome notRun; the server began the call", res.StatusCode)
 				}
 			}
-			if runs := s.RunCount(""); runs > 3 {
-				t.Errorf("three calls ran %d times", runs)
+			if runs := s.RunCount(""); runs != 3 {
+				t.Errorf("three calls ran %d times, want once each", runs)
 			}
 		})
 	}
@@ -187,6 +194,54 @@
 	}
 }
 
+// TestEarlyResponseThroughOtherVM guards sound servers: callers of a VM that passes their requests
+// on, and of the own interface, get a response that its server sends, with neither a length nor
+// chunks, before it has read a long request.
+func TestEarlyResponseThroughOtherVM(t *testing.T) {
+	b := origin.Behaviour{Body: origin.Event(1), CloseDelimited: true, RespondEarly: true, HalfClose: true}
+	rig := newCutOffRigWith(t, respondBroken(b), allowLargeUploads)
+	for _, kind := range []string{spec.ForwardIdempotent, spec.ForwardNonIdempotent, spec.ForwardStream} {
+		res, body, err := rig.callWith(context.Background(), t, kind, kind, strings.Repeat("u", largeUpload))
+		if err != nil || res.StatusCode != http.StatusOK || body != b.Body {
+			t.Errorf("%s: %v, body %q, error %v; want the whole response", kind, res, body, err)
+		}
+	}
+}
+
+// TestEarlyResponseToOwnCall is the case of a call of the own interface.
+func TestEarlyResponseToOwnCall(t *testing.T) {
+	a := startEntry(t, "a1", func(s *conf.Settings) {
+		s.Control = &conf.Control{DataFolder: t.TempDir(), Bootstrap: true}
+		allowLargeUploads(s)
+	})
+	waitFor(t, "the control replica to become leader", func() bool { return counter(a, "control.leaderChanges") > 0 })
+	startBroken(t, a, origin.Behaviour{Body: "a whole body", CloseDelimited: true, RespondEarly: true, HalfClose: true})
+	r := atMostOnceRequest("1")
+	r.body = strings.Repeat("u", largeUpload)
+	res := r.send(t, a)
+	if body, err := io.ReadAll(res.Body); res.StatusCode != http.StatusOK || string(body) != "a whole body" || err != nil {
+		t.Errorf("status %d, body %q, error %v", res.StatusCode, body, err)
+	}
+}
+
+// TestFailedOwnCallIsLogged checks that a line names the caller's request, its key, and what the
+// server did.
+func TestFailedOwnCallIsLogged(t *testing.T) {
+	a := startControlVM(t, "a1")
+	lines := test.NewLocal(a.Node.Log)
+	startBroken(t, a, brokenResponses["blank in a name"])
+	r := atMostOnceRequest("k1")
+	r.header["Fold-Request-Id"] = "r1"
+	r.send(t, a)
+	for _, line := range lines.AllEntries() {
+		err, _ := line.Data[logrus.ErrorKey].(error)
+		if line.Message == "attempt at a backend server failed" && line.Data["request"] == "r1" && line.Data["key"] == "k1" && strings.Contains(fmt.Sprint(err), `malformed response: invalid name of a header field: "X-Bad Name"`) {
+			return
+		}
+	}
+	t.Error("no line names the request, its key and the malformed response")
+}
+
 // TestUnframedReplyOfOtherVMIsNotComplete guards against a response that ends with its connection
 // and is taken for one of the VM that a request was passed to: a VM sends none, but a server that
 // has got its address may.
--- a/foldd/relay/malformed_test.go
+++ b/foldd/relay/malformed_test.go
@@ -6,6 +6,9 @@
 	"strings"
 	"testing"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
 	"fuchsiafold.example/foldfake/origin"
 )
 
@@ -44,11 +47,12 @@
 }
 
 // checkReachesNoCaller checks what the caller of a path gets whose server sends a broken
-// response.
+// response, beside other cases.
 func checkReachesNoCaller(t *testing.T, path, text string) {
 	t.Helper()
 	t.Parallel()
 	r := startVM(t)
+	lines := test.NewLocal(r.node.Log)
 	app, models := r.backend("s1", "app", respondRaw(text)), r.backend("e1", "models", respondRaw(text))
 	for i := range 2 {
 		id := fmt.Sprint(i)
@@ -63,6 +67,21 @@
 	if r.failedAttempts() != 2 {
 		t.Errorf("%d log lines about failed attempts, want 2", r.failedAttempts())
 	}
+	for _, line := range lines.AllEntries() {
+		if line.Message == "attempt at a backend server failed" {
+			checkNamesCause(t, line)
+		}
+	}
+}
+
+// checkNamesCause checks that a line names the request, the server, and a malformed response as
+// what the server did.
+func checkNamesCause(t *testing.T, line *logrus.Entry) {
+	t.Helper()
+	err, _ := line.Data[logrus.ErrorKey].(error)
+	if line.Data["request"] == "" || line.Data["backend"] == "" || err == nil || !strings.Contains(err.Error(), "malformed response: ") {
+		t.Errorf("line with %v, want the request, the server and a malformed response", line.Data)
+	}
 }
 
 // TestMalformedHeadIsRetried checks that an idempotent request is sent to another server after
@@ -74,7 +93,7 @@
 }
 
 // checkRetried checks that an idempotent request whose first server sends a broken response is
-// answered by the second one.
+// answered by the second one, beside other cases.
 func checkRetried(t *testing.T, text string) {
 	t.Helper()
 	t.Parallel()
--- a/foldd/relay/reset_test.go
+++ b/foldd/relay/reset_test.go
@@ -46,8 +46,29 @@
 					if err == nil && status == http.StatusOK {
 						t.Errorf("status %d, body %q, no error", status, body)
 					}
-					if runs := app.RunCount(id) + models.RunCount(id); runs > 1 {
-						t.Errorf("ran %d times", runs)
+					if runs := app.RunCount(id) + models.RunCount(id); runs != 1 {
+						t.Errorf("ran %d times, want once", runs)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyResponseReachesCaller guards sound servers: callers get a response that its server sends,
+// with neither a length nor chunks, before it has read a long request, also if it never does.
+func TestEarlyResponseReachesCaller(t *testing.T) {
+	for _, path := range []string{"/write/x", "/draft/x", "/read/deep/x"} {
+		for _, stopReading := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, ", body unread ", stopReading), func(t *testing.T) {
+				r := startVMForUploads(t)
+				b := origin.Behaviour{Body: origin.Event(1) + origin.Event(2), CloseDelimited: true, RespondEarly: true, HalfClose: true, StopReading: stopReading}
+				r.backend("s1", "app", respondWith(b))
+				r.backend("e1", "models", respondWith(b))
+				for i := range 3 {
+					status, body, err := r.sendAndRead(http.MethodPost, path, fmt.Sprint(i), strings.Repeat("u", largeUpload))
+					if status != http.StatusOK || body != b.Body || err != nil {
+						t.Errorf("status %d, body %q, error %v; want the whole response", status, body, err)
 					}
 				}
 			})
--- a/foldd/relay/rig_test.go
+++ b/foldd/relay/rig_test.go
@@ -79,7 +79,7 @@
 		"id": "vm", "domain": "a", "handleKey": "0123456789abcdef",
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
 		"retry": {"share": 0.2, "reserve": 320},
-		"limits": {"drainTimeout": "10s"},
+		"limits": {"drainTimeout": "10s", "backendLease": "1m"},
 	}`))
 	if err != nil {
 		t.Fatal(err)
--- a/netio/pool/status_test.go
+++ b/netio/pool/status_test.go
@@ -43,7 +43,7 @@
 func TestUnusualStatusLinesAreRead(t *testing.T) {
 	for line, want := range map[string]int{
 		"HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 200 All is well": 200, "HTTP/1.1 299 \xe4\tb": 299, "HTTP/1.0 200 OK": 200,
-		"HTTP/1.1 599 x": 599, "HTTP/1.1 418 000": 418, "HTTP/1.1 199 x\r\n\r\nHTTP/1.1 202 y": 202, "HTTP/1.2 200 OK": 200,
+		"HTTP/1.1 599 x": 599, "HTTP/1.1 418 000": 418, "HTTP/1.1 199 x\r\n\r\nHTTP/1.1 202 y": 202, "HTTP/1.2 200 OK": 200, "HTTP/1.9 200 OK": 200,
 	} {
 		t.Run(line, func(t *testing.T) {
 			s := startServer(t, func(*http.Request) origin.Behaviour {
