Relay: an order to stop a run that is given up still counts when it arrives

Its engine was draining; the order that stops the run for its move was held up by a cut in one direction, and arrived after the VM had given it up.

Cause: events that came more than 400 ms after the order was given up counted as proof that the run had not been stopped. They show that the order had not arrived by then. A cut or a frozen engine holds it for as long as it lasts.

Change: after an order whose outcome is unknown, no end of a stream without framing counts as complete; one that was never sent is not unknown. The VM no longer gives the order up while the stream goes on: its late reply has the handle by which the run goes on at the other engine. After the end of the stream the reply is awaited for 3 s at most, and not past the request's timeout: a caller was held for up to 3 s past it. A stream with framing that ends by itself beside such an order is complete; it was broken off.

--- a/foldd/relay/move.go
+++ b/foldd/relay/move.go
@@ -55,19 +55,24 @@
 	// atSource is set if the target rejected the run and the source keeps its
 	// memory.
 	atSource bool
-	// stopUnknown is set if the move failed, at failedAt, and the run may have been
-	// stopped all the same.
+	// giveUp ends the wait for the reply to the order that stops the run.
+	giveUp context.CancelFunc
+	// stopUnknown is set if that order was sent and has no reply that tells its outcome. The run
+	// may have been stopped, or may be stopped later: an order that is held up on its way still
+	// counts when it arrives.
 	stopUnknown bool
-	failedAt    time.Time
 	// firstCopy is how long the copy took while the run continued, and stopCopy how long
 	// the copy of the rest took.
 	firstCopy, stopCopy time.Duration
 }
 
 const (
-	// copyTimeout bounds the whole move of a run: the wait for its turn, the copy
-	// while it runs and the copy after it was stopped.
+	// copyTimeout bounds the move of a run until it is stopped: the wait for its turn and the
+	// copy while it runs.
 	copyTimeout = 3 * time.Second
+	// stopReplyTimeout is how long the reply to the order that stops a run is awaited after the
+	// end of the run's stream.
+	stopReplyTimeout = 3 * time.Second
 	// maxTargets is the largest number of engines that are tried for a run.
 	maxTargets = 3
 	// firstEventPoll is the interval at which the copy of a run that has no event
@@ -190,12 +195,16 @@
 
 // awaitMove waits for the end of the move in progress, clears it, so that the
 // stream can be moved again, and returns it. It returns nil if there is none, or if another
-// call has returned it.
-func (s *stream) awaitMove() *move {
+// call has returned it. The response of the run has ended, so the reply to the order that stops
+// the run is due: it is given up after stopReplyTimeout, or once ctx is done.
+func (s *stream) awaitMove(ctx context.Context) *move {
 	m := s.currentMove()
 	if m == nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, stopReplyTimeout)
+	defer cancel()
+	defer context.AfterFunc(ctx, m.giveUp)()
 	<-m.done
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,8 +217,8 @@
 
 // awaitRunMove is awaitMove for the run that the stream has. stale is set if the move was of a run
 // that the stream has left since; such a move is cancelled, and not returned.
-func (s *stream) awaitRunMove() (m *move, stale bool) {
-	m = s.awaitMove()
+func (s *stream) awaitRunMove(ctx context.Context) (m *move, stale bool) {
+	m = s.awaitMove(ctx)
 	if m == nil || m.from.ID == s.server.ID {
 		return m, false
 	}
@@ -221,7 +230,7 @@
 // once the stream has ended: nothing else ends the placement at the target then.
 func (s *stream) dropMove() {
 	if s.currentMove() != nil {
-		go func() { s.cancelMove(s.awaitMove()) }()
+		go func() { s.cancelMove(s.awaitMove(context.Background())) }()
 	}
 }
 
@@ -234,15 +243,12 @@
 	}
 }
 
-// overtakeTime is how long events that an engine has made before it stopped a run may be under
-// way.
-const overtakeTime = 400 * time.Millisecond
-
-// mayHaveStopped reports whether a stream that has ended without an error may have
-// been stopped before its end by the move m, which has ended and may be nil. Only events
-// that come later than any that were under way show that the run went on.
-func (s *stream) mayHaveStopped(m *move) bool {
-	return m != nil && m.stopUnknown && s.lastAt.Sub(m.failedAt) <= overtakeTime
+// mayHaveStopped reports whether a response that has ended without an error may have been ended
+// by the move m, which has ended and may be nil, rather than by the end of its run. A response
+// with framing says itself that it is complete. Without it, no event proves that the run was not
+// stopped after that event.
+func mayHaveStopped(m *move, res *pool.Response) bool {
+	return m != nil && m.stopUnknown && res.Framing == pool.CloseDelimited
 }
 
 // moveRun copies a run's memory to another engine while the run continues, then
@@ -271,6 +277,10 @@
 // finishMove stops a run that was copied while it ran, and copies the rest. It returns false,
 // and leaves the run as it is, if the target was evacuated meanwhile. It does nothing if the
 // stream has left its engine.
+//
+// The reply to the order that stops the run is awaited for as long as the stream goes on: if the
+// order is held up on its way, it stops the run whenever it arrives, and only its reply has the
+// handle by which the run can be resumed.
 func (x *Relay) finishMove(ctx context.Context, s *stream, from backend, c firstCopy) bool {
 	target, began := c.target, time.Now()
 	if err := x.Node.CheckSend(target, node.Resume); err != nil {
@@ -280,12 +290,15 @@
 		return false
 	}
 	m := &move{from: from, target: target, done: make(chan struct{}), firstCopy: c.took}
+	var stop context.Context
+	stop, m.giveUp = context.WithCancel(context.Background())
+	defer m.giveUp()
 	if !s.startStop(m) {
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
 		x.free(from, c.handle)
 		return true
 	}
-	finalHandle, err := x.copyMemory(ctx, s, from, target, true)
+	finalHandle, ordered, err := x.stopRun(ctx, stop, s, m)
 	m.stopCopy = time.Since(began)
 	switch {
 	case err == nil:
@@ -294,9 +307,9 @@
 		m.handle, m.atSource = finalHandle, true
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Rejected)
 	default:
-		m.stopUnknown, m.failedAt = !errors.Is(err, ErrRunNotFound) && !evacuated(err), time.Now()
+		m.stopUnknown = ordered && !errors.Is(err, ErrRunNotFound) && pool.WasSent(err)
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
-		x.free(from, c.handle)
+		defer x.free(from, c.handle)
 	}
 	close(m.done)
 	x.logMove(s, from, target, "stop", m, err)
@@ -379,7 +392,7 @@
 		if s.hasEnded() {
 			return "", ErrRunNotFound
 		}
-		handle, err = x.copyMemory(ctx, s, from, target, false)
+		handle, err = x.copyMemory(ctx, s, from, target)
 		if !errors.Is(err, ErrRunNotFound) || s.eventCount() > 0 || ctx.Err() != nil {
 			return handle, err
 		}
@@ -404,7 +417,7 @@
 		"otherDomain": from.Domain != to.Domain,
 	}
 	if m != nil {
-		fields["copyMs"], fields["stopMs"] = m.firstCopy.Milliseconds(), m.stopCopy.Milliseconds()
+		fields["copyMs"], fields["stopMs"], fields["stopUnknown"] = m.firstCopy.Milliseconds(), m.stopCopy.Milliseconds(), m.stopUnknown
 	}
 	l := x.Node.Log.WithFields(fields)
 	if err != nil {
--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -90,6 +90,9 @@
 	// A move of the run that was left must not stop it any more.
 	s.mu.Lock()
 	s.server = backend{}
+	if s.move != nil {
+		s.move.giveUp()
+	}
 	s.mu.Unlock()
 	if !slices.Contains(s.tried, b.ID) {
 		// The run was moved there.
--- a/foldd/relay/return.go
+++ b/foldd/relay/return.go
@@ -51,7 +51,7 @@
 	}
 	sleep(ctx, choice.CopyDelay)
 	began := time.Now()
-	handle, err := x.copyMemory(ctx, s, from, choice.Server, false)
+	handle, err := x.copyMemory(ctx, s, from, choice.Server)
 	if err != nil {
 		x.logMove(s, from, choice.Server, "return", nil, err)
 		x.Node.EndPlacement(choice.Server.ID, req, place.Cancelled)
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -166,7 +166,12 @@
 func (s *stream) relayRun(ctx context.Context, res *pool.Response) (again bool, f *fault.Fault) {
 	for {
 		err := s.attemptError(ctx, s.relayResponse(ctx, res))
-		m, stale := s.awaitRunMove()
+		if err != nil && ctx.Err() != nil {
+			// dropMove cancels the move.
+			s.detach(place.Cancelled)
+			return false, s.q.timeoutFault(ctx)
+		}
+		m, stale := s.awaitRunMove(ctx)
 		if err == nil && (stale || m != nil && m.handle == "") {
 			// checkEnd has left it open while the run might have been stopped.
 			err = s.q.checkServerThere(ctx, s.server, res)
@@ -187,11 +192,11 @@
 			s.detach(place.Failed)
 			s.recordLoss(s.server, true, err)
 			end := endOf(err)
-			if s.mayHaveStopped(m) {
+			if m != nil && m.stopUnknown {
 				end = retry.StreamServerLeft
 			}
 			return s.goesOn(ctx, s.server, end, err), s.interruptedFault(err)
-		case s.mayHaveStopped(m):
+		case mayHaveStopped(m, res):
 			s.detach(place.Cancelled)
 			return s.goesOn(ctx, s.server, retry.StreamServerLeft, errStoppedByMove), s.interruptedFault(errStoppedByMove)
 		default:
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -239,6 +239,13 @@
 	stopByFailedMove(t, origin.Behaviour{LateEvents: 2, LateBy: 100 * time.Millisecond})
 }
 
+// TestStreamStoppedLateIsNotComplete guards against an order to stop a run that is held up on its
+// way and counts as lost once the run has gone on for a while: the stream of the run, which it
+// stops when it arrives, then ended as a complete one.
+func TestStreamStoppedLateIsNotComplete(t *testing.T) {
+	stopByFailedMove(t, origin.Behaviour{LateEvents: 2, LateBy: 700 * time.Millisecond})
+}
+
 // stopByFailedMove stops the run of a stream for a move whose answer is lost, and checks what
 // its caller gets.
 func stopByFailedMove(t *testing.T, atSource origin.Behaviour) {
