Evacuation: an order names the version of the set that it is to change

A VM that was frozen had read the revocation of an earlier evacuation when it woke, 3.5 s after the operator sent it, and had it committed.

Cause: which of two orders holds was their position in the log, and nothing in an order said what its sender knew. That the caller has gone is looked at each 250 ms, which a commit does not wait for; an order that a cut held up arrives ahead of the end of its connection.

Change: an order names the version of the set that its sender knows, zero at first. If the set has another one and the order would change it, the leader doesn't carry it out, and the sender repeats it with the version in the response. The leader compares with the set after all of its log, before the order goes into it, so replicas of earlier builds apply the same log alike. Orders without a version, from earlier builds, are carried out as before.

--- a/fold/raft/log.go
+++ b/fold/raft/log.go
@@ -49,6 +49,11 @@
 	return available[:len(available):len(available)]
 }
 
+// after returns the entries after index, which is at least snapshotIndex.
+func (l *raftLog) after(index uint64) []Entry {
+	return l.entries[min(index, l.last())-l.snapshotIndex:]
+}
+
 // truncate removes the entry at index and all after it.
 func (l *raftLog) truncate(index uint64) {
 	n := index - l.snapshotIndex - 1
--- a/fold/raft/node.go
+++ b/fold/raft/node.go
@@ -364,3 +364,7 @@
 // Log returns the entries after the snapshot, for a caller that rewrites the
 // log on disk. Right after Ready, all of them have been handed out.
 func (n *Node) Log() []Entry { return append([]Entry(nil), n.log.entries...) }
+
+// LogAfter returns the entries of the log after an index that the log holds, or with which it
+// begins. The caller must not modify them.
+func (n *Node) LogAfter(index uint64) []Entry { return n.log.after(index) }
--- a/fold/repl/repl.go
+++ b/fold/repl/repl.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"time"
 
+	"fuchsiafold.example/fold/evac"
 	"fuchsiafold.example/fold/raft"
 	"fuchsiafold.example/fold/state"
 )
@@ -241,6 +242,19 @@
 	p.pending[index] = pendingCommand{id: id, term: term}
 }
 
+// LogEvacuations returns the set of evacuated failure domains after all commands of the log, also
+// those that are not committed yet. A command that the leader proposes now finds this set, if it
+// is ever committed.
+func (p *Replica) LogEvacuations() evac.Set {
+	set := p.machine.Evacuations()
+	for _, e := range p.node.LogAfter(p.applied) {
+		if e.Kind == raft.KindCommand {
+			set = state.EvacuationsAfter(set, e.Data)
+		}
+	}
+	return set
+}
+
 // encodeCommand returns an encoded command, or an error that wraps ErrTooLarge.
 func encodeCommand(c state.Command) ([]byte, error) {
 	if s := c.Settle; s != nil && s.Answer != nil && len(s.Answer.Body) > state.MaxAnswerBytes {
--- a/fold/state/state.go
+++ b/fold/state/state.go
@@ -282,15 +282,41 @@
 
 // evacuate changes the set of evacuated failure domains.
 func (m *Machine) evacuate(e *Evacuate) Result {
+	if err := e.check(); err != nil {
+		return Result{Error: err.Error()}
+	}
+	m.evacuations = e.apply(m.evacuations)
+	return Result{Evacuations: m.evacuations}
+}
+
+// check returns an error if no order about the domain is valid.
+func (e *Evacuate) check() error {
 	if e.Domain == "" || len(e.Domain) > evac.MaxName {
-		return Result{Error: fmt.Sprintf("failure domain: want 1 to %d bytes", evac.MaxName)}
+		return fmt.Errorf("failure domain: want 1 to %d bytes", evac.MaxName)
 	}
+	return nil
+}
+
+// apply returns the set after the order.
+func (e *Evacuate) apply(s evac.Set) evac.Set {
 	if e.Undo {
-		m.evacuations = m.evacuations.Remove(e.Domain)
-	} else {
-		m.evacuations = m.evacuations.Add(e.Domain, e.Ordered)
+		return s.Remove(e.Domain)
 	}
-	return Result{Evacuations: m.evacuations}
+	return s.Add(e.Domain, e.Ordered)
+}
+
+// Changes reports whether the order changes a set.
+func (e *Evacuate) Changes(s evac.Set) bool { return s.Has(e.Domain) == e.Undo }
+
+// EvacuationsAfter returns the set s after a command, which is encoded as JSON.
+func EvacuationsAfter(s evac.Set, command []byte) evac.Set {
+	var c struct {
+		Evacuate *Evacuate `json:"evacuate"`
+	}
+	if json.Unmarshal(command, &c) != nil || c.Evacuate == nil || c.Evacuate.check() != nil {
+		return s
+	}
+	return c.Evacuate.apply(s)
 }
 
 // lease grants a lease that is free, has expired or belongs to the same holder. A
--- a/foldctl/evacuate.go
+++ b/foldctl/evacuate.go
@@ -63,16 +63,24 @@
 
 // orderEvacuation sends an order until it is acknowledged, rejected as invalid, or
 // orderTimeout has passed. It returns the version of the set of evacuated failure domains.
+//
+// The order names the version of the set that it is to change, zero at first, so that a copy of it
+// that is held up on its way can't undo a later order.
 func orderEvacuation(ctx context.Context, order wire.OperatorServiceClient, req *wire.EvacuateRequest) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	version := uint64(0)
 	for {
 		attempt, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
-		res, err := order.Evacuate(attempt, connect.NewRequest(req))
+		res, err := order.Evacuate(attempt, connect.NewRequest(&wire.EvacuateRequest{Domain: req.GetDomain(), Undo: req.GetUndo(), IfVersion: &version}))
 		cancel()
-		if err == nil {
+		if err == nil && !res.Msg.GetOutdated() {
 			return res.Msg.GetEvacuations().GetVersion(), nil
 		}
+		if err == nil {
+			version = res.Msg.GetEvacuations().GetVersion()
+			continue
+		}
 		var failed *connect.Error
 		if ctx.Err() != nil || errors.As(err, &failed) && (failed.Code() == connect.CodeInvalidArgument || failed.Code() == connect.CodeUnauthenticated || failed.Code() == connect.CodeUnimplemented) {
 			return 0, err
--- a/foldd/ctrl/evacuate_test.go
+++ b/foldd/ctrl/evacuate_test.go
@@ -120,6 +120,77 @@
 	}
 }
 
+// orderIf sends an order to a VM once that is about a version of the set.
+func orderIf(t *testing.T, vm *rigVM, domain string, undo bool, version uint64) (*wire.EvacuateResponse, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), applyTimeout)
+	defer cancel()
+	return vm.client.Evacuate(ctx, &wire.EvacuateRequest{Domain: domain, Undo: undo, UnixMillis: 1000, IfVersion: &version})
+}
+
+// TestLateOrderIsNotCarriedOut guards against an order that undoes later ones, as it was held up on
+// its way or in a VM that was frozen. An order that is already in effect is acknowledged.
+func TestLateOrderIsNotCarriedOut(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		g := newGroupRig(t, 3)
+		g.addEntryVMs(t, 1)
+		entry := g.vms[3]
+		steps := []struct {
+			what     string
+			undo     bool
+			about    uint64
+			outdated bool
+			version  uint64
+		}{
+			{"the first order", false, 0, false, 1},
+			{"a resend", false, 0, false, 1},
+			{"a revocation that knows of no order", true, 0, true, 1},
+			{"a revocation", true, 1, false, 2},
+			{"an evacuation that is late", false, 0, true, 2},
+			{"the next evacuation", false, 2, false, 3},
+			{"the revocation again, late", true, 1, true, 3},
+			{"a revocation of a version that is still to come", true, 4, true, 3},
+			{"a resend of the first order, late", false, 0, false, 3},
+		}
+		for _, s := range steps {
+			res, err := orderIf(t, entry, "a", s.undo, s.about)
+			set := peer.FromEvacuations(res.GetEvacuations())
+			if err != nil || res.GetOutdated() != s.outdated || set.Version != s.version || set.Has("a") != (s.version%2 == 1) {
+				t.Errorf("%s: error %v, outdated %t, set %+v; want outdated %t, version %d", s.what, err, res.GetOutdated(), set, s.outdated, s.version)
+			}
+		}
+	})
+}
+
+// TestOrdersAboutSameVersion guards against two orders about the same version that are both carried
+// out, as the first one is in the log but not committed when the second one comes.
+func TestOrdersAboutSameVersion(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const orders = 8
+		g := newGroupRig(t, 3)
+		leader := g.vms[g.leader(t)]
+		results := make(chan *wire.EvacuateResponse, orders)
+		for i := range orders {
+			go func() {
+				res, err := orderIf(t, leader, fmt.Sprint("d", i), false, 0)
+				if err != nil {
+					t.Errorf("order %d: %v", i, err)
+				}
+				results <- res
+			}()
+		}
+		carriedOut := 0
+		for range orders {
+			if res := <-results; !res.GetOutdated() {
+				carriedOut++
+			}
+		}
+		if carriedOut != 1 {
+			t.Errorf("%d orders were carried out, want one", carriedOut)
+		}
+	})
+}
+
 // TestOrderWithoutQuorum guards against an order that is acknowledged without a quorum, and
 // against one that can't be given again once there is one.
 func TestOrderWithoutQuorum(t *testing.T) {
--- a/foldd/oper/evacuate.go
+++ b/foldd/oper/evacuate.go
@@ -19,19 +19,31 @@
 )
 
 // Evacuate submits an order about a failure domain to the control group. Once the order is
-// committed, it is in force at this VM and spread from here, too.
-func Evacuate(ctx context.Context, n *node.Node, control Applier, domain string, undo bool) (*wire.EvacuateResponse, error) {
+// committed, or has been found outdated, the set that then holds is in force at this VM and spread
+// from here, too.
+func Evacuate(ctx context.Context, n *node.Node, control Applier, order *wire.EvacuateRequest) (*wire.EvacuateResponse, error) {
 	begun := time.Now()
-	log := n.Log.WithFields(logrus.Fields{"domain": domain, "undo": undo})
-	res, err := control.Evacuate(ctx, &wire.EvacuateRequest{Domain: domain, Undo: undo, UnixMillis: uint64(clock.Wall().UnixMilli())})
+	log := n.Log.WithFields(logrus.Fields{"domain": order.GetDomain(), "undo": order.GetUndo()})
+	if order.IfVersion != nil {
+		log = log.WithField("ifVersion", order.GetIfVersion())
+	}
+	res, err := control.Evacuate(ctx, &wire.EvacuateRequest{
+		Domain: order.GetDomain(), Undo: order.GetUndo(), IfVersion: order.IfVersion, UnixMillis: uint64(clock.Wall().UnixMilli()),
+	})
 	log = log.WithField("ms", time.Since(begun).Milliseconds())
 	if err != nil {
 		n.Count("evacuations.unconfirmed", 1)
 		log.WithError(err).Warn("evacuation not confirmed by the control group")
 		return nil, err
 	}
-	n.Count("evacuations.acknowledged", 1)
-	log.WithField("version", res.GetEvacuations().GetVersion()).Info("evacuation acknowledged by the control group")
+	log = log.WithField("version", res.GetEvacuations().GetVersion())
+	if res.GetOutdated() {
+		n.Count("evacuations.outdated", 1)
+		log.Info("evacuation not carried out; its sender must repeat it with the version of the set")
+	} else {
+		n.Count("evacuations.acknowledged", 1)
+		log.Info("evacuation acknowledged by the control group")
+	}
 	n.ApplyEvacuations(peer.FromEvacuations(res.GetEvacuations()), "")
 	return res, nil
 }
@@ -51,8 +63,7 @@
 	if o.Control == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoControl)
 	}
-	m := req.Msg
-	res, err := Evacuate(ctx, o.Node, o.Control, m.GetDomain(), m.GetUndo())
+	res, err := Evacuate(ctx, o.Node, o.Control, req.Msg)
 	if errors.Is(err, ctrl.ErrNoQuorum) {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
--- a/foldfake/soak/evacuate.go
+++ b/foldfake/soak/evacuate.go
@@ -188,15 +188,22 @@
 	o.world.orders.end(x, time.Now(), failed, false)
 }
 
-// order sends an order to the VM once.
+// order sends an order to the VM, and again for as long as it names an outdated version of the set
+// of evacuated domains.
 func (v *vm) order(ctx context.Context, domain string, undo bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, err := v.client.Evacuate(ctx, connect.NewRequest(&wire.EvacuateRequest{Domain: domain, Undo: undo}))
-	if err != nil {
-		return fmt.Errorf("order at %s: %w", v.id, err)
+	version := uint64(0)
+	for {
+		res, err := v.client.Evacuate(ctx, connect.NewRequest(&wire.EvacuateRequest{Domain: domain, Undo: undo, IfVersion: &version}))
+		if err != nil {
+			return fmt.Errorf("order at %s: %w", v.id, err)
+		}
+		if !res.Msg.GetOutdated() {
+			return nil
+		}
+		version = res.Msg.GetEvacuations().GetVersion()
 	}
-	return nil
 }
 
 // checkEvacuated checks that a request that begins work does not reach an evacuated server
