Node: a departure is acknowledged once other VMs know of it

The VM that had acknowledged the DELETE was killed right after that.

Cause: the response was written while the goroutines that tell other VMs were being started; nothing waited for one of them. A server that was told that its DELETE counts doesn't repeat it.

Change: a departure (DELETE, draining, leaving in an announcement of the own interface) is acknowledged once all VMs have confirmed it that an urgent update goes to, which they do by the version of the table that an exchange names. After 300 ms one VM is enough; without one in 600 ms the server gets 503 and tells another VM. A VM that can reach nobody acknowledges alone, unless it has just started and knows nobody yet. A departure that another VM was told first, and that may be lost with it, is sent on as told by the server: VMs of other failure domains left it out otherwise.

--- a/fold/member/backend.go
+++ b/fold/member/backend.go
@@ -350,6 +350,18 @@
 	return r.Backend, true
 }
 
+// Repeat makes what is known of a live backend server a new update by the server itself. Other
+// VMs then get it as a whole, also if it came from another VM first.
+func (t *Table) Repeat(id string) {
+	r := t.records[id]
+	if r == nil || r.removed {
+		return
+	}
+	t.version++
+	r.version, r.identityVersion = t.version, t.version
+	r.from = ""
+}
+
 // withBriefUpdate returns the record's backend server with the fields that a
 // brief update sets.
 func (r *record) withBriefUpdate(brief Backend) Backend {
@@ -378,6 +390,10 @@
 	return out
 }
 
+// Version returns the number of changes of the table so far. An exchange covers all of them up to
+// the one that it names.
+func (t *Table) Version() uint64 { return t.version }
+
 // Get returns a live backend server by its ID.
 func (t *Table) Get(id string) (Backend, bool) {
 	r := t.records[id]
--- a/foldd/node/backend.go
+++ b/foldd/node/backend.go
@@ -84,6 +84,9 @@
 		change = member.Changed
 	}
 	b, present := n.table.Get(u.ID)
+	if u.Leaving && from == "" && change == member.Changed {
+		n.leaving.add(u.Backend, n.table.Version())
+	}
 	if (change == member.Refreshed || change == member.Changed) && present && b.Kind == spec.KindEngine {
 		n.eachScheduler(func(s *sched.Scheduler) {
 			if change == member.Changed {
@@ -110,6 +113,9 @@
 	n.mu.Lock()
 	now := time.Now()
 	b, isNew := n.table.MarkLeaving(now, id, epoch)
+	if isNew {
+		n.leaving.add(b, n.table.Version())
+	}
 	if isNew && b.Kind == spec.KindEngine {
 		n.eachScheduler(func(s *sched.Scheduler) { s.UpdateBackend(now, b) })
 		n.poll(now)
@@ -217,6 +223,7 @@
 		n.reach.Forget(id)
 		n.eachScheduler(func(s *sched.Scheduler) { s.RemoveBackend(now, id) })
 	}
+	n.leaving.retain(func(id string) bool { _, ok := n.table.Get(id); return ok })
 	n.poll(now)
 	n.mu.Unlock()
 	for _, id := range expired {
--- a/foldd/node/exchange.go
+++ b/foldd/node/exchange.go
@@ -97,6 +97,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.group.RecordFailure(addr)
+	n.leaving.notify()
 }
 
 // SubstitutesFor returns the addresses of VMs that can take an update in place of the VM at
@@ -228,6 +229,7 @@
 		return
 	}
 	n.group.RecordExchange(id, sent.Version, have)
+	n.leaving.notify()
 	n.recordPromptUpdate(id, sent.Prompts.Changes)
 }
 
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -140,6 +140,7 @@
 	// other VMs.
 	gossipRounds [2]gossipRound
 	seedChanges  seedChanges
+	leaving      leavingMarks
 	// controlLost is set while no control VM is reachable.
 	controlLost bool
 	// controlReached is set once a control VM was reachable, and controlNeverReached if none
--- a/foldd/oper/backend.go
+++ b/foldd/oper/backend.go
@@ -121,6 +121,12 @@
 	for _, c := range a.CacheEvents {
 		n.UpdatePrefixCache(b.ID, c.Prefix, c.Stored)
 	}
+	if b.Leaving {
+		if err := n.AwaitLeavingKnown(r.Context(), b.ID); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(announceReply{LeaseMS: member.DefaultLease.Milliseconds()})
 }
