Node: a server that gives up its departure is not logged as one that no VM confirmed

Seen on reading: a caller that closes its connection while a VM waits for others was counted in backends.leavingUnconfirmed, whose alarm names the links between VMs.

--- a/foldd/node/leaving.go
+++ b/foldd/node/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"time"
 
@@ -85,8 +86,8 @@
 	if again {
 		n.Gossip(n.urgentTargets(""))
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
+	unconfirmed := time.NewTimer(confirmTimeout)
+	defer unconfirmed.Stop()
 	spread := time.NewTimer(spreadTimeout)
 	defer spread.Stop()
 	late := false
@@ -101,6 +102,8 @@
 		case <-spread.C:
 			late = true
 		case <-ctx.Done():
+			return fmt.Errorf("await that VMs know of a leaving server: %w", ctx.Err())
+		case <-unconfirmed.C:
 			n.Count("backends.leavingUnconfirmed", 1)
 			n.Log.WithFields(logrus.Fields{"backend": id, "ms": time.Since(begun).Milliseconds()}).Warn("no other VM has confirmed that a backend server is leaving; not acknowledging it")
 			return ErrLeavingUnconfirmed
