Tests: the links of VMs in virtual time are cut without a data race

TestDepartureToldTwice failed under the race detector: it cut a link while exchanges read whether it was cut.

--- a/foldd/peer/evacuate_test.go
+++ b/foldd/peer/evacuate_test.go
@@ -43,7 +43,7 @@
 // cut or of an earlier version.
 func (f *fleet) inForceAt(version uint64) (inForce, vms int) {
 	for _, v := range f.vms {
-		if v.cut || v.earlier {
+		if v.cut.Load() || v.earlier {
 			continue
 		}
 		vms++
@@ -141,14 +141,14 @@
 		f.vms[0].node.ApplyEvacuations(set, "")
 		f.awaitInForce(t, 1)
 		lone := f.vms[9]
-		lone.cut = true
+		lone.cut.Store(true)
 		f.vms[0].node.ApplyEvacuations(set.Remove("d1"), "")
 		f.awaitInForce(t, 2)
 		time.Sleep(5 * time.Second)
 		if lone.node.Evacuations().Version != 1 {
 			t.Fatal("the VM that is cut off knows the new order")
 		}
-		lone.cut = false
+		lone.cut.Store(false)
 		if took := f.awaitInForce(t, 2); took > evacuationSpread {
 			t.Errorf("the VM learns of the order %v after the cut", took)
 		}
--- a/foldd/peer/fleet_test.go
+++ b/foldd/peer/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,7 +53,8 @@
 	delay time.Duration
 	// earlier is set for a VM of a version that ignores evacuations, and cut for one that
 	// no message reaches or leaves.
-	earlier, cut bool
+	earlier bool
+	cut     atomic.Bool
 	// share is the share of a core that the VM has, zero if messages cost nothing.
 	share float64
 
@@ -140,7 +142,7 @@
 	if err := wait(r.Context(), time.Until(l.from.work(len(body)))+delay); err != nil {
 		return nil, err
 	}
-	if l.from.cut || to.cut {
+	if l.from.cut.Load() || to.cut.Load() {
 		return nil, errCut
 	}
 	earlier := (l.from.earlier || to.earlier) && r.URL.Path == wire.PeerServiceExchangeProcedure
--- a/foldd/peer/leaving_test.go
+++ b/foldd/peer/leaving_test.go
@@ -64,7 +64,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleetWithServer(t, size)
 				took := f.vms[1].depart(t, nil)
-				f.vms[1].cut = true
+				f.vms[1].cut.Store(true)
 				if took > maxQuickAck {
 					t.Errorf("acknowledged after %v, want at most %v", took, maxQuickAck)
 				}
@@ -119,18 +119,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleetWithServer(t, 6)
 		for _, v := range f.vms[2:] {
-			v.cut = true
+			v.cut.Store(true)
 		}
 		f.vms[0].node.MarkBackendLeaving(server(0).ID, 0)
 		time.Sleep(maxQuickAck)
 		for _, v := range f.vms[2:] {
-			v.cut = false
+			v.cut.Store(false)
 		}
-		f.vms[0].cut = true
+		f.vms[0].cut.Store(true)
 		f.checkLeaving(t, f.vms[:2], true)
 		f.checkLeaving(t, f.vms[2:], false)
 		f.vms[1].depart(t, nil)
-		f.vms[1].cut = true
+		f.vms[1].cut.Store(true)
 		f.checkLeaving(t, f.vms, true)
 	})
 }
@@ -143,7 +143,7 @@
 		f.add(t, 0)
 		f.add(t, 1)
 		starting, seed := f.vms[0].node, f.vms[1]
-		seed.cut = true
+		seed.cut.Store(true)
 		starting.SetSeeds([]netip.AddrPort{seed.node.Self().Addr}, nil)
 		leaving := server(0)
 		leaving.Leaving = true
