Relay: the end of a stream with framing is not believed right after an order to stop its run

A framed stream that ends so within 400 ms after an order without a reply is interrupted again; an order that is still without a reply at the end of the stream counts as one of that moment. TestStreamStoppedInGoodOrderIsNotComplete fails without it; TestStreamEndsBesideFailedStop now has a framed stream that ends 500 ms after the reply was lost. startHeldStream leaves the framing to its callers, which name what it had set.

--- a/foldd/relay/stop.go
+++ b/foldd/relay/stop.go
@@ -27,10 +27,11 @@
 	// atSource is set if the target rejected the run and the source keeps its
 	// memory.
 	atSource bool
-	// stopUnknown is set if that order was sent and has no reply that tells its outcome. The run
-	// may have been stopped, or may be stopped later: an order that is held up on its way still
-	// counts when it arrives.
+	// stopUnknown is set if that order was sent and, at failedAt, has no reply that tells its
+	// outcome. The run may have been stopped, or may be stopped later: an order that is held up on
+	// its way still counts when it arrives.
 	stopUnknown bool
+	failedAt    time.Time
 	// firstCopy is how long the copy took while the run continued, and stopCopy how long
 	// the copy of the rest took.
 	firstCopy, stopCopy time.Duration
@@ -73,7 +74,7 @@
 		m.handle, m.atSource = finalHandle, true
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Rejected)
 	default:
-		m.stopUnknown = ordered && !errors.Is(err, ErrRunNotFound) && pool.WasSent(err)
+		m.stopUnknown, m.failedAt = ordered && !errors.Is(err, ErrRunNotFound) && pool.WasSent(err), time.Now()
 		x.Node.EndPlacement(target.ID, s.copyRequest(from), place.Cancelled)
 		defer x.free(from, c.handle)
 	}
@@ -165,12 +166,23 @@
 	}
 }
 
+// overtakeTime is how long events that an engine has made before it stopped a run may be under
+// way.
+const overtakeTime = 400 * time.Millisecond
+
 // mayHaveStopped reports whether a response that has ended without an error may have been ended
-// by the move m, which has ended and may be nil, rather than by the end of its run. A response
-// with framing says itself that it is complete. Without it, no event proves that the run was not
-// stopped after that event.
-func mayHaveStopped(m *move, res *pool.Response) bool {
-	return m != nil && m.stopUnknown && res.Framing == pool.CloseDelimited
+// by the move m, which has ended and may be nil, rather than by the end of its run. Without
+// framing, no event proves that the run was not stopped after that event. A response with framing
+// says itself that it is complete, and an engine that has stopped its run leaves that out; only
+// right after the order is its end not believed, in case an engine does otherwise.
+func (s *stream) mayHaveStopped(m *move, res *pool.Response) bool {
+	switch {
+	case m == nil || !m.stopUnknown:
+		return false
+	case res.Framing == pool.CloseDelimited:
+		return true
+	}
+	return s.lastAt.Sub(m.failedAt) <= overtakeTime
 }
 
 // cancelMove releases the target of a completed move whose caller has
--- a/foldd/relay/stop_test.go
+++ b/foldd/relay/stop_test.go
@@ -62,7 +62,7 @@
 // run for a move is held up: the run stops when the order arrives, and only the reply to the order
 // has the handle by which it goes on at the other engine.
 func TestStreamGoesOnAfterLateStop(t *testing.T) {
-	r, a, b, result := startHeldStream(t, origin.Behaviour{}, origin.Behaviour{Events: streamEvents, CloseDelimited: true})
+	r, a, b, result := startHeldStream(t, origin.Behaviour{CloseDelimited: true}, origin.Behaviour{Events: streamEvents, CloseDelimited: true})
 	l := newLateStop()
 	r.relay.Mover = l.mover(a, b)
 	r.announce(a, "models", true)
@@ -139,7 +139,7 @@
 }
 
 // TestStreamEndsBesideFailedStop guards against a stream that ends by itself, and counts as broken
-// off because the order to stop its run has no reply yet, or had none.
+// off because the order to stop its run has no reply yet, or had none some time before.
 func TestStreamEndsBesideFailedStop(t *testing.T) {
 	tests := []struct {
 		name string
@@ -148,7 +148,7 @@
 		// stop gives the order; ended is closed once the run has ended.
 		stop func(ctx context.Context, ended <-chan struct{}) error
 	}{
-		{"with framing, reply lost", false, func(context.Context, <-chan struct{}) error { return errors.New("injected loss of the reply") }},
+		{"with framing, reply lost long before", false, func(context.Context, <-chan struct{}) error { return errors.New("injected loss of the reply") }},
 		{"without framing, order arrives after the end", true, func(ctx context.Context, ended <-chan struct{}) error {
 			<-ended
 			time.Sleep(200 * time.Millisecond)
@@ -180,6 +180,8 @@
 			}
 			r.announce(a, "models", true)
 			<-given
+			// Longer than events that were made before the order may be under way.
+			time.Sleep(500 * time.Millisecond)
 			close(release)
 			waitFor(t, "the run to end", func() bool { return !a.Running("1") })
 			close(ended)
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -196,7 +196,7 @@
 				end = retry.StreamServerLeft
 			}
 			return s.goesOn(ctx, s.server, end, err), s.interruptedFault(err)
-		case mayHaveStopped(m, res):
+		case s.mayHaveStopped(m, res):
 			s.detach(place.Cancelled)
 			return s.goesOn(ctx, s.server, retry.StreamServerLeft, errStoppedByMove), s.interruptedFault(errStoppedByMove)
 		default:
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -202,7 +202,7 @@
 	r = startVM(t)
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
-	atSource.Events, atSource.Hold, atSource.HoldAt, atSource.CloseDelimited = streamEvents, release, 5, true
+	atSource.Events, atSource.Hold, atSource.HoldAt = streamEvents, release, 5
 	a = r.backend("a", "models", respondWith(atSource))
 	results := make(chan streamResult, 1)
 	go func() {
@@ -220,7 +220,7 @@
 
 // TestBrokenResumedStreamIsNotComplete breaks a stream off after it was moved.
 func TestBrokenResumedStreamIsNotComplete(t *testing.T) {
-	r, a, b, result := startHeldStream(t, origin.Behaviour{}, origin.Behaviour{Events: streamEvents, TruncateAt: 12, CloseDelimited: true})
+	r, a, b, result := startHeldStream(t, origin.Behaviour{CloseDelimited: true}, origin.Behaviour{Events: streamEvents, TruncateAt: 12, CloseDelimited: true})
 	r.relay.Mover = newMover(a, b)
 	r.announce(a, "models", true)
 	res := <-result
@@ -230,27 +230,34 @@
 // TestStreamStoppedByFailedMoveIsNotComplete stops a run whose final copy then
 // fails, so that its stream ends without an error.
 func TestStreamStoppedByFailedMoveIsNotComplete(t *testing.T) {
-	stopByFailedMove(t, origin.Behaviour{})
+	stopByFailedMove(t, origin.Behaviour{CloseDelimited: true}, false)
+}
+
+// TestStreamStoppedInGoodOrderIsNotComplete is the same for an engine that ends the stream of a
+// stopped run with its final chunk.
+func TestStreamStoppedInGoodOrderIsNotComplete(t *testing.T) {
+	stopByFailedMove(t, origin.Behaviour{}, true)
 }
 
 // TestStoppedStreamWithEventUnderWayIsNotComplete guards against an event that was under way
 // when the run was stopped and that is taken as proof that the run went on.
 func TestStoppedStreamWithEventUnderWayIsNotComplete(t *testing.T) {
-	stopByFailedMove(t, origin.Behaviour{LateEvents: 2, LateBy: 100 * time.Millisecond})
+	stopByFailedMove(t, origin.Behaviour{CloseDelimited: true, LateEvents: 2, LateBy: 100 * time.Millisecond}, false)
 }
 
 // TestStreamStoppedLateIsNotComplete guards against an order to stop a run that is held up on its
 // way and counts as lost once the run has gone on for a while: the stream of the run, which it
 // stops when it arrives, then ended as a complete one.
 func TestStreamStoppedLateIsNotComplete(t *testing.T) {
-	stopByFailedMove(t, origin.Behaviour{LateEvents: 2, LateBy: 700 * time.Millisecond})
+	stopByFailedMove(t, origin.Behaviour{CloseDelimited: true, LateEvents: 2, LateBy: 700 * time.Millisecond}, false)
 }
 
 // stopByFailedMove stops the run of a stream for a move whose answer is lost, and checks what
-// its caller gets.
-func stopByFailedMove(t *testing.T, atSource origin.Behaviour) {
+// its caller gets. With clean, the engine ends the response of the stopped run without an error.
+func stopByFailedMove(t *testing.T, atSource origin.Behaviour, clean bool) {
 	t.Helper()
 	r, a, b, result := startHeldStream(t, atSource, origin.Behaviour{})
+	a.CleanStop = clean
 	inner := newMover(a, b)
 	r.relay.Mover = &relay.Mover{
 		Copy: func(ctx context.Context, source netip.AddrPort, id string, target netip.AddrPort, stop bool) (string, relay.Reply, error) {
