Tests: an order to stop a run that was never sent leaves its stream complete

Change: a case of TestStreamEndsBesideFailedStop. Result: it fails if the product does not ask whether the order was sent, and passes as it is.

--- a/foldd/relay/stop_test.go
+++ b/foldd/relay/stop_test.go
@@ -11,6 +11,7 @@
 
 	"fuchsiafold.example/foldd/relay"
 	"fuchsiafold.example/foldfake/origin"
+	"fuchsiafold.example/netio/pool"
 )
 
 // lateStop is a move whose order to stop the run reaches the source late, or never.
@@ -149,6 +150,9 @@
 		stop func(ctx context.Context, ended <-chan struct{}) error
 	}{
 		{"with framing, reply lost long before", false, func(context.Context, <-chan struct{}) error { return errors.New("injected loss of the reply") }},
+		{"without framing, order not sent", true, func(context.Context, <-chan struct{}) error {
+			return &pool.Error{Err: errors.New("injected refusal of the connection")}
+		}},
 		{"without framing, order arrives after the end", true, func(ctx context.Context, ended <-chan struct{}) error {
 			<-ended
 			time.Sleep(200 * time.Millisecond)
