--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,7 +6,7 @@
 for program in foldd review3; do
 	[ -x "$root/target/$program" ] || { echo "target/$program is missing: build first"; exit 2; }
 done
-timeout -k 2 115 "$root/target/review3" digits "$root"
+timeout -k 2 115 "$root/target/review3" names "$root"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/rig3/cluster.go
+++ b/review/rig3/cluster.go
@@ -67,7 +67,7 @@
 
 // free reports whether nothing listens on the addresses of the deployment.
 func (c *cluster) free() bool {
-	for i := 1; i <= 12; i++ {
+	for i := 1; i <= 20; i++ {
 		for _, port := range []int{portCallers, portOperators, portHealth, portPeers, portMetrics} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", c.prefix, i, port))
 			if err != nil {
--- a/review/rig3/parts.go
+++ b/review/rig3/parts.go
@@ -12,12 +12,17 @@
 	"time"
 )
 
-func init() { scenarios["parts"] = parts }
+func init() {
+	scenarios["parts"] = parts
+	scenarios["names"] = names
+}
 
 // Figures of the case.
 const (
-	// promptParts is the number of parts of each prompt. PARTS sets another one.
-	promptParts    = 40
+	// manyParts is the number of parts of each prompt in one case, and fewParts in the other.
+	// PARTS sets another one.
+	manyParts      = 40
+	fewParts       = 4
 	partsEngines   = 6
 	partsPerSecond = 12.0
 	crashShare     = 0.2
@@ -134,9 +139,33 @@
 	return strings.Join(append(list, middle, id+":50"), ",")
 }
 
-// parts plays requests with a part that crashes engines, whose prompts have many parts.
+// partsPlay is a play of requests with a part that crashes engines.
+type partsPlay struct {
+	fronts, parts int
+	// engineName begins the IDs of the engines.
+	engineName string
+}
+
+// parts plays it with prompts of many parts.
 func parts(c *cluster, trouble bool) (bool, error) {
-	count := promptParts
+	return partsPlay{fronts: 3, parts: manyParts, engineName: "i-llm-"}.run(c, trouble)
+}
+
+// longName is as an orchestrator may name an engine: with its service, its zone and its set. ID_NAME
+// sets another name.
+const longName = "advice-models-dense32b-bf16-7d9f8b6c5d-x2x9z.hobart-a.tas-south.example-"
+
+// names plays it with engines whose IDs are long.
+func names(c *cluster, trouble bool) (bool, error) {
+	name := longName
+	if text := os.Getenv("ID_NAME"); text != "" {
+		name = text
+	}
+	return partsPlay{fronts: 7, parts: fewParts, engineName: name}.run(c, trouble)
+}
+
+func (p partsPlay) run(c *cluster, trouble bool) (bool, error) {
+	count := p.parts
 	if text := os.Getenv("PARTS"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil {
@@ -144,12 +173,12 @@
 		}
 		count = n
 	}
-	if err := c.start(3, 3); err != nil {
+	if err := c.start(3, p.fronts); err != nil {
 		return false, err
 	}
 	watch := &partsWatch{running: map[*exchange]bool{}}
 	for i := range partsEngines {
-		e, err := newEngine(c, "i-llm-"+strconv.Itoa(i+1), "advice-models", zoneName(i), 24, watch.handle)
+		e, err := newEngine(c, p.engineName+strconv.Itoa(i+1), "advice-models", zoneName(i), 24, watch.handle)
 		if err != nil {
 			return false, err
 		}
@@ -188,7 +217,7 @@
 	late := watch.late()
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	c.rec.verdict("prompts of %d parts; sound requests %d, whole %d; requests with the crashing part %d, crashes %d; such requests at engines later than contact_ms after the fifth crash %d (%d allowed); runs of sound requests lost in crashes %d",
-		count, sound.Load(), soundOK.Load(), crashing.Load(), len(watch.crashes), late, allowedAfter, watch.lostRuns)
+	c.rec.verdict("prompts of %d parts, engine IDs of %d bytes; sound requests %d, whole %d; requests with the crashing part %d, crashes %d; such requests at engines later than contact_ms after the fifth crash %d (%d allowed); runs of sound requests lost in crashes %d",
+		count, len(p.engineName)+1, sound.Load(), soundOK.Load(), crashing.Load(), len(watch.crashes), late, allowedAfter, watch.lostRuns)
 	return late > allowedAfter, nil
 }
