relay: a server's status that promises "not run" reaches callers only if that is proved

Callers saw: 503 (408 and 429 in the same way) to requests that a server had run.

Cause: what a server has stated (X-Not-Run, or 421) and what a status tells callers were one thing. A response that was no stated refusal was passed on, whatever its status promises. A VM that passes a request on also took the other VM's "not run" for the whole truth after it had sent the request to a server itself.

TestFalsePromiseReachesNoCaller (22 cases), TestFalsePromiseIsRetried and TestFalsePromiseThroughOtherVM (4 kinds) fail on that code.

Change: such a response becomes 502 with the outcome unknown, on plain requests, streams, resumable streams after the last server, and answers passed on over another VM; an idempotent request goes to another server first. Stated refusals and all other statuses are passed on as before (TestProvedPromiseReachesCaller). A log line with the request's id and forward.falsePromises say so. Answers of own calls stay: their promise is in Fold-Outcome (TestStatusOfOwnCallIsNoPromise).

--- a/foldd/fault/fault.go
+++ b/foldd/fault/fault.go
@@ -116,6 +116,17 @@
 	w.Write(b)
 }
 
+// PromisesNotRun reports whether a status tells callers that their request has not run and never
+// will. They send such a request again, also one that may run only once, so a response with such
+// a status may reach them only if that is proved.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // NotRun returns a fault for a request that provably did not run.
 func NotRun(status int, code, message string) *Fault {
 	return &Fault{Status: status, Code: code, Message: message, Outcome: retry.NotRun}
--- a/foldd/relay/fault.go
+++ b/foldd/relay/fault.go
@@ -40,6 +40,12 @@
 	return fault.NotRun(http.StatusServiceUnavailable, fault.NoBackend, message).WithRetryAfter(c.RetryAfter)
 }
 
+// failedFault returns the error for a request that a backend server may have run and to which
+// there is no response that can be passed on.
+func failedFault(err error) *fault.Fault {
+	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
+}
+
 // timeoutFault returns the error for a request that has timed out, or whose VM ends. ctx is
 // the context of the request, which has ended.
 func (q *request) timeoutFault(ctx context.Context) *fault.Fault {
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -97,6 +97,12 @@
 				return false, f
 			}
 		}
+		if err := q.checkStatus(b, res.Status); err != nil {
+			res.Body.Close()
+			q.relay.Node.EngineAnswered(b)
+			q.relay.Node.EndPlacement(b.ID, s.placement, place.Answered)
+			return false, failedFault(err)
+		}
 		s.recordResumption(b)
 		s.attach(b)
 		s.prefilling, s.eventsBefore = true, s.events
@@ -135,7 +141,7 @@
 	if s.goesOn(ctx, b, endOf(err), err) {
 		return nil
 	}
-	return &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: err.Error(), Outcome: retry.Unknown}
+	return failedFault(err)
 }
 
 // firstTokenBudget returns the time left until the first token is due. It is at
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -112,7 +112,13 @@
 			q.passedTo = p.ID
 			q.sent++
 			n.Count("peer.passed", 1)
+			err := q.checkPeerStatus(res)
 			q.observePeerResponse(res)
+			if err != nil {
+				res.Body.Close()
+				q.endPass()
+				return nil, failedFault(err)
+			}
 			return res, nil
 		}
 		n.EndPass(q.service.Name, p.ID, ctx.Err() == nil)
@@ -125,7 +131,7 @@
 			return nil, nil
 		case pool.WasSent(err):
 			q.sent++
-			return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: errPeerLost.Error(), Outcome: retry.Unknown}
+			return nil, failedFault(errPeerLost)
 		}
 	}
 	return nil, nil
@@ -204,7 +210,7 @@
 	case err != nil && ctx.Err() != nil:
 		return nil, q.timeoutFault(ctx)
 	case err != nil:
-		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: errPeerLost.Error(), Outcome: retry.Unknown}
+		return nil, failedFault(errPeerLost)
 	}
 	q.peerOutcome = res.Header.Get(fault.HeaderOutcome)
 	return &response{status: res.Status, header: res.Header, body: body}, nil
--- a/foldd/relay/plain.go
+++ b/foldd/relay/plain.go
@@ -27,6 +27,9 @@
 // attempt is the result of sending a request to one backend server once.
 type attempt struct {
 	retry.Attempt
+	// status is that of a complete response. response is nil if that response can't be passed
+	// on to the caller; err says why there is none.
+	status   int
 	response *response
 	err      error
 }
@@ -143,7 +146,7 @@
 // allow it. If it returns true, a retry is taken from the budget.
 func (q *request) shouldRetry(a attempt) bool {
 	idempotent := q.forward.Idempotent()
-	retryable := a.Refused || idempotent && (!a.ResponseComplete || a.response.status >= http.StatusInternalServerError)
+	retryable := a.Refused || idempotent && (!a.ResponseComplete || failedStatus(a.status))
 	return retryable && q.sent < max(q.forward.Attempts, 1) && q.relay.Node.TakeForwardRetry(q.service.Name)
 }
 
@@ -153,11 +156,11 @@
 func (q *request) finalResult(last attempt) (*response, *fault.Fault) {
 	switch {
 	case last.response != nil && !supportedStatus(last.response.status):
-		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: errUnsupportedStatus.Error(), Outcome: retry.Unknown}
+		return nil, failedFault(errUnsupportedStatus)
 	case last.response != nil:
 		return last.response, nil
 	case q.mayHaveRun:
-		return nil, &fault.Fault{Status: http.StatusBadGateway, Code: fault.BackendFailed, Message: last.failure(), Outcome: retry.Unknown}
+		return nil, failedFault(errors.New(last.failure()))
 	case last.Refused:
 		return nil, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").WithRetryAfter(rejectedRetryAfter)
 	}
@@ -195,9 +198,11 @@
 		return q.recordFailure(ctx, b, a, err)
 	}
 	q.relay.Node.EndPlacement(b.ID, place.Request{}, place.Answered)
-	a.ResponseComplete = true
+	a.ResponseComplete, a.status = true, res.Status
 	q.recordPlainSurvival(b)
-	a.response = &response{status: res.Status, header: res.Header, body: body}
+	if a.err = q.checkStatus(b, res.Status); a.err == nil {
+		a.response = &response{status: res.Status, header: res.Header, body: body}
+	}
 	return a
 }
 
--- a/foldd/relay/resume.go
+++ b/foldd/relay/resume.go
@@ -148,7 +148,7 @@
 	if !s.q.forward.Resumable {
 		return false
 	}
-	return res.Status >= http.StatusInternalServerError || s.headerSent && res.Status != http.StatusOK
+	return failedStatus(res.Status) || s.headerSent && res.Status != http.StatusOK
 }
 
 // acceptError handles a server error. It returns true if the caller gets it, and a fault if the
