pool: a server that has no room for a connection has not ended

Cause: such a response counts as complete only if its server's process still runs. A connection was opened for that, and one that was accepted and then reset, as a server does whose queue is long, counted like one that is refused.

Change: after a connection that was closed within 20 ms a second one is opened. A process that ends has closed its listener by then, so it is refused; accepted or reset, the process runs. A full server costs one connection more for each such response, another one none. A connection reset before the VM knew that it was open no longer counts as a server that can't be reached. A log line with the request's id and forward.confirmedFull say so.

--- a/foldd/relay/reach.go
+++ b/foldd/relay/reach.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiafold.example/fold/spec"
+	"fuchsiafold.example/netio/pool"
 )
 
 // Times without a response after which it is checked whether the server can still be
@@ -25,8 +26,13 @@
 }
 
 // connectFailed records that a connection to a backend server could not be opened. Idle
-// connections to a server that can't be reached are closed: they may be dead.
+// connections to a server that can't be reached are closed: they may be dead. A server that
+// has reset the connection, as one does that has no room for it, can be reached.
 func (x *Relay) connectFailed(b backend, err error) {
+	if pool.ResetByServer(err) {
+		x.Node.ServerAnswered(b)
+		return
+	}
 	if x.Node.ConnectFailed(b, err) {
 		x.Pool.CloseIdle(b.Addr)
 	}
--- a/foldd/relay/stream.go
+++ b/foldd/relay/stream.go
@@ -415,14 +415,19 @@
 }
 
 // checkServerThere returns an error if a response that ended with its connection can't count
-// as complete because its server takes no connection any more: one that has crashed closes
-// its connections too.
+// as complete because its server's process may have ended: the connections of one that has crashed
+// are closed, too. A server that has no room for a further connection has not ended.
 func (q *request) checkServerThere(ctx context.Context, b backend, res *pool.Response) error {
 	if res.Framing != pool.CloseDelimited {
 		return nil
 	}
-	if err := q.relay.Pool.Confirm(ctx, b.Addr); err != nil {
+	full, err := q.relay.Pool.Confirm(ctx, b.Addr)
+	if err != nil {
 		return fmt.Errorf("%w: %w", errServerGone, err)
 	}
+	if full {
+		q.relay.Node.Count("forward.confirmedFull", 1)
+		q.relay.attemptLog(q, b).Info("backend server has no room for a connection, but runs; its response is complete")
+	}
 	return nil
 }
--- a/foldd/relay/truncated_test.go
+++ b/foldd/relay/truncated_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"fuchsiafold.example/fold/member"
 	"fuchsiafold.example/foldd/relay"
 	"fuchsiafold.example/foldfake/origin"
 )
@@ -177,6 +181,47 @@
 	}
 }
 
+// TestResponseOfFullServerIsComplete guards against whole responses without framing that are cut
+// off, or not believed, because their server has no room for another connection at that moment.
+func TestResponseOfFullServerIsComplete(t *testing.T) {
+	tests := []struct {
+		name, path, service string
+		behaviour           origin.Behaviour
+		status              int
+		body                string
+	}{
+		{"stream", "/draft/x", "models", origin.Behaviour{Events: streamEvents, CloseDelimited: true}, http.StatusOK, allEvents()},
+		{"resumable stream", "/short/x", "models", origin.Behaviour{Events: streamEvents, CloseDelimited: true}, http.StatusOK, allEvents()},
+		{"failure response to a stream", "/draft/x", "models", origin.Behaviour{Status: http.StatusInternalServerError, Body: "whole answer", CloseDelimited: true}, http.StatusInternalServerError, "whole answer"},
+		{"request that may run once", "/write/x", "app", origin.Behaviour{Body: "whole answer", CloseDelimited: true}, http.StatusOK, "whole answer"},
+		{"idempotent request", "/read/x", "app", origin.Behaviour{Body: "whole answer", CloseDelimited: true}, http.StatusOK, "whole answer"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := startVM(t)
+			var s *origin.Server
+			s = r.backend("s1", tt.service, func(*http.Request) origin.Behaviour {
+				s.SetFull(true)
+				return tt.behaviour
+			})
+			for i := range 3 {
+				s.SetFull(false)
+				id := fmt.Sprint(i)
+				status, body, err := r.sendAndRead(http.MethodPost, tt.path, id, "b")
+				if status != tt.status || body != tt.body || err != nil || s.RunCount(id) != 1 {
+					t.Errorf("status %d, body %q, error %v, %d runs; want %d, whole, one", status, body, err, s.RunCount(id), tt.status)
+				}
+			}
+			if s.TurnedAway() != 6 {
+				t.Errorf("%d connections beside those of three requests, want two for each", s.TurnedAway())
+			}
+			if r.failedAttempts() != 0 {
+				t.Errorf("%d attempts count as failed", r.failedAttempts())
+			}
+		})
+	}
+}
+
 // TestStreamNeedsChunks checks that a caller whose protocol has no chunks, and who
 // so can't tell a broken stream, gets none.
 func TestStreamNeedsChunks(t *testing.T) {
@@ -273,3 +318,21 @@
 	res := <-result
 	checkTruncated(t, res.body, res.err)
 }
+
+// TestFullServerIsReachable guards against a server that resets new connections for want of room,
+// and that counts as cut off from this VM.
+func TestFullServerIsReachable(t *testing.T) {
+	for cause, reachable := range map[syscall.Errno]bool{syscall.ECONNRESET: true, syscall.ECONNREFUSED: false} {
+		r := startVM(t)
+		s := r.backend("s1", "app", respondWith(origin.Behaviour{}))
+		r.relay.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", cause)}
+		}
+		for range 3 {
+			r.relay.ProbeServer(member.Backend{ID: s.ID, Addr: s.Addr(), Service: "app"})
+		}
+		if r.node.Unreachable(s.ID) == reachable {
+			t.Errorf("after %v the server counts as reachable: %t", cause, !reachable)
+		}
+	}
+}
--- a/foldfake/origin/origin.go
+++ b/foldfake/origin/origin.go
@@ -62,6 +62,9 @@
 	accepted int
 	// closed is set by Close.
 	closed bool
+	// full and turnedAway are as SetFull and TurnedAway say.
+	full       bool
+	turnedAway int
 	// lingered is as Lingered returns it.
 	lingered time.Duration
 }
@@ -144,6 +147,28 @@
 	return s.accepted
 }
 
+// SetFull makes the server reset each further connection, as a server does that has no room
+// for it, or keep it again.
+func (s *Server) SetFull(full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = full
+}
+
+// TurnedAway returns the number of connections that were reset for want of room.
+func (s *Server) TurnedAway() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turnedAway
+}
+
+// resetConn closes a connection with a reset.
+func resetConn(c net.Conn) {
+	// The connection is closed in order if the option can't be set.
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
 // OpenConnections returns the number of connections that are open.
 func (s *Server) OpenConnections() int {
 	s.mu.Lock()
@@ -209,6 +234,12 @@
 			c.Close()
 			return
 		}
+		if s.full {
+			s.turnedAway++
+			s.mu.Unlock()
+			resetConn(c)
+			continue
+		}
 		s.accepted++
 		s.conns[c] = true
 		s.mu.Unlock()
--- a/netio/pool/closed.go
+++ b/netio/pool/closed.go
@@ -17,3 +17,8 @@
 	}
 	return false
 }
+
+// ResetByServer reports whether a connection that could not be opened had reached a server that
+// listens, and was reset by it at once, as a server does that has no room for it. A
+// connection to a process that has ended is refused.
+func ResetByServer(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
--- a/netio/pool/pool.go
+++ b/netio/pool/pool.go
@@ -240,31 +240,6 @@
 	return nil
 }
 
-// steadyTime is how long a connection must stay open to show that its server's process has not
-// ended: as a process ends, its connections may be closed before its listener.
-const steadyTime = 20 * time.Millisecond
-
-// Confirm opens a connection to a server, and returns an error unless the server keeps it
-// open for some time. The error, if any, is an *Error.
-func (p *Pool) Confirm(ctx context.Context, addr netip.AddrPort) error {
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return &Error{Err: err}
-	}
-	select {
-	case <-time.After(steadyTime):
-	case <-ctx.Done():
-		c.Close()
-		return &Error{Err: context.Cause(ctx)}
-	}
-	if err := c.checkIdle(); err != nil {
-		c.Close()
-		return &Error{Err: err}
-	}
-	p.put(c)
-	return nil
-}
-
 // CloseIdle closes the idle connections to a server.
 func (p *Pool) CloseIdle(addr netip.AddrPort) {
 	p.mu.Lock()
--- a/netio/pool/transport.go
+++ b/netio/pool/transport.go
@@ -17,9 +17,9 @@
 	Pool *Pool
 	// Framed is as in Request.
 	Framed bool
-	// Confirm makes a response that ends with its connection complete only if its server
-	// keeps a new connection open, as Pool.Confirm checks: the connections of a process that
-	// has ended are closed, too.
+	// Confirm makes a response that ends with its connection complete only if its server's
+	// process still runs, as Pool.Confirm checks: the connections of a process that has ended
+	// are closed, too.
 	Confirm bool
 }
 
@@ -49,7 +49,10 @@
 		return nil, nil, err
 	}
 	if t.Confirm && res.Framing == CloseDelimited {
-		res.Body = &confirmedBody{ReadCloser: res.Body, confirm: func() error { return t.Pool.Confirm(r.Context(), addr) }}
+		res.Body = &confirmedBody{ReadCloser: res.Body, confirm: func() error {
+			_, err := t.Pool.Confirm(r.Context(), addr)
+			return err
+		}}
 	}
 	out.StatusCode, out.Status = res.Status, fmt.Sprint(res.Status, " ", http.StatusText(res.Status))
 	out.Header, out.Body, out.ContentLength = res.Header, res.Body, res.Length
