poison: parts of long prompts count, however many and whatever their IDs

Cause: a prompt of more than 32 parts, or with an entry whose ID has more than 64 bytes or whose number has more than 32 bits, counted as one without parts, and parts beyond the 31st were left out of losses. Nothing said so.

TestPartOfManyIsQuarantined fails on that code in all five cases.

Change: every entry and every line of the field counts, long IDs by their hash. When there are too many losses, those that say least go first, and are counted. Losses beyond those of one update follow in later ones; they were never sent before.

--- a/fold/poison/evaluate.go
+++ b/fold/poison/evaluate.go
@@ -36,10 +36,37 @@
 			return
 		}
 		t.quarantines[s.part] = Quarantine{Part: s.part, Crashes: s.incidents, LastLoss: s.lastLoss}
-		open = slices.DeleteFunc(open, func(l *loss) bool { return slices.Contains(l.parts, s.part) })
+		open = unexplained(open, s.part)
 	}
 }
 
+// unexplained returns the losses of runs that did not have a part.
+func unexplained(losses []*loss, part string) []*loss {
+	explained := map[run]bool{}
+	for _, l := range losses {
+		if slices.Contains(l.parts, part) {
+			explained[l.run()] = true
+		}
+	}
+	return slices.DeleteFunc(losses, func(l *loss) bool {
+		return slices.Contains(l.parts, part) || l.run() != run{} && explained[l.run()]
+	})
+}
+
+// run identifies a lost run that may have several losses. It is zero for one without a
+// fingerprint.
+type run struct {
+	crash       Crash
+	fingerprint string
+}
+
+func (l *loss) run() run {
+	if !isFingerprint(l.parts[0]) {
+		return run{}
+	}
+	return run{crash: l.crash, fingerprint: l.parts[0]}
+}
+
 // strongest returns the suspect with the most evidence among those that have
 // reached their limit. Losses are in the order of their times.
 func (t *Table) strongest(losses []*loss) (suspect, bool) {
@@ -74,7 +101,7 @@
 				continue
 			}
 			byPart[part] = append(byPart[part], l)
-			position[part] = max(position[part], i)
+			position[part] = max(position[part], l.position(i))
 		}
 	}
 	out := make([]suspect, 0, len(byPart))
@@ -90,6 +117,15 @@
 	return out
 }
 
+// position returns a number that is higher for parts further back in the prompt of the lost
+// run. Of several losses of a run, the one in which its fingerprint counts has the last parts.
+func (l *loss) position(i int) int {
+	if isFingerprint(l.parts[0]) && l.counts(0) {
+		return MaxParts + i
+	}
+	return i
+}
+
 // weigh sums up the evidence of losses, which are in the order of their times.
 // Each crash counts once, by its first loss, and an incident by its heaviest one.
 // Further crashes of an incident count a little against a part that is not known as
--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -50,12 +50,14 @@
 // Limits on the memory and on what is shared.
 const (
 	maxLosses = 512
-	maxRecent = 4096
-	maxName   = 64
+	// maxRecent bounds the parts of prompts with which runs survived that are remembered, and
+	// maxRecentRequests the fingerprints, of which each request has another one.
+	maxRecent         = 16_384
+	maxRecentRequests = 4096
+	maxName           = 64
 )
 
-// MaxParts is the largest number of parts of a run. A loss of a run with more is not
-// recorded.
+// MaxParts is the largest number of parts of a Loss. A run with more has several.
 const MaxParts = 32
 
 // Crash identifies the end of one process of a backend server.
@@ -64,9 +66,11 @@
 	Epoch   uint64
 }
 
-// Loss is a run that was lost in a crash before it had survived.
+// Loss is a run that was lost in a crash before it had survived. A run with more than MaxParts
+// parts has several losses, each with its fingerprint and some of the other parts.
 type Loss struct {
-	// Parts holds the shared parts of the run's prompt, in their order.
+	// Parts holds the run's fingerprint, if it has one, and the shared parts of its prompt,
+	// in their order.
 	Parts []string
 	Crash Crash
 	// Begun is set if the engine had begun its answer.
@@ -96,8 +100,9 @@
 	// losses holds the losses of the retention time, by lossKey.
 	losses map[string]*loss
 	// survived holds when a run with a part last survived at this VM, or the zero
-	// time if only other VMs have seen that.
-	survived recent
+	// time if only other VMs have seen that, and survivedRequests the same for fingerprints.
+	survived         recent
+	survivedRequests recent
 	// quarantines holds the parts in quarantine, as of the last evaluate.
 	quarantines map[string]Quarantine
 	// trials holds the trials of parts in quarantine.
@@ -106,6 +111,8 @@
 	soundChanged map[string]change
 	// changes counts the changes of losses and of soundChanged.
 	changes uint64
+	// dropped is as Dropped returns it.
+	dropped int
 }
 
 // change is the time of a change at this VM, and its number among all changes.
@@ -149,7 +156,11 @@
 // Lost records a run that was lost in a crash. It reports whether that is new
 // evidence.
 func (t *Table) Lost(now time.Time, parts []string, c Crash, begun bool) bool {
-	isNew := t.add(now, Loss{Parts: parts, Crash: c, Begun: begun})
+	isNew := false
+	for _, l := range t.split(parts) {
+		l.Crash, l.Begun = c, begun
+		isNew = t.add(now, l) || isNew
+	}
 	if isNew {
 		t.evaluate(now)
 	}
@@ -168,9 +179,9 @@
 	known := t.losses[key]
 	if known == nil {
 		t.prune(now)
-		known = &loss{parts: slices.Clone(l.Parts), crash: l.Crash, begun: l.Begun, cleared: t.survivedSince(l.Parts, at), at: at, changed: t.newChange(now)}
+		known = &loss{parts: cloneAll(l.Parts), crash: l.Crash, begun: l.Begun, cleared: t.survivedSince(l.Parts, at), at: at, changed: t.newChange(now)}
 		t.losses[key] = known
-		t.shareSound(now, l.Parts)
+		t.shareSound(now, known.parts)
 	}
 	before := *known
 	known.begun = known.begun || l.Begun
@@ -182,6 +193,16 @@
 	return known.changed.at.Equal(now)
 }
 
+// cloneAll returns copies of the texts. A part of a request's header would keep the whole header
+// in memory.
+func cloneAll(texts []string) []string {
+	out := make([]string, len(texts))
+	for i, text := range texts {
+		out[i] = strings.Clone(text)
+	}
+	return out
+}
+
 func (t *Table) init() {
 	if t.losses == nil {
 		t.losses = map[string]*loss{}
@@ -196,7 +217,7 @@
 func (t *Table) survivedSince(parts []string, at time.Time) uint32 {
 	var cleared uint32
 	for i, part := range parts {
-		if survived, ok := t.survived.get(part); ok && survived.After(at) {
+		if survived, ok := t.survivals(part).get(part); ok && survived.After(at) {
 			cleared |= 1 << i
 		}
 	}
@@ -207,12 +228,13 @@
 // that clears a part of evidence.
 func (t *Table) Survived(now time.Time, parts []string) bool {
 	for _, part := range parts {
-		t.survived.set(part, now)
+		t.setSurvived(part, now)
 	}
+	contains := containsIn(parts)
 	return t.clear(now, func(l *loss) uint32 {
 		var cleared uint32
 		for i, part := range l.parts {
-			if slices.Contains(parts, part) {
+			if contains(part) {
 				cleared |= 1 << i
 			}
 		}
@@ -220,6 +242,21 @@
 	})
 }
 
+// containsIn returns a function that reports whether a part is among the given ones.
+func containsIn(parts []string) func(part string) bool {
+	if len(parts) <= MaxParts {
+		return func(part string) bool { return slices.Contains(parts, part) }
+	}
+	set := make(map[string]struct{}, len(parts))
+	for _, part := range parts {
+		set[part] = struct{}{}
+	}
+	return func(part string) bool {
+		_, ok := set[part]
+		return ok
+	}
+}
+
 // Answered records that an engine has sent something to a run. It reports whether
 // that clears parts of evidence: an engine that answers shortly after a run was lost
 // there has not crashed. Later on, it may have started again.
@@ -263,10 +300,27 @@
 
 // sound reports whether a run with a part survived before, at any VM.
 func (t *Table) sound(part string) bool {
-	_, ok := t.survived.get(part)
+	_, ok := t.survivals(part).get(part)
 	return ok
 }
 
+// survivals returns what is remembered of parts like the given one.
+func (t *Table) survivals(part string) *recent {
+	if isFingerprint(part) {
+		return &t.survivedRequests
+	}
+	return &t.survived
+}
+
+// setSurvived records that a run with a part survived.
+func (t *Table) setSurvived(part string, at time.Time) {
+	limit := maxRecent
+	if isFingerprint(part) {
+		limit = maxRecentRequests
+	}
+	t.survivals(part).set(part, at, limit)
+}
+
 // Check returns the quarantine of the first of the given parts that is in
 // quarantine, and whether there is one.
 func (t *Table) Check(now time.Time, parts []string) (Quarantine, bool) {
@@ -314,24 +368,49 @@
 }
 
 // prune drops losses beyond the retention time, those that count against no part any
-// more, and the oldest one if there are too many.
+// more, and one more if there are too many.
 func (t *Table) prune(now time.Time) {
-	oldest := ""
 	for key, l := range t.losses {
 		if now.Sub(l.at) >= retention || l.settled() && now.Sub(l.changed.at) >= shareTime {
 			delete(t.losses, key)
-			continue
-		}
-		if oldest == "" || l.at.Before(t.losses[oldest].at) {
-			oldest = key
 		}
 	}
 	if len(t.losses) >= maxLosses {
-		delete(t.losses, oldest)
+		delete(t.losses, t.leastTelling())
+		t.dropped++
 	}
 	t.pruneTrials()
 }
 
+// leastTelling returns the key of the loss to drop when there are too many: one that counts
+// against no part, or else against none but sound ones, or else any; of these the oldest.
+func (t *Table) leastTelling() string {
+	least, leastRank := "", 0
+	for key, l := range t.losses {
+		rank := t.rank(l)
+		if least == "" || rank < leastRank || rank == leastRank && l.at.Before(t.losses[least].at) {
+			least, leastRank = key, rank
+		}
+	}
+	return least
+}
+
+// rank returns how much a loss tells, for leastTelling.
+func (t *Table) rank(l *loss) int {
+	if l.settled() {
+		return 0
+	}
+	for i, part := range l.parts {
+		if l.counts(i) && !t.sound(part) {
+			return 2
+		}
+	}
+	return 1
+}
+
+// Dropped returns the number of losses that were dropped so far because there were too many.
+func (t *Table) Dropped() int { return t.dropped }
+
 // pruneTrials drops the trials of parts that no loss names any more.
 func (t *Table) pruneTrials() {
 	for part := range t.trials {
--- a/fold/poison/recent.go
+++ b/fold/poison/recent.go
@@ -1,9 +1,12 @@
 package poison
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
-// recent holds a time for each of the most recently set parts, at least maxRecent
-// and at most twice as many. The zero value is empty.
+// recent holds a time for each of the most recently set parts, at least as many as the limit
+// given to set and at most twice as many. The zero value is empty.
 type recent struct {
 	// young holds the parts set since old was replaced.
 	young, old map[string]time.Time
@@ -17,9 +20,13 @@
 	return at, ok
 }
 
-func (r *recent) set(part string, at time.Time) {
-	if len(r.young) >= maxRecent {
-		r.young, r.old = nil, r.young
+func (r *recent) set(part string, at time.Time, limit int) {
+	if _, known := r.young[part]; !known {
+		if len(r.young) >= limit {
+			r.young, r.old = nil, r.young
+		}
+		// A part of a request's header would keep the whole header in memory.
+		part = strings.Clone(part)
 	}
 	if r.young == nil {
 		r.young = map[string]time.Time{}
--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -45,11 +45,21 @@
 		return Update{Changes: t.changes}
 	}
 	u := Update{Changes: t.changes}
+	var losses []*loss
 	for _, l := range t.lossesToShare(now) {
 		if l.changed.number > since {
-			u.Losses = append(u.Losses, l.export(now))
+			losses = append(losses, l)
 		}
 	}
+	if len(losses) > maxShared {
+		// The rest follows in later updates, in the order of the changes.
+		slices.SortFunc(losses, func(a, b *loss) int { return cmp.Compare(a.changed.number, b.changed.number) })
+		u.Changes = losses[maxShared].changed.number - 1
+		losses = losses[:maxShared]
+	}
+	for _, l := range losses {
+		u.Losses = append(u.Losses, l.export(now))
+	}
 	var sound []string
 	for part, changed := range t.soundChanged {
 		if now.Sub(changed.at) >= shareTime {
@@ -65,8 +75,8 @@
 		slices.SortFunc(sound, func(a, b string) int {
 			return cmp.Compare(t.soundChanged[a].number, t.soundChanged[b].number)
 		})
+		u.Changes = min(u.Changes, t.soundChanged[sound[maxShared]].number-1)
 		sound = sound[:maxShared]
-		u.Changes = t.soundChanged[sound[maxShared-1]].number
 	}
 	u.Sound = sound
 	return u
@@ -109,9 +119,6 @@
 	count := map[string]int{}
 	var out []*loss
 	for _, l := range all {
-		if len(out) == maxShared {
-			break
-		}
 		keep := now.Sub(l.changed.at) < shareTime
 		for _, part := range l.parts {
 			if t.inQuarantine(part) && count[part] < lossesPerQuarantine {
@@ -132,7 +139,7 @@
 	var changed []Loss
 	for _, part := range u.Sound {
 		if validName(part) && !t.sound(part) {
-			t.survived.set(part, time.Time{})
+			t.setSurvived(part, time.Time{})
 		}
 	}
 	for _, l := range u.Losses {
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -18,11 +18,12 @@
 	if current, ok := n.table.Get(b.ID); ok && current.Leaving {
 		return
 	}
-	crash := poison.Crash{Backend: b.ID, Epoch: b.Epoch}
+	crash, dropped := poison.Crash{Backend: b.ID, Epoch: b.Epoch}, n.poison.Dropped()
 	if !n.poison.Lost(time.Now(), parts, crash, begun) {
 		return
 	}
 	n.Count("poison.losses", 1)
+	n.Count("poison.lossesDropped", int64(n.poison.Dropped()-dropped))
 	n.logLoss(poison.Loss{Parts: parts, Crash: crash, Begun: begun})
 	n.logQuarantines()
 	n.gossipPromptUpdate("")
@@ -206,11 +207,20 @@
 // logLoss logs evidence against the parts of a prompt that this VM has seen itself. What it
 // learns from others is counted: with a line for each, one loss gave a line at every VM.
 func (n *Node) logLoss(l poison.Loss) {
-	n.Log.WithFields(logrus.Fields{
-		"parts": l.Parts, "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun, "cleared": l.Cleared, "ageMs": l.Age.Milliseconds(),
-	}).Info("engine crashed under a prompt")
+	fields := logrus.Fields{
+		"parts": LoggedParts(l.Parts), "partCount": len(l.Parts), "backend": l.Crash.Backend, "epoch": l.Crash.Epoch, "begun": l.Begun,
+	}
+	if unchecked := len(l.Parts) - poison.Checked(); unchecked > 0 {
+		n.Count("poison.uncheckedParts", int64(unchecked))
+		fields["unchecked"] = unchecked
+	}
+	n.Log.WithFields(fields).Info("engine crashed under a prompt")
 }
 
+// LoggedParts returns what a log line names of the parts of a prompt: as many as a prompt usually
+// has, from its end, where a part is in fewer prompts.
+func LoggedParts(parts []string) []string { return parts[max(len(parts)-poison.MaxParts, 0):] }
+
 // logQuarantines logs the parts that entered or left quarantine since it was last
 // called, and reports whether there are any. The caller holds the lock.
 func (n *Node) logQuarantines() bool {
--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -151,7 +153,7 @@
 			Model:     h.Get(headerModel),
 			Tokens:    ParseCount(h.Get(headerTokens)),
 			MaxTokens: ParseCount(h.Get(headerMaxTokens)),
-			Parts:     ParseParts(h.Get(headerParts)),
+			Parts:     ParseParts(h[headerParts]),
 		},
 		LastEventID: h.Get(headerLastEvent),
 	}
@@ -167,31 +169,40 @@
 	return n
 }
 
-const (
-	// maxParts bounds the parts of a prompt that are told apart, and maxPartID the
-	// length of an ID in bytes.
-	maxParts  = 32
-	maxPartID = 64
-)
+// maxPartName bounds the name of a part in bytes.
+const maxPartName = 64
+
+// ParseParts parses the names of a prompt's parts from the values of a header field:
+// comma-separated entries of a hexadecimal ID, a colon and the number of tokens. Every entry
+// counts, as any part may crash engines: what has no colon is an ID, and numbers are not read.
+func ParseParts(values []string) []string {
+	var names []string
+	for entry := range strings.SplitSeq(strings.Join(values, ","), ",") {
+		id, _, _ := strings.Cut(entry, ":")
+		if id = strings.TrimSpace(id); id != "" {
+			names = append(names, partName(id))
+		}
+	}
+	return names
+}
 
-// ParseParts parses the IDs of a prompt's parts from a header: comma-separated
-// entries of a hexadecimal ID, a colon and the number of tokens. It returns nil if
-// the list is malformed or too long.
-func ParseParts(text string) []string {
-	if text == "" {
-		return nil
+// partName returns the name by which this system knows the part with an ID: the ID, in lower
+// case, or a hash of one that is too long for messages and logs or no UTF-8.
+func partName(id string) string {
+	valid := utf8.ValidString(id)
+	if valid {
+		id = strings.ToLower(id)
 	}
-	var ids []string
-	for entry := range strings.SplitSeq(text, ",") {
-		id, tokens, ok := strings.Cut(strings.TrimSpace(entry), ":")
-		if _, err := strconv.ParseUint(tokens, 10, 32); err != nil || !ok || id == "" || len(id) > maxPartID || !utf8.ValidString(id) || len(ids) == maxParts {
-			return nil
-		}
-		ids = append(ids, strings.ToLower(id))
+	if valid && len(id) <= maxPartName {
+		return id
 	}
-	return ids
+	sum := sha256.Sum256([]byte(id))
+	return "sha256:" + hex.EncodeToString(sum[:partHashBytes])
 }
 
+// partHashBytes is the length of the hash in the name of a part.
+const partHashBytes = 16
+
 func writeForward(h http.Header, p ForwardParams) {
 	for _, name := range []string{"Authorization", headerResume, headerLastEvent, headerPriority} {
 		h.Del(name)
--- a/foldd/relay/crash.go
+++ b/foldd/relay/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"fuchsiafold.example/fold/poison"
 	"fuchsiafold.example/foldd/fault"
 	"fuchsiafold.example/netio/pool"
 )
@@ -13,8 +12,7 @@
 // evidence, the one further back counts as the cause, and a part of the prompt may be in
 // other requests too.
 func (q *request) newCrashParts() []string {
-	shared := q.params.Prompt.SharedParts()
-	return append([]string{q.fingerprint()}, shared[:min(len(shared), poison.MaxParts-1)]...)
+	return append([]string{q.fingerprint()}, q.params.Prompt.SharedParts()...)
 }
 
 // checkQuarantine returns a fault if the request crashes servers.
--- a/foldd/relay/crash_test.go
+++ b/foldd/relay/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -51,6 +52,38 @@
 	}
 }
 
+// TestPartOfManyIsQuarantined guards against a part that crashes engines and that is never found,
+// because the prompts that have it have many parts, long IDs or large numbers.
+func TestPartOfManyIsQuarantined(t *testing.T) {
+	many := strings.Repeat("common:10,", 3) + strings.Join(slices.Repeat([]string{"c:1"}, 200), ",")
+	long := strings.Repeat("f", 300)
+	for _, bad := range []string{many + ",bad:10", "bad:10," + many, long + ":10", "bad:123456789012345678901234567890", "bad"} {
+		r := startVM(t)
+		parts := func(own int) string { return fmt.Sprintf("%s,own%d:10", bad, own) }
+		r.backend("sound", "models", respondWith(origin.Behaviour{Events: streamEvents}))
+		if status, _, err := r.sendAndRead(http.MethodPost, "/draft/x", "sound", "", "Fold-Prompt-Parts", many+",own:1"); status != http.StatusOK || err != nil {
+			t.Fatalf("status %d, error %v", status, err)
+		}
+		r.node.MarkBackendLeaving("sound", 1)
+		for i := range 3 {
+			e := r.backend(fmt.Sprint("e", i), "models", respondWith(origin.Behaviour{Crash: true}))
+			if status, _, err := r.sendAndRead(http.MethodPost, "/draft/x", fmt.Sprint(i), fmt.Sprint(i), "Fold-Prompt-Parts", parts(i)); err == nil && status == http.StatusOK {
+				t.Errorf("request %d was served", i)
+			}
+			e.Close()
+			r.announce(e, "models", true)
+			time.Sleep(600 * time.Millisecond)
+		}
+		e := r.backend("last", "models", respondWith(origin.Behaviour{Events: streamEvents}))
+		if status, _, err := r.sendAndRead(http.MethodPost, "/draft/x", "4", "4", "Fold-Prompt-Parts", parts(4)); status != http.StatusServiceUnavailable || err != nil || e.RunCount("4") != 0 {
+			t.Errorf("%.40q...: status %d, error %v, %d runs; want 503, none", bad, status, err, e.RunCount("4"))
+		}
+		if status, _, err := r.sendAndRead(http.MethodPost, "/draft/x", "5", "5", "Fold-Prompt-Parts", many+",own:1"); status != http.StatusOK || err != nil {
+			t.Errorf("%.40q...: a request without the part: status %d, error %v; want 200", bad, status, err)
+		}
+	}
+}
+
 // TestLossesThatAreNoCrashes ends runs in ways that say nothing of their prompts.
 func TestLossesThatAreNoCrashes(t *testing.T) {
 	t.Run("leaving engine", func(t *testing.T) {
--- a/foldd/relay/log.go
+++ b/foldd/relay/log.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiafold.example/fold/place"
+	"fuchsiafold.example/foldd/node"
 )
 
 var (
@@ -32,7 +33,7 @@
 	q.relay.Node.Log.WithFields(logrus.Fields{
 		"request": q.params.ID, "run": req.ID, "backend": q.backend, "placedBy": q.placedBy, "forward": q.forward.Name,
 		"promptTokens": req.PromptTokens, "budgetMs": req.FirstTokenBudget.Milliseconds(), "ms": sinceArrival(q).Milliseconds(),
-		"parts": q.params.Prompt.Parts,
+		"parts": node.LoggedParts(q.params.Prompt.Parts), "partCount": len(q.params.Prompt.Parts),
 	}).Info("request sent")
 }
 
@@ -45,7 +46,7 @@
 // was, and the parts of its prompt.
 func (s *stream) logLoss(b backend, begun bool, err error) {
 	s.q.relay.attemptLog(s.q, b).WithFields(logrus.Fields{
-		"begun": begun, "events": s.events, "parts": s.q.params.Prompt.Parts,
+		"begun": begun, "events": s.events, "parts": node.LoggedParts(s.q.params.Prompt.Parts),
 	}).WithError(err).Warn("attempt at a backend server failed")
 }
 
