poison: VMs believe each other about crashes of servers with long IDs

The servers' IDs have 73 bytes and more.

Cause: a loss that another VM tells of was left out, without a word, if its server's ID has more than 64 bytes. Servers announce themselves with up to 255. So each VM had to see the crashes itself.

TestCrashesOfServersWithLongIDs fails on the code before for 65 bytes and more: the loss counts as invalid, and no VM puts the part in quarantine.

Change: the function that checks the ID of an announcement also checks that of a loss. Entries that can't be valid are counted and logged with the VM that sent them (TestInvalidEntriesAreCounted).

Measured: the tests of fold/poison pass.

--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -54,7 +54,8 @@
 	// maxRecentRequests the fingerprints, of which each request has another one.
 	maxRecent         = 16_384
 	maxRecentRequests = 4096
-	maxName           = 64
+	// maxName bounds the name of a part in bytes.
+	maxName = 64
 )
 
 // MaxParts is the largest number of parts of a Loss. A run with more has several.
--- a/fold/poison/poison_test.go
+++ b/fold/poison/poison_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"fuchsiafold.example/fold/member"
 )
 
 var start = time.Unix(1000, 0)
@@ -246,6 +249,45 @@
 	}
 }
 
+// TestCrashesOfServersWithLongIDs guards against VMs that don't believe each other about crashes of
+// servers whose IDs are long: each VM then had to see the crashes itself.
+func TestCrashesOfServersWithLongIDs(t *testing.T) {
+	for _, length := range []int{1, 64, 65, 73, 255} {
+		id := strings.Repeat("i", length)
+		if err := member.CheckID(id); err != nil {
+			t.Fatal(err)
+		}
+		var vms [3]Table
+		for i := range vms {
+			vms[i].Lost(at(float64(i)), []string{"bad"}, Crash{Backend: id, Epoch: uint64(i + 1)}, true)
+		}
+		for i := range vms {
+			for j := range vms {
+				u := vms[j].Share(at(3))
+				if n := u.Invalid(); n > 0 {
+					t.Errorf("%d bytes: %d of %d losses can't be valid", length, n, len(u.Losses))
+				}
+				vms[i].Merge(at(3), u)
+			}
+			if !vms[i].quarantined("bad") {
+				t.Errorf("IDs of %d bytes: VM %d has not put the part in quarantine after three crashes", length, i)
+			}
+		}
+	}
+}
+
+// TestInvalidEntriesAreCounted guards against entries that are ignored without a word.
+func TestInvalidEntriesAreCounted(t *testing.T) {
+	long := strings.Repeat("x", 300)
+	u := Update{
+		Losses: []Loss{{Parts: []string{"p"}, Crash: crash(1)}, {Parts: []string{"p"}, Crash: Crash{Backend: long}}, {Parts: []string{long}, Crash: crash(1)}},
+		Sound:  []string{"p", "", long},
+	}
+	if n := u.Invalid(); n != 4 {
+		t.Errorf("%d invalid entries, want 4", n)
+	}
+}
+
 // TestTableIsBounded adds more losses and parts than are kept.
 func TestTableIsBounded(t *testing.T) {
 	var table Table
--- a/fold/poison/share.go
+++ b/fold/poison/share.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"fuchsiafold.example/fold/member"
 )
 
 const (
@@ -133,6 +135,22 @@
 	return out
 }
 
+// Invalid returns the number of entries that can't be valid.
+func (u *Update) Invalid() int {
+	n := 0
+	for _, part := range u.Sound {
+		if !validName(part) {
+			n++
+		}
+	}
+	for _, l := range u.Losses {
+		if !l.valid() {
+			n++
+		}
+	}
+	return n
+}
+
 // Merge applies the update of another VM. It returns the losses that are new or have
 // changed here. Entries that can't be valid are left out.
 func (t *Table) Merge(now time.Time, u Update) []Loss {
@@ -155,7 +173,8 @@
 
 func (l *Loss) valid() bool {
 	return len(l.Parts) > 0 && len(l.Parts) <= MaxParts && !slices.ContainsFunc(l.Parts, func(p string) bool { return !validName(p) }) &&
-		validName(l.Crash.Backend) && l.Age >= 0
+		member.CheckID(l.Crash.Backend) == nil && l.Age >= 0
 }
 
+// validName reports whether a text can be the name of a part.
 func validName(name string) bool { return name != "" && len(name) <= maxName }
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -104,6 +104,10 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if invalid := u.Invalid(); invalid > 0 {
+		n.Count("poison.invalid", int64(invalid))
+		n.Log.WithFields(logrus.Fields{"from": from, "entries": invalid}).Warn("update on prompts has entries that can't be valid; ignoring these")
+	}
 	changed := n.poison.Merge(time.Now(), u)
 	n.Count("poison.learned", int64(len(changed)))
 	n.logQuarantines()
