limit: a decimal number may have any number of digits

Cause: the pattern took at most nine digits before and after the point, and any other number counted as no limit. Retry-After used the same pattern. Neither case of Server-Limit was logged.

Change: any number of digits counts, a limit is at most 10^9. What is no decimal number is logged with the server and the value, once in 4 s. Of more than 256 limits the newest changes are shared first (before, any 256: TestManyLimits fails on that); beyond 4,096 limits those that have ended go first, and one in force that goes is logged and counted.

Measured: the tests of fold/limit and foldd/node pass.

--- a/fold/limit/cooldown.go
+++ b/fold/limit/cooldown.go
@@ -1,9 +1,6 @@
 package limit
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 const (
 	// maxCooldown bounds a cooldown. A longer one is more likely a mistake than meant, and
@@ -30,8 +27,8 @@
 func ParseRetryAfter(values []string) RetryAfter {
 	var out RetryAfter
 	for _, v := range values {
-		seconds, err := strconv.ParseFloat(v, 64)
-		if err != nil || !decimal.MatchString(v) {
+		seconds, ok := parseDecimal(v)
+		if !ok {
 			return RetryAfter{Invalid: v}
 		}
 		if seconds > maxCooldown.Seconds() {
--- a/fold/limit/statement.go
+++ b/fold/limit/statement.go
@@ -3,8 +3,10 @@
 package limit
 
 import (
+	"errors"
 	"regexp"
 	"strconv"
+	"strings"
 )
 
 // Rate is a number of requests a second.
@@ -15,26 +17,36 @@
 	// Named is set if the response names a limit, Rate.
 	Named bool
 	Rate  Rate
-	// Invalid is set if the response names something that is no rate. It says
+	// Invalid is set if the response names something that is no rate, Text. It says
 	// nothing then: the server still asks for a limit, but not for which.
 	Invalid bool
+	Text    string
 }
 
-// decimal matches a decimal number that is not negative, of a length that a server
-// could mean.
-var decimal = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,9})?$`)
+// maxRate bounds a limit. A server that names a higher one is not limited in practice.
+const maxRate = 1e9
+
+// decimal matches a decimal number that is not negative, of any number of digits.
+var decimal = regexp.MustCompile(`^([0-9]+\.?[0-9]*|\.[0-9]+)$`)
+
+// parseDecimal parses a decimal number that is not negative. One that is too large for a
+// float64 is infinite.
+func parseDecimal(text string) (float64, bool) {
+	if !decimal.MatchString(text) {
+		return 0, false
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	return n, err == nil || errors.Is(err, strconv.ErrRange)
+}
 
 // ParseStatement parses the values of the header field that names a limit.
 func ParseStatement(values []string) Statement {
 	if len(values) == 0 {
 		return Statement{}
 	}
-	if len(values) > 1 || !decimal.MatchString(values[0]) {
-		return Statement{Invalid: true}
-	}
-	rate, err := strconv.ParseFloat(values[0], 64)
-	if err != nil {
-		return Statement{Invalid: true}
+	rate, ok := parseDecimal(values[0])
+	if len(values) > 1 || !ok {
+		return Statement{Invalid: true, Text: strings.Join(values, ", ")}
 	}
-	return Statement{Named: true, Rate: Rate(rate)}
+	return Statement{Named: true, Rate: Rate(min(rate, maxRate))}
 }
--- a/fold/limit/table.go
+++ b/fold/limit/table.go
@@ -75,6 +75,8 @@
 // is not safe for concurrent use.
 type Table struct {
 	records map[string]*record
+	// dropped is as Dropped returns it.
+	dropped int
 }
 
 // Observe records what a response of a server says.
@@ -148,19 +150,28 @@
 	return r
 }
 
-// dropOldest drops the record that has been unchanged for the longest time.
+// dropOldest drops a record: of those whose limit has ended, or of all if there are none, the one
+// that has been unchanged for the longest time.
 func (t *Table) dropOldest() {
 	var oldest *record
 	for _, r := range t.records {
-		if oldest == nil || r.changedAt.Before(oldest.changedAt) {
+		if oldest == nil || r.Ended && !oldest.Ended || r.Ended == oldest.Ended && r.changedAt.Before(oldest.changedAt) {
 			oldest = r
 		}
 	}
-	if oldest != nil {
-		delete(t.records, oldest.ID)
+	if oldest == nil {
+		return
 	}
+	if !oldest.Ended {
+		t.dropped++
+	}
+	delete(t.records, oldest.ID)
 }
 
+// Dropped returns the number of limits in force that were dropped so far because servers named
+// too many.
+func (t *Table) Dropped() int { return t.dropped }
+
 // Expire forgets limits that ended long ago.
 func (t *Table) Expire(now time.Time) {
 	for id, r := range t.records {
@@ -193,18 +204,20 @@
 // Empty reports whether no server has a limit and none had one lately.
 func (t *Table) Empty() bool { return len(t.records) == 0 }
 
-// Share returns the entries for another VM: the limits in force and recent changes.
+// Share returns the entries for another VM: recent changes, and then the limits in force, of
+// which others are chosen each time if there are more than maxShared.
 func (t *Table) Share(now time.Time) []Entry {
-	var out []Entry
+	var recent, inForce []Entry
 	for _, r := range t.records {
-		if len(out) == maxShared {
-			break
-		}
-		if !r.Ended || now.Sub(r.changedAt) < shareTime {
-			out = append(out, r.Entry)
+		switch {
+		case now.Sub(r.changedAt) < shareTime:
+			recent = append(recent, r.Entry)
+		case !r.Ended:
+			inForce = append(inForce, r.Entry)
 		}
 	}
-	return out
+	out := append(recent, inForce...)
+	return out[:min(len(out), maxShared)]
 }
 
 // Merge applies an entry of another VM. It ignores one that can't be valid.
--- a/fold/limit/table_test.go
+++ b/fold/limit/table_test.go
@@ -1,8 +1,10 @@
 package limit_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +124,38 @@
 		}
 	}
 }
+
+// TestManyLimits guards against limits that other VMs don't learn of, and against limits in force
+// that are forgotten before those that have ended, where many servers name one.
+func TestManyLimits(t *testing.T) {
+	const servers, newest = 5000, "newest"
+	now := time.Unix(1000, 0)
+	var table limit.Table
+	name := func(i int) limit.Server { return limit.Server{ID: fmt.Sprint("s", i), Epoch: 1} }
+	for i := range 2000 {
+		table.Observe(now, name(i), named(1))
+		table.Observe(now.Add(time.Second), name(i), limit.Statement{})
+		table.Observe(now.Add(2*time.Second), name(i), limit.Statement{})
+	}
+	now = now.Add(time.Minute)
+	for i := 2000; i < servers; i++ {
+		table.Observe(now, name(i), named(1))
+	}
+	if rate, ok := table.Rate(name(2000)); !ok || rate != 1 || table.Dropped() != 0 {
+		t.Errorf("limit %g in force: %t, %d limits in force were dropped; want none while others have ended", rate, ok, table.Dropped())
+	}
+	now = now.Add(time.Minute)
+	table.Observe(now, limit.Server{ID: newest, Epoch: 1}, named(2))
+	for range 20 {
+		shared := table.Share(now)
+		if len(shared) > 256 || !slices.ContainsFunc(shared, func(e limit.Entry) bool { return e.ID == newest }) {
+			t.Fatalf("%d entries are shared without the newest one", len(shared))
+		}
+	}
+	for i := servers; i < 2*servers; i++ {
+		table.Observe(now, name(i), named(1))
+	}
+	if table.Dropped() == 0 {
+		t.Error("limits in force were dropped without being counted")
+	}
+}
--- a/fold/limit/withhold_test.go
+++ b/fold/limit/withhold_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
 
+// TestParseRetryAfter guards against a server that turns requests away and gets them all the same,
+// because of the number of digits in which it says for how long.
 func TestParseRetryAfter(t *testing.T) {
 	tests := []struct {
 		values []string
@@ -16,6 +19,10 @@
 		{[]string{"0.25"}, RetryAfter{Wait: 250 * time.Millisecond}},
 		{[]string{"0"}, RetryAfter{}},
 		{[]string{"1", "3"}, RetryAfter{Wait: 3 * time.Second}},
+		{[]string{"1.8199999999999998"}, RetryAfter{Wait: 1819999999}},
+		{[]string{"0000000000002.0000000000"}, RetryAfter{Wait: 2 * time.Second}},
+		{[]string{"31536000000000000000000"}, RetryAfter{Wait: maxCooldown, Shortened: true}},
+		{[]string{strings.Repeat("9", 400)}, RetryAfter{Wait: maxCooldown, Shortened: true}},
 		{[]string{"31536000"}, RetryAfter{Wait: maxCooldown, Shortened: true}},
 		{[]string{"-1"}, RetryAfter{Invalid: "-1"}},
 		{[]string{"NaN"}, RetryAfter{Invalid: "NaN"}},
--- a/foldd/node/limit.go
+++ b/foldd/node/limit.go
@@ -47,10 +47,11 @@
 // servers.
 type limits struct {
 	limit.Limiter
-	// sends holds what was sent to servers with a limit, and logged when a change of a
-	// limit was last logged, both by server ID.
-	sends  map[string]*limitedSends
-	logged map[string]time.Time
+	// sends holds what was sent to servers with a limit, logged when a change of a limit was
+	// last logged, and invalidLogged when one that is no number was, all by server ID.
+	sends         map[string]*limitedSends
+	logged        map[string]time.Time
+	invalidLogged map[string]time.Time
 	// backlogs holds, by service, the requests that were rejected for lack of a permit.
 	backlogs map[string]*limit.Backlog
 }
@@ -219,12 +220,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if st.Invalid {
-		n.Count("limits.invalid", 1)
+		n.logInvalidLimit(serverOf(b), st.Text)
 		return
 	}
 	s := serverOf(b)
+	dropped := n.limits.Dropped()
 	change := n.limits.Observe(time.Now(), s, st)
 	n.logLimitChange(s, change, "")
+	n.logDroppedLimits(n.limits.Dropped() - dropped)
 	if change == limit.Named || change == limit.Ended {
 		to := n.group.UrgentTargets(time.Now(), "", n.random)
 		go n.Gossip(to)
@@ -235,8 +238,10 @@
 func (n *Node) ReceiveLimit(e limit.Entry, from string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	dropped := n.limits.Dropped()
 	change := n.limits.Merge(time.Now(), e)
 	n.logLimitChange(e.Server, change, from)
+	n.logDroppedLimits(n.limits.Dropped() - dropped)
 	if change == limit.Named || change == limit.Ended {
 		to := n.group.UrgentTargets(time.Now(), from, n.random)
 		go n.Gossip(to)
@@ -260,6 +265,28 @@
 	}).Warn("rate limit of a backend server changed")
 }
 
+// logDroppedLimits logs and counts limits in force that were forgotten because too many servers
+// name one. The caller holds the lock.
+func (n *Node) logDroppedLimits(dropped int) {
+	if dropped == 0 {
+		return
+	}
+	n.Count("limits.dropped", int64(dropped))
+	n.Log.WithField("dropped", dropped).Warn("more servers name a rate limit than this VM remembers; forgetting the oldest limits")
+}
+
+// logInvalidLimit logs and counts that a response of a server names something that is no rate
+// limit. The limit that the server named before, if any, still holds. The caller holds the lock.
+func (n *Node) logInvalidLimit(s limit.Server, text string) {
+	n.Count("limits.invalid", 1)
+	if time.Since(n.limits.invalidLogged[s.ID]) < limitLogInterval {
+		return
+	}
+	n.limits.invalidLogged[s.ID] = time.Now()
+	rate, limited := n.limits.Rate(s)
+	n.limitLog(s).WithFields(logrus.Fields{"value": text, "limited": limited, "rate": rate}).Warn("rate limit of a backend server is no number; ignored")
+}
+
 func (n *Node) limitLog(s limit.Server) *logrus.Entry {
 	return n.Log.WithFields(logrus.Fields{"backend": s.ID, "epoch": s.Epoch})
 }
@@ -296,4 +323,5 @@
 func (l *limits) Forget(id string) {
 	l.Limiter.Forget(id)
 	delete(l.logged, id)
+	delete(l.invalidLogged, id)
 }
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -218,7 +218,7 @@
 		sentReports:      map[reportKey]sentReport{},
 		crowdedUntil:     map[string]time.Time{},
 		lengthSamples:    map[string][]place.LengthSample{},
-		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
+		limits:           limits{sends: map[string]*limitedSends{}, logged: map[string]time.Time{}, invalidLogged: map[string]time.Time{}, backlogs: map[string]*limit.Backlog{}},
 	}
 	n.Traffic = traffic.New(n.Metrics)
 	n.group.Self = member.Peer{
