relay: a caller's deadline and its numbers of tokens may have any digits

A deadline such as 1500.5 ms counted as none, and one of 19 digits overflowed: servers are handed the route's timeout, more time than the caller waits. A number of tokens above 63 bits counted as zero.

Cause: both were parsed as an integer that fits into 64 bits, and anything else counted as not stated; the deadline was then multiplied without a bound.

Change: a deadline may have a fraction and any number of digits, and counts as at most 30 days; a number of tokens above 2^40 counts as that.

--- a/foldd/relay/codec.go
+++ b/foldd/relay/codec.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -148,7 +149,7 @@
 	return RequestParams{
 		ID:      h.Get(headerID),
 		Key:     key,
-		Timeout: time.Duration(ParseCount(h.Get(headerDeadline))) * time.Millisecond,
+		Timeout: ParseMillis(h.Get(headerDeadline)),
 		Prompt: Prompt{
 			Model:     h.Get(headerModel),
 			Tokens:    ParseCount(h.Get(headerTokens)),
@@ -159,14 +160,31 @@
 	}
 }
 
+// maxCount bounds what ParseCount returns, so that sums of counts don't overflow.
+const maxCount = 1 << 40
+
 // ParseCount parses a non-negative number from a header. It returns zero for
-// text that is not a number and for negative numbers.
+// text that is not a number and for negative numbers, and maxCount for larger ones.
 func ParseCount(text string) int {
-	n, err := strconv.Atoi(strings.TrimSpace(text))
-	if err != nil || n < 0 {
+	n, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || n < 0 {
+		return 0
+	}
+	return int(min(n, maxCount))
+}
+
+// maxTimeout bounds what ParseMillis returns; forwards have timeouts far below it.
+const maxTimeout = 30 * 24 * time.Hour
+
+// ParseMillis parses a number of milliseconds from a header, which may have a fraction and any
+// number of digits. It returns zero for text that is not a number and for negative numbers, and
+// maxTimeout for larger ones.
+func ParseMillis(text string) time.Duration {
+	ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || !(ms > 0) {
 		return 0
 	}
-	return n
+	return time.Duration(min(ms, float64(maxTimeout.Milliseconds())) * float64(time.Millisecond))
 }
 
 // maxPartName bounds the name of a part in bytes.
--- a/foldd/relay/codec_test.go
+++ b/foldd/relay/codec_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 	"unicode/utf8"
 
 	"fuchsiafold.example/foldd/relay"
@@ -46,6 +47,33 @@
 	}
 }
 
+// TestParseMillis guards against a caller's timeout that is ignored, so that servers are handed more
+// time than the caller waits, because of its digits.
+func TestParseMillis(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"1500": 1500 * time.Millisecond, " 1500 ": 1500 * time.Millisecond, "1500.5": 1500*time.Millisecond + 500*time.Microsecond,
+		"0001500.000000000000000000": 1500 * time.Millisecond, "9223372036854": 30 * 24 * time.Hour, "9223372036854775807": 30 * 24 * time.Hour,
+		strings.Repeat("9", 400): 30 * 24 * time.Hour, "": 0, "0": 0, "-1": 0, "-" + strings.Repeat("9", 400): 0, "NaN": 0, "soon": 0,
+	} {
+		if got := relay.ParseMillis(text); got != want {
+			t.Errorf("%.40q: got %v, want %v", text, got, want)
+		}
+	}
+}
+
+// TestParseCount guards against a number of tokens that counts as none, or overflows, because of
+// its digits.
+func TestParseCount(t *testing.T) {
+	for text, want := range map[string]int{
+		"1460": 1460, " 80": 80, "00000000000000000000080": 80, "9223372036854775807": 1 << 40, strings.Repeat("9", 400): 1 << 40,
+		"": 0, "-1": 0, "-" + strings.Repeat("9", 400): 0, "x": 0,
+	} {
+		if got := relay.ParseCount(text); got != want {
+			t.Errorf("%.40q: got %d, want %d", text, got, want)
+		}
+	}
+}
+
 func FuzzParseParts(f *testing.F) {
 	f.Add("5c1e07a2:800,91bd3f06:410")
 	f.Fuzz(func(t *testing.T, text string) {
