event: IDs of events are compared as numbers, however many digits they have

Events of a resumable stream whose IDs have 20 digits or more, sent again by the server that goes on with it, would reach callers a second time: such IDs only told whether two events are the same.

Cause: IDs were parsed into 64 bits, and the comparison by order was left out, without a line, for others.

Evidence: TestFollows fails on the code before for three pairs.

Change: decimal numbers of any length are compared.

Measured: the tests of fold/event pass.

--- a/fold/event/event.go
+++ b/fold/event/event.go
@@ -5,7 +5,7 @@
 
 import (
 	"bytes"
-	"strconv"
+	"cmp"
 	"strings"
 )
 
@@ -74,12 +74,17 @@
 	if last == "" {
 		return true
 	}
-	n, err := strconv.ParseUint(id, 10, 64)
-	m, lastErr := strconv.ParseUint(last, 10, 64)
-	if err != nil || lastErr != nil {
+	if !isNumber(id) || !isNumber(last) {
 		return id != last
 	}
-	return n > m
+	// The numbers may have more digits than an integer holds.
+	id, last = strings.TrimLeft(id, "0"), strings.TrimLeft(last, "0")
+	return cmp.Or(cmp.Compare(len(id), len(last)), cmp.Compare(id, last)) > 0
+}
+
+// isNumber reports whether text consists of decimal digits.
+func isNumber(text string) bool {
+	return text != "" && strings.Trim(text, "0123456789") == ""
 }
 
 // IsComment reports whether an event carries nothing, as servers send to keep a connection
