soak: servers answer with statuses that promise "not run" after a run

A caller takes such a status without a stated outcome for "not run", and the check of true refusals then finds the run (TestPlantedFaultsInVMAreCaught has a planted one).

--- a/foldfake/soak/caller.go
+++ b/foldfake/soak/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -213,7 +214,7 @@
 	}
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
-	outcome := res.Header.Get(headerOutcome)
+	outcome := forwardOutcome(res)
 	if outcome == "" && res.StatusCode == http.StatusOK {
 		checkStream(c.findings, id, string(b), err == nil, draftEvents)
 		outcome = outcomeBroken
@@ -237,7 +238,7 @@
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
 	c.checkHeld(vm, id, began)
-	outcome := res.Header.Get(headerOutcome)
+	outcome := forwardOutcome(res)
 	if outcome == "" && res.StatusCode == http.StatusOK && err == nil {
 		outcome = outcomeDone
 		if want := "answer to " + id; string(b) != want {
@@ -248,6 +249,19 @@
 	return outcome
 }
 
+// promises are the statuses that tell callers of forwards that their request has not run.
+var promises = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// forwardOutcome returns the outcome that the response to a forwarded request states, in its header
+// or by its status; empty if neither does.
+func forwardOutcome(res *http.Response) string {
+	outcome := res.Header.Get(headerOutcome)
+	if outcome == "" && slices.Contains(promises, res.StatusCode) {
+		return outcomeNotRun
+	}
+	return outcome
+}
+
 // checkHeld checks how long a request was held, if its VM and its connection were left
 // alone meanwhile.
 func (c *callers) checkHeld(vm int, id string, began time.Time) {
--- a/foldfake/soak/check_test.go
+++ b/foldfake/soak/check_test.go
@@ -187,6 +187,9 @@
 			w.Header().Set(headerOutcome, outcomeNotRun)
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+		if strings.HasSuffix(r.URL.Path, "promised") {
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
 		_, _ = io.WriteString(w, body)
 	}))
 	defer lying.Close()
@@ -195,7 +198,7 @@
 		t.Fatal(err)
 	}
 	defer p.Close()
-	for id, want := range map[string][]Promise{"v0-fine": nil, "v0-twice": {AtMostOnce}, "v0-mixed": {OwnAnswers}, "v0-refused": {TrueRefusals}} {
+	for id, want := range map[string][]Promise{"v0-fine": nil, "v0-twice": {AtMostOnce}, "v0-mixed": {OwnAnswers}, "v0-refused": {TrueRefusals}, "v0-promised": {TrueRefusals}} {
 		got := broken(func(f *findings) {
 			c := &callers{findings: f, world: &world{vms: []*vm{{id: "vm", proxy: p}}}}
 			c.write(&http.Client{}, 0, askWrite, id)
--- a/foldfake/soak/server.go
+++ b/foldfake/soak/server.go
@@ -258,11 +258,14 @@
 	b.Drop = x&28 == 28
 }
 
-// malformAnswer makes a behaviour send a response that is none in HTTP, for a part of the requests
-// by their IDs.
+// malformAnswer makes a behaviour send a response that is none in HTTP, or a status that tells
+// callers that a request has not run that has, for a part of the requests each by their IDs.
 func malformAnswer(b *origin.Behaviour, id string) {
-	if x := hashOf(id); x>>8%4 == 0 {
+	switch x := hashOf(id); x >> 8 % 4 {
+	case 0:
 		b.Raw = origin.Malformed(id, int(x>>10))
+	case 1:
+		*b = origin.Behaviour{Status: promises[x>>10%uint32(len(promises))], Body: "failed", CloseDelimited: b.CloseDelimited}
 	}
 }
 
