relay: the decision after a refusal of a stream has a function of its own

accept had grown to both kinds of responses. What follows a server's statement that it did not begin the request is decideRefused now; comments of passOn and of the shared limits say what they return. No behaviour changes.

--- a/fold/limit/table.go
+++ b/fold/limit/table.go
@@ -204,8 +204,8 @@
 // Empty reports whether no server has a limit and none had one lately.
 func (t *Table) Empty() bool { return len(t.records) == 0 }
 
-// Share returns the entries for another VM: recent changes, and then the limits in force, of
-// which others are chosen each time if there are more than maxShared.
+// Share returns the entries for another VM, at most maxShared: recent changes, and then limits in
+// force in a random order, so that each is sent after some exchanges.
 func (t *Table) Share(now time.Time) []Entry {
 	var recent, inForce []Entry
 	for _, r := range t.records {
--- a/foldd/relay/open.go
+++ b/foldd/relay/open.go
@@ -90,33 +90,38 @@
 	q.sent++
 	q.retryGranted = false
 	reply := q.relay.Codec.ParseReply(res.Status, res.Header)
-	if !reply.NotRun && !reply.WrongInstance {
-		q.mayHaveRun = q.mayHaveRun || q.forward.Resumable
-		if s.isServerError(res) {
-			if accepted, f := s.acceptError(ctx, b, res); !accepted {
-				return false, f
-			}
-		}
-		if err := q.checkStatus(b, res.Status); err != nil {
-			res.Body.Close()
-			q.relay.Node.EngineAnswered(b)
-			q.relay.Node.EndPlacement(b.ID, s.placement, place.Answered)
-			return false, failedFault(err)
+	if reply.NotRun || reply.WrongInstance {
+		res.Body.Close()
+		q.relay.recordRejection(b, s.placement, reply)
+		return false, s.decideRefused()
+	}
+	q.mayHaveRun = q.mayHaveRun || q.forward.Resumable
+	if s.isServerError(res) {
+		if accepted, f := s.acceptError(ctx, b, res); !accepted {
+			return false, f
 		}
-		s.recordResumption(b)
-		s.attach(b)
-		s.prefilling, s.eventsBefore = true, s.events
-		return true, nil
 	}
-	res.Body.Close()
-	q.relay.recordRejection(b, s.placement, reply)
+	if err := q.checkStatus(b, res.Status); err != nil {
+		res.Body.Close()
+		q.relay.Node.EngineAnswered(b)
+		q.relay.Node.EndPlacement(b.ID, s.placement, place.Answered)
+		return false, failedFault(err)
+	}
+	s.recordResumption(b)
+	s.attach(b)
+	s.prefilling, s.eventsBefore = true, s.events
+	return true, nil
+}
+
+// decideRefused decides what follows a server's statement that it did not begin the request.
+// It returns a fault unless the request is sent to another server.
+func (s *stream) decideRefused() *fault.Fault {
 	switch step := s.decide(retry.StreamRefused); step.Action {
 	case retry.Restart, retry.GoOn:
-		q.retryGranted = q.forward.Resumable
-	default:
-		return false, fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").WithRetryAfter(rejectedRetryAfter)
+		s.q.retryGranted = s.q.forward.Resumable
+		return nil
 	}
-	return false, nil
+	return fault.NotRun(http.StatusServiceUnavailable, fault.Overload, "the backend server refused the request").WithRetryAfter(rejectedRetryAfter)
 }
 
 // cancelOpen ends an attempt whose request has timed out or whose caller has
--- a/foldd/relay/peer.go
+++ b/foldd/relay/peer.go
@@ -92,8 +92,8 @@
 
 // passOn passes the request to other VMs, one after the other, until one takes it. It
 // returns its response, or a fault if one may have begun the request and its response was
-// lost or can't be passed on. It returns neither if no VM took it. The caller must call endPass once the response
-// has been read.
+// lost or can't be passed on. It returns neither if no VM took it. The caller must call
+// endPass once the response has been read.
 func (q *request) passOn(ctx context.Context) (*pool.Response, *fault.Fault) {
 	n := q.relay.Node
 	var tried []string
