entry: a call that a service says it did not begin is not reported as done

A plain service that answers a call of the own interface with Fold-Not-Run and a status other than 503 had the call reported as done, and kept so under its idempotency key: a resend got the refusal for ever.

Cause: what the service stated counted only beside one status.

Evidence: TestRefusedCallIsNotReportedDone fails on the code before for 429 and 421.

Change: the statement counts beside any status, as for forwards.

--- a/foldd/app/notrun_test.go
+++ b/foldd/app/notrun_test.go
@@ -69,3 +69,22 @@
 		}
 	}
 }
+
+// TestRefusedCallIsNotReportedDone guards against a call that a server says it did not begin, and that
+// is reported, or kept under its key, as done because of the status beside that.
+func TestRefusedCallIsNotReportedDone(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusServiceUnavailable} {
+		a := startEntry(t, "vm0", nil)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Fold-Not-Run", "1")
+			w.WriteHeader(status)
+		}))
+		t.Cleanup(s.Close)
+		a.Node.ReceiveAnnouncement(member.Backend{ID: "s1", Addr: netip.MustParseAddrPort(s.Listener.Addr().String()), Kind: spec.KindPlain, Service: "booking-app", Domain: "a", Epoch: 1, Seq: 1})
+		res := callerRequest{method: http.MethodGet, path: "/lookup"}.send(t, a)
+		if outcome := res.Header.Get("Fold-Outcome"); res.StatusCode != http.StatusServiceUnavailable || outcome != "notRun" {
+			t.Errorf("refused with %d: status %d, outcome %q; want 503, notRun", status, res.StatusCode, outcome)
+		}
+	}
+}
--- a/foldd/entry/call.go
+++ b/foldd/entry/call.go
@@ -296,7 +296,7 @@
 		return answer, a, callFault(a, err), err
 	}
 	defer res.Body.Close()
-	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(headerNotRun) != "" {
+	if res.Header.Get(headerNotRun) != "" {
 		a.Refused = true
 		return answer, a, callFault(a, errors.New("the backend server refused the call")), nil
 	}
