poison: evidence that is forgotten for want of room is told in the log

Callers saw: nothing; reading the diff, the list of bounds said "counted" for losses beyond 512, and a bound that turns a protection off needs a line.

Cause: the counter alone was added with the order in which losses go, and it counted those that say nothing any more, too.

Change: only losses that still count against a part are counted, and a line tells how many were forgotten, at most every 4 s. Logging alone; which losses go is as before.

--- a/fold/poison/poison.go
+++ b/fold/poison/poison.go
@@ -377,8 +377,11 @@
 		}
 	}
 	if len(t.losses) >= maxLosses {
-		delete(t.losses, t.leastTelling())
-		t.dropped++
+		least := t.leastTelling()
+		if !t.losses[least].settled() {
+			t.dropped++
+		}
+		delete(t.losses, least)
 	}
 	t.pruneTrials()
 }
@@ -409,7 +412,8 @@
 	return 1
 }
 
-// Dropped returns the number of losses that were dropped so far because there were too many.
+// Dropped returns the number of losses that still counted against a part and were dropped so far
+// because there were too many.
 func (t *Table) Dropped() int { return t.dropped }
 
 // pruneTrials drops the trials of parts that no loss names any more.
--- a/foldd/node/node.go
+++ b/foldd/node/node.go
@@ -183,6 +183,8 @@
 	// have applied of them, by VM ID.
 	promptGossip promptGossip
 	promptAcks   map[string]promptAck
+	// droppedLosses is what the next log line about forgotten losses tells.
+	droppedLosses droppedLosses
 	// quarantineChanged is called when quarantined has changed; nil if nothing is.
 	quarantineChanged func()
 	// limits keeps requests within the rate limits of backend servers.
--- a/foldd/node/poison.go
+++ b/foldd/node/poison.go
@@ -23,8 +23,8 @@
 		return
 	}
 	n.Count("poison.losses", 1)
-	n.Count("poison.lossesDropped", int64(n.poison.Dropped()-dropped))
 	n.logLoss(poison.Loss{Parts: parts, Crash: crash, Begun: begun})
+	n.logDroppedLosses(n.poison.Dropped() - dropped)
 	n.logQuarantines()
 	n.gossipPromptUpdate("")
 }
@@ -108,7 +108,9 @@
 		n.Count("poison.invalid", int64(invalid))
 		n.Log.WithFields(logrus.Fields{"from": from, "entries": invalid}).Warn("update on prompts has entries that can't be valid; ignoring these")
 	}
+	dropped := n.poison.Dropped()
 	changed := n.poison.Merge(time.Now(), u)
+	n.logDroppedLosses(n.poison.Dropped() - dropped)
 	n.Count("poison.learned", int64(len(changed)))
 	n.logQuarantines()
 	if len(changed) > 0 {
@@ -221,6 +223,31 @@
 	n.Log.WithFields(fields).Info("engine crashed under a prompt")
 }
 
+// droppedLogInterval is the least time between two log lines about losses that were forgotten.
+const droppedLogInterval = 4 * time.Second
+
+// droppedLosses counts the losses that were forgotten since the last log line about them.
+type droppedLosses struct {
+	count    int
+	loggedAt time.Time
+}
+
+// logDroppedLosses logs and counts losses that were forgotten because there are too many. The
+// caller holds the lock.
+func (n *Node) logDroppedLosses(dropped int) {
+	if dropped == 0 {
+		return
+	}
+	n.Count("poison.lossesDropped", int64(dropped))
+	d := &n.droppedLosses
+	d.count += dropped
+	if time.Since(d.loggedAt) < droppedLogInterval {
+		return
+	}
+	n.Log.WithField("dropped", d.count).Warn("more runs were lost in crashes than this VM remembers; forgetting the oldest")
+	*d = droppedLosses{loggedAt: time.Now()}
+}
+
 // LoggedParts returns what a log line names of the parts of a prompt: as many as a prompt usually
 // has, from its end, where a part is in fewer prompts.
 func LoggedParts(parts []string) []string { return parts[max(len(parts)-poison.MaxParts, 0):] }
